--- /dev/null
+++ b/coordination/src/agent.rs
@@ -0,0 +1,300 @@
+//! An edge agent's brain: membership, the feeds of the control daemons merged into one board, mending
+//! with neighbours, permits, the rule its proxy serves under, and claims.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use wire_messages::{
+    Board as BoardMsg, Change, ClaimAsk, ClaimTold, Digests, Lent, List, Mend, Msg, Name, News, Node, Open, Permit, Poll,
+    ProxyHello, Tally,
+};
+
+use crate::{
+    Effects, Ms,
+    board::Board,
+    claims::{Claimer, Holding},
+    effect::{note, send},
+    events,
+    limits::{NODE_GONE, PERMIT, POLL_EVERY, REPAIR_EVERY, RULE_LIFE, STABLE_BOUND, TICK},
+    membership::{CONTROL, EDGE, Membership},
+};
+
+/// What a proxy may do: reject everything, stable versions only, or all that permits allow.
+pub const RULE_NONE: u8 = 0;
+pub const RULE_STABLE: u8 = 1;
+pub const RULE_ALL: u8 = 2;
+
+/// One control daemon as this agent follows it.
+#[derive(Clone, Debug, Default)]
+struct Source {
+    run: u64,
+    upto: u64,
+    /// Newest question of ours that it answered.
+    sent: Ms,
+    /// It sent a settled frame in this agent's life.
+    framed: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Proxy {
+    addr: Name,
+    at: Ms,
+    tallies: Vec<Tally>,
+    opens: Vec<Open>,
+    /// Whether it has had a full board.
+    full: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Agent {
+    pub mship: Membership,
+    board: Board,
+    sources: BTreeMap<Name, Source>,
+    voters: usize,
+    permits: BTreeMap<Name, (Permit, Ms)>,
+    proxy: Option<Proxy>,
+    holding: Holding,
+    claimer: Claimer,
+    ready: bool,
+    rule: u8,
+    /// When a control majority was last heard.
+    heard: Ms,
+    next_poll: Ms,
+    next_repair: Ms,
+    next_board: Ms,
+    fresh: Vec<Change>,
+    woke: Ms,
+}
+
+impl Agent {
+    pub fn new(me: Node, seeds: Vec<Name>, seed: u64) -> Self {
+        Agent {
+            mship: Membership::new(Node { role: EDGE, ..me }, seeds, seed),
+            board: Board::default(),
+            sources: BTreeMap::new(),
+            voters: 0,
+            permits: BTreeMap::new(),
+            proxy: None,
+            holding: Holding::default(),
+            claimer: Claimer::default(),
+            ready: false,
+            rule: RULE_NONE,
+            heard: 0,
+            next_poll: 0,
+            next_repair: 0,
+            next_board: 0,
+            fresh: Vec::new(),
+            woke: 0,
+        }
+    }
+    pub fn board(&self) -> &Board {
+        &self.board
+    }
+    pub fn rule(&self) -> u8 {
+        self.rule
+    }
+
+    fn majority(&self) -> usize {
+        self.voters / 2 + 1
+    }
+
+    pub fn on_msg(&mut self, from: &Name, addr: &Name, msg: Msg, now: Ms) -> Effects {
+        let mut out = Vec::new();
+        match msg {
+            Msg::Shuffle(m) => self.mship.on_shuffle(addr, m, now, &mut out),
+            Msg::News(m) => self.on_news(from, m, now, &mut out),
+            Msg::Digests(m) => {
+                let ranges = self.board.differ(&m.ranges);
+                if !ranges.is_empty() {
+                    let changes = List(self.board.within(&ranges));
+                    out.push(send(addr, Mend { changes, answer: 0, indexes: List(ranges) }));
+                }
+            }
+            Msg::Mend(m) => self.on_mend(addr, m, &mut out),
+            Msg::Claim(m) => self.holding.on_claim(self.mship.me(), addr, m, now, &mut out),
+            Msg::Claimed(m) => {
+                let ended = self.claimer.on_claimed(from, m);
+                self.tell(ended, &mut out);
+            }
+            Msg::ProxyHello(m) => self.on_hello(addr, m, now),
+            Msg::ClaimAsk(m) => self.on_claim_ask(addr, m, now, &mut out),
+            _ => {}
+        }
+        // News goes to the proxy as it comes, not at the next tick.
+        if !self.fresh.is_empty() {
+            self.push(now, &mut out);
+        }
+        out
+    }
+
+    fn tell(&self, ended: impl IntoIterator<Item = crate::claims::Ended>, out: &mut Effects) {
+        out.extend(ended.into_iter().map(|(to, token, state)| send(&to, ClaimTold { token, state })));
+    }
+
+    fn on_claim_ask(&mut self, proxy: &Name, m: ClaimAsk, now: Ms, out: &mut Effects) {
+        let mship = &self.mship;
+        let addr = |n: &str| if n == &*mship.me().name { Some(mship.me().addr.clone()) } else { mship.get(n).map(|n| n.addr.clone()) };
+        self.claimer.ask(&m.request, m.round, m.void, m.age, (proxy.clone(), m.token), addr, now, out);
+    }
+
+    fn on_hello(&mut self, addr: &Name, m: ProxyHello, now: Ms) {
+        self.mship.set_http(&m.http);
+        let full = self.proxy.as_ref().is_some_and(|p| p.full && p.addr == *addr && now.saturating_sub(p.at) < RULE_LIFE);
+        self.proxy = Some(Proxy { addr: addr.clone(), at: now, tallies: m.tallies.0, opens: m.opens.0, full });
+    }
+
+    fn on_news(&mut self, from: &Name, m: News, now: Ms, out: &mut Effects) {
+        // Daemons disagree on the count only while voters change; the largest asks for most.
+        let voters = m.voters as usize;
+        if voters > 0 {
+            self.voters = self.voters.max(voters);
+        }
+        let s = self.sources.entry(from.clone()).or_default();
+        if m.run != s.run {
+            if m.full == 0 {
+                return;
+            }
+            (s.run, s.upto) = (m.run, 0);
+        }
+        s.upto = s.upto.max(m.upto);
+        // Only a settled voter counts as heard: others may lack what a majority has accepted.
+        if m.settled != 0 {
+            (s.sent, s.framed) = (s.sent.max(m.sent), true);
+        }
+        for c in m.changes.0 {
+            if self.board.merge(&c) {
+                self.fresh.push(c);
+            }
+        }
+        for p in m.permits.0 {
+            let until = m.sent + Ms::from(p.ttl);
+            let newer = self.permits.get(&p.service).is_none_or(|(o, u)| (o.epoch, *u) <= (p.epoch, until));
+            // A permit of a lower epoch is a former holder's: it grants nothing any more.
+            if newer {
+                self.permits.insert(p.service.clone(), (p, until));
+            }
+        }
+        if !self.ready && voters > 0 && self.sources.values().filter(|s| s.framed).count() >= self.majority() {
+            self.ready = true;
+            out.push(note(events::STARTER_READY, &self.mship.me().name, ""));
+        }
+        self.judge(now, out);
+    }
+
+    fn on_mend(&mut self, addr: &Name, m: Mend, out: &mut Effects) {
+        // Before this life has read a majority's frames a neighbour's copy is still good news: it merges.
+        let mine = self.board.within(&m.indexes);
+        let mut got = 0;
+        for c in m.changes.iter() {
+            if self.board.merge(c) {
+                self.fresh.push(c.clone());
+                got += 1;
+            }
+        }
+        if got > 0 {
+            out.push(note(events::MENDED, addr, format!("{got} keys")));
+        }
+        let newer: Vec<Change> = mine
+            .into_iter()
+            .filter(|c| m.changes.iter().find(|o| o.key == c.key).is_none_or(|o| crate::board::stamp(c) > crate::board::stamp(o)))
+            .collect();
+        if m.answer == 0 && !newer.is_empty() {
+            out.push(send(addr, Mend { changes: List(newer), answer: 1, indexes: List::default() }));
+        }
+    }
+
+    /// Works out the rule and until when it holds.
+    fn judge(&mut self, now: Ms, out: &mut Effects) -> Ms {
+        let mut sent: Vec<Ms> = self.sources.values().map(|s| s.sent).collect();
+        sent.sort_unstable_by(|a, b| b.cmp(a));
+        let at = sent.get(self.majority() - 1).copied().unwrap_or(0);
+        let until = at + PERMIT;
+        let hears = self.ready && self.voters > 0 && at > 0 && until > now;
+        if hears {
+            self.heard = at;
+        }
+        // After a freeze this agent's picture of the others is old until it has heard them again.
+        let awake = now.saturating_sub(self.woke) > NODE_GONE;
+        let alone = now.saturating_sub(self.heard) > STABLE_BOUND;
+        let (rule, until) = if hears {
+            (RULE_ALL, until)
+        } else if self.ready && awake && !alone && self.mship.hears_most_edges() {
+            (RULE_STABLE, now + RULE_LIFE)
+        } else {
+            (RULE_NONE, 0)
+        };
+        if rule != self.rule {
+            out.push(note(events::RULE, &self.mship.me().name, format!("{} to {rule}", self.rule)));
+            self.rule = rule;
+            self.next_board = 0;
+        }
+        until
+    }
+
+    /// Feeds the proxy: what changed, or all for a proxy that is new.
+    fn push(&mut self, now: Ms, out: &mut Effects) {
+        let until = self.judge(now, out);
+        let fresh = std::mem::take(&mut self.fresh);
+        let nodes = self.mship.live(EDGE).chain([self.mship.me()]).cloned().collect();
+        let permits = self.permits.values().filter(|(_, u)| *u > now).map(|(p, u)| Lent { permit: p.clone(), until: *u }).collect();
+        let Some(p) = self.proxy.as_mut() else { return };
+        let full = !p.full;
+        p.full = true;
+        let changes = if full { self.board.rows().cloned().collect() } else { List(fresh) };
+        self.next_board = now + RULE_LIFE / 5;
+        out.push(send(&p.addr, BoardMsg { rule: self.rule, until, full: full.into(), changes, permits, nodes }));
+    }
+
+    pub fn tick(&mut self, now: Ms) -> Effects {
+        let mut out = Vec::new();
+        // A gap between ticks far over their period is a freeze.
+        const GAP: Ms = TICK * 20;
+        if self.next_poll > 0 && now > self.next_poll + GAP {
+            self.woke = now;
+        }
+        self.mship.tick(now, &mut out);
+        let ended = self.claimer.tick(now);
+        self.tell(ended, &mut out);
+        if now >= self.next_poll {
+            self.next_poll = now + POLL_EVERY;
+            self.poll(now, &mut out);
+        }
+        if now >= self.next_repair {
+            self.next_repair = now + REPAIR_EVERY;
+            let ranges = List(self.board.digests());
+            let near: Vec<Node> = self.mship.view().into_iter().filter(|n| n.role == EDGE).collect();
+            let i = (now / REPAIR_EVERY) as usize;
+            if let Some(n) = near.get(i % near.len().max(1)) {
+                out.push(send(&n.addr, Digests { ranges }));
+            }
+        }
+        self.judge(now, &mut out);
+        if now >= self.next_board {
+            self.push(now, &mut out);
+        }
+        out
+    }
+
+    fn poll(&mut self, now: Ms, out: &mut Effects) {
+        let (tallies, opens) = match &self.proxy {
+            Some(p) => (p.tallies.clone(), p.opens.clone()),
+            None => (vec![], vec![]),
+        };
+        let seen = self.board.rows().map(|c| Change { value: Default::default(), ..c.clone() });
+        let seen: List<Change> = seen.collect();
+        let names: BTreeSet<Name> = self.mship.known(CONTROL).map(|n| n.name.clone()).collect();
+        self.sources.retain(|n, _| names.contains(n));
+        for n in self.mship.known(CONTROL) {
+            let s = self.sources.get(&n.name).cloned().unwrap_or_default();
+            let m = Poll {
+                node: self.mship.me().clone(),
+                sent: now,
+                run: s.run,
+                after: s.upto,
+                tallies: List(tallies.clone()),
+                opens: List(opens.clone()),
+                seen: seen.clone(),
+            };
+            out.push(send(&n.addr, m));
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/board.rs
@@ -0,0 +1,119 @@
+//! The blackboard: newest committed value of each key, merged by (epoch, version), never back.
+
+use std::collections::BTreeMap;
+
+use wire_messages::{Change, Name, Range};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::limits::RANGES;
+
+/// Order of two values of one key.
+pub type Stamp = (u64, u64);
+
+pub fn stamp(c: &Change) -> Stamp {
+    (c.epoch, c.version)
+}
+fn range(key: &str) -> u16 {
+    (xxh3_64(key.as_bytes()) % RANGES as u64) as u16
+}
+
+#[derive(Clone, Default, Debug)]
+pub struct Board {
+    rows: BTreeMap<Name, Change>,
+}
+
+impl Board {
+    pub fn get(&self, key: &str) -> Option<&Change> {
+        self.rows.get(key)
+    }
+    pub fn rows(&self) -> impl Iterator<Item = &Change> {
+        self.rows.values()
+    }
+    /// The value of a key, read as JSON; none if there is none or it was cleared.
+    pub fn read<T: serde::de::DeserializeOwned>(&self, key: &str) -> Option<T> {
+        let c = self.rows.get(key).filter(|c| !c.value.0.is_empty())?;
+        serde_json::from_slice(&c.value.0).ok()
+    }
+    /// Values of all keys that begin with `head`, with the rest of the key.
+    pub fn under<'a>(&'a self, head: &'a str) -> impl Iterator<Item = (&'a str, &'a Change)> {
+        let from: Name = head.into();
+        self.rows
+            .range(from..)
+            .take_while(move |(k, _)| k.starts_with(head))
+            .filter(|(_, c)| !c.value.0.is_empty())
+            .map(move |(k, c)| (&k[head.len()..], c))
+    }
+    /// Takes a value if it is newer; says whether it was.
+    pub fn merge(&mut self, c: &Change) -> bool {
+        // An equal or older stamp is never taken: that is how no copy ever goes back.
+        if self.rows.get(&c.key).is_some_and(|o| stamp(o) >= stamp(c)) {
+            return false;
+        }
+        self.rows.insert(c.key.clone(), c.clone());
+        true
+    }
+    /// A digest for each range of keys.
+    pub fn digests(&self) -> Vec<Range> {
+        let mut d = vec![0u64; RANGES as usize];
+        for c in self.rows.values() {
+            let x = xxh3_64(format!("{} {} {}", c.key, c.epoch, c.version).as_bytes());
+            d[range(&c.key) as usize] ^= x;
+        }
+        d.into_iter().enumerate().map(|(i, digest)| Range { index: i as u16, digest }).collect()
+    }
+    /// Ranges in which another's digests differ.
+    pub fn differ(&self, other: &[Range]) -> Vec<Range> {
+        let mine = self.digests();
+        other.iter().filter(|r| mine.get(r.index as usize).is_some_and(|m| m.digest != r.digest)).cloned().collect()
+    }
+    /// All values in the ranges.
+    pub fn within(&self, ranges: &[Range]) -> Vec<Change> {
+        self.rows.values().filter(|c| ranges.iter().any(|r| r.index == range(&c.key))).cloned().collect()
+    }
+    /// One digest over everything.
+    pub fn digest(&self) -> u64 {
+        self.digests().iter().fold(0, |a, r| a ^ r.digest.rotate_left(r.index as u32))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+    use wire_messages::Blob;
+
+    use super::*;
+
+    fn change(k: &str, epoch: u64, version: u64) -> Change {
+        Change { key: k.into(), epoch, version, value: Blob(vec![epoch as u8, version as u8]) }
+    }
+
+    #[gtest]
+    fn copies_meet_whatever_the_order_and_never_go_back() {
+        let all: Vec<_> = (0..40).map(|i| change(&format!("k{}", i % 7), i / 9, i)).collect();
+        for seed in 0..50 {
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let (mut a, mut b) = (Board::default(), Board::default());
+            let mut x = all.clone();
+            rng.shuffle(&mut x);
+            for c in &x[..20] {
+                let old = a.get(&c.key).map(stamp);
+                a.merge(c);
+                expect_that!(a.get(&c.key).map(stamp), ge(old));
+            }
+            x[20..].iter().for_each(|c| {
+                b.merge(c);
+            });
+            // One exchange of digests and ranges in each direction mends both.
+            let d = a.differ(&b.digests());
+            let (from_a, from_b) = (a.within(&d), b.within(&d));
+            from_b.iter().for_each(|c| {
+                a.merge(c);
+            });
+            from_a.iter().for_each(|c| {
+                b.merge(c);
+            });
+            expect_that!(a.digest(), eq(b.digest()));
+            expect_that!(a.differ(&b.digests()), is_empty());
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/control.rs
@@ -0,0 +1,699 @@
+//! A control daemon's brain: registers, beats, members, feed, agents' polls, and the duties it holds.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use remote_calls::{
+    EdgeStatus, Health as HealthAnswer, KeyStatus, KeyVersion, MemberStatus, PlatformList, ReleasePlan, ReplicaReport,
+    RolloutPhase, RolloutRecord, Spec, Status, ZoneState,
+};
+use wire_messages::{
+    Beat, Blob, Change, Forward, Forwarded, Genesis, Join, List, Msg, Name, News, Node, Open, Permit, Poll, Slots, SlotsAsk,
+    Voter,
+};
+
+use crate::{
+    Effect, Effects, Ms, Row, WriteOutcome,
+    board::Board,
+    effect::{note, send},
+    events,
+    limits::{BEAT_EVERY, FOLLOWER_GONE, FORWARD_LIMIT, LOOP_EVERY, PEER_GONE, PERMIT},
+    membership::{CONTROL, Membership},
+    register::{DUTY, MEMBERS, Registers},
+    rollout::{Inputs, Loop, first_record, members},
+};
+
+/// Key of the operator's spec.
+pub const SPEC: &str = "spec";
+/// Keys of release plans, by service.
+pub const PLAN: &str = "plan/";
+/// Keys of evacuated zones.
+pub const ZONE: &str = "zone/";
+/// Keys of replicas that were warned.
+pub const LEAVING: &str = "leaving/";
+/// Key of the kill switch.
+pub const KILL: &str = "kill-switch";
+
+/// How a beat's sender stands: it votes, has a blank disk, has not caught up, or is going.
+const VOTES: u8 = 0;
+const BLANK: u8 = 1;
+const BEHIND: u8 = 2;
+const GOING: u8 = 3;
+
+/// Tokens of writes that nobody waits for.
+const NOBODY: u64 = 0;
+
+#[derive(Clone, Debug)]
+pub struct ControlParams {
+    pub name: Name,
+    pub zone: Name,
+    pub addr: Name,
+    pub http: Name,
+    /// Lasting names of all control daemons; the first voters must all be these.
+    pub members: Vec<Name>,
+    pub seeds: Vec<Name>,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    at: Ms,
+    beat: Beat,
+    addr: Name,
+}
+
+/// What an agent last said.
+#[derive(Clone, Debug)]
+struct Agent {
+    node: Node,
+    at: Ms,
+    sent: u64,
+    after: u64,
+    opens: Vec<Open>,
+    seen: Vec<Change>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Control {
+    p: ControlParams,
+    disk: u64,
+    pub regs: Registers,
+    pub mship: Membership,
+    board: Board,
+    run: u64,
+    seq: u64,
+    /// The feed: each key's newest place in it. Older places are never needed again.
+    feed: BTreeMap<Name, u64>,
+    peers: BTreeMap<Name, Peer>,
+    agents: BTreeMap<Name, Agent>,
+    /// Writes passed on: until when an answer is awaited.
+    passed: BTreeMap<u64, Ms>,
+    /// Writes taken for another daemon: where the answer goes, under which token.
+    foreign: BTreeMap<u64, (Name, u64)>,
+    token: u64,
+    /// Whom this daemon has compared its slots with since its start.
+    met: BTreeSet<Name>,
+    caught: BTreeSet<Name>,
+    loops: BTreeMap<String, Loop>,
+    platform: Option<PlatformList>,
+    reports: BTreeMap<String, (ReplicaReport, Ms)>,
+    pub going: bool,
+    pub disk_ok: bool,
+    settled: bool,
+    next_beat: Ms,
+    next_loop: Ms,
+    next_join: Ms,
+    /// Writes of rollout records under way, by service.
+    writing: BTreeMap<u64, String>,
+}
+
+impl Control {
+    /// `disk`: the data folder's own number; `rows`: what it held; `born`: differs between lives.
+    pub fn new(p: ControlParams, disk: u64, rows: Vec<Row>, born: u64, now: Ms) -> Self {
+        let me = Node {
+            name: p.name.clone(),
+            role: CONTROL,
+            zone: p.zone.clone(),
+            addr: p.addr.clone(),
+            http: p.http.clone(),
+            born,
+            beat: 0,
+        };
+        let mship = Membership::new(me, p.seeds.clone(), born);
+        let regs = Registers::new(p.name.clone(), rows, now);
+        let mut c = Control {
+            p,
+            disk,
+            regs,
+            mship,
+            board: Board::default(),
+            run: born,
+            seq: 0,
+            feed: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            passed: BTreeMap::new(),
+            foreign: BTreeMap::new(),
+            token: born << 20,
+            met: BTreeSet::new(),
+            caught: BTreeSet::new(),
+            loops: BTreeMap::new(),
+            platform: None,
+            reports: BTreeMap::new(),
+            going: false,
+            disk_ok: true,
+            settled: false,
+            next_beat: 0,
+            next_loop: 0,
+            next_join: 0,
+            writing: BTreeMap::new(),
+        };
+        c.publish(now, &mut Vec::new());
+        c
+    }
+
+    pub fn board(&self) -> &Board {
+        &self.board
+    }
+    pub fn spec(&self) -> Option<Spec> {
+        self.board.read(SPEC)
+    }
+    pub fn settled(&self) -> bool {
+        self.settled
+    }
+    fn live(&self, now: Ms) -> impl Fn(&str) -> bool + use<> {
+        let mut names: BTreeSet<Name> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE && p.beat.blank == VOTES && p.beat.me == self.regs.me)
+            .map(|(n, _)| n.clone())
+            .collect();
+        if !self.going {
+            names.insert(self.p.name.clone());
+        }
+        move |n| names.contains(n)
+    }
+
+    // ---- writes ----
+
+    /// Writes a key; an `Answer` with the returned token follows. `expect`: only if this version stands.
+    pub fn write(&mut self, key: &str, expect: Option<u64>, value: Vec<u8>, now: Ms) -> (u64, Effects) {
+        let mut out = Vec::new();
+        self.token += 1;
+        let t = self.token;
+        self.offer(t, &key.into(), expect, Blob(value), now, &mut out);
+        (t, self.finish(now, out))
+    }
+
+    fn offer(&mut self, token: u64, key: &Name, expect: Option<u64>, value: Blob, now: Ms, out: &mut Effects) {
+        let live = self.live(now);
+        let Some(v) = self.regs.first(key, &live) else {
+            out.push(Effect::Answer { token, outcome: WriteOutcome::NotAccepted("no voter is live") });
+            return;
+        };
+        if v.name == self.p.name {
+            return self.regs.propose(token, key, expect, value, now, out);
+        }
+        self.passed.insert(token, now + FORWARD_LIMIT);
+        let m = Forward { token, key: key.clone(), expect: expect.unwrap_or(0), any: expect.is_none().into(), value };
+        out.push(send(&self.regs.addr(&v), m));
+    }
+
+    fn on_forward(&mut self, from: &Name, m: Forward, now: Ms, out: &mut Effects) {
+        let live = self.live(now);
+        let mine = self.regs.first(&m.key, &live).is_some_and(|v| v.name == self.p.name);
+        // Passing on a second time could go in circles; the asker looks again instead.
+        if !mine {
+            let why = "the daemon asked does not come first for this key".into();
+            out.push(send(from, Forwarded { token: m.token, code: 2, version: 0, why }));
+            return;
+        }
+        self.token += 1;
+        self.foreign.insert(self.token, (from.clone(), m.token));
+        self.regs.propose(self.token, &m.key, (m.any == 0).then_some(m.expect), m.value, now, out);
+    }
+
+    /// Routes answers of this daemon's own registers to whoever asked.
+    fn route(&mut self, token: u64, outcome: WriteOutcome) -> Option<Effect> {
+        self.writing.remove(&token);
+        if token == NOBODY {
+            return None;
+        }
+        let Some((to, theirs)) = self.foreign.remove(&token) else {
+            return Some(Effect::Answer { token, outcome });
+        };
+        let (code, version, why) = match outcome {
+            WriteOutcome::Accepted(v) => (0, v, ""),
+            WriteOutcome::Conflict(v) => (1, v, ""),
+            WriteOutcome::NotAccepted(w) => (2, 0, w),
+            WriteOutcome::Unknown => (3, 0, ""),
+        };
+        Some(send(&to, Forwarded { token: theirs, code, version, why: why.into() }))
+    }
+
+    fn on_forwarded(&mut self, m: Forwarded, out: &mut Effects) {
+        if self.passed.remove(&m.token).is_none() {
+            return;
+        }
+        let outcome = match m.code {
+            0 => WriteOutcome::Accepted(m.version),
+            1 => WriteOutcome::Conflict(m.version),
+            2 => WriteOutcome::NotAccepted("the key's owner did not take it; ask again"),
+            _ => WriteOutcome::Unknown,
+        };
+        out.push(Effect::Answer { token: m.token, outcome });
+    }
+
+    // ---- events ----
+
+    pub fn on_msg(&mut self, from: &Name, addr: &Name, msg: Msg, now: Ms) -> Effects {
+        let mut out = Vec::new();
+        match msg {
+            Msg::Beat(m) => self.on_beat(from, addr, m, now, &mut out),
+            Msg::Prepare(m) => self.regs.on_prepare(addr, m, now, &mut out),
+            Msg::Promise(m) => self.regs.on_promise(from, m, now, &mut out),
+            Msg::Accept(m) => self.regs.on_accept(addr, m, &mut out),
+            Msg::Accepted(m) => self.regs.on_accepted(from, m, now, &mut out),
+            Msg::Commit(m) => self.regs.on_commit(&m.change, &mut out),
+            Msg::Renew(m) => self.regs.on_renew(addr, m, now, &mut out),
+            Msg::Renewed(m) => self.regs.on_renewed(from, m),
+            Msg::Forward(m) => self.on_forward(addr, m, now, &mut out),
+            Msg::Forwarded(m) => self.on_forwarded(m, &mut out),
+            Msg::Genesis(m) => self.on_genesis(m, &mut out),
+            Msg::Join(m) => self.on_join(m.voter, now, &mut out),
+            Msg::SlotsAsk(_) => {
+                out.push(send(addr, Slots { me: self.regs.me, slots: self.regs.slots() }));
+            }
+            Msg::Slots(m) => self.on_slots(from, m, &mut out),
+            Msg::Poll(m) => self.on_poll(addr, m, now, &mut out),
+            Msg::Shuffle(m) => self.mship.on_shuffle(addr, m, now, &mut out),
+            _ => {}
+        }
+        self.finish(now, out)
+    }
+
+    fn on_beat(&mut self, from: &Name, addr: &Name, m: Beat, now: Ms, out: &mut Effects) {
+        self.regs.set_addr(from, addr);
+        let behind = m.me > self.regs.me || (m.blank == VOTES && m.digest != self.regs.digest());
+        if m.blank == VOTES && m.me == self.regs.me && !behind {
+            self.met.insert(from.clone());
+        }
+        if behind && m.blank != BLANK {
+            out.push(send(addr, SlotsAsk { me: self.regs.me }));
+        }
+        // The first voters are offered again to a member that was named among them but has not stored it.
+        if m.blank == BLANK && self.regs.me == 1 && self.regs.voters.iter().any(|v| v.disk == m.disk) {
+            out.push(send(addr, Genesis { voters: List(self.regs.voters.clone()) }));
+        }
+        self.peers.insert(from.clone(), Peer { at: now, beat: m, addr: addr.clone() });
+    }
+
+    fn on_genesis(&mut self, m: Genesis, out: &mut Effects) {
+        // Only a disk that is blank and named takes it; a later blank disk has another number.
+        if self.regs.me == 0 && m.voters.iter().any(|v| v.disk == self.disk) {
+            self.begin(m.voters.0, out);
+        }
+    }
+    fn begin(&mut self, voters: Vec<Voter>, out: &mut Effects) {
+        self.regs.follow(1, voters, out);
+        self.regs.voting = true;
+        out.push(note(events::GENESIS, &self.p.name, ""));
+        out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
+    }
+
+    fn on_join(&mut self, v: Voter, now: Ms, out: &mut Effects) {
+        let voters = &self.regs.voters;
+        // Only the namesake's place is taken, and not while a daemon with the old disk still beats.
+        let Some(i) = voters.iter().position(|o| o.name == v.name) else { return };
+        let alive = |p: &Peer| p.beat.disk == voters[i].disk && now.saturating_sub(p.at) <= PEER_GONE;
+        if voters.iter().any(|o| o.disk == v.disk) || v.name == self.p.name || self.peers.get(&v.name).is_some_and(alive) {
+            return;
+        }
+        let mut next = voters.clone();
+        next[i] = v;
+        let version = u64::from(self.regs.me) - 1;
+        self.offer(NOBODY, &MEMBERS.into(), Some(version), voters_to_bytes(&next), now, out);
+    }
+
+    fn on_slots(&mut self, from: &Name, m: Slots, out: &mut Effects) {
+        self.regs.mend(&m.slots, out);
+        self.follow_members(out);
+        if m.me != self.regs.me {
+            return;
+        }
+        self.met.insert(from.clone());
+        let named = self.regs.voters.iter().any(|v| v.disk == self.disk);
+        if self.regs.voting || !named || !self.regs.voters.iter().any(|v| v.name == *from) {
+            return;
+        }
+        let mut rows = self.regs.catch_up(&m.slots);
+        self.caught.insert(from.clone());
+        // A majority may have stood on any of the others' disks together with the lost one: all must be read.
+        self.regs.voting = self.regs.voters.iter().all(|v| v.name == self.p.name || self.caught.contains(&v.name));
+        rows.push(self.regs.members_row());
+        out.push(Effect::Persist { rows, then: vec![] });
+        if self.regs.voting {
+            out.push(note(events::VOTING, &self.p.name, format!("member epoch {}", self.regs.me)));
+        }
+    }
+
+    /// Adopts voters that were committed under the members' key.
+    fn follow_members(&mut self, out: &mut Effects) {
+        let Some(c) = self.regs.fresh.iter().filter(|c| &*c.key == MEMBERS).max_by_key(|c| c.version).cloned() else { return };
+        let (Some(voters), me) = (voters_of(&c.value), c.version as u32 + 1) else { return };
+        if me <= self.regs.me {
+            return;
+        }
+        let named = voters.iter().any(|v| v.disk == self.disk);
+        self.regs.follow(me, voters, out);
+        self.regs.voting &= named;
+        self.caught.clear();
+        out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
+    }
+
+    fn on_poll(&mut self, addr: &Name, m: Poll, now: Ms, out: &mut Effects) {
+        let name = m.node.name.clone();
+        for t in &m.tallies.0 {
+            let l = self.loops.entry(t.service.to_string()).or_insert_with(|| Loop::new(now));
+            l.health.feed(&name, std::slice::from_ref(t));
+        }
+        let full = m.run != self.run;
+        let after = if full { 0 } else { m.after };
+        let a = Agent { node: m.node, at: now, sent: m.sent, after, opens: m.opens.0, seen: m.seen.0 };
+        out.push(self.news(addr, &a, full, now));
+        self.agents.insert(name, a);
+    }
+
+    fn news(&self, to: &Name, a: &Agent, full: bool, now: Ms) -> Effect {
+        let new = self.feed.iter().filter(|(_, s)| **s > a.after);
+        let changes = new.filter_map(|(k, _)| self.board.get(k)).cloned().collect();
+        send(
+            to,
+            News {
+                sent: a.sent,
+                run: self.run,
+                upto: self.seq,
+                full: full.into(),
+                settled: self.settled.into(),
+                voters: self.regs.voters.len() as u32,
+                changes,
+                permits: self.permits(now),
+            },
+        )
+    }
+
+    /// Permits under the duties held here. They end no later than the duty's own permit, because an
+    /// agent counts `ttl` from before its question was even sent.
+    fn permits(&self, now: Ms) -> List<Permit> {
+        if !self.settled || self.killed() {
+            return List::default();
+        }
+        let rows = self.board.under(DUTY).filter_map(|(s, c)| {
+            let (epoch, until) = self.regs.holds(&c.key, now)?;
+            let r: RolloutRecord = serde_json::from_slice(&c.value.0).ok()?;
+            let share = r.target.as_deref().map_or(&[][..], |t| members(&r, remote_calls::GroupRole::Canary, t));
+            let share = if share.is_empty() { 0 } else { self.spec().map_or(0, |s| s.canary_percent) };
+            let ttl = (until - now).min(PERMIT) as u32;
+            Some(Permit { service: s.into(), epoch, version: c.version, canary_share: share, ttl })
+        });
+        rows.collect()
+    }
+
+    fn killed(&self) -> bool {
+        self.board.read::<bool>(KILL).unwrap_or(false)
+    }
+
+    /// Puts what is newly committed on the board and the feed, and pushes it to the agents.
+    fn publish(&mut self, now: Ms, out: &mut Effects) {
+        let fresh = std::mem::take(&mut self.regs.fresh);
+        let mut new = false;
+        for c in fresh {
+            if self.board.merge(&c) {
+                self.seq += 1;
+                self.feed.insert(c.key.clone(), self.seq);
+                new = true;
+            }
+        }
+        if !new {
+            return;
+        }
+        let news: Effects = self
+            .agents
+            .values()
+            .filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE)
+            .map(|a| self.news(&a.node.addr, a, false, now))
+            .collect();
+        out.extend(news);
+    }
+
+    fn finish(&mut self, now: Ms, mut out: Effects) -> Effects {
+        self.follow_members(&mut out);
+        self.publish(now, &mut out);
+        let routed = out.into_iter().filter_map(|e| match e {
+            Effect::Answer { token, outcome } => self.route(token, outcome),
+            e => Some(e),
+        });
+        routed.collect()
+    }
+
+    // ---- back ends ----
+
+    pub fn on_platform(&mut self, l: PlatformList) {
+        self.reports.retain(|id, _| l.replicas.iter().any(|r| r.id == *id));
+        self.platform = Some(l);
+    }
+    pub fn on_report(&mut self, r: ReplicaReport, now: Ms) {
+        self.reports.insert(r.replica.clone(), (r, now));
+    }
+    /// Replicas to ask for their reports: id and address.
+    pub fn replicas(&self) -> Vec<(String, String)> {
+        let Some(l) = &self.platform else { return vec![] };
+        l.replicas.iter().map(|r| (r.id.clone(), r.addr.clone())).collect()
+    }
+    /// Whether any duty is held here, so that back ends need asking.
+    pub fn on_duty(&self, now: Ms) -> bool {
+        self.board.rows().any(|c| c.key.starts_with(DUTY) && self.regs.holds(&c.key, now).is_some())
+            || self.spec().is_some_and(|s| s.services.iter().any(|v| self.regs.holds(&format!("{DUTY}{}", v.name), now).is_some()))
+    }
+
+    // ---- time ----
+
+    pub fn tick(&mut self, now: Ms) -> Effects {
+        let mut out = Vec::new();
+        self.mship.tick(now, &mut out);
+        for n in self.mship.known(CONTROL) {
+            self.regs.set_addr(&n.name, &n.addr);
+        }
+        self.beat(now, &mut out);
+        self.meet(now, &mut out);
+        let wanted: Vec<Name> = match self.spec() {
+            Some(s) => s.services.iter().map(|v| format!("{DUTY}{}", v.name).into()).collect(),
+            None => vec![],
+        };
+        let live = self.live(now);
+        self.regs.tick(now, &live, &wanted, &mut out);
+        let late: Vec<u64> = self.passed.iter().filter(|(_, t)| **t <= now).map(|(k, _)| *k).collect();
+        for token in late {
+            self.passed.remove(&token);
+            out.push(Effect::Answer { token, outcome: WriteOutcome::Unknown });
+        }
+        let need = self.regs.voters.len() / 2;
+        let was = self.settled;
+        self.settled = self.regs.voting && self.met.len() >= need && self.regs.all_committed();
+        // Once compared, a write under way does not unsettle: it is this life's own news.
+        self.settled |= was && self.regs.voting;
+        if self.settled && !was {
+            out.push(note(events::SETTLED, &self.p.name, ""));
+        }
+        self.finish(now, out)
+    }
+
+    fn beat(&mut self, now: Ms, out: &mut Effects) {
+        if now < self.next_beat {
+            return;
+        }
+        self.next_beat = now + BEAT_EVERY;
+        let blank = match (self.regs.me, self.regs.voting) {
+            _ if self.going => GOING,
+            (0, _) => BLANK,
+            (_, true) => VOTES,
+            _ => BEHIND,
+        };
+        let b = Beat { me: self.regs.me, disk: self.disk, blank, digest: self.regs.digest() };
+        let mut to: BTreeSet<Name> = self.mship.known(CONTROL).map(|n| n.addr.clone()).collect();
+        to.extend(self.regs.voters.iter().map(|v| self.regs.addr(v)));
+        to.extend(self.peers.values().map(|p| p.addr.clone()));
+        to.remove(&self.p.addr);
+        out.extend(to.iter().map(|a| send(a, b.clone())));
+    }
+
+    /// What a daemon that does not vote yet does about it.
+    fn meet(&mut self, now: Ms, out: &mut Effects) {
+        if self.regs.voting || now < self.next_join {
+            return;
+        }
+        self.next_join = now + 2 * BEAT_EVERY;
+        let fresh: Vec<(&Name, &Peer)> = self.peers.iter().filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE).collect();
+        if self.regs.voters.iter().any(|v| v.disk == self.disk) {
+            let others = self.regs.voters.iter().filter(|v| v.name != self.p.name);
+            out.extend(others.map(|v| send(&self.regs.addr(v), SlotsAsk { me: self.regs.me })));
+            return;
+        }
+        if let Some((_, p)) = fresh.iter().find(|(_, p)| p.beat.blank == VOTES) {
+            out.push(note(events::JOIN_ASKED, &p.addr, ""));
+            let voter = Voter { name: self.p.name.clone(), disk: self.disk, addr: self.p.addr.clone() };
+            out.push(send(&p.addr, Join { voter }));
+            return;
+        }
+        // The very first start: every member is here and blank, and the first by name writes them down.
+        let lowest = self.p.members.iter().min() == Some(&self.p.name);
+        let blank = |n: &Name| *n == self.p.name || fresh.iter().any(|(f, p)| *f == n && p.beat.blank == BLANK);
+        if self.regs.me == 0 && lowest && self.p.members.iter().all(blank) {
+            let mut voters = vec![Voter { name: self.p.name.clone(), disk: self.disk, addr: self.p.addr.clone() }];
+            voters.extend(fresh.iter().filter(|(n, _)| self.p.members.contains(n)).map(|(n, p)| Voter {
+                name: (*n).clone(),
+                disk: p.beat.disk,
+                addr: p.addr.clone(),
+            }));
+            // Others store it when this daemon's next beats tell them, by which time it is synced here.
+            self.begin(voters, out);
+        }
+    }
+
+    /// Runs the rollout loops of the duties held here.
+    pub fn loops(&mut self, now: Ms, wall: u64) -> Effects {
+        if now < self.next_loop || !self.settled || self.killed() {
+            return vec![];
+        }
+        self.next_loop = now + LOOP_EVERY;
+        let (Some(spec), Some(platform)) = (self.spec(), self.platform.clone()) else { return vec![] };
+        let leaving: BTreeSet<String> = self.board.under(LEAVING).map(|(r, _)| r.to_string()).collect();
+        let mut out = Vec::new();
+        for s in &spec.services {
+            let key = format!("{DUTY}{}", s.name);
+            let Some((epoch, until)) = self.regs.holds(&key, now) else {
+                // Timings of a duty that is not held are worth nothing when it comes back.
+                if let Some(l) = self.loops.get_mut(&s.name) {
+                    let h = std::mem::take(&mut l.health);
+                    *l = Loop::new(now);
+                    l.health = h;
+                    l.health.tick(now);
+                }
+                continue;
+            };
+            // One write of a record at a time; orders follow only records that stand.
+            if self.writing.values().any(|w| *w == s.name) {
+                continue;
+            }
+            let old: RolloutRecord = self.board.read(&key).unwrap_or_else(|| first_record(s));
+            let plan_row = self.board.get(&format!("{PLAN}{}", s.name)).filter(|c| !c.value.0.is_empty());
+            let plan: Option<(u64, ReleasePlan)> =
+                plan_row.and_then(|c| Some((c.version, serde_json::from_slice(&c.value.0).ok()?)));
+            let mut l = self.loops.remove(&s.name).unwrap_or_else(|| Loop::new(now));
+            let agents = &self.agents;
+            let open = |id: &str, v: &str| -> u64 {
+                let live = agents.values().filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE);
+                live.flat_map(|a| &a.opens).filter(|o| &*o.replica == id && &*o.version == v).map(|o| u64::from(o.streams)).sum()
+            };
+            let plan = plan.as_ref().map(|(n, p)| (*n, p));
+            let (platform, reports) = (&platform.replicas, &self.reports);
+            let i = Inputs { spec: &spec, service: s, plan, platform, reports, leaving: &leaving, open: &open, now, wall };
+            let (next, orders) = l.step(&old, &i);
+            if let Some(v) = l.bad.take() {
+                out.push(note(events::BAD_VERSION, &s.name, v));
+            }
+            self.loops.insert(s.name.clone(), l);
+            if next.phase != old.phase {
+                out.push(note(events::PHASE, &s.name, format!("{:?} to {:?}", old.phase, next.phase)));
+            }
+            for a in next.alerts.iter().filter(|a| !old.alerts.contains(a)) {
+                let e = match a.as_str() {
+                    "stuck" => events::STUCK,
+                    "plan_late" => events::PLAN_LATE,
+                    _ => events::UNLOAD_WAITS,
+                };
+                out.push(note(e, &s.name, a.clone()));
+            }
+            let changed = next != old || self.board.get(&key).is_none();
+            if changed && let Ok(v) = serde_json::to_vec(&next) {
+                self.token += 1;
+                let t = self.token;
+                self.writing.insert(t, s.name.clone());
+                // Compared with the version it was computed from: another holder's record is never overwritten.
+                let stands = self.board.get(&key).map_or(0, |c| c.version);
+                self.regs.propose(t, &key.as_str().into(), Some(stands), Blob(v), now, &mut out);
+            }
+            // Unloads go only under a flag that already stands on a majority of disks.
+            let flagged = |v: &str| old.groups.iter().any(|g| g.allow_unload && g.version == v);
+            for o in orders {
+                if let crate::rollout::Order::Replica { action: remote_calls::OrderAction::Unload, version, .. } = &o
+                    && !flagged(version)
+                {
+                    continue;
+                }
+                out.push(Effect::Order { service: s.name.clone(), epoch, until, order: o });
+            }
+        }
+        // Warnings of replicas that are gone are cleared by whoever owns them.
+        let gone: Vec<Name> = leaving
+            .iter()
+            .filter(|r| !platform.replicas.iter().any(|p| p.id == **r))
+            .map(|r| Name(format!("{LEAVING}{r}")))
+            .filter(|k| self.regs.holds(k, now).is_some())
+            .collect();
+        for k in gone {
+            self.regs.propose(NOBODY, &k, None, Blob::default(), now, &mut out);
+        }
+        self.finish(now, out)
+    }
+
+    // ---- looking ----
+
+    pub fn status(&self, now: Ms) -> Status {
+        let live = self.live(now);
+        let keys = self.regs.keys().map(|s| {
+            let held = self.regs.holds(&s.key, now);
+            KeyStatus {
+                key: s.key.to_string(),
+                owner: self.regs.first(&s.key, &live).map_or(String::new(), |v| v.name.to_string()),
+                epoch: s.epoch,
+                version: s.version,
+                permit_ms: held.filter(|h| h.1 != Ms::MAX).map(|h| h.1 - now),
+            }
+        });
+        let members = self.regs.voters.iter().map(|v| MemberStatus {
+            name: v.name.to_string(),
+            addr: self.regs.addr(v).to_string(),
+            live: live(&v.name),
+            voter: true,
+        });
+        let edges = self.agents.values().map(|a| EdgeStatus {
+            edge: a.node.name.to_string(),
+            zone: a.node.zone.to_string(),
+            heard_ms_ago: now.saturating_sub(a.at),
+            spec_version: a.seen.iter().find(|c| &*c.key == SPEC).map_or(0, |c| c.version),
+            versions: a.seen.iter().map(|c| KeyVersion { key: c.key.to_string(), version: c.version }).collect(),
+        });
+        let rollouts = self.board.under(DUTY).filter_map(|(_, c)| serde_json::from_slice(&c.value.0).ok());
+        let zones = self.spec().map_or(vec![], |s| s.zones);
+        let zones = zones.into_iter().map(|z| ZoneState { evacuated: evacuated(&self.board, &z.name), zone: z.name });
+        Status {
+            daemon: self.p.name.to_string(),
+            member_epoch: self.regs.me.into(),
+            settled: self.settled,
+            disk_ok: self.disk_ok,
+            members: members.collect(),
+            keys: keys.collect(),
+            edges: edges.collect(),
+            rollouts: rollouts.collect(),
+            zones: zones.collect(),
+            kill_switch: self.killed(),
+        }
+    }
+    pub fn health(&self) -> HealthAnswer {
+        let detail = match (self.disk_ok, self.regs.voting, self.settled) {
+            (false, ..) => "the disk does not take writes",
+            (_, false, _) => "does not vote yet",
+            (.., false) => "has not settled yet",
+            _ => "serves",
+        };
+        HealthAnswer { ok: self.settled && self.disk_ok, process: self.p.name.to_string(), detail: detail.into() }
+    }
+    /// Services whose rollout is under way.
+    pub fn moving(&self) -> Vec<String> {
+        let all = self.board.under(DUTY).filter_map(|(_, c)| serde_json::from_slice::<RolloutRecord>(&c.value.0).ok());
+        all.filter(|r| r.phase != RolloutPhase::Steady).map(|r| r.service).collect()
+    }
+}
+
+/// Whether a zone is evacuated, by a board.
+pub fn evacuated(b: &Board, zone: &str) -> bool {
+    b.read::<ZoneState>(&format!("{ZONE}{zone}")).is_some_and(|z| z.evacuated)
+}
+
+fn voters_to_bytes(v: &[Voter]) -> Blob {
+    let rows: Vec<(&str, u64, &str)> = v.iter().map(|v| (&*v.name, v.disk, &*v.addr)).collect();
+    Blob(serde_json::to_vec(&rows).unwrap_or_default())
+}
+fn voters_of(b: &Blob) -> Option<Vec<Voter>> {
+    let rows: Vec<(Name, u64, Name)> = serde_json::from_slice(&b.0).ok()?;
+    Some(rows.into_iter().map(|(name, disk, addr)| Voter { name, disk, addr }).collect())
+}
--- /dev/null
+++ b/coordination/src/effect.rs
@@ -0,0 +1,49 @@
+//! What a state machine wants done. Shells carry effects out; nothing else touches the world.
+
+use wire_messages::{Msg, Name, Slot, Voter};
+
+use crate::{events::Event, rollout::Order};
+
+/// Milliseconds of a clock that also runs while the machine sleeps.
+pub type Ms = u64;
+pub type Effects = Vec<Effect>;
+
+/// What the disk keeps.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Row {
+    Slot(Slot),
+    /// Member epoch, voters, and whether this disk has caught up and votes.
+    Members { me: u32, voters: Vec<Voter>, voting: bool },
+}
+
+/// What became of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Synced on a majority as this version.
+    Accepted(u64),
+    /// Another write came first; this version stands.
+    Conflict(u64),
+    /// It was never offered to a disk and never will be.
+    NotAccepted(&'static str),
+    /// It may or may not become the value; read the key to find out.
+    Unknown,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Send { to: Name, msg: Msg },
+    /// Sync the rows, then do `then`. If syncing fails `then` is dropped and the machine restarts from disk.
+    Persist { rows: Vec<Row>, then: Effects },
+    /// A local caller's write ended.
+    Answer { token: u64, outcome: Outcome },
+    /// An order of a duty. Whoever carries it out checks `until` again first: the process may have slept.
+    Order { service: String, epoch: u64, until: Ms, order: Order },
+    Note { event: Event, peer: Name, text: String },
+}
+
+pub fn send(to: &Name, msg: impl Into<Msg>) -> Effect {
+    Effect::Send { to: to.clone(), msg: msg.into() }
+}
+pub fn note(event: Event, peer: &str, text: impl Into<String>) -> Effect {
+    Effect::Note { event, peer: peer.into(), text: text.into() }
+}
--- /dev/null
+++ b/coordination/src/health.rs
@@ -0,0 +1,171 @@
+//! Health of versions: counts of ended and failed requests by version, lane and cache warmth, summed
+//! over edges, and the verdict on one version against another.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use wire_messages::{Name, Tally};
+
+use crate::{
+    Ms,
+    limits::{BAD_FAILURES, BAD_MARGIN, HEALTH_WINDOW},
+};
+
+/// Version, lane, warm.
+type Cell = (Name, Name, bool);
+/// Ended, failed, slow.
+type Counts = (u64, u64, u64);
+
+/// ms. The long window: a quiet service's failures are few and far between.
+const LONG_WINDOW: Ms = 30_000;
+/// ms. Spacing of remembered sums.
+const SPACING: Ms = 250;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Fine,
+    Bad,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    /// Last cumulative counts of each source's cell, so that a restarted source adds nothing twice.
+    last: BTreeMap<(Name, Cell, u8), Counts>,
+    sums: BTreeMap<Cell, Counts>,
+    past: VecDeque<(Ms, BTreeMap<Cell, Counts>)>,
+}
+
+fn minus(a: Counts, b: Counts) -> Counts {
+    (a.0.saturating_sub(b.0), a.1.saturating_sub(b.1), a.2.saturating_sub(b.2))
+}
+fn plus(a: Counts, b: Counts) -> Counts {
+    (a.0 + b.0, a.1 + b.1, a.2 + b.2)
+}
+
+impl Health {
+    /// Adds a source's cumulative tallies of one service.
+    pub fn feed(&mut self, source: &Name, tallies: &[Tally]) {
+        for t in tallies {
+            let cell = (t.version.clone(), t.lane.clone(), t.warm != 0);
+            let c = (t.ok + t.failed, t.failed, t.slow);
+            let old = self.last.insert((source.clone(), cell.clone(), t.group), c).unwrap_or_default();
+            // Counts below the last ones are a new life of the source: they count from nought.
+            let d = if c.0 < old.0 { c } else { minus(c, old) };
+            let s = self.sums.entry(cell).or_default();
+            *s = plus(*s, d);
+        }
+    }
+    pub fn tick(&mut self, now: Ms) {
+        if self.past.back().is_some_and(|(t, _)| now.saturating_sub(*t) < SPACING) {
+            return;
+        }
+        self.past.push_back((now, self.sums.clone()));
+        while self.past.front().is_some_and(|(t, _)| now.saturating_sub(*t) > LONG_WINDOW) {
+            self.past.pop_front();
+        }
+    }
+    /// Forgets the past, so that a new phase is judged by what happens in it.
+    pub fn restart(&mut self, now: Ms) {
+        self.past.clear();
+        self.past.push_back((now, self.sums.clone()));
+    }
+    /// Counts within the last `w` ms, of cells that `f` picks.
+    fn within(&self, now: Ms, w: Ms, f: impl Fn(&Cell) -> bool) -> Counts {
+        let base = self.past.iter().find(|(t, _)| now.saturating_sub(*t) <= w).map(|(_, m)| m);
+        let mut sum = (0, 0, 0);
+        for (c, v) in self.sums.iter().filter(|(c, _)| f(c)) {
+            sum = plus(sum, minus(*v, base.and_then(|m| m.get(c)).copied().unwrap_or_default()));
+        }
+        sum
+    }
+    /// Requests of a version that ended since the last restart, within the long window.
+    pub fn ended(&self, version: &str, now: Ms) -> u64 {
+        self.within(now, LONG_WINDOW, |c| &*c.0 == version).0
+    }
+    pub fn failed(&self, version: &str, now: Ms) -> u64 {
+        self.within(now, LONG_WINDOW, |c| &*c.0 == version).1
+    }
+    /// Judges `new` against `old`, lane by lane. Failures are compared over all caches, as a cold cache
+    /// makes nothing fail; slowness only between caches of like warmth.
+    pub fn judge(&self, new: &str, old: &str, now: Ms) -> Verdict {
+        let mut lanes: Vec<&Name> = self.sums.keys().filter(|c| &*c.0 == new).map(|c| &c.1).collect();
+        lanes.dedup();
+        for w in [HEALTH_WINDOW, LONG_WINDOW] {
+            for l in &lanes {
+                let of = |v: &str, warm: Option<bool>| {
+                    self.within(now, w, |c| &*c.0 == v && c.1 == **l && warm.is_none_or(|x| x == c.2))
+                };
+                let (n, o) = (of(new, None), of(old, None));
+                if worse((n.0, n.1), (o.0, o.1)) {
+                    return Verdict::Bad;
+                }
+                for warm in [true, false] {
+                    let (n, o) = (of(new, Some(warm)), of(old, Some(warm)));
+                    // Without a like cache on the other side nothing can be said about slowness.
+                    if o.0 >= BAD_FAILURES && worse((n.0, n.2), (o.0, o.2)) {
+                        return Verdict::Bad;
+                    }
+                }
+            }
+        }
+        Verdict::Fine
+    }
+}
+
+/// Whether `n`'s rate of bad ends exceeds `o`'s by the margin.
+fn worse(n: (u64, u64), o: (u64, u64)) -> bool {
+    n.1 >= BAD_FAILURES && n.1 * 100 * o.0.max(1) > (o.1 * 100 + BAD_MARGIN * o.0.max(1)) * n.0
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    fn tally(v: &str, lane: &str, warm: bool, ok: u64, failed: u64, slow: u64) -> Tally {
+        Tally {
+            service: "s".into(),
+            version: v.into(),
+            lane: lane.into(),
+            warm: warm.into(),
+            sent: ok + failed,
+            ok,
+            failed,
+            slow,
+            group: 0,
+        }
+    }
+
+    fn verdict(rows: &[Tally]) -> Verdict {
+        let mut h = Health::default();
+        h.restart(0);
+        h.feed(&"e1".into(), rows);
+        h.judge("v2", "v1", 1_000)
+    }
+
+    #[gtest]
+    fn one_bad_lane_is_enough_and_a_cold_cache_alone_is_not() {
+        let fine = [tally("v1", "a", true, 100, 1, 0), tally("v2", "a", true, 10, 0, 0)];
+        expect_that!(verdict(&fine), eq(Verdict::Fine));
+        let lane = [tally("v1", "a", true, 500, 0, 0), tally("v2", "a", true, 50, 0, 0), tally("v1", "b", true, 20, 0, 0), tally("v2", "b", true, 1, 3, 0)];
+        expect_that!(verdict(&lane), eq(Verdict::Bad));
+        // The canary is slow only where its cache is cold, as the baseline's cold requests are too.
+        let cold = [tally("v1", "a", true, 90, 0, 0), tally("v1", "a", false, 10, 0, 9), tally("v2", "a", false, 10, 0, 9)];
+        expect_that!(verdict(&cold), eq(Verdict::Fine));
+        let slow = [tally("v1", "a", true, 90, 0, 1), tally("v2", "a", true, 10, 0, 6)];
+        expect_that!(verdict(&slow), eq(Verdict::Bad));
+    }
+
+    #[gtest]
+    fn a_restarted_source_is_not_counted_twice_and_old_failures_leave_the_window() {
+        let mut h = Health::default();
+        h.restart(0);
+        h.feed(&"e1".into(), &[tally("v2", "a", true, 10, 0, 0)]);
+        h.feed(&"e1".into(), &[tally("v2", "a", true, 2, 0, 0)]);
+        expect_that!(h.ended("v2", 10), eq(12));
+        h.feed(&"e1".into(), &[tally("v2", "a", true, 2, 5, 0)]);
+        expect_that!(h.judge("v2", "v1", 100), eq(Verdict::Bad));
+        (0..400).for_each(|i| h.tick(i * 250));
+        expect_that!(h.judge("v2", "v1", 100_000), eq(Verdict::Fine));
+    }
+}
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -1,1 +1,20 @@
+//! landingslip's coordination parts: state machines that take `(event, now)` and give effects.
+//! Nothing here reads a clock, opens a socket or file, or starts a thread: daemons and the
+//! simulator drive the same code.
 
+pub mod agent;
+pub mod board;
+pub mod claims;
+pub mod control;
+pub mod effect;
+pub mod events;
+pub mod health;
+pub mod limits;
+pub mod membership;
+pub mod order;
+pub mod proxy;
+pub mod register;
+pub mod rollout;
+
+pub use effect::{Effect, Effects, Ms, Outcome as WriteOutcome, Row, send};
+pub use wire_messages as wire;
--- /dev/null
+++ b/coordination/src/limits.rs
@@ -0,0 +1,96 @@
+//! Every constant of the coordination parts, with unit and reason.
+
+use crate::Ms;
+
+/// ms. How often a state machine is ticked; a fifth of the shortest interval it keeps.
+pub const TICK: Ms = 50;
+/// ms. Control daemons' beats to each other: five may be lost before a peer counts as gone.
+pub const BEAT_EVERY: Ms = 200;
+/// ms. Silence after which a control daemon counts as gone; above five beats, so that one slow disk sync is no death.
+pub const PEER_GONE: Ms = 1_100;
+/// ms. Life of a permit: the brief's evacuation and canary bounds are 5 s, so a lapse leaves 2 s to act.
+pub const PERMIT: Ms = 3_000;
+/// ms. Duty holders renew three times within a permit's life.
+pub const RENEW_EVERY: Ms = 700;
+/// ms. A holder stops this long before voters do, covering clock rates that differ by up to 5%.
+pub const PERMIT_MARGIN: Ms = 200;
+/// ms. Resend of prepares and accepts that were not answered.
+pub const RESEND: Ms = 400;
+/// ms. An operator's write is answered by then: accepted, not accepted or unknown.
+pub const WRITE_LIMIT: Ms = 2_000;
+/// ms. A daemon that passed a write on waits a little longer than the owner does.
+pub const FORWARD_LIMIT: Ms = 2_500;
+/// Writes that may wait for one key; operators racing are a handful.
+pub const WRITES_WAITING: usize = 32;
+/// ms. Agents ask each control daemon for news this often; news is also pushed.
+pub const POLL_EVERY: Ms = 400;
+/// ms. Agents that polled within this are pushed to.
+pub const FOLLOWER_GONE: Ms = 3_000;
+/// ms. Shuffle between neighbours.
+pub const SHUFFLE_EVERY: Ms = 250;
+/// Neighbours in a partial view: enough that a view of 5 in a fleet of 11 stays connected when four go.
+pub const VIEW: usize = 5;
+/// Descriptors in one shuffle besides the sender's own.
+pub const SHUFFLE_SAMPLE: usize = 8;
+/// ms. A node whose beat has not risen for this long counts as gone; rumours need a few shuffles to cross.
+pub const NODE_GONE: Ms = 2_000;
+/// ms. A node gone this long is forgotten: longer than any freeze that is expected to wake again.
+pub const NODE_FORGOTTEN: Ms = 600_000;
+/// ms. Range digests between neighbouring agents.
+pub const REPAIR_EVERY: Ms = 500;
+/// Ranges that keys are split into for repair.
+pub const RANGES: u16 = 16;
+/// ms. How long an edge that hears no control majority goes on with stable versions while it hears most edges.
+pub const STABLE_BOUND: Ms = 60_000;
+/// ms. A rule handed to a proxy holds this long; an agent that died is noticed by then.
+pub const RULE_LIFE: Ms = 1_500;
+/// ms. Longest wait for a claim's majority; three loopback or in-country round trips.
+pub const CLAIM_LIMIT: Ms = 500;
+/// ms. How long claims are remembered: five times the longest time left that a lane may grant.
+pub const CLAIM_KEPT: Ms = 600_000;
+/// Holders of one claim: a majority of three outlives one of them.
+pub const CLAIM_GROUP: usize = 3;
+/// ms. Replicas and the platform are asked this often.
+pub const REPORT_EVERY: Ms = 300;
+/// ms. A replica whose report is older is not used; three reports may be lost.
+pub const REPORT_OLD: Ms = 1_200;
+/// ms. The rollout loop's period.
+pub const LOOP_EVERY: Ms = 300;
+/// Replicas that retire in one step, at least; the source's value.
+pub const STEP_MIN: usize = 3;
+/// Percent of a service that retires in one step when that is more; the source's value.
+pub const STEP_PERCENT: usize = 5;
+/// ms. A canary takes at least this long, so that slow failures show.
+pub const CANARY_MIN: Ms = 3_000;
+/// Requests a canary must have ended before it can pass: at 10% that is a few hundred of the service.
+pub const CANARY_REQUESTS: u64 = 20;
+/// ms. A canary without enough requests passes after this long, if nothing failed: a quiet service must not block.
+pub const CANARY_QUIET: Ms = 30_000;
+/// Failures of a version before it may be called bad: two can be chance.
+pub const BAD_FAILURES: u64 = 3;
+/// Percent by which a version's failure rate must exceed the other's.
+pub const BAD_MARGIN: u64 = 10;
+/// ms. Window that failure rates are taken over; the brief cuts a bad version within 5 s.
+pub const HEALTH_WINDOW: Ms = 4_000;
+/// ms. A loop step that has not moved for this long raises the stuck alert.
+pub const STUCK_AFTER: Ms = 60_000;
+/// ms. A loading replica that takes longer is counted late and its start is not repeated before.
+pub const LOAD_LATE: Ms = 15_000;
+/// ms. Ramp of a cold replica from its first place to all of them.
+pub const WARM_UP: Ms = 4_000;
+/// Places a cold replica starts with.
+pub const COLD_PLACES: u32 = 1;
+/// Percent of a replica's places that a prefix's first pick may hold before others are tried.
+pub const AFFINITY_BUSY: u32 = 75;
+/// Percent. KV cache fuller than this takes a replica out for requests without a prefix there.
+pub const KV_FULL: u32 = 95;
+/// Percent of first rounds that may be second rounds.
+pub const SECOND_ROUNDS: u64 = 5;
+/// Second rounds a proxy may always spend, so that a quiet fleet can retry at all.
+pub const SECOND_ROUNDS_FREE: u64 = 2;
+/// Requests one proxy lets wait for a place.
+pub const WAITING: usize = 64;
+/// ms. Least and most of Retry-After; the spread keeps rejected callers from returning together.
+pub const RETRY_AFTER: (Ms, Ms) = (500, 4_000);
+/// ms. An evacuated or leaving place's work is let end for this long after the longest time left.
+pub const DRAIN_EXTRA: Ms = 2_000;
--- /dev/null
+++ b/coordination/src/membership.rs
@@ -0,0 +1,152 @@
+//! Partial-view membership: each node keeps a few neighbours, shuffles views with them, and spreads
+//! rising beats by which every node judges every other.
+
+use std::collections::BTreeMap;
+
+use wire_messages::{List, Name, Node, Shuffle};
+
+use crate::{
+    Effects, Ms,
+    effect::{note, send},
+    events,
+    limits::{NODE_FORGOTTEN, NODE_GONE, SHUFFLE_EVERY, SHUFFLE_SAMPLE, VIEW},
+};
+
+/// Roles of nodes, as on the wire.
+pub const CONTROL: u8 = 1;
+pub const EDGE: u8 = 2;
+
+#[derive(Clone, Debug)]
+struct Known {
+    node: Node,
+    /// When its beat last rose here.
+    at: Ms,
+    live: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Membership {
+    me: Node,
+    seeds: Vec<Name>,
+    known: BTreeMap<Name, Known>,
+    view: Vec<Name>,
+    next: Ms,
+    rng: fastrand::Rng,
+}
+
+impl Membership {
+    pub fn new(me: Node, seeds: Vec<Name>, seed: u64) -> Self {
+        Membership { me, seeds, known: BTreeMap::new(), view: Vec::new(), next: 0, rng: fastrand::Rng::with_seed(seed) }
+    }
+    pub fn me(&self) -> &Node {
+        &self.me
+    }
+    /// Changes what this node says of itself.
+    pub fn set_http(&mut self, http: &str) {
+        self.me.http = http.into();
+    }
+    pub fn view(&self) -> Vec<Node> {
+        self.view.iter().filter_map(|n| self.known.get(n)).map(|k| k.node.clone()).collect()
+    }
+    pub fn live(&self, role: u8) -> impl Iterator<Item = &Node> {
+        self.known.values().filter(move |k| k.live && k.node.role == role).map(|k| &k.node)
+    }
+    pub fn known(&self, role: u8) -> impl Iterator<Item = &Node> {
+        self.known.values().filter(move |k| k.node.role == role).map(|k| &k.node)
+    }
+    pub fn get(&self, name: &str) -> Option<&Node> {
+        self.known.get(name).map(|k| &k.node)
+    }
+    /// Whether this node hears more than half of the edges it knows, itself among them.
+    pub fn hears_most_edges(&self) -> bool {
+        let own = usize::from(self.me.role == EDGE);
+        let all = self.known(EDGE).count() + own;
+        (self.live(EDGE).count() + own) * 2 > all
+    }
+
+    fn take(&mut self, n: &Node, now: Ms, out: &mut Effects) {
+        if n.name == self.me.name {
+            return;
+        }
+        let Some(k) = self.known.get_mut(&n.name) else {
+            out.push(note(events::NODE_FOUND, &n.name, n.addr.to_string()));
+            self.known.insert(n.name.clone(), Known { node: n.clone(), at: now, live: true });
+            return;
+        };
+        // A later life beats an earlier one's beats; within a life only a risen beat is news.
+        if (n.born, n.beat) <= (k.node.born, k.node.beat) {
+            return;
+        }
+        if !k.live {
+            out.push(note(events::NODE_FOUND, &n.name, "came back"));
+        }
+        *k = Known { node: n.clone(), at: now, live: true };
+    }
+
+    fn sample(&mut self) -> List<Node> {
+        let mut v: Vec<Node> = self.known.values().filter(|k| k.live).map(|k| k.node.clone()).collect();
+        self.rng.shuffle(&mut v);
+        v.truncate(SHUFFLE_SAMPLE);
+        v.push(self.me.clone());
+        List(v)
+    }
+
+    /// Fills the view from live nodes; the dead leave it.
+    fn refill(&mut self) {
+        let known = &self.known;
+        self.view.retain(|n| known.get(n).is_some_and(|k| k.live));
+        let mut more: Vec<Name> =
+            known.values().filter(|k| k.live && !self.view.contains(&k.node.name)).map(|k| k.node.name.clone()).collect();
+        self.rng.shuffle(&mut more);
+        // A random newcomer takes the oldest neighbour's place, so that views keep mixing.
+        if self.view.len() >= VIEW && !more.is_empty() {
+            self.view.remove(0);
+        }
+        self.view.extend(more.into_iter().take(VIEW.saturating_sub(self.view.len())));
+    }
+
+    pub fn on_shuffle(&mut self, from: &Name, m: Shuffle, now: Ms, out: &mut Effects) {
+        for n in m.nodes.iter() {
+            self.take(n, now, out);
+        }
+        if m.answer == 0 {
+            let nodes = self.sample();
+            out.push(send(from, Shuffle { nodes, answer: 1 }));
+        }
+    }
+
+    pub fn tick(&mut self, now: Ms, out: &mut Effects) {
+        if now < self.next {
+            return;
+        }
+        self.next = now + SHUFFLE_EVERY;
+        self.me.beat += 1;
+        for k in self.known.values_mut().filter(|k| k.live && now.saturating_sub(k.at) > NODE_GONE) {
+            k.live = false;
+            out.push(note(events::NODE_GONE, &k.node.name, ""));
+        }
+        self.known.retain(|_, k| now.saturating_sub(k.at) < NODE_FORGOTTEN);
+        self.refill();
+        let mut to: Vec<Name> = Vec::new();
+        if !self.view.is_empty() {
+            let i = self.rng.usize(..self.view.len());
+            to.push(self.known[&self.view[i]].node.addr.clone());
+        }
+        // Seeds only bring a lonely node in, or join two halves that lost sight of each other.
+        if (self.view.len() < 2 || self.me.beat % 16 == 0)
+            && let Some(s) = self.rng.choice(&self.seeds)
+            && *s != self.me.addr
+        {
+            to.push(s.clone());
+        }
+        // A node given up for dead is knocked at now and then: after a cut nobody else may know of it.
+        if self.me.beat % 4 == 0 {
+            let dead: Vec<Name> = self.known.values().filter(|k| !k.live).map(|k| k.node.addr.clone()).collect();
+            to.extend(self.rng.choice(&dead).cloned());
+        }
+        for t in to {
+            let nodes = self.sample();
+            out.push(send(&t, Shuffle { nodes, answer: 0 }));
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/proxy.rs
@@ -0,0 +1,577 @@
+//! A proxy's brain: what it may do, where a request goes, who waits and who is rejected, and what is
+//! counted. It nominates for callers that ask where to go, and places requests that have come.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use remote_calls::{
+    Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, ReplicaReport, RolloutRecord, RunRequest, ServiceSpec, Spec,
+};
+use wire_messages::{Board as BoardMsg, Lent, List, Name, Node, Open, ProxyHello, Tally};
+
+use crate::{
+    Ms,
+    agent::{RULE_ALL, RULE_NONE, RULE_STABLE},
+    board::Board,
+    claims,
+    control::{LEAVING, SPEC, evacuated},
+    health::{Health, Verdict},
+    limits::{
+        AFFINITY_BUSY, COLD_PLACES, KV_FULL, REPORT_OLD, RETRY_AFTER, SECOND_ROUNDS, SECOND_ROUNDS_FREE, WAITING, WARM_UP,
+    },
+    order::weight,
+    register::DUTY,
+};
+
+/// Where a round goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placed {
+    pub service: String,
+    pub lane: String,
+    pub version: String,
+    pub replica: String,
+    pub addr: String,
+    pub role: GroupRole,
+    pub warm: bool,
+    pub at: Ms,
+}
+
+/// How a round ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Answered,
+    /// Slower than the lane's expected time by far.
+    Slow,
+    /// The replica or its version is at fault.
+    Failed,
+    /// The caller went away: no verdict on the version.
+    Dropped,
+    /// The replica had no place: it ran nothing.
+    Busy,
+}
+
+/// What to do with a request that wants a place.
+#[derive(Clone, Debug)]
+pub enum Admit {
+    Go(Placed),
+    /// Every place is taken; wait for one if the buffer has room.
+    Full,
+    Reject(Fault),
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    report: ReplicaReport,
+    at: Ms,
+    /// Rounds of ours that this report cannot know of yet.
+    since: u32,
+    /// When each version was first seen ready in this life of the replica.
+    ready: BTreeMap<String, Ms>,
+}
+
+/// A request in the buffer.
+#[derive(Clone, Debug)]
+struct Waiting {
+    token: u64,
+    rank: u32,
+    until: Ms,
+}
+
+/// A prefix's place: which replica was last sent it.
+type Prefix = (String, String);
+
+pub struct Proxy {
+    name: Name,
+    zone: Name,
+    http: Name,
+    born: u64,
+    board: Board,
+    spec: Option<Spec>,
+    records: BTreeMap<String, (u64, u64, RolloutRecord)>,
+    leaving: BTreeSet<String>,
+    evacuated: BTreeSet<String>,
+    rule: u8,
+    until: Ms,
+    permits: BTreeMap<String, Lent>,
+    nodes: Vec<Node>,
+    seen: BTreeMap<String, Seen>,
+    open: BTreeMap<(String, String), u32>,
+    tallies: BTreeMap<(String, String, String, bool, u8), [u64; 4]>,
+    /// Requests of a service and of its canary, for the canary's counted share.
+    shares: BTreeMap<String, (u64, u64)>,
+    /// Versions whose failures show here, and until when they are capped.
+    suspects: BTreeMap<String, Ms>,
+    health: BTreeMap<String, Health>,
+    warm: BTreeMap<Prefix, Ms>,
+    waiting: VecDeque<Waiting>,
+    rounds: (u64, u64),
+    rng: fastrand::Rng,
+    pub counters: BTreeMap<&'static str, u64>,
+}
+
+/// ms. How long a prefix is taken to stay in a replica's cache.
+const PREFIX_KEPT: Ms = 120_000;
+/// Prefixes remembered; the oldest go first.
+const PREFIXES: usize = 20_000;
+/// ms. A version that was capped stays so until it has shown nothing for this long.
+const SUSPECT_FOR: Ms = 3_000;
+/// Percent of its time left that a request may spend waiting for a place.
+const WAIT_PERCENT: u64 = 20;
+/// Ended requests over a lane's expected time by this factor count as slow.
+pub const SLOW_FACTOR: u64 = 4;
+
+impl Proxy {
+    pub fn new(name: Name, zone: Name, http: Name, born: u64) -> Self {
+        Proxy {
+            name,
+            zone,
+            http,
+            born,
+            board: Board::default(),
+            spec: None,
+            records: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            evacuated: BTreeSet::new(),
+            rule: RULE_NONE,
+            until: 0,
+            permits: BTreeMap::new(),
+            nodes: Vec::new(),
+            seen: BTreeMap::new(),
+            open: BTreeMap::new(),
+            tallies: BTreeMap::new(),
+            shares: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            health: BTreeMap::new(),
+            warm: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            rounds: (0, 0),
+            rng: fastrand::Rng::with_seed(born),
+            counters: BTreeMap::new(),
+        }
+    }
+
+    fn count(&mut self, what: &'static str) {
+        *self.counters.entry(what).or_default() += 1;
+    }
+
+    // ---- what the agent says ----
+
+    pub fn on_board(&mut self, m: BoardMsg) {
+        (self.rule, self.until, self.nodes) = (m.rule, m.until, m.nodes.0);
+        let mut new = false;
+        for c in &m.changes.0 {
+            new |= self.board.merge(c);
+        }
+        for p in m.permits.0 {
+            let k = p.permit.service.to_string();
+            if self.permits.get(&k).is_none_or(|o| (o.permit.epoch, o.until) <= (p.permit.epoch, p.until)) {
+                self.permits.insert(k, p);
+            }
+        }
+        if new {
+            self.read_board();
+        }
+    }
+
+    fn read_board(&mut self) {
+        self.spec = self.board.read(SPEC);
+        self.leaving = self.board.under(LEAVING).map(|(r, _)| r.to_string()).collect();
+        let rows = self.board.under(DUTY);
+        let rows = rows.filter_map(|(s, c)| Some((s.to_string(), (c.epoch, c.version, serde_json::from_slice(&c.value.0).ok()?))));
+        self.records = rows.collect();
+        let zones = self.spec.as_ref().map_or(&[][..], |s| &s.zones);
+        self.evacuated = zones.iter().filter(|z| evacuated(&self.board, &z.name)).map(|z| z.name.clone()).collect();
+    }
+
+    pub fn hello(&self) -> ProxyHello {
+        let tallies = self.tallies.iter().map(|((s, v, l, warm, g), n)| Tally {
+            service: s.as_str().into(),
+            version: v.as_str().into(),
+            lane: l.as_str().into(),
+            warm: (*warm).into(),
+            group: *g,
+            sent: n[0],
+            ok: n[1],
+            failed: n[2],
+            slow: n[3],
+        });
+        let opens = self.open.iter().filter(|(_, n)| **n > 0).map(|((r, v), n)| Open {
+            replica: r.as_str().into(),
+            version: v.as_str().into(),
+            streams: *n,
+        });
+        ProxyHello { born: self.born, http: self.http.clone(), tallies: tallies.collect(), opens: opens.collect::<List<Open>>() }
+    }
+
+    // ---- what replicas say ----
+
+    /// Replicas to ask for their reports: id and address.
+    pub fn replicas(&self) -> Vec<(String, String)> {
+        let all = self.records.values().flat_map(|r| &r.2.replicas);
+        all.map(|p| (p.id.clone(), p.addr.clone())).collect()
+    }
+
+    pub fn on_report(&mut self, r: ReplicaReport, now: Ms) {
+        let old = self.seen.remove(&r.replica);
+        let mut ready = match old {
+            // Another life of the replica, or one that went dark for long, starts cold again.
+            Some(o) if o.report.born == r.born && now.saturating_sub(o.at) < 5 * REPORT_OLD => o.ready,
+            Some(_) => {
+                self.warm.retain(|(id, _), _| *id != r.replica);
+                BTreeMap::new()
+            }
+            None => BTreeMap::new(),
+        };
+        ready.retain(|v, _| r.loaded.iter().any(|l| l.ready && l.version == *v));
+        for l in r.loaded.iter().filter(|l| l.ready) {
+            ready.entry(l.version.clone()).or_insert(now);
+        }
+        self.seen.insert(r.replica.clone(), Seen { report: r, at: now, since: 0, ready });
+    }
+
+    // ---- checks ----
+
+    fn lane<'a>(spec: &'a Spec, service: &str, lane: &str, tier: &str) -> Result<(&'a ServiceSpec, &'a LaneSpec, u32, u32), Fault> {
+        let bad = |f: &str, m: String| Fault::new("bad_request", "check_request", m).field(f).outcome(Outcome::NotRun);
+        let Some(s) = spec.services.iter().find(|s| s.name == service) else {
+            return Err(bad("service", format!("no service {service}")));
+        };
+        let Some(l) = s.lanes.iter().find(|l| l.name == lane) else {
+            return Err(bad("lane", format!("service {service} has no lane {lane}")));
+        };
+        let Some(t) = spec.tiers.iter().find(|t| t.name == tier) else {
+            return Err(bad("tier", format!("no tier {tier}")));
+        };
+        Ok((s, l, t.rank, t.keep_free))
+    }
+
+    /// A rejection with a time to come back, spread so that callers do not return together.
+    pub fn reject(&mut self, code: &str, step: &str, message: &str) -> Fault {
+        self.count("rejected");
+        let ms = self.rng.u64(RETRY_AFTER.0..RETRY_AFTER.1);
+        Fault::new(code, step, message).retry(ms).outcome(Outcome::NotRun)
+    }
+
+    /// Home zones of a request that take requests now.
+    fn homes(&mut self, s: &ServiceSpec, homes: &[String]) -> Result<BTreeSet<String>, Fault> {
+        let bad = |m: String| Fault::new("bad_request", "check_request", m).field("homes").outcome(Outcome::NotRun);
+        if homes.is_empty() {
+            return Err(bad("names no home".into()));
+        }
+        let zones = self.spec.as_ref().map_or(&[][..], |s| &s.zones);
+        if let Some(h) = homes.iter().find(|h| !zones.iter().any(|z| z.name == **h)) {
+            return Err(bad(format!("no zone {h}")));
+        }
+        let served: BTreeSet<&String> = homes.iter().filter(|h| s.zones.iter().any(|z| z.zone == **h)).collect();
+        if served.is_empty() {
+            return Err(bad(format!("service {} has no replica in these homes", s.name)));
+        }
+        let open: BTreeSet<String> = served.into_iter().filter(|h| !self.evacuated.contains(*h)).cloned().collect();
+        if open.is_empty() {
+            return Err(self.reject("evacuated", "filter_homes", "every home is evacuated"));
+        }
+        Ok(open)
+    }
+
+    fn allowed(&mut self, now: Ms) -> Result<Spec, Fault> {
+        // The rule is read with the clock at hand: a process that slept finds it lapsed.
+        if self.rule == RULE_NONE || now >= self.until {
+            return Err(self.reject("no_rule", "check_rule", "this edge may not serve now"));
+        }
+        match self.spec.clone() {
+            Some(s) => Ok(s),
+            None => Err(self.reject("no_spec", "check_rule", "no spec is known yet")),
+        }
+    }
+
+    // ---- candidates ----
+
+    fn places(&self, s: &Seen, version: &str, now: Ms) -> u32 {
+        let slots = s.report.slots;
+        let Some(t) = s.ready.get(version) else { return 0 };
+        let age = now.saturating_sub(*t);
+        // A cold replica starts with one place and gains the rest as it warms.
+        let ramp = COLD_PLACES as u64 + u64::from(slots.saturating_sub(COLD_PLACES)) * age.min(WARM_UP) / WARM_UP;
+        (ramp as u32).min(slots)
+    }
+    fn load(s: &Seen) -> u32 {
+        s.report.busy + s.since
+    }
+
+    /// Replicas of a group that may take the request, with free places at the tier's limit.
+    fn fit(&self, service: &str, g: (&str, &[String]), zones: &BTreeSet<String>, keep: u32, now: Ms) -> Vec<(&Seen, u32)> {
+        let ok = |id: &String| {
+            let s = self.seen.get(id)?;
+            let usable = now.saturating_sub(s.at) <= REPORT_OLD
+                && !s.report.leaving
+                && !self.leaving.contains(id)
+                && zones.contains(&s.report.zone)
+                && s.report.loaded.iter().any(|l| l.ready && l.version == g.0 && l.service == service)
+                && s.report.kv_fill * 100.0 < f64::from(KV_FULL);
+            let places = self.places(s, g.0, now) * (100 - keep.min(99)) / 100;
+            let free = places.max(1).saturating_sub(Self::load(s));
+            (usable && free > 0).then_some((s, free))
+        };
+        g.1.iter().filter_map(ok).collect()
+    }
+
+    /// The replica for a prompt: the first in its longest prefix's order that is not too busy, else the freest.
+    fn pick<'a>(&self, fit: &[(&'a Seen, u32)], prefixes: &[String], version: &str, now: Ms) -> Option<&'a Seen> {
+        for p in prefixes {
+            let known = |s: &Seen| self.warm.get(&(s.report.replica.clone(), format!("{version} {p}"))).is_some_and(|t| now - *t < PREFIX_KEPT);
+            let room = |s: &Seen, free: u32| {
+                let places = self.places(s, version, now);
+                free > 0 && Self::load(s) * 100 < places * AFFINITY_BUSY || (known(s) && free > 0)
+            };
+            let best = fit.iter().filter(|(s, f)| room(s, *f)).max_by_key(|(s, _)| weight(p, &s.report.replica));
+            if let Some((s, _)) = best {
+                return Some(s);
+            }
+        }
+        let key = |s: &Seen, free: u32| (u64::from(free) * 1000 / u64::from(s.report.slots.max(1)), weight(&self.name, &s.report.replica));
+        fit.iter().max_by_key(|(s, f)| key(s, *f)).map(|(s, _)| *s)
+    }
+
+    /// Groups in the order they are tried: by share, within permits.
+    fn groups(&mut self, service: &str, now: Ms) -> Vec<(GroupRole, String, Vec<String>)> {
+        let Some((epoch, version, r)) = self.records.get(service) else { return vec![] };
+        let permit = self.permits.get(service).filter(|p| p.until > now && self.rule == RULE_ALL);
+        // The canary's permit must be for this very record or a later one of the same holder.
+        let share = permit.filter(|p| p.permit.epoch >= *epoch && p.permit.version >= *version).map_or(0, |p| p.permit.canary_share);
+        let (all, canary) = self.shares.get(service).copied().unwrap_or_default();
+        let under = |n: u64| (n + 1) * 100 <= u64::from(share) * (all + 1);
+        let new = |v: &str| v != r.stable;
+        // A version that is not the stable one needs a permit at all times, and shares only what it may.
+        let capped = |v: &str| new(v) && (permit.is_none() || self.suspects.get(v).is_some_and(|t| *t > now));
+        let mut first = vec![];
+        let mut rest = vec![];
+        for g in r.groups.iter().filter(|g| g.share_percent > 0) {
+            match g.role {
+                GroupRole::Canary if under(canary) && !capped(&g.version) => first.push(g),
+                GroupRole::Canary => {}
+                _ if capped(&g.version) => {}
+                _ => rest.push(g),
+            }
+        }
+        let total: u32 = rest.iter().map(|g| g.share_percent).sum();
+        let mut x = if total > 0 { self.rng.u32(..total) } else { 0 };
+        let pick = rest.iter().position(|g| {
+            let hit = x < g.share_percent;
+            x = x.saturating_sub(g.share_percent);
+            hit
+        });
+        if let Some(i) = pick {
+            let g = rest.remove(i);
+            rest.insert(0, g);
+        }
+        // While nothing permits more, the stable version goes on wherever it is loaded.
+        if rest.is_empty() {
+            rest.extend(r.groups.iter().filter(|g| g.version == r.stable));
+        }
+        first.into_iter().chain(rest).map(|g| (g.role, g.version.clone(), g.replicas.clone())).collect()
+    }
+
+    // ---- callers ----
+
+    /// Answers where a request should go.
+    pub fn nominate(&mut self, q: &NominateRequest, now: Ms) -> Result<Nomination, Fault> {
+        let spec = self.allowed(now)?;
+        let (s, l, _, keep) = Self::lane(&spec, &q.service, &q.lane, &q.tier)?;
+        let zones = self.homes(s, &q.homes)?;
+        if q.time_left_ms > l.time_limit_ms {
+            let m = format!("lane {} grants at most {} ms", l.name, l.time_limit_ms);
+            return Err(Fault::new("bad_request", "check_request", m).field("time_left_ms").outcome(Outcome::NotRun));
+        }
+        if q.time_left_ms < l.expected_ms {
+            return Err(self.reject("no_time", "nominate", "it could not end in its time left"));
+        }
+        let mut best: Option<(String, String)> = None;
+        for (_, v, ids) in self.groups(&q.service, now) {
+            let fit = self.fit(&q.service, (&v, &ids), &zones, keep, now);
+            let edges = |z: &str| self.nodes.iter().any(|n| &*n.zone == z && !n.http.is_empty());
+            // Carried inside its homes: a zone without an edge cannot be gone to.
+            let fit: Vec<(&Seen, u32)> = fit.into_iter().filter(|(r, _)| edges(&r.report.zone)).collect();
+            if let Some(r) = self.pick(&fit, &q.prefixes, &v, now) {
+                best = Some((r.report.zone.clone(), v));
+                break;
+            }
+        }
+        let Some((zone, _)) = best else {
+            return Err(self.reject("full", "nominate", "no warm replica in these homes has a place for this tier"));
+        };
+        let random = self.rng.u64(..);
+        let near: Vec<&Node> = self.nodes.iter().filter(|n| *n.zone == *zone && !n.http.is_empty()).collect();
+        let edge = match near.iter().find(|n| n.name == self.name) {
+            Some(n) => *n,
+            None => *near.iter().max_by_key(|n| weight(&format!("{random}"), &n.name)).unwrap_or(&near[0]),
+        };
+        let (proxy, zone) = (edge.http.to_string(), edge.zone.to_string());
+        let request = claims::mint(random, self.nodes.clone());
+        self.count("nominated");
+        Ok(Nomination { proxy, zone, request })
+    }
+
+    /// Checks a request that has come to run, before anything is claimed for it.
+    pub fn check(&mut self, q: &RunRequest, now: Ms) -> Result<u32, Fault> {
+        let spec = self.allowed(now)?;
+        let (s, l, rank, _) = Self::lane(&spec, &q.service, &q.lane, &q.tier)?;
+        if claims::holders(&q.request).is_none() {
+            return Err(Fault::new("bad_request", "check_request", "is no id that nominate gave").field("request").outcome(Outcome::NotRun));
+        }
+        if !q.homes.iter().any(|h| **h == *self.zone) {
+            let m = format!("this edge is in zone {}, outside the request's homes", self.zone);
+            return Err(Fault::new("wrong_zone", "check_request", m).field("homes").outcome(Outcome::NotRun));
+        }
+        self.homes(s, &q.homes)?;
+        if q.time_left_ms > l.time_limit_ms {
+            let m = format!("lane {} grants at most {} ms", l.name, l.time_limit_ms);
+            return Err(Fault::new("bad_request", "check_request", m).field("time_left_ms").outcome(Outcome::NotRun));
+        }
+        if q.time_left_ms < l.expected_ms {
+            return Err(self.reject("no_time", "check_request", "it could not end in its time left"));
+        }
+        Ok(rank)
+    }
+
+    /// Finds a place now. `tried`: replicas that already failed this request.
+    pub fn place(&mut self, q: &RunRequest, tried: &[String], now: Ms) -> Admit {
+        let spec = match self.allowed(now) {
+            Ok(s) => s,
+            Err(f) => return Admit::Reject(f),
+        };
+        let (s, keep) = match Self::lane(&spec, &q.service, &q.lane, &q.tier) {
+            Ok((s, _, _, k)) => (s, k),
+            Err(f) => return Admit::Reject(f),
+        };
+        let zones = match self.homes(s, &q.homes) {
+            Ok(z) => z,
+            Err(f) => return Admit::Reject(f),
+        };
+        // Near first: the edge's own zone, then the other homes.
+        let own: BTreeSet<String> = zones.iter().filter(|z| ***z == *self.zone).cloned().collect();
+        for zs in [own, zones] {
+            for (role, v, mut ids) in self.groups(&q.service, now) {
+                ids.retain(|i| !tried.contains(i));
+                let fit = self.fit(&q.service, (&v, &ids), &zs, keep, now);
+                let Some(r) = self.pick(&fit, &q.prefixes, &v, now) else { continue };
+                let id = r.report.replica.clone();
+                let addr = self.records.get(&q.service).and_then(|r| r.2.replicas.iter().find(|p| p.id == id)).map(|p| p.addr.clone());
+                let Some(addr) = addr else { continue };
+                return Admit::Go(self.begin(q, role, v, id, addr, now));
+            }
+        }
+        Admit::Full
+    }
+
+    fn begin(&mut self, q: &RunRequest, role: GroupRole, version: String, replica: String, addr: String, now: Ms) -> Placed {
+        let mut warm = false;
+        for p in &q.prefixes {
+            let k = (replica.clone(), format!("{version} {p}"));
+            warm |= self.warm.insert(k, now).is_some_and(|t| now - t < PREFIX_KEPT);
+        }
+        if self.warm.len() > PREFIXES {
+            let old = now.saturating_sub(PREFIX_KEPT / 2);
+            self.warm.retain(|_, t| *t > old);
+        }
+        if let Some(s) = self.seen.get_mut(&replica) {
+            s.since += 1;
+        }
+        *self.open.entry((replica.clone(), version.clone())).or_default() += 1;
+        let n = self.shares.entry(q.service.clone()).or_default();
+        n.0 += 1;
+        n.1 += u64::from(role == GroupRole::Canary);
+        // Halved now and then, so that a burst long ago is no credit for the canary.
+        if n.0 > 2_000 {
+            *n = (n.0 / 2, n.1.div_ceil(2));
+        }
+        let p = Placed { service: q.service.clone(), lane: q.lane.clone(), version, replica, addr, role, warm, at: now };
+        self.tally(&p, 0);
+        p
+    }
+
+    fn tally(&mut self, p: &Placed, i: usize) {
+        let k = (p.service.clone(), p.version.clone(), p.lane.clone(), p.warm, p.role as u8);
+        self.tallies.entry(k).or_default()[i] += 1;
+    }
+
+    /// A round ended.
+    pub fn done(&mut self, p: &Placed, e: Ended, now: Ms) {
+        let k = (p.replica.clone(), p.version.clone());
+        if let Some(n) = self.open.get_mut(&k) {
+            *n = n.saturating_sub(1);
+        }
+        self.open.retain(|_, n| *n > 0);
+        if let Some(s) = self.seen.get_mut(&p.replica) {
+            s.since = s.since.saturating_sub(1);
+        }
+        match e {
+            Ended::Answered => self.tally(p, 1),
+            Ended::Slow => {
+                self.tally(p, 1);
+                self.tally(p, 3);
+            }
+            Ended::Failed => self.tally(p, 2),
+            Ended::Dropped | Ended::Busy => {}
+        }
+        // This proxy caps a version as soon as its own counts show failures; the control plane's cut follows.
+        let Some(stable) = self.records.get(&p.service).map(|r| r.2.stable.clone()) else { return };
+        let rows = self.hello().tallies.0;
+        let rows: Vec<Tally> = rows.into_iter().filter(|t| *t.service == *p.service).collect();
+        let h = self.health.entry(p.service.clone()).or_default();
+        h.feed(&self.name, &rows);
+        h.tick(now);
+        if p.version != stable && h.judge(&p.version, &stable, now) == Verdict::Bad {
+            self.suspects.insert(p.version.clone(), now + SUSPECT_FOR);
+        }
+    }
+
+    // ---- rounds ----
+
+    /// Whether a second round may be made: a small share of first rounds, and a few for free.
+    pub fn second_round(&mut self) -> bool {
+        if self.rounds.1 >= SECOND_ROUNDS_FREE + self.rounds.0 * SECOND_ROUNDS / 100 {
+            self.count("second_rounds_denied");
+            return false;
+        }
+        self.rounds.1 += 1;
+        self.count("second_rounds");
+        true
+    }
+    pub fn first_round(&mut self) {
+        self.rounds.0 += 1;
+        self.count("first_rounds");
+    }
+
+    // ---- the buffer ----
+
+    /// Lets a request wait for a place; the worst of a full buffer gives way. Gives tokens to reject.
+    pub fn wait(&mut self, token: u64, rank: u32, time_left: Ms, now: Ms) -> Vec<u64> {
+        let until = now + time_left * WAIT_PERCENT / 100;
+        let at = self.waiting.iter().position(|w| w.rank > rank).unwrap_or(self.waiting.len());
+        self.waiting.insert(at, Waiting { token, rank, until });
+        if self.waiting.len() <= WAITING {
+            return vec![];
+        }
+        self.waiting.pop_back().map(|w| w.token).into_iter().collect()
+    }
+    pub fn unwait(&mut self, token: u64) {
+        self.waiting.retain(|w| w.token != token);
+    }
+    /// Tokens to try again, best first, and tokens whose wait is over.
+    pub fn waiters(&mut self, now: Ms) -> (Vec<u64>, Vec<u64>) {
+        let late: Vec<u64> = self.waiting.iter().filter(|w| w.until <= now).map(|w| w.token).collect();
+        self.waiting.retain(|w| w.until > now);
+        (self.waiting.iter().map(|w| w.token).collect(), late)
+    }
+
+    // ---- looking ----
+
+    pub fn ready(&self, now: Ms) -> bool {
+        self.rule >= RULE_STABLE && now < self.until && self.spec.is_some()
+    }
+    pub fn spec_version(&self) -> u64 {
+        self.board.get(SPEC).map_or(0, |c| c.version)
+    }
+    pub fn board(&self) -> &Board {
+        &self.board
+    }
+}
--- /dev/null
+++ b/coordination/src/register.rs
@@ -0,0 +1,516 @@
+//! Key registers. Each key has one owner under a rising epoch; the owner has a value synced on a
+//! majority of the voters' disks before it answers. Keys of duties also carry a permit: voters let no
+//! other daemon take such a key while its holder's permit runs.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use wire_messages::{Accept, Accepted, Blob, Change, Commit, Held, List, Name, Prepare, Promise, Renew, Renewed, Slot, Voter};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    Effect, Effects, Ms, Row, WriteOutcome,
+    effect::{note, send},
+    events,
+    limits::{PERMIT, PERMIT_MARGIN, RENEW_EVERY, RESEND, WRITE_LIMIT, WRITES_WAITING},
+    order::agreed,
+};
+
+/// Keys of duties begin with this; their owner runs the rollout of the service named behind it.
+pub const DUTY: &str = "rollout/";
+/// The voters themselves are a key.
+pub const MEMBERS: &str = "members";
+
+fn leased(key: &str) -> bool {
+    key.starts_with(DUTY)
+}
+
+#[derive(Clone, Debug)]
+struct Ask {
+    token: u64,
+    expect: Option<u64>,
+    value: Blob,
+    at: Ms,
+}
+
+#[derive(Clone, Debug)]
+struct Write {
+    version: u64,
+    value: Blob,
+    acks: BTreeSet<Name>,
+    token: Option<u64>,
+    at: Ms,
+    sent: Ms,
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    /// Promises so far, and the newest accepted value among them.
+    Asking { promises: BTreeSet<Name>, best: Slot, sent: Ms },
+    Holding { version: u64 },
+}
+
+/// This daemon's ownership of one key.
+#[derive(Clone, Debug)]
+struct Own {
+    epoch: u64,
+    phase: Phase,
+    write: Option<Write>,
+    waiting: VecDeque<Ask>,
+    /// Not before then: somebody's permit still runs, or a rival was ahead.
+    not_before: Ms,
+    /// A voter has promised a higher epoch: this one cannot win any more.
+    outbid: bool,
+    /// When each voter's latest renewal was asked for.
+    renewed: BTreeMap<Name, Ms>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Registers {
+    name: Name,
+    pub me: u32,
+    pub voters: Vec<Voter>,
+    pub voting: bool,
+    addrs: BTreeMap<Name, Name>,
+    slots: BTreeMap<Name, Slot>,
+    own: BTreeMap<Name, Own>,
+    /// Who may keep a duty, as this voter let it: epoch, member epoch, until.
+    grants: BTreeMap<Name, (u64, u32, Ms)>,
+    abstain_until: Ms,
+    highest: u64,
+    next_renew: Ms,
+    /// Values newly known to be committed, for the feed.
+    pub fresh: Vec<Change>,
+}
+
+impl Registers {
+    pub fn new(name: Name, rows: Vec<Row>, now: Ms) -> Self {
+        let mut r = Registers {
+            name,
+            me: 0,
+            voters: Vec::new(),
+            voting: false,
+            addrs: BTreeMap::new(),
+            slots: BTreeMap::new(),
+            own: BTreeMap::new(),
+            grants: BTreeMap::new(),
+            // A voter that has just started has forgotten whom it let keep a duty; it waits those permits out.
+            abstain_until: now + PERMIT,
+            highest: 0,
+            next_renew: 0,
+            fresh: Vec::new(),
+        };
+        for row in rows {
+            match row {
+                Row::Members { me, voters, voting } => (r.me, r.voters, r.voting) = (me, voters, voting),
+                Row::Slot(s) => {
+                    r.highest = r.highest.max(s.promised);
+                    if s.committed == s.version && s.version > 0 {
+                        r.fresh.push(change(&s));
+                    }
+                    r.slots.insert(s.key.clone(), s);
+                }
+            }
+        }
+        r
+    }
+
+    pub fn set_addr(&mut self, name: &Name, addr: &Name) {
+        self.addrs.insert(name.clone(), addr.clone());
+    }
+    pub fn addr(&self, v: &Voter) -> Name {
+        self.addrs.get(&v.name).unwrap_or(&v.addr).clone()
+    }
+    fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+    fn rank(&self) -> u64 {
+        let mut v: Vec<&Name> = self.voters.iter().map(|v| &v.name).collect();
+        v.sort();
+        v.iter().position(|n| **n == self.name).unwrap_or(255) as u64
+    }
+    fn next_epoch(&mut self) -> u64 {
+        self.highest = (((self.highest >> 8) + 1) << 8) | self.rank();
+        self.highest
+    }
+    pub fn keys(&self) -> impl Iterator<Item = &Slot> {
+        self.slots.values()
+    }
+    pub fn slots(&self) -> List<Slot> {
+        self.slots.values().cloned().collect()
+    }
+    /// Whether nothing here waits to be known as committed.
+    pub fn all_committed(&self) -> bool {
+        self.slots.values().all(|s| s.committed == s.version)
+    }
+    /// Digest over what is committed, for mending between daemons.
+    pub fn digest(&self) -> u64 {
+        let done = self.slots.values().filter(|s| s.committed == s.version && s.version > 0);
+        done.fold(0, |a, s| a ^ xxh3_64(format!("{} {} {}", s.key, s.epoch, s.version).as_bytes()))
+    }
+    /// The epoch under which this daemon owns a key, if it does; for a duty also until when.
+    pub fn holds(&self, key: &str, now: Ms) -> Option<(u64, Ms)> {
+        let o = self.own.get(key)?;
+        let Phase::Holding { .. } = o.phase else { return None };
+        if !leased(key) {
+            return Some((o.epoch, Ms::MAX));
+        }
+        let until = self.permit_until(o);
+        (until > now).then_some((o.epoch, until))
+    }
+    fn permit_until(&self, o: &Own) -> Ms {
+        let mut at: Vec<Ms> = o.renewed.values().copied().collect();
+        at.sort_unstable_by(|a, b| b.cmp(a));
+        // The majority-th newest asking: a majority of voters keeps others out at least until then.
+        at.get(self.majority().wrapping_sub(1)).map_or(0, |t| t + PERMIT - PERMIT_MARGIN)
+    }
+    /// The agreed first live voter for a key.
+    pub fn first(&self, key: &str, live: &dyn Fn(&str) -> bool) -> Option<Voter> {
+        agreed(key, self.voters.clone(), |v| &v.name).into_iter().find(|v| live(&v.name))
+    }
+
+    fn slot(&mut self, key: &Name) -> &mut Slot {
+        self.slots.entry(key.clone()).or_insert_with(|| Slot { key: key.clone(), ..Slot::default() })
+    }
+
+    // ---- as a voter ----
+
+    pub fn on_prepare(&mut self, to: &Name, m: Prepare, now: Ms, out: &mut Effects) {
+        let me = self.me;
+        self.highest = self.highest.max(m.epoch);
+        // A disk that may lack what it once confirmed must not vote, and other member epochs count other votes.
+        if !self.voting || m.me != me {
+            if m.me < me {
+                out.push(send(to, Promise { epoch: m.epoch, me, ok: 0, wait: 0, slot: Slot { key: m.key, ..Slot::default() } }));
+            }
+            return;
+        }
+        let wait = if !leased(&m.key) {
+            0
+        } else {
+            let granted = self.grants.get(&m.key).filter(|g| (g.0 & 255, g.1) != (m.epoch & 255, me)).map_or(0, |g| g.2);
+            granted.max(self.abstain_until).saturating_sub(now)
+        };
+        let s = self.slot(&m.key);
+        if wait > 0 || m.epoch < s.promised {
+            let slot = s.clone();
+            out.push(send(to, Promise { epoch: m.epoch, me, ok: 0, wait: wait as u32, slot }));
+            return;
+        }
+        s.promised = m.epoch;
+        let slot = s.clone();
+        let then = vec![send(to, Promise { epoch: m.epoch, me, ok: 1, wait: 0, slot: slot.clone() })];
+        out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then });
+    }
+
+    pub fn on_accept(&mut self, to: &Name, m: Accept, out: &mut Effects) {
+        let me = self.me;
+        self.highest = self.highest.max(m.epoch);
+        if !self.voting || m.me != me {
+            return;
+        }
+        let s = self.slot(&m.key);
+        let mut a = Accepted { key: m.key.clone(), epoch: m.epoch, version: m.version, promised: s.promised, me, ok: 0 };
+        if m.epoch < s.promised {
+            out.push(send(to, a));
+            return;
+        }
+        a.ok = 1;
+        // A delayed copy of an older write of the same owner must not put the newer one back.
+        if (m.epoch, m.version) >= (s.epoch, s.version) {
+            (s.promised, s.epoch, s.version, s.value) = (m.epoch, m.epoch, m.version, m.value);
+        }
+        let slot = s.clone();
+        out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then: vec![send(to, a)] });
+    }
+
+    /// Learns a committed value.
+    pub fn on_commit(&mut self, c: &Change, out: &mut Effects) {
+        self.highest = self.highest.max(c.epoch);
+        let s = self.slot(&c.key);
+        if (c.epoch, c.version) < (s.epoch, s.version) || (s.epoch, s.version, s.committed) == (c.epoch, c.version, c.version) {
+            return;
+        }
+        (s.epoch, s.version, s.committed, s.value) = (c.epoch, c.version, c.version, c.value.clone());
+        let slot = s.clone();
+        out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then: vec![] });
+        self.fresh.push(c.clone());
+    }
+
+    pub fn on_renew(&mut self, to: &Name, m: Renew, now: Ms, out: &mut Effects) {
+        if !self.voting || m.me != self.me {
+            return;
+        }
+        let mut keys = List::default();
+        for h in m.keys {
+            if self.slots.get(&h.key).is_some_and(|s| s.promised == h.epoch) {
+                self.grants.insert(h.key.clone(), (h.epoch, self.me, now + PERMIT));
+                keys.0.push(h);
+            }
+        }
+        out.push(send(to, Renewed { keys, sent: m.sent, me: self.me }));
+    }
+
+    // ---- as an owner ----
+
+    fn spread(&self, m: impl Into<wire_messages::Msg>, out: &mut Effects) {
+        let m = m.into();
+        out.extend(self.voters.iter().map(|v| send(&self.addr(v), m.clone())));
+    }
+
+    /// Starts to take a key.
+    fn take(&mut self, key: &Name, now: Ms, out: &mut Effects) {
+        let epoch = self.next_epoch();
+        let old = self.own.remove(key);
+        let (waiting, not_before) = old.map_or((VecDeque::new(), 0), |o| (o.waiting, o.not_before));
+        let phase = Phase::Asking { promises: BTreeSet::new(), best: Slot::default(), sent: now };
+        self.own.insert(key.clone(), Own { epoch, phase, write: None, waiting, not_before, outbid: false, renewed: BTreeMap::new() });
+        if now >= not_before {
+            self.spread(Prepare { key: key.clone(), epoch, me: self.me }, out);
+        }
+    }
+
+    /// Gives up a key: what was offered may still count, what waited never will.
+    fn give_up(&mut self, key: &Name, why: &'static str, out: &mut Effects) {
+        let Some(o) = self.own.remove(key) else { return };
+        if let Some(token) = o.write.and_then(|w| w.token) {
+            out.push(Effect::Answer { token, outcome: WriteOutcome::Unknown });
+        }
+        let no = WriteOutcome::NotAccepted(why);
+        out.extend(o.waiting.into_iter().map(|a| Effect::Answer { token: a.token, outcome: no }));
+    }
+
+    /// Offers a write to a key that this daemon owns or is taking.
+    pub fn propose(&mut self, token: u64, key: &Name, expect: Option<u64>, value: Blob, now: Ms, out: &mut Effects) {
+        if !self.voting {
+            out.push(Effect::Answer { token, outcome: WriteOutcome::NotAccepted("this daemon does not vote") });
+            return;
+        }
+        if !self.own.contains_key(key) {
+            self.take(key, now, out);
+        }
+        let Some(o) = self.own.get_mut(key) else { return };
+        if o.waiting.len() >= WRITES_WAITING {
+            out.push(Effect::Answer { token, outcome: WriteOutcome::NotAccepted("too many writes wait for this key") });
+            return;
+        }
+        o.waiting.push_back(Ask { token, expect, value, at: now });
+        self.advance(key, now, out);
+    }
+
+    /// Starts the next waiting write, if none is under way.
+    fn advance(&mut self, key: &Name, now: Ms, out: &mut Effects) {
+        let me = self.me;
+        let Some(o) = self.own.get_mut(key) else { return };
+        let Phase::Holding { version } = o.phase else { return };
+        while o.write.is_none() {
+            let Some(a) = o.waiting.pop_front() else { return };
+            if a.expect.is_some_and(|e| e != version) {
+                out.push(Effect::Answer { token: a.token, outcome: WriteOutcome::Conflict(version) });
+                continue;
+            }
+            let w = Write { version: version + 1, value: a.value, acks: BTreeSet::new(), token: Some(a.token), at: a.at, sent: now };
+            let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value: w.value.clone(), me };
+            o.write = Some(w);
+            self.spread(m, out);
+            return;
+        }
+    }
+
+    pub fn on_promise(&mut self, from: &Name, m: Promise, now: Ms, out: &mut Effects) {
+        self.highest = self.highest.max(m.slot.promised);
+        let (key, need, me) = (m.slot.key.clone(), self.majority(), self.me);
+        let known = self.voters.iter().any(|v| v.name == *from);
+        let Some(o) = self.own.get_mut(&key) else { return };
+        if m.epoch != o.epoch || m.me != me || !known {
+            return;
+        }
+        let Phase::Asking { promises, best, .. } = &mut o.phase else { return };
+        if m.ok == 0 {
+            o.outbid |= m.slot.promised > o.epoch;
+            o.not_before = o.not_before.max(now + u64::from(m.wait).max(RESEND / 2));
+            return;
+        }
+        promises.insert(from.clone());
+        if (m.slot.epoch, m.slot.version) > (best.epoch, best.version) {
+            *best = m.slot;
+        }
+        if promises.len() < need {
+            return;
+        }
+        let best = best.clone();
+        o.phase = Phase::Holding { version: best.version };
+        out.push(note(events::OWNER, &self.name, format!("{key} epoch {} version {}", o.epoch, best.version)));
+        if best.version == 0 {
+            self.advance(&key, now, out);
+            return;
+        }
+        // Whatever a majority may have taken is written again under the new epoch before anything else:
+        // a write whose owner died between two disks ends here, one way for everybody.
+        let m = Accept { key: key.clone(), epoch: o.epoch, version: best.version, value: best.value.clone(), me };
+        o.write = Some(Write { version: best.version, value: best.value, acks: BTreeSet::new(), token: None, at: now, sent: now });
+        self.spread(m, out);
+    }
+
+    pub fn on_accepted(&mut self, from: &Name, m: Accepted, now: Ms, out: &mut Effects) {
+        self.highest = self.highest.max(m.promised);
+        let need = self.majority();
+        let known = self.voters.iter().any(|v| v.name == *from);
+        let Some(o) = self.own.get_mut(&m.key) else { return };
+        if m.epoch != o.epoch || m.me != self.me || !known {
+            return;
+        }
+        if m.ok == 0 {
+            if m.promised > o.epoch {
+                out.push(note(events::DEPOSED, from, format!("{} epoch {}", m.key, o.epoch)));
+                self.give_up(&m.key, "another daemon owns the key now", out);
+            }
+            return;
+        }
+        let Some(w) = o.write.as_mut().filter(|w| w.version == m.version) else { return };
+        w.acks.insert(from.clone());
+        if w.acks.len() < need {
+            return;
+        }
+        let Some(w) = o.write.take() else { return };
+        o.phase = Phase::Holding { version: w.version };
+        let c = Change { key: m.key.clone(), epoch: o.epoch, version: w.version, value: w.value };
+        if let Some(token) = w.token {
+            out.push(note(events::ACCEPTED, &self.name, format!("{} version {}", m.key, w.version)));
+            out.push(Effect::Answer { token, outcome: WriteOutcome::Accepted(w.version) });
+        }
+        self.on_commit(&c, out);
+        for v in self.voters.iter().filter(|v| v.name != self.name) {
+            out.push(send(&self.addr(v), Commit { change: c.clone() }));
+        }
+        self.advance(&m.key, now, out);
+    }
+
+    pub fn on_renewed(&mut self, from: &Name, m: Renewed) {
+        if m.me != self.me || !self.voters.iter().any(|v| v.name == *from) {
+            return;
+        }
+        for h in m.keys {
+            let Some(o) = self.own.get_mut(&h.key).filter(|o| o.epoch == h.epoch) else { continue };
+            let t = o.renewed.entry(from.clone()).or_insert(0);
+            *t = (*t).max(m.sent);
+        }
+    }
+
+    // ---- members ----
+
+    /// Follows a member epoch. Everything owned is given up: its votes were counted over other voters.
+    pub fn follow(&mut self, me: u32, voters: Vec<Voter>, out: &mut Effects) {
+        if me <= self.me {
+            return;
+        }
+        let keys: Vec<Name> = self.own.keys().cloned().collect();
+        keys.iter().for_each(|k| self.give_up(k, "the voters changed", out));
+        (self.me, self.voters) = (me, voters);
+        out.push(note(events::MEMBERS, &self.name, format!("epoch {me}")));
+    }
+    pub fn members_row(&self) -> Row {
+        Row::Members { me: self.me, voters: self.voters.clone(), voting: self.voting }
+    }
+    /// Takes over another voter's slots: the newest accepted value and the highest promise of each key.
+    pub fn catch_up(&mut self, slots: &[Slot]) -> Vec<Row> {
+        for s in slots {
+            self.highest = self.highest.max(s.promised);
+            let m = self.slot(&s.key);
+            m.promised = m.promised.max(s.promised);
+            if (s.epoch, s.version) > (m.epoch, m.version) {
+                (m.epoch, m.version, m.value, m.committed) = (s.epoch, s.version, s.value.clone(), s.committed);
+                if s.committed == s.version {
+                    let c = change(s);
+                    self.fresh.push(c);
+                }
+            }
+        }
+        self.slots.values().cloned().map(Row::Slot).collect()
+    }
+    /// Learns what another daemon knows to be committed.
+    pub fn mend(&mut self, slots: &[Slot], out: &mut Effects) {
+        for s in slots.iter().filter(|s| s.committed == s.version && s.version > 0) {
+            self.on_commit(&change(s), out);
+        }
+    }
+
+    // ---- time ----
+
+    /// Takes, hands over, resends, renews and times out. `wanted`: keys that must have an owner.
+    pub fn tick(&mut self, now: Ms, live: &dyn Fn(&str) -> bool, wanted: &[Name], out: &mut Effects) {
+        if !self.voting {
+            return;
+        }
+        let keys: BTreeSet<Name> = self.slots.keys().chain(wanted).chain(self.own.keys()).cloned().collect();
+        let mut renew = List::default();
+        for key in keys {
+            let mine = self.first(&key, live).is_some_and(|v| v.name == self.name);
+            let Some(o) = self.own.get_mut(&key) else {
+                if mine {
+                    self.take(&key, now, out);
+                }
+                continue;
+            };
+            if !mine && o.write.is_none() {
+                self.give_up(&key, "another daemon comes first for this key", out);
+                continue;
+            }
+            self.time_out(&key, now, out);
+            self.resend(&key, now, out);
+            if let Some(o) = self.own.get(&key)
+                && let Phase::Holding { .. } = o.phase
+                && leased(&key)
+            {
+                renew.0.push(Held { key, epoch: o.epoch });
+            }
+        }
+        if now >= self.next_renew && !renew.is_empty() {
+            self.next_renew = now + RENEW_EVERY;
+            self.spread(Renew { keys: renew, sent: now, me: self.me }, out);
+        }
+    }
+
+    fn time_out(&mut self, key: &Name, now: Ms, out: &mut Effects) {
+        let Some(o) = self.own.get_mut(key) else { return };
+        if let Some(w) = o.write.as_mut().filter(|w| now.saturating_sub(w.at) > WRITE_LIMIT)
+            && let Some(token) = w.token.take()
+        {
+            out.push(note(events::WRITE_UNKNOWN, &self.name, format!("{key} version {}", w.version)));
+            out.push(Effect::Answer { token, outcome: WriteOutcome::Unknown });
+        }
+        let no = WriteOutcome::NotAccepted("no majority of disks answered in time");
+        o.waiting.retain(|a| {
+            let keep = now.saturating_sub(a.at) <= WRITE_LIMIT;
+            if !keep {
+                out.push(Effect::Answer { token: a.token, outcome: no });
+            }
+            keep
+        });
+    }
+
+    fn resend(&mut self, key: &Name, now: Ms, out: &mut Effects) {
+        let me = self.me;
+        let Some(o) = self.own.get_mut(key) else { return };
+        if let Phase::Asking { sent, .. } = &o.phase {
+            if now < o.not_before || now.saturating_sub(*sent) < RESEND {
+                return;
+            }
+            if o.outbid {
+                return self.take(key, now, out);
+            }
+            let m = Prepare { key: key.clone(), epoch: o.epoch, me };
+            if let Phase::Asking { sent, .. } = &mut o.phase {
+                *sent = now;
+            }
+            return self.spread(m, out);
+        }
+        let Some(w) = o.write.as_mut().filter(|w| now.saturating_sub(w.sent) >= RESEND) else { return };
+        w.sent = now;
+        let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value: w.value.clone(), me };
+        self.spread(m, out);
+    }
+}
+
+fn change(s: &Slot) -> Change {
+    Change { key: s.key.clone(), epoch: s.epoch, version: s.version, value: s.value.clone() }
+}
--- /dev/null
+++ b/coordination/src/rollout.rs
@@ -0,0 +1,435 @@
+//! The rollout loop of one service: read what is desired and what is reported, compute the next
+//! record, order only the difference. A pure function of its inputs and a little memory of timing.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use remote_calls::{
+    GroupRecord, GroupRole, OrderAction, PlacedReplica, PlatformReplica, PlatformReplicaState, ReleasePlan, ReplicaReport,
+    RolloutPhase, RolloutRecord, ServiceMode, ServiceSpec, Spec,
+};
+
+use crate::{
+    Ms,
+    health::{Health, Verdict},
+    limits::{
+        CANARY_MIN, CANARY_QUIET, CANARY_REQUESTS, DRAIN_EXTRA, LOAD_LATE, REPORT_OLD, STEP_MIN, STEP_PERCENT, STUCK_AFTER,
+        WARM_UP,
+    },
+};
+
+/// ms. The same order to the same replica is not repeated before; replicas take orders at once and work on.
+const REORDER: Ms = 1_000;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Replica { id: String, addr: String, action: OrderAction, version: String },
+    Start { zone: String, version: String },
+    Drain { id: String },
+}
+
+/// What the loop reads.
+pub struct Inputs<'a> {
+    pub spec: &'a Spec,
+    pub service: &'a ServiceSpec,
+    pub plan: Option<(u64, &'a ReleasePlan)>,
+    pub platform: &'a [PlatformReplica],
+    pub reports: &'a BTreeMap<String, (ReplicaReport, Ms)>,
+    pub leaving: &'a BTreeSet<String>,
+    /// Streams that proxies still have open on a replica's version.
+    pub open: &'a dyn Fn(&str, &str) -> u64,
+    pub now: Ms,
+    /// Seconds since 1970, to hold completion times against.
+    pub wall: u64,
+}
+
+/// Memory of one loop, lost with its duty; everything that must last is in the record.
+#[derive(Clone, Debug, Default)]
+pub struct Loop {
+    pub health: Health,
+    phase_at: Ms,
+    moved_at: Ms,
+    shape: Option<(RolloutPhase, usize, usize)>,
+    ordered: BTreeMap<String, Ms>,
+    /// When a replica's new version was first seen ready, and when its retirement began.
+    ready_at: BTreeMap<String, Ms>,
+    retire_at: BTreeMap<String, Ms>,
+    canary_at: Option<Ms>,
+    pub bad: Option<String>,
+}
+
+/// A step's next record and what to order.
+pub type Step = (RolloutRecord, Vec<Order>);
+
+/// The record of a service that has none yet.
+pub fn first_record(s: &ServiceSpec) -> RolloutRecord {
+    RolloutRecord {
+        service: s.name.clone(),
+        phase: RolloutPhase::Steady,
+        stable: s.version.clone(),
+        target: None,
+        plan_version: 0,
+        failed_plan: 0,
+        since_ms: 0,
+        groups: vec![],
+        replicas: vec![],
+        retiring: vec![],
+        alerts: vec![],
+    }
+}
+
+struct View<'a> {
+    i: &'a Inputs<'a>,
+    /// Replicas that may be used: running, not leaving.
+    up: Vec<&'a PlatformReplica>,
+}
+
+impl View<'_> {
+    fn report(&self, id: &str) -> Option<&ReplicaReport> {
+        let (r, at) = self.i.reports.get(id)?;
+        (self.i.now.saturating_sub(*at) <= REPORT_OLD).then_some(r)
+    }
+    fn has(&self, id: &str, version: &str) -> bool {
+        let name = &self.i.service.name;
+        self.report(id).is_some_and(|r| r.loaded.iter().any(|l| l.ready && l.version == version && l.service == *name))
+    }
+    fn holds(&self, id: &str, version: &str) -> bool {
+        self.report(id).is_some_and(|r| r.loaded.iter().any(|l| l.version == version))
+    }
+    fn streams(&self, id: &str, version: &str) -> u64 {
+        let own = self.report(id).and_then(|r| r.loaded.iter().find(|l| l.version == version)).map_or(0, |l| l.streams as u64);
+        own.max((self.i.open)(id, version))
+    }
+    fn with(&self, version: &str) -> Vec<String> {
+        self.up.iter().filter(|r| self.has(&r.id, version)).map(|r| r.id.clone()).collect()
+    }
+    fn zone(&self, id: &str) -> &str {
+        self.up.iter().find(|r| r.id == id).map_or("", |r| r.zone.as_str())
+    }
+}
+
+fn group(role: GroupRole, version: &str, share: u32, replicas: Vec<String>) -> GroupRecord {
+    GroupRecord { role, version: version.into(), share_percent: share, replicas, allow_unload: false }
+}
+
+/// Replicas of the group with this role and version.
+pub fn members<'a>(r: &'a RolloutRecord, role: GroupRole, version: &str) -> &'a [String] {
+    r.groups.iter().find(|g| g.role == role && g.version == version).map_or(&[], |g| &g.replicas)
+}
+
+impl Loop {
+    pub fn new(now: Ms) -> Self {
+        let mut l = Loop { phase_at: now, moved_at: now, ..Loop::default() };
+        l.health.restart(now);
+        l
+    }
+
+    fn enter(&mut self, r: &mut RolloutRecord, p: RolloutPhase, now: Ms) {
+        r.phase = p;
+        (self.phase_at, self.canary_at) = (now, None);
+        self.ready_at.clear();
+        self.retire_at.clear();
+        self.health.restart(now);
+    }
+
+    /// Orders once, then again only when it has gone without effect for a while.
+    fn order(&mut self, now: Ms, every: Ms, o: Order, out: &mut Vec<Order>) {
+        let k = format!("{o:?}");
+        if self.ordered.get(&k).is_some_and(|t| now.saturating_sub(*t) < every) {
+            return;
+        }
+        self.ordered.insert(k, now);
+        out.push(o);
+    }
+    fn tell(&mut self, v: &View, id: &str, action: OrderAction, version: &str, out: &mut Vec<Order>) {
+        let Some(r) = v.up.iter().find(|r| r.id == id) else { return };
+        let every = if action == OrderAction::Load { LOAD_LATE } else { REORDER };
+        let o = Order::Replica { id: id.into(), addr: r.addr.clone(), action, version: version.into() };
+        // A replica that reports it is loading has taken the order, however late it gets ready.
+        if action == OrderAction::Load && v.holds(id, version) {
+            return;
+        }
+        self.order(v.i.now, if v.report(id).is_some() { REORDER.max(every / 5) } else { every }, o, out);
+    }
+
+    /// One pass of the loop.
+    pub fn step(&mut self, old: &RolloutRecord, i: &Inputs) -> Step {
+        let now = i.now;
+        let mut r = old.clone();
+        let mut out = Vec::new();
+        self.health.tick(now);
+        if i.service.mode == ServiceMode::Ignore {
+            return (r, out);
+        }
+        let mine = |p: &&PlatformReplica| p.service == i.service.name;
+        let up: Vec<_> = i
+            .platform
+            .iter()
+            .filter(mine)
+            .filter(|p| p.state == PlatformReplicaState::Running && !i.leaving.contains(&p.id))
+            .collect();
+        let v = View { i, up };
+        r.replicas = v.up.iter().map(|p| PlacedReplica { id: p.id.clone(), zone: p.zone.clone(), addr: p.addr.clone() }).collect();
+        r.alerts.clear();
+
+        let plan = i.plan.filter(|(n, p)| *n != r.failed_plan && p.target != r.stable);
+        self.replan(&mut r, plan, now);
+        match r.phase {
+            RolloutPhase::Steady => self.steady(&mut r, &v),
+            RolloutPhase::Canary => self.canary(&mut r, &v, &mut out),
+            RolloutPhase::Shifting => self.shifting(&mut r, &v, &mut out),
+            RolloutPhase::Baking => self.baking(&mut r, &v),
+            RolloutPhase::Unloading | RolloutPhase::Reverting => self.unload(&mut r, &v, &mut out),
+        }
+        self.fill(&r, &v, &mut out);
+        self.alerts(&mut r, plan, &v);
+        // Read only: everything is computed and nothing is done.
+        if i.service.mode == ServiceMode::ReadOnly {
+            return (old.clone(), vec![]);
+        }
+        (r, out)
+    }
+
+    /// Takes up a new plan, or turns back from one that was replaced.
+    fn replan(&mut self, r: &mut RolloutRecord, plan: Option<(u64, &ReleasePlan)>, now: Ms) {
+        let at_work = matches!(r.phase, RolloutPhase::Canary | RolloutPhase::Shifting | RolloutPhase::Baking);
+        let same = plan.is_some_and(|(_, p)| Some(&p.target) == r.target.as_ref());
+        // Two plans for one service: the accepted one stands, and what the other began is taken back first.
+        if at_work && !same {
+            return self.enter(r, RolloutPhase::Reverting, now);
+        }
+        if let (RolloutPhase::Steady, Some((n, p))) = (r.phase, plan) {
+            (r.target, r.plan_version) = (Some(p.target.clone()), n);
+            self.enter(r, RolloutPhase::Canary, now);
+        }
+    }
+
+    fn steady(&mut self, r: &mut RolloutRecord, v: &View) {
+        let s = r.stable.clone();
+        r.retiring.clear();
+        r.groups = vec![group(GroupRole::Stable, &s, 100, v.with(&s))];
+    }
+
+    /// Turns back at once if the new version is the worse one.
+    fn turned_back(&mut self, r: &mut RolloutRecord, now: Ms) -> bool {
+        let Some(t) = r.target.clone() else { return true };
+        if self.health.judge(&t, &r.stable, now) == Verdict::Fine {
+            return false;
+        }
+        self.bad = Some(t);
+        r.failed_plan = r.plan_version;
+        self.enter(r, RolloutPhase::Reverting, now);
+        true
+    }
+
+    fn canary(&mut self, r: &mut RolloutRecord, v: &View, out: &mut Vec<Order>) {
+        let (now, s) = (v.i.now, r.stable.clone());
+        if self.turned_back(r, now) {
+            return self.unload(r, v, out);
+        }
+        let Some(t) = r.target.clone() else { return };
+        let old = v.with(&s);
+        let n = (old.len() * v.i.spec.canary_percent as usize / 100).max(1);
+        // Those already on the new version stay the canary; more come from the zone with most replicas.
+        let mut by_zone: BTreeMap<&str, Vec<&String>> = BTreeMap::new();
+        old.iter().for_each(|id| by_zone.entry(v.zone(id)).or_default().push(id));
+        let Some((_, big)) = by_zone.iter().max_by_key(|(_, ids)| ids.len()) else {
+            return self.steady(r, v);
+        };
+        let mut picks: Vec<String> = big.iter().filter(|id| v.holds(id, &t)).map(|s| s.to_string()).collect();
+        picks.extend(big.iter().filter(|id| !v.holds(id, &t)).map(|s| s.to_string()));
+        picks.truncate(n);
+        picks.iter().for_each(|id| self.tell(v, id, OrderAction::Load, &t, out));
+        let ready = picks.len() == n && picks.iter().all(|id| v.has(id, &t));
+        let base: Vec<String> = big.iter().filter(|id| !picks.contains(id)).take(n).map(|s| s.to_string()).collect();
+        if !ready {
+            (self.canary_at, r.groups) = (None, vec![group(GroupRole::Stable, &s, 100, old)]);
+            return;
+        }
+        // Canary and baseline start in the same record, so that they meet the same traffic.
+        let began = *self.canary_at.get_or_insert_with(|| now);
+        if began == now {
+            self.health.restart(now);
+        }
+        let c = v.i.spec.canary_percent;
+        let rest = old.iter().filter(|id| !base.contains(id)).cloned().collect();
+        r.groups = vec![
+            group(GroupRole::Canary, &t, c, picks),
+            group(GroupRole::Baseline, &s, c, base),
+            group(GroupRole::Stable, &s, 100 - 2 * c, rest),
+        ];
+        let (age, ended) = (now - began, self.health.ended(&t, now));
+        let quiet = age >= CANARY_QUIET && self.health.failed(&t, now) == 0;
+        if quiet || (age >= CANARY_MIN && ended >= CANARY_REQUESTS) {
+            self.enter(r, RolloutPhase::Shifting, now);
+        }
+    }
+
+    fn shifting(&mut self, r: &mut RolloutRecord, v: &View, out: &mut Vec<Order>) {
+        let (now, s) = (v.i.now, r.stable.clone());
+        if self.turned_back(r, now) {
+            return self.unload(r, v, out);
+        }
+        let Some(t) = r.target.clone() else { return };
+        let total = v.up.len();
+        let size = STEP_MIN.max(total * STEP_PERCENT / 100);
+        let new = v.with(&t);
+        for id in &new {
+            self.ready_at.entry(id.clone()).or_insert(now);
+        }
+        // A replica whose old version has ended its streams, or has had the longest time for it, is through.
+        let limit = v.i.service.lanes.iter().map(|l| l.time_limit_ms).max().unwrap_or(0) + DRAIN_EXTRA;
+        let mut retired: Vec<String> = vec![];
+        r.retiring.retain(|id| v.up.iter().any(|p| p.id == *id));
+        for id in &r.retiring {
+            let at = *self.retire_at.entry(id.clone()).or_insert(now);
+            if v.streams(id, &s) == 0 && now > at + REORDER || now.saturating_sub(at) > limit {
+                retired.push(id.clone());
+            }
+        }
+        let waits = r.retiring.len() - retired.len();
+        let serving: Vec<String> = v.with(&s).into_iter().filter(|id| !r.retiring.contains(id)).collect();
+        // The next step: load beside the old version first, on replicas chosen evenly over the zones.
+        let loading: Vec<String> = v.up.iter().filter(|p| v.holds(&p.id, &t) && !new.contains(&p.id)).map(|p| p.id.clone()).collect();
+        let pending: Vec<String> = new.iter().filter(|id| serving.contains(id)).cloned().collect();
+        let room = size.saturating_sub(loading.len() + pending.len() + waits);
+        let mut next: Vec<&String> = serving.iter().filter(|id| !v.holds(id, &t)).collect();
+        next.sort_by_key(|id| {
+            let z = v.zone(id);
+            (new.iter().chain(&loading).filter(|n| v.zone(n) == z).count(), id.to_string())
+        });
+        for id in next.into_iter().take(room) {
+            self.tell(v, id, OrderAction::Load, &t, out);
+        }
+        // Replicas that came back with nothing get the new version only.
+        for p in v.up.iter().filter(|p| !v.holds(&p.id, &t) && !v.holds(&p.id, &s) && v.report(&p.id).is_some()) {
+            self.tell(v, &p.id, OrderAction::Load, &t, out);
+        }
+        // Then retire, at most a step at a time and never below a zone's floor of warm replicas.
+        if waits == 0 {
+            let mut left = size;
+            let mut going: BTreeSet<String> = BTreeSet::new();
+            for id in &pending {
+                let warm = |n: &str| self.ready_at.get(n).is_some_and(|t| now.saturating_sub(*t) >= WARM_UP);
+                let z = v.zone(id);
+                let floor = v.i.service.zones.iter().find(|c| c.zone == z).map_or(0, |c| c.floor as usize);
+                let mut keep: BTreeSet<&String> = serving.iter().filter(|n| *n != id && !going.contains(*n) && v.zone(n) == z).collect();
+                keep.extend(new.iter().filter(|n| v.zone(n) == z && warm(n)));
+                if left > 0 && warm(id) && keep.len() >= floor.max(1) {
+                    going.insert(id.clone());
+                    r.retiring.push(id.clone());
+                    self.retire_at.insert(id.clone(), now);
+                    left -= 1;
+                }
+            }
+        }
+        let serving: Vec<String> = serving.into_iter().filter(|id| !r.retiring.contains(id)).collect();
+        let all = (serving.len() + new.len()).max(1);
+        let share = (new.len() * 100 / all) as u32;
+        let done = serving.is_empty() && waits == 0 && !new.is_empty() && new.len() == total;
+        r.groups = vec![group(GroupRole::Stable, &s, 100 - share, serving), group(GroupRole::Stable, &t, share, new)];
+        if done {
+            self.enter(r, RolloutPhase::Baking, now);
+        }
+    }
+
+    fn baking(&mut self, r: &mut RolloutRecord, v: &View) {
+        let (now, s) = (v.i.now, r.stable.clone());
+        if self.turned_back(r, now) {
+            return;
+        }
+        let Some(t) = r.target.clone() else { return };
+        r.retiring.clear();
+        // The old version stays loaded without a share: turning back needs no load.
+        r.groups = vec![group(GroupRole::Stable, &t, 100, v.with(&t)), group(GroupRole::Stable, &s, 0, v.with(&s))];
+        if now.saturating_sub(self.phase_at) >= v.i.spec.bake_ms {
+            r.stable = t;
+            r.target = Some(s);
+            self.enter(r, RolloutPhase::Unloading, now);
+        }
+    }
+
+    /// Unloads `target`, what is no longer wanted, once it carries nothing. The flag that permits it is
+    /// set here, because the rollout was completed or reverted, and cleared when nothing reports it.
+    fn unload(&mut self, r: &mut RolloutRecord, v: &View, out: &mut Vec<Order>) {
+        let now = v.i.now;
+        let (s, Some(t)) = (r.stable.clone(), r.target.clone()) else { return };
+        r.retiring.clear();
+        let gone: Vec<String> = v.up.iter().filter(|p| v.holds(&p.id, &t)).map(|p| p.id.clone()).collect();
+        let mut old = group(GroupRole::Stable, &t, 0, gone.clone());
+        old.allow_unload = true;
+        let limit = v.i.service.lanes.iter().map(|l| l.time_limit_ms).max().unwrap_or(0) + DRAIN_EXTRA;
+        for id in &gone {
+            let ended = v.streams(id, &t) == 0 && now.saturating_sub(self.phase_at) > REORDER;
+            // Nothing is unloaded where the wanted version is not ready, or streams have time left.
+            if (ended || now.saturating_sub(self.phase_at) > limit) && v.has(id, &s) {
+                self.tell(v, id, OrderAction::Unload, &t, out);
+            }
+        }
+        r.groups = vec![group(GroupRole::Stable, &s, 100, v.with(&s)), old];
+        // The flag was written in an earlier record before anything could be unloaded under it.
+        if gone.is_empty() && now.saturating_sub(self.phase_at) > REORDER {
+            r.target = None;
+            r.groups.truncate(1);
+            self.enter(r, RolloutPhase::Steady, now);
+        }
+    }
+
+    /// Drift: missing replicas are started, replicas without weights are loaded, surplus ones drained.
+    fn fill(&mut self, r: &RolloutRecord, v: &View, out: &mut Vec<Order>) {
+        let now = v.i.now;
+        let new = matches!(r.phase, RolloutPhase::Shifting | RolloutPhase::Baking);
+        let want = if new { r.target.as_ref().unwrap_or(&r.stable) } else { &r.stable };
+        for z in &v.i.service.zones {
+            let here = |p: &&PlatformReplica| p.zone == z.zone && p.service == v.i.service.name;
+            // Started ones count though they have not reported yet: a late load is not a missing replica.
+            let have = v.i.platform.iter().filter(here).filter(|p| {
+                p.state != PlatformReplicaState::Draining && !v.i.leaving.contains(&p.id)
+            });
+            let have: Vec<_> = have.collect();
+            let need = z.replicas as usize;
+            for n in have.len()..need {
+                let o = Order::Start { zone: z.zone.clone(), version: want.clone() };
+                let k = format!("start {} {n}", z.zone);
+                if self.ordered.get(&k).is_none_or(|t| now.saturating_sub(*t) >= LOAD_LATE / 3) {
+                    self.ordered.insert(k, now);
+                    out.push(o);
+                }
+            }
+            if have.len() > need && r.phase == RolloutPhase::Steady {
+                // One at a time, the last by name, so that a shrunken spec never empties a zone.
+                if let Some(p) = have.iter().max_by_key(|p| &p.id) {
+                    self.order(now, LOAD_LATE / 3, Order::Drain { id: p.id.clone() }, out);
+                }
+            }
+        }
+        if new {
+            return;
+        }
+        for p in &v.up {
+            if v.report(&p.id).is_some() && !v.holds(&p.id, want) {
+                self.tell(v, &p.id, OrderAction::Load, want, out);
+            }
+        }
+    }
+
+    fn alerts(&mut self, r: &mut RolloutRecord, plan: Option<(u64, &ReleasePlan)>, v: &View) {
+        let now = v.i.now;
+        let shape = Some((r.phase, r.retiring.len(), r.groups.last().map_or(0, |g| g.replicas.len())));
+        if shape != self.shape || r.phase == RolloutPhase::Steady {
+            (self.shape, self.moved_at) = (shape, now);
+        }
+        if now.saturating_sub(self.moved_at) > STUCK_AFTER {
+            r.alerts.push("stuck".into());
+        }
+        if plan.is_some_and(|(_, p)| v.i.wall > p.complete_by) {
+            r.alerts.push("plan_late".into());
+        }
+        // A version nobody wants and no rollout accounts for: it stays until a flag permits its unload.
+        let wanted = |x: &str| x == r.stable || Some(x) == r.target.as_deref();
+        let stray = v.up.iter().filter_map(|p| v.report(&p.id)).flat_map(|p| &p.loaded).any(|l| !wanted(&l.version));
+        if stray {
+            r.alerts.push("unload_waits".into());
+        }
+        r.since_ms = 0;
+    }
+}
--- /dev/null
+++ b/wire-messages/src/fields.rs
@@ -0,0 +1,151 @@
+//! The three field shapes that `binrw` has no bounded form of: text, bytes and lists.
+
+use std::{fmt, io, io::Read, ops::Deref};
+
+use binrw::{BinRead, BinResult, BinWrite, Endian};
+
+use crate::{MAX_FRAME, MAX_LIST, MAX_NAME};
+
+fn too_long(at: u64, what: &str, n: usize) -> binrw::Error {
+    binrw::Error::AssertFail { pos: at, message: format!("{what} of {n} is over its limit") }
+}
+
+fn read_bytes<R: io::Read + io::Seek>(r: &mut R, n: usize) -> BinResult<Vec<u8>> {
+    // Grow with what really arrives, so that a lying length cannot reserve memory.
+    let mut v = Vec::new();
+    io::Read::take(r, n as u64).read_to_end(&mut v)?;
+    if v.len() < n {
+        return Err(binrw::Error::Io(io::ErrorKind::UnexpectedEof.into()));
+    }
+    Ok(v)
+}
+
+/// A short UTF-8 label.
+#[derive(Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct Name(pub String);
+
+impl Deref for Name {
+    type Target = str;
+    fn deref(&self) -> &str {
+        &self.0
+    }
+}
+impl std::borrow::Borrow<str> for Name {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+impl<T: Into<String>> From<T> for Name {
+    fn from(s: T) -> Self {
+        Name(s.into())
+    }
+}
+impl fmt::Debug for Name {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+impl BinRead for Name {
+    type Args<'a> = ();
+    fn read_options<R: io::Read + io::Seek>(r: &mut R, e: Endian, _: ()) -> BinResult<Self> {
+        let n = u16::read_options(r, e, ())? as usize;
+        if n > MAX_NAME {
+            return Err(too_long(r.stream_position()?, "name", n));
+        }
+        let at = r.stream_position()?;
+        String::from_utf8(read_bytes(r, n)?)
+            .map(Name)
+            .map_err(|e| binrw::Error::Custom { pos: at, err: Box::new(e.to_string()) })
+    }
+}
+impl BinWrite for Name {
+    type Args<'a> = ();
+    fn write_options<W: io::Write + io::Seek>(&self, w: &mut W, e: Endian, _: ()) -> BinResult<()> {
+        if self.0.len() > MAX_NAME {
+            return Err(too_long(0, "name", self.0.len()));
+        }
+        (self.0.len() as u16).write_options(w, e, ())?;
+        Ok(w.write_all(self.0.as_bytes())?)
+    }
+}
+
+/// Opaque bytes: the value of a key.
+#[derive(Clone, Default, PartialEq, Eq, Hash)]
+pub struct Blob(pub Vec<u8>);
+
+impl fmt::Debug for Blob {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}B", self.0.len())
+    }
+}
+impl BinRead for Blob {
+    type Args<'a> = ();
+    fn read_options<R: io::Read + io::Seek>(r: &mut R, e: Endian, _: ()) -> BinResult<Self> {
+        let n = u32::read_options(r, e, ())? as usize;
+        if n > MAX_FRAME {
+            return Err(too_long(r.stream_position()?, "blob", n));
+        }
+        read_bytes(r, n).map(Blob)
+    }
+}
+impl BinWrite for Blob {
+    type Args<'a> = ();
+    fn write_options<W: io::Write + io::Seek>(&self, w: &mut W, e: Endian, _: ()) -> BinResult<()> {
+        (self.0.len() as u32).write_options(w, e, ())?;
+        Ok(w.write_all(&self.0)?)
+    }
+}
+
+/// A bounded list of messages' parts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct List<T>(pub Vec<T>);
+
+impl<T> Default for List<T> {
+    fn default() -> Self {
+        List(Vec::new())
+    }
+}
+impl<T> Deref for List<T> {
+    type Target = Vec<T>;
+    fn deref(&self) -> &Vec<T> {
+        &self.0
+    }
+}
+impl<T> FromIterator<T> for List<T> {
+    fn from_iter<I: IntoIterator<Item = T>>(i: I) -> Self {
+        List(i.into_iter().collect())
+    }
+}
+impl<T> IntoIterator for List<T> {
+    type Item = T;
+    type IntoIter = std::vec::IntoIter<T>;
+    fn into_iter(self) -> Self::IntoIter {
+        self.0.into_iter()
+    }
+}
+impl<T: for<'a> BinRead<Args<'a> = ()>> BinRead for List<T> {
+    type Args<'a> = ();
+    fn read_options<R: io::Read + io::Seek>(r: &mut R, e: Endian, _: ()) -> BinResult<Self> {
+        let n = u32::read_options(r, e, ())? as usize;
+        if n > MAX_LIST {
+            return Err(too_long(r.stream_position()?, "list", n));
+        }
+        (0..n).map(|_| T::read_options(r, e, ())).collect::<BinResult<Vec<T>>>().map(List)
+    }
+}
+impl<T: for<'a> BinWrite<Args<'a> = ()>> BinWrite for List<T> {
+    type Args<'a> = ();
+    fn write_options<W: io::Write + io::Seek>(&self, w: &mut W, e: Endian, _: ()) -> BinResult<()> {
+        if self.0.len() > MAX_LIST {
+            return Err(too_long(0, "list", self.0.len()));
+        }
+        (self.0.len() as u32).write_options(w, e, ())?;
+        self.0.iter().try_for_each(|x| x.write_options(w, e, ()))
+    }
+}
--- /dev/null
+++ b/wire-messages/src/frame.rs
@@ -0,0 +1,85 @@
+//! One frame on a channel: a 4-byte length, then an `Envelope`.
+
+use std::io::Cursor;
+
+use binrw::{BinRead, BinWrite};
+
+use crate::{Envelope, MAX_FRAME};
+
+/// Why bytes are not a frame; the channel they came on is closed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FrameFault {
+    TooLong(usize),
+    Malformed(String),
+    Trailing(usize),
+}
+
+impl std::fmt::Display for FrameFault {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            FrameFault::TooLong(n) => write!(f, "frame of {n} bytes is over {MAX_FRAME}"),
+            FrameFault::Malformed(s) => write!(f, "malformed frame: {s}"),
+            FrameFault::Trailing(n) => write!(f, "{n} bytes left after the message"),
+        }
+    }
+}
+impl std::error::Error for FrameFault {}
+
+/// Checks the length prefix before anything is read for it.
+pub fn read_length(b: [u8; 4]) -> Result<usize, FrameFault> {
+    let n = u32::from_be_bytes(b) as usize;
+    if n > MAX_FRAME { Err(FrameFault::TooLong(n)) } else { Ok(n) }
+}
+
+/// The frame's bytes, length prefix included.
+pub fn encode(e: &Envelope) -> Result<Vec<u8>, FrameFault> {
+    let mut c = Cursor::new(vec![0u8; 4]);
+    c.set_position(4);
+    e.write_be(&mut c).map_err(|e| FrameFault::Malformed(e.to_string()))?;
+    let mut v = c.into_inner();
+    let n = v.len() - 4;
+    if n > MAX_FRAME {
+        return Err(FrameFault::TooLong(n));
+    }
+    v[..4].copy_from_slice(&(n as u32).to_be_bytes());
+    Ok(v)
+}
+
+/// Reads a frame's body; bytes left over are a fault, as a sender never leaves any.
+pub fn decode(b: &[u8]) -> Result<Envelope, FrameFault> {
+    let mut c = Cursor::new(b);
+    let e = Envelope::read_be(&mut c).map_err(|e| FrameFault::Malformed(e.to_string()))?;
+    let left = b.len() - c.position() as usize;
+    if left > 0 { Err(FrameFault::Trailing(left)) } else { Ok(e) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::*;
+
+    #[test]
+    fn a_frame_returns_whole_and_garbage_never_panics() {
+        let e = Envelope {
+            from: "c1".into(),
+            addr: "127.0.0.1:1".into(),
+            msg: Msg::Prepare(Prepare { key: "spec".into(), epoch: 7, me: 1 }),
+        };
+        let v = encode(&e).unwrap();
+        assert_eq!(read_length(v[..4].try_into().unwrap()), Ok(v.len() - 4));
+        assert_eq!(decode(&v[4..]).unwrap(), e);
+        // Every truncation and every single-byte change is an error or another message, never a panic.
+        for i in 4..v.len() {
+            assert!(decode(&v[4..i]).is_err());
+            for x in [0, 1, 0x7f, 0xff] {
+                let mut w = v.clone();
+                w[i] = x;
+                let _ = decode(&w[4..]);
+            }
+        }
+        let mut w = v[4..].to_vec();
+        w.push(0);
+        assert_eq!(decode(&w), Err(FrameFault::Trailing(1)));
+        assert!(matches!(read_length([0xff; 4]), Err(FrameFault::TooLong(_))));
+    }
+}
--- a/wire-messages/src/lib.rs
+++ b/wire-messages/src/lib.rs
@@ -1,1 +1,17 @@
+//! Messages between landingslip's own processes, in `binrw`, every length bounded.
+//! The types hold no I/O; `daemon-parts` moves them over TCP and the simulator over virtual time.
 
+mod fields;
+mod frame;
+mod messages;
+
+pub use fields::{Blob, List, Name};
+pub use frame::{FrameFault, decode, encode, read_length};
+pub use messages::*;
+
+/// Largest frame a peer may send, in bytes; a spec of a whole fleet is well under a tenth of it.
+pub const MAX_FRAME: usize = 4 << 20;
+/// Largest name, in bytes: names are machine, key and version labels.
+pub const MAX_NAME: usize = 512;
+/// Most items in one list: a frame of all keys of a fleet stays far below.
+pub const MAX_LIST: usize = 1 << 16;
--- /dev/null
+++ b/wire-messages/src/messages.rs
@@ -0,0 +1,107 @@
+//! Every message, written once: a struct each and one tagged enum over them.
+
+use binrw::binrw;
+
+use crate::{Blob, List, Name};
+
+/// Parts that stand inside messages.
+macro_rules! parts {
+    ($($(#[$d:meta])* $n:ident { $($f:ident: $t:ty),* $(,)? })*) => { $(
+        $(#[$d])*
+        #[binrw]
+        #[brw(big)]
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct $n { $(pub $f: $t),* }
+    )* };
+}
+
+/// Messages: the parts above plus a tag in `Msg`.
+macro_rules! messages {
+    ($($(#[$d:meta])* $tag:literal $n:ident { $($f:ident: $t:ty),* $(,)? })*) => {
+        parts! { $($(#[$d])* $n { $($f: $t),* })* }
+        /// All that one process may say to another.
+        #[binrw]
+        #[brw(big)]
+        #[derive(Clone, Debug, PartialEq, Eq)]
+        pub enum Msg { $(#[brw(magic($tag))] $n($n)),* }
+        impl Msg {
+            pub fn name(&self) -> &'static str {
+                match self { $(Msg::$n(_) => stringify!($n)),* }
+            }
+        }
+        $(impl From<$n> for Msg { fn from(m: $n) -> Msg { Msg::$n(m) } })*
+    };
+}
+
+parts! {
+    /// One process as the others know it; `beat` rises while it lives, `born` tells its lives apart.
+    Node { name: Name, role: u8, zone: Name, addr: Name, http: Name, born: u64, beat: u64 }
+    /// A committed value of a key. `epoch` orders owners, `version` orders values.
+    Change { key: Name, epoch: u64, version: u64, value: Blob }
+    /// A voter's whole knowledge of a key.
+    Slot { key: Name, promised: u64, epoch: u64, version: u64, committed: u64, value: Blob }
+    /// What a duty holder lets an edge do for a while: the record it may follow and the canary's share.
+    Permit { service: Name, epoch: u64, version: u64, canary_share: u32, ttl: u32 }
+    /// A permit as an agent hands it to its proxy: both read the same machine's clock, so it ends at `until`.
+    Lent { permit: Permit, until: u64 }
+    /// A digest over the keys whose hash falls into one range.
+    Range { index: u16, digest: u64 }
+    /// Cumulative counts since the proxy's start, and streams still open.
+    Tally { service: Name, version: Name, lane: Name, warm: u8, group: u8, sent: u64, ok: u64, failed: u64, slow: u64 }
+    /// Streams a proxy still has open on a replica's version.
+    Open { replica: Name, version: Name, streams: u32 }
+    /// A voter: its lasting name, its disk and where it answers.
+    Voter { name: Name, disk: u64, addr: Name }
+    /// A key that a duty holder keeps, or a voter lets it keep.
+    Held { key: Name, epoch: u64 }
+}
+
+messages! {
+    /// Liveness between control daemons; also what each has committed, so that a missed commit is mended.
+    1u8 Beat { me: u32, disk: u64, blank: u8, digest: u64 }
+    2u8 Prepare { key: Name, epoch: u64, me: u32 }
+    3u8 Promise { epoch: u64, me: u32, ok: u8, wait: u32, slot: Slot }
+    4u8 Accept { key: Name, epoch: u64, version: u64, value: Blob, me: u32 }
+    5u8 Accepted { key: Name, epoch: u64, version: u64, promised: u64, me: u32, ok: u8 }
+    6u8 Commit { change: Change }
+    7u8 Renew { keys: List<Held>, sent: u64, me: u32 }
+    8u8 Renewed { keys: List<Held>, sent: u64, me: u32 }
+    9u8 Forward { token: u64, key: Name, expect: u64, any: u8, value: Blob }
+    /// `code`: 0 accepted, 1 conflict, 2 not accepted, 3 unknown.
+    10u8 Forwarded { token: u64, code: u8, version: u64, why: Name }
+    /// The first voters, offered once while every disk is blank.
+    11u8 Genesis { voters: List<Voter> }
+    12u8 GenesisTaken { disk: u64 }
+    /// A blank disk asks a voter to let it take its namesake's place.
+    13u8 Join { voter: Voter }
+    /// A starter or newcomer asks for all slots a voter has, once the voter follows member epoch `me`.
+    14u8 SlotsAsk { me: u32 }
+    15u8 Slots { me: u32, slots: List<Slot> }
+    /// An agent asks for news: `sent` comes back so that permits count from the asking.
+    20u8 Poll { node: Node, sent: u64, run: u64, after: u64, tallies: List<Tally>, opens: List<Open>, seen: List<Change> }
+    /// `full`: a frame of all keys, not a piece of the feed.
+    21u8 News { sent: u64, run: u64, upto: u64, full: u8, settled: u8, voters: u32, changes: List<Change>, permits: List<Permit> }
+    30u8 Shuffle { nodes: List<Node>, answer: u8 }
+    31u8 Digests { ranges: List<Range> }
+    32u8 Mend { changes: List<Change>, answer: u8, indexes: List<Range> }
+    /// Take the single run of a request, or void it so that it can never run.
+    33u8 Claim { token: u64, request: Name, round: u64, void: u8, age: u64 }
+    /// `state`: 0 granted, 1 another round's, 2 voided, 3 abstains.
+    34u8 Claimed { token: u64, state: u8 }
+    40u8 ProxyHello { born: u64, http: Name, tallies: List<Tally>, opens: List<Open> }
+    /// Agent to its proxy. `rule`: 0 reject all, 1 stable only, 2 all.
+    41u8 Board { rule: u8, until: u64, full: u8, changes: List<Change>, permits: List<Lent>, nodes: List<Node> }
+    42u8 ClaimAsk { token: u64, request: Name, round: u64, void: u8, age: u64 }
+    /// `state`: 0 granted, 1 another round's, 2 voided, 3 no majority.
+    43u8 ClaimTold { token: u64, state: u8 }
+}
+
+/// What travels: the sender, where it listens, and one message.
+#[binrw]
+#[brw(big)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Envelope {
+    pub from: Name,
+    pub addr: Name,
+    pub msg: Msg,
+}
