--- /dev/null
+++ b/control-daemon/src/actor.rs
@@ -0,0 +1,263 @@
+//! The one owner of a control daemon's brain: works through its mailbox and carries effects out.
+
+use std::{collections::HashMap, time::Duration};
+
+use actix::prelude::*;
+use awc::Client;
+use coordination::{
+    Effect, Effects, Ms, WriteOutcome,
+    control::{Control, ControlParams},
+    effect::note,
+    events,
+    limits::{REPORT_EVERY, TICK},
+    rollout::Order,
+};
+use daemon_parts::{
+    channels::{Channels, Incoming},
+    clock, http,
+    limits::{CALL_LIMIT, MAILBOX},
+    logging::event,
+};
+use remote_calls::{
+    Fault, OrderAnswer, PlatformDrain, PlatformList, PlatformStart, PlatformStarted, ReplicaOrder, ReplicaReport, calls,
+};
+use tokio::sync::oneshot;
+
+use crate::disk::{Disk, Held};
+
+/// ms. A failed disk is tried again this often.
+const DISK_AGAIN: Ms = 1_000;
+
+pub struct ControlActor {
+    p: ControlParams,
+    platform: String,
+    disk: Disk,
+    ch: Option<Channels>,
+    /// None while the disk fails: nothing is said, taken or confirmed then.
+    c: Option<Control>,
+    waiting: HashMap<u64, oneshot::Sender<WriteOutcome>>,
+    client: Client,
+    next_report: Ms,
+    next_open: Ms,
+    opening: bool,
+    stopping: bool,
+}
+
+/// Writes a key.
+#[derive(Message)]
+#[rtype(result = "WriteOutcome")]
+pub struct Write {
+    pub key: String,
+    pub expect: Option<u64>,
+    pub value: Vec<u8>,
+}
+
+/// Looks at the brain, if the disk works.
+pub struct Look<T>(pub Box<dyn FnOnce(&mut Control, Ms) -> T + Send>);
+impl<T: Send + 'static> Message for Look<T> {
+    type Result = Result<T, ()>;
+}
+
+impl ControlActor {
+    pub fn new(p: ControlParams, platform: String, disk: Disk) -> Self {
+        let client = Client::builder().disable_timeout().finish();
+        let (waiting, c, ch) = (HashMap::new(), None, None);
+        ControlActor { p, platform, disk, ch, c, waiting, client, next_report: 0, next_open: 0, opening: false, stopping: false }
+    }
+
+    fn carry(&mut self, effects: Effects, ctx: &mut Context<Self>) {
+        for e in effects {
+            match e {
+                Effect::Send { to, msg } => {
+                    if let Some(ch) = &mut self.ch {
+                        ch.send(&to, msg);
+                    }
+                }
+                Effect::Persist { rows, then } => self.persist(rows, then, ctx),
+                Effect::Answer { token, outcome } => {
+                    if let Some(s) = self.waiting.remove(&token) {
+                        let _ = s.send(outcome);
+                    }
+                }
+                Effect::Order { service, epoch, until, order } => self.order(service, epoch, until, order, ctx),
+                Effect::Note { event: e, peer, text } => event(e, &peer, &text),
+            }
+        }
+    }
+
+    fn persist(&mut self, rows: Vec<coordination::Row>, then: Effects, ctx: &mut Context<Self>) {
+        let d = self.disk.clone();
+        let f = async move { d.sync(rows).await }.into_actor(self).map(move |r, me, ctx| match r {
+            Ok(()) => me.carry(then, ctx),
+            Err(e) => me.disk_failed(&format!("{e:?}")),
+        });
+        ctx.spawn(f);
+    }
+
+    /// What the disk holds is no longer known: this life ends, and another begins when it can be read.
+    fn disk_failed(&mut self, why: &str) {
+        if self.c.take().is_some() {
+            event(events::DISK_FAILED, &self.p.name, &why.replace('\n', " "));
+        }
+        // Writes that wait may stand on other disks.
+        self.waiting.drain().for_each(|(_, s)| {
+            let _ = s.send(WriteOutcome::Unknown);
+        });
+        self.next_open = clock::now() + DISK_AGAIN;
+    }
+
+    fn reopen(&mut self, ctx: &mut Context<Self>) {
+        if self.opening || clock::now() < self.next_open {
+            return;
+        }
+        self.opening = true;
+        let d = self.disk.clone();
+        let f = async move { d.open().await }.into_actor(self).map(|r, me, _| {
+            me.opening = false;
+            match r {
+                Ok(held) => me.begin(held),
+                Err(e) => {
+                    event(events::DISK_FAILED, &me.p.name, &format!("{e:?}").replace('\n', " "));
+                    me.next_open = clock::now() + DISK_AGAIN;
+                }
+            }
+        });
+        ctx.spawn(f);
+    }
+
+    fn begin(&mut self, (id, blank, rows): Held) {
+        if blank {
+            event(events::DISK_BLANK, &self.p.name, "");
+        } else {
+            event(events::DISK_BACK, &self.p.name, &format!("{} rows", rows.len()));
+        }
+        self.c = Some(Control::new(self.p.clone(), id, rows, clock::born(), clock::now()));
+    }
+
+    fn order(&mut self, service: String, epoch: u64, until: Ms, order: Order, ctx: &mut Context<Self>) {
+        // The process may have slept between the decision and here.
+        if clock::now() >= until {
+            event(events::PERMIT_LAPSED, &service, "an order was dropped");
+            return;
+        }
+        let text = format!("{order:?}");
+        event(events::ORDER, &service, &text);
+        let (c, platform) = (self.client.clone(), self.platform.clone());
+        let f = async move {
+            let r = match order {
+                Order::Replica { addr, action, version, .. } => {
+                    let b = ReplicaOrder { service: service.clone(), epoch, action, version };
+                    http::call::<_, OrderAnswer>(&c, &addr, calls::ORDER, Some(&b), CALL_LIMIT).await.map(drop)
+                }
+                Order::Start { zone, version } => {
+                    let b = PlatformStart { service: service.clone(), zone, version, epoch };
+                    http::call::<_, PlatformStarted>(&c, &platform, calls::PLATFORM_START, Some(&b), CALL_LIMIT).await.map(drop)
+                }
+                Order::Drain { id } => {
+                    let b = PlatformDrain { service: service.clone(), replica: id, epoch };
+                    http::call::<_, OrderAnswer>(&c, &platform, calls::PLATFORM_DRAIN, Some(&b), CALL_LIMIT).await.map(drop)
+                }
+            };
+            if let Err(e) = r {
+                event(events::ORDER_FAILED, &service, &format!("{text}: {e}"));
+            }
+        };
+        ctx.spawn(f.into_actor(self));
+    }
+
+    /// Asks the platform and the replicas while a duty is held here.
+    fn ask_back_ends(&mut self, now: Ms, ctx: &mut Context<Self>) {
+        let Some(brain) = &self.c else { return };
+        if now < self.next_report || !brain.on_duty(now) {
+            return;
+        }
+        self.next_report = now + REPORT_EVERY;
+        let (c, a) = (self.client.clone(), self.platform.clone());
+        let f = async move { http::call::<(), PlatformList>(&c, &a, calls::PLATFORM_LIST, None, CALL_LIMIT).await };
+        ctx.spawn(f.into_actor(self).map(|r, me, _| {
+            if let (Ok(l), Some(c)) = (r, &mut me.c) {
+                c.on_platform(l);
+            }
+        }));
+        for (_, addr) in brain.replicas() {
+            let c = self.client.clone();
+            let f = async move { http::call::<(), ReplicaReport>(&c, &addr, calls::REPORT, None, CALL_LIMIT).await };
+            ctx.spawn(f.into_actor(self).map(move |r, me, _| {
+                if let (Ok(r), Some(c)) = (r, &mut me.c) {
+                    // Stamped with the asking: an answer that took long is old.
+                    c.on_report(r, now);
+                }
+            }));
+        }
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        let now = clock::now();
+        let Some(c) = &mut self.c else { return self.reopen(ctx) };
+        c.going = self.stopping;
+        let mut out = c.tick(now);
+        out.extend(c.loops(now, clock::wall_s()));
+        self.carry(out, ctx);
+        self.ask_back_ends(now, ctx);
+    }
+}
+
+impl Actor for ControlActor {
+    type Context = Context<Self>;
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(MAILBOX);
+        self.ch = Some(Channels::new(&self.p.name, &self.p.addr, ctx.address().recipient()));
+        self.reopen(ctx);
+        ctx.run_interval(Duration::from_millis(TICK), |me, ctx| me.tick(ctx));
+    }
+}
+
+impl Handler<Incoming> for ControlActor {
+    type Result = ();
+    fn handle(&mut self, m: Incoming, ctx: &mut Self::Context) {
+        let Some(c) = &mut self.c else { return };
+        let out = c.on_msg(&m.0.from, &m.0.addr, m.0.msg, clock::now());
+        self.carry(out, ctx);
+    }
+}
+
+impl Handler<Write> for ControlActor {
+    type Result = ResponseFuture<WriteOutcome>;
+    fn handle(&mut self, m: Write, ctx: &mut Self::Context) -> Self::Result {
+        let Some(c) = &mut self.c else {
+            return Box::pin(async { WriteOutcome::NotAccepted("this daemon's disk does not work") });
+        };
+        let (token, out) = c.write(&m.key, m.expect, m.value, clock::now());
+        let (s, r) = oneshot::channel();
+        self.waiting.insert(token, s);
+        self.carry(out, ctx);
+        Box::pin(async move { r.await.unwrap_or(WriteOutcome::Unknown) })
+    }
+}
+
+impl<T: Send + 'static> Handler<Look<T>> for ControlActor {
+    type Result = Result<T, ()>;
+    fn handle(&mut self, m: Look<T>, _: &mut Self::Context) -> Self::Result {
+        let now = clock::now();
+        self.c.as_mut().map(|c| (m.0)(c, now)).ok_or(())
+    }
+}
+
+/// The process will stop: duties and keys go to others first.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Stopping;
+impl Handler<Stopping> for ControlActor {
+    type Result = ();
+    fn handle(&mut self, _: Stopping, ctx: &mut Self::Context) {
+        self.stopping = true;
+        let n = note(events::STOPPING, &self.p.name, "duties are handed over");
+        self.carry(vec![n], ctx);
+        self.tick(ctx);
+    }
+}
+
+/// Why the brain could not be looked at.
+pub fn no_disk() -> Fault {
+    Fault::new("disk_failed", "look", "this daemon's disk does not take writes").retry(DISK_AGAIN)
+}
--- /dev/null
+++ b/control-daemon/src/disk.rs
@@ -0,0 +1,224 @@
+//! The disk: one thread owns the database and works through a buffer of commands. Commands that wait
+//! together are synced together.
+
+use std::{path::PathBuf, sync::mpsc, thread};
+
+use coordination::Row;
+use error_stack::{Report, ResultExt};
+use rusqlite::{Connection, OptionalExtension, params};
+use tokio::sync::oneshot;
+use wire_messages::{Blob, Slot, Voter};
+
+/// The file under the data folder.
+const FILE: &str = "control.sqlite";
+/// Commands that may wait for the disk; far above what one round of all keys makes.
+const WAITING: usize = 1_024;
+
+/// A step of the disk that failed.
+#[derive(Debug)]
+pub struct DiskFault(&'static str);
+
+impl std::fmt::Display for DiskFault {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "disk: could not {}", self.0)
+    }
+}
+impl std::error::Error for DiskFault {}
+
+type Done<T> = Result<T, Report<DiskFault>>;
+/// The disk's own number, whether it was blank, and what it held.
+pub type Held = (u64, bool, Vec<Row>);
+
+enum Command {
+    Sync(Vec<Row>, oneshot::Sender<Done<()>>),
+    Open(oneshot::Sender<Done<Held>>),
+}
+
+/// Hands commands to the disk's thread.
+#[derive(Clone)]
+pub struct Disk(mpsc::SyncSender<Command>);
+
+impl Disk {
+    pub fn start(folder: PathBuf, limit: u64) -> Self {
+        let (s, r) = mpsc::sync_channel(WAITING);
+        thread::spawn(move || work(folder, limit, r));
+        Disk(s)
+    }
+    pub async fn sync(&self, rows: Vec<Row>) -> Done<()> {
+        self.ask(|s| Command::Sync(rows, s)).await
+    }
+    /// Opens the database, anew if it was open, and reads everything.
+    pub async fn open(&self) -> Done<Held> {
+        self.ask(Command::Open).await
+    }
+    async fn ask<T>(&self, c: impl FnOnce(oneshot::Sender<Done<T>>) -> Command) -> Done<T> {
+        let (s, r) = oneshot::channel();
+        // A full buffer is a disk that does not keep up: the same as one that fails.
+        if self.0.try_send(c(s)).is_err() {
+            return Err(Report::new(DiskFault("take another command")));
+        }
+        r.await.change_context(DiskFault("end a command"))?
+    }
+}
+
+fn work(folder: PathBuf, limit: u64, r: mpsc::Receiver<Command>) {
+    let mut db: Option<Connection> = None;
+    while let Ok(first) = r.recv() {
+        let mut rows = Vec::new();
+        let mut told = Vec::new();
+        let mut next = Some(first);
+        while let Some(c) = next.take() {
+            match c {
+                Command::Sync(v, s) => {
+                    rows.extend(v);
+                    told.push(s);
+                    next = r.try_recv().ok();
+                }
+                Command::Open(s) => {
+                    db = None;
+                    let opened = open(&folder, limit);
+                    let _ = s.send(opened.map(|(c, held)| {
+                        db = Some(c);
+                        held
+                    }));
+                }
+            }
+        }
+        if told.is_empty() {
+            continue;
+        }
+        let ok = match db.as_mut() {
+            Some(c) => write(c, &rows).map_err(|e| format!("{e:?}")),
+            None => Err("not open".into()),
+        };
+        if ok.is_err() {
+            // What a failed sync left behind is not known: nothing more is written before a fresh read.
+            db = None;
+        }
+        for s in told {
+            let _ = s.send(ok.clone().map_err(|e| Report::new(DiskFault("sync")).attach(e)));
+        }
+    }
+}
+
+fn open(folder: &PathBuf, limit: u64) -> Done<(Connection, Held)> {
+    std::fs::create_dir_all(folder).change_context(DiskFault("make the data folder"))?;
+    let step = |s: &'static str| move || DiskFault(s);
+    let c = Connection::open(folder.join(FILE)).change_context_lazy(step("open the database"))?;
+    let setup = "PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL; PRAGMA wal_autocheckpoint=64;
+        CREATE TABLE IF NOT EXISTS disk (id INTEGER NOT NULL);
+        CREATE TABLE IF NOT EXISTS members (one INTEGER PRIMARY KEY CHECK (one = 1), me INTEGER NOT NULL, voters TEXT NOT NULL, voting INTEGER NOT NULL);
+        CREATE TABLE IF NOT EXISTS slots (key TEXT PRIMARY KEY, promised INTEGER NOT NULL, epoch INTEGER NOT NULL,
+            version INTEGER NOT NULL, committed INTEGER NOT NULL, value BLOB NOT NULL) WITHOUT ROWID;";
+    c.execute_batch(setup).change_context_lazy(step("set the database up"))?;
+    let sound: String = c.query_row("PRAGMA quick_check", [], |r| r.get(0)).change_context_lazy(step("check the database"))?;
+    if sound != "ok" {
+        return Err(Report::new(DiskFault("trust the database")).attach(sound));
+    }
+    if limit > 0 {
+        let size: u64 = c.query_row("PRAGMA page_size", [], |r| r.get(0)).change_context_lazy(step("read the page size"))?;
+        c.execute_batch(&format!("PRAGMA max_page_count={}", limit / size.max(1))).change_context_lazy(step("bound the database"))?;
+    }
+    let id: Option<u64> = c.query_row("SELECT id FROM disk", [], |r| r.get(0)).optional().change_context_lazy(step("read the disk's number"))?;
+    let blank = id.is_none();
+    let id = id.unwrap_or_else(|| fastrand::u64(1..i64::MAX as u64));
+    // Written at every opening: a disk that takes no writes is found out here.
+    c.execute_batch(&format!("BEGIN; DELETE FROM disk; INSERT INTO disk VALUES ({id}); COMMIT")).change_context_lazy(step("write the disk's number"))?;
+    if blank {
+        let dir = std::fs::File::open(folder).and_then(|d| d.sync_all());
+        dir.change_context(DiskFault("sync the data folder"))?;
+    }
+    let rows = read(&c).change_context(DiskFault("read the state"))?;
+    Ok((c, (id, blank, rows)))
+}
+
+fn read(c: &Connection) -> rusqlite::Result<Vec<Row>> {
+    let mut rows = Vec::new();
+    let members = c.query_row("SELECT me, voters, voting FROM members", [], |r| {
+        Ok((r.get::<_, u32>(0)?, r.get::<_, String>(1)?, r.get::<_, bool>(2)?))
+    });
+    if let Some((me, voters, voting)) = members.optional()? {
+        let v: Vec<(String, u64, String)> = serde_json::from_str(&voters).unwrap_or_default();
+        let voters = v.into_iter().map(|(n, disk, a)| Voter { name: n.into(), disk, addr: a.into() }).collect();
+        rows.push(Row::Members { me, voters, voting });
+    }
+    let mut q = c.prepare("SELECT key, promised, epoch, version, committed, value FROM slots")?;
+    let slots = q.query_map([], |r| {
+        Ok(Slot {
+            key: r.get::<_, String>(0)?.into(),
+            promised: r.get(1)?,
+            epoch: r.get(2)?,
+            version: r.get(3)?,
+            committed: r.get(4)?,
+            value: Blob(r.get(5)?),
+        })
+    })?;
+    for s in slots {
+        rows.push(Row::Slot(s?));
+    }
+    Ok(rows)
+}
+
+fn write(c: &mut Connection, rows: &[Row]) -> rusqlite::Result<()> {
+    let t = c.transaction()?;
+    for r in rows {
+        match r {
+            Row::Slot(s) => {
+                let sql = "INSERT OR REPLACE INTO slots VALUES (?1, ?2, ?3, ?4, ?5, ?6)";
+                t.prepare_cached(sql)?.execute(params![s.key.0, s.promised, s.epoch, s.version, s.committed, s.value.0])?;
+            }
+            Row::Members { me, voters, voting } => {
+                let v: Vec<(&str, u64, &str)> = voters.iter().map(|v| (&*v.name, v.disk, &*v.addr)).collect();
+                let v = serde_json::to_string(&v).unwrap_or_default();
+                t.execute("INSERT OR REPLACE INTO members VALUES (1, ?1, ?2, ?3)", params![me, v, voting])?;
+            }
+        }
+    }
+    t.commit()
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    fn slot(key: &str, version: u64, bytes: usize) -> Row {
+        Row::Slot(Slot { key: key.into(), version, value: Blob(vec![7; bytes]), ..Slot::default() })
+    }
+    fn folder(name: &str) -> PathBuf {
+        let d = std::env::temp_dir().join(format!("landingslip-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&d);
+        d
+    }
+
+    #[gtest]
+    fn synced_rows_return_and_a_full_disk_says_so_and_recovers() {
+        let dir = folder("disk");
+        let (c, (id, blank, _)) = open(&dir, 0).unwrap();
+        expect_true!(blank);
+        drop(c);
+        let (mut c, (again, blank, _)) = open(&dir, 200_000).unwrap();
+        expect_that!((again, blank), eq((id, false)));
+        write(&mut c, &[slot("a", 1, 10)]).unwrap();
+        // The bound on growth is met: the write fails whole and nothing of it stands.
+        expect_that!(write(&mut c, &[slot("a", 2, 10), slot("b", 1, 400_000)]), err(anything()));
+        drop(c);
+        let (mut c, (_, _, rows)) = open(&dir, 200_000).unwrap();
+        expect_that!(rows, container_eq([slot("a", 1, 10)]));
+        // Rewriting a key reuses its room: many versions do not grow the file.
+        for v in 2..500 {
+            write(&mut c, &[slot("a", v, 20_000)]).unwrap();
+        }
+        let _ = std::fs::remove_dir_all(&dir);
+    }
+
+    #[gtest]
+    fn a_corrupt_database_is_not_trusted() {
+        let dir = folder("corrupt");
+        drop(open(&dir, 0).unwrap());
+        std::fs::write(dir.join(FILE), [0x5a; 8_192]).unwrap();
+        expect_true!(open(&dir, 0).is_err());
+        let _ = std::fs::remove_dir_all(&dir);
+    }
+}
--- /dev/null
+++ b/control-daemon/src/http.rs
@@ -0,0 +1,165 @@
+//! Operators' and the platform's calls.
+
+use actix::Addr;
+use actix_web::{HttpResponse, web};
+use coordination::{
+    Ms, WriteOutcome,
+    control::{Control, KILL, LEAVING, PLAN, SPEC, ZONE},
+};
+use daemon_parts::{
+    clock,
+    http::{Answer, json_config, no_such_path},
+};
+use remote_calls::{
+    Accepted, Counter, Counters, Fault, KillSwitch, PlanPut, PlanState, PlatformWarning, ReleasePlan, Spec, SpecPut, SpecState,
+    WarnKind, ZoneState, calls, spec_check,
+};
+use serde::Serialize;
+
+use crate::actor::{ControlActor, Look, Stopping, Write, no_disk};
+
+type Brain = web::Data<Addr<ControlActor>>;
+type Reply = Result<HttpResponse, Answer>;
+
+/// Longest name of a version.
+const VERSION_MAX: usize = 64;
+
+fn busy<E>(_: E) -> Answer {
+    Fault::new("overload", "ask_owner", "the daemon's buffer is full").retry(1_000).into()
+}
+
+async fn look<T: Send + 'static>(b: &Brain, f: impl FnOnce(&mut Control, Ms) -> T + Send + 'static) -> Result<T, Answer> {
+    let r = b.send(Look(Box::new(f))).await.map_err(busy)?;
+    r.map_err(|()| no_disk().into())
+}
+
+async fn write(b: &Brain, key: String, expect: Option<u64>, v: &impl Serialize) -> Reply {
+    let value = serde_json::to_vec(v).map_err(|e| Fault::new("bad_json", "write_value", e.to_string()))?;
+    let o = b.send(Write { key: key.clone(), expect, value }).await.map_err(busy)?;
+    Err(match o {
+        WriteOutcome::Accepted(version) => return Ok(HttpResponse::Ok().json(Accepted { version })),
+        WriteOutcome::Conflict(v) => {
+            let m = format!("another write came first; version {v} of {key} stands");
+            Fault::new("conflict", "compare_version", m).field("expect_version").version(v).into()
+        }
+        WriteOutcome::NotAccepted(why) => Fault::new("not_accepted", "sync_majority", why).retry(1_000).into(),
+        WriteOutcome::Unknown => {
+            let m = format!("no majority confirmed {key} in time; it may still stand: read it to find out");
+            Fault::new("unknown", "sync_majority", m).retry(1_000).into()
+        }
+    })
+}
+
+async fn spec_put(b: Brain, q: web::Json<SpecPut>) -> Reply {
+    spec_check::check(&q.spec)?;
+    write(&b, SPEC.into(), Some(q.expect_version), &q.spec).await
+}
+
+async fn spec_get(b: Brain) -> Reply {
+    let (version, spec) = look(&b, |c, _| (c.board().get(SPEC).map_or(0, |c| c.version), c.spec())).await?;
+    Ok(HttpResponse::Ok().json(SpecState { version, spec }))
+}
+
+async fn spec_of(b: &Brain) -> Result<Spec, Answer> {
+    let s = look(b, |c, _| c.spec()).await?;
+    s.ok_or_else(|| Fault::new("no_spec", "read_spec", "no spec has been accepted yet").retry(1_000).into())
+}
+
+fn unknown(what: &str, name: &str) -> Answer {
+    Fault::new("not_found", "check_request", format!("the spec has no {what} {name}")).field(what).into()
+}
+
+async fn plan_put(b: Brain, at: web::Path<String>, q: web::Json<PlanPut>) -> Reply {
+    let bad = |f: &str, m: &str| Answer::from(Fault::new("bad_plan", "check_plan", m).field(format!("plan.{f}")));
+    let (s, p) = (spec_of(&b).await?, &q.plan);
+    if !s.services.iter().any(|v| v.name == *at) {
+        return Err(unknown("service", &at));
+    }
+    if p.service != *at {
+        return Err(bad("service", "is not the service in the path"));
+    }
+    let named = |c: u8| c.is_ascii_alphanumeric() || b"-_.".contains(&c);
+    if p.target.is_empty() || p.target.len() > VERSION_MAX || !p.target.bytes().all(named) {
+        return Err(bad("target", "must be 1 to 64 letters, digits, '-', '_' or '.'"));
+    }
+    if p.complete_by <= clock::wall_s() {
+        return Err(bad("complete_by", "has passed"));
+    }
+    write(&b, format!("{PLAN}{at}"), Some(q.expect_version), p).await
+}
+
+async fn plan_get(b: Brain, at: web::Path<String>) -> Reply {
+    let s = spec_of(&b).await?;
+    if !s.services.iter().any(|v| v.name == *at) {
+        return Err(unknown("service", &at));
+    }
+    let key = format!("{PLAN}{at}");
+    let (version, plan) = look(&b, move |c, _| (c.board().get(&key).map_or(0, |c| c.version), c.board().read::<ReleasePlan>(&key))).await?;
+    Ok(HttpResponse::Ok().json(PlanState { version, plan }))
+}
+
+async fn zone_put(b: Brain, at: web::Path<String>, q: web::Json<ZoneState>) -> Reply {
+    if !spec_of(&b).await?.zones.iter().any(|z| z.name == *at) {
+        return Err(unknown("zone", &at));
+    }
+    if q.zone != *at {
+        return Err(Fault::new("bad_request", "check_request", "is not the zone in the path").field("zone").into());
+    }
+    write(&b, format!("{ZONE}{at}"), None, &*q).await
+}
+
+async fn kill_switch_put(b: Brain, q: web::Json<KillSwitch>) -> Reply {
+    write(&b, KILL.into(), None, &q.on).await
+}
+
+async fn warn(b: Brain, q: web::Json<PlatformWarning>) -> Reply {
+    match q.kind {
+        WarnKind::Replica => {
+            let id = q.id.clone();
+            let known = look(&b, move |c, _| c.knows_replica(&id)).await?;
+            if !known {
+                return Err(unknown("replica", &q.id));
+            }
+            write(&b, format!("{LEAVING}{}", q.id), None, &true).await
+        }
+        WarnKind::Daemon => {
+            let name = look(&b, |c, _| c.mship.me().name.to_string()).await?;
+            if q.id != name {
+                return Err(Fault::new("not_found", "check_request", format!("this daemon is {name}")).field("id").into());
+            }
+            b.send(Stopping).await.map_err(busy)?;
+            Ok(HttpResponse::Ok().json(Accepted { version: 0 }))
+        }
+    }
+}
+
+async fn status(b: Brain) -> Reply {
+    Ok(HttpResponse::Ok().json(look(&b, |c, now| c.status(now)).await?))
+}
+
+async fn health(b: Brain) -> Reply {
+    let h = look(&b, |c, _| c.health()).await?;
+    let mut r = if h.ok { HttpResponse::Ok() } else { HttpResponse::ServiceUnavailable() };
+    Ok(r.json(h))
+}
+
+async fn counters(b: Brain) -> Reply {
+    let c = look(&b, |c, _| (c.mship.me().name.to_string(), c.counters())).await?;
+    let counters = c.1.into_iter().map(|(n, value)| Counter { name: n.into(), value }).collect();
+    Ok(HttpResponse::Ok().json(Counters { process: c.0, counters }))
+}
+
+pub fn routes(c: &mut web::ServiceConfig) {
+    c.app_data(json_config())
+        .route(calls::SPEC_PUT.1, web::put().to(spec_put))
+        .route(calls::SPEC_GET.1, web::get().to(spec_get))
+        .route(calls::PLAN_PUT.1, web::put().to(plan_put))
+        .route(calls::PLAN_GET.1, web::get().to(plan_get))
+        .route(calls::ZONE_PUT.1, web::put().to(zone_put))
+        .route(calls::KILL_SWITCH_PUT.1, web::put().to(kill_switch_put))
+        .route(calls::PLATFORM_WARN.1, web::post().to(warn))
+        .route(calls::STATUS.1, web::get().to(status))
+        .route(calls::HEALTH.1, web::get().to(health))
+        .route(calls::COUNTERS.1, web::get().to(counters))
+        .default_service(web::to(no_such_path));
+}
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -677,6 +677,20 @@
         };
         HealthAnswer { ok: self.settled && self.disk_ok, process: self.p.name.to_string(), detail: detail.into() }
     }
+    /// Whether the platform has this replica, as far as this daemon or the records tell.
+    pub fn knows_replica(&self, id: &str) -> bool {
+        let listed = self.platform.as_ref().is_some_and(|l| l.replicas.iter().any(|r| r.id == id));
+        let mut rows = self.board.under(DUTY).filter_map(|(_, c)| serde_json::from_slice::<RolloutRecord>(&c.value.0).ok());
+        listed || rows.any(|r| r.replicas.iter().any(|p| p.id == id))
+    }
+    pub fn counters(&self) -> Vec<(&'static str, u64)> {
+        vec![
+            ("feed_place", self.seq),
+            ("keys", self.regs.keys().count() as u64),
+            ("edges", self.agents.len() as u64),
+            ("member_epoch", self.regs.me.into()),
+        ]
+    }
     /// Services whose rollout is under way.
     pub fn moving(&self) -> Vec<String> {
         let all = self.board.under(DUTY).filter_map(|(_, c)| serde_json::from_slice::<RolloutRecord>(&c.value.0).ok());
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -74,7 +74,9 @@
             return;
         };
         // A later life beats an earlier one's beats; within a life only a risen beat is news.
-        if (n.born, n.beat) <= (k.node.born, k.node.beat) {
+        // A life that seems earlier counts only once the later one is silent: a machine's clock was put back.
+        let earlier = n.born < k.node.born && !k.live;
+        if (n.born, n.beat) <= (k.node.born, k.node.beat) && !earlier {
             return;
         }
         if !k.live {
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -462,6 +462,21 @@
         Admit::Full
     }
 
+    /// The place of a run that a caller goes on with: its own replica and no other.
+    pub fn resume(&mut self, q: &RunRequest, id: &str, now: Ms) -> Option<Placed> {
+        let r = &self.records.get(&q.service)?.2;
+        let addr = r.replicas.iter().find(|p| p.id == id)?.addr.clone();
+        if !q.homes.contains(&self.seen.get(id)?.report.zone) {
+            return None;
+        }
+        let version = r.groups.iter().find(|g| g.replicas.iter().any(|i| i == id))?.version.clone();
+        Some(self.begin(q, GroupRole::Stable, version, id.into(), addr, now))
+    }
+    pub fn expected(&self, service: &str, lane: &str) -> Ms {
+        let s = self.spec.as_ref().and_then(|s| s.services.iter().find(|s| s.name == service));
+        s.and_then(|s| s.lanes.iter().find(|l| l.name == lane)).map_or(0, |l| l.expected_ms)
+    }
+
     fn begin(&mut self, q: &RunRequest, role: GroupRole, version: String, replica: String, addr: String, now: Ms) -> Placed {
         let mut warm = false;
         for p in &q.prefixes {
--- a/daemon-parts/src/lib.rs
+++ b/daemon-parts/src/lib.rs
@@ -1,1 +1,9 @@
+//! What landingslip's programs share: clock, params, logged events, channels between processes, HTTP.
 
+pub mod channels;
+pub mod clock;
+pub mod http;
+pub mod limits;
+pub mod logging;
+pub mod params;
+pub mod stop;
--- /dev/null
+++ b/edge-proxy/src/actor.rs
@@ -0,0 +1,240 @@
+//! The one owner of a proxy's brain.
+
+use std::{collections::HashMap, time::Duration};
+
+use actix::prelude::*;
+use awc::Client;
+use coordination::{
+    Ms,
+    limits::{REPORT_EVERY, TICK},
+    proxy::{Admit, Ended, Placed, Proxy},
+};
+use daemon_parts::{
+    channels::{Channels, Incoming},
+    clock, http,
+    limits::{CALL_LIMIT, MAILBOX},
+    logging::event,
+};
+use remote_calls::{Fault, ReplicaReport, RunRequest, calls};
+use tokio::sync::oneshot;
+use wire_messages::{ClaimAsk, Msg, Name};
+
+/// ms. Counts go to the agent this often.
+const HELLO_EVERY: Ms = 200;
+
+/// A request that waits for a place.
+struct Waiter {
+    q: RunRequest,
+    tried: Vec<String>,
+    to: oneshot::Sender<Result<Placed, Fault>>,
+}
+
+pub struct ProxyActor {
+    pub name: String,
+    pub listen: String,
+    pub agent: Name,
+    pub brain: Proxy,
+    ch: Option<Channels>,
+    client: Client,
+    claims: HashMap<u64, oneshot::Sender<u8>>,
+    waiting: HashMap<u64, Waiter>,
+    token: u64,
+    next_report: Ms,
+    next_hello: Ms,
+    pub stopping: bool,
+}
+
+impl ProxyActor {
+    pub fn new(name: &str, listen: &str, agent: &str, brain: Proxy) -> Self {
+        ProxyActor {
+            name: name.into(),
+            listen: listen.into(),
+            agent: agent.into(),
+            brain,
+            ch: None,
+            client: Client::builder().disable_timeout().finish(),
+            claims: HashMap::new(),
+            waiting: HashMap::new(),
+            token: 0,
+            next_report: 0,
+            next_hello: 0,
+            stopping: false,
+        }
+    }
+
+    /// Gives places that came free to those who wait, best tier first.
+    fn wake(&mut self) {
+        let now = clock::now();
+        let (tokens, late) = self.brain.waiters(now);
+        for t in late {
+            self.give_up(t);
+        }
+        for t in tokens {
+            let Some(w) = self.waiting.get(&t) else { continue };
+            let r = match self.brain.place(&w.q, &w.tried, now) {
+                Admit::Go(p) => Ok(p),
+                Admit::Reject(f) => Err(f),
+                Admit::Full => continue,
+            };
+            self.brain.unwait(t);
+            let Some(w) = self.waiting.remove(&t) else { continue };
+            // A caller that left while waiting gives its place back.
+            if let Err(Ok(p)) = w.to.send(r) {
+                self.brain.done(&p, Ended::Dropped, now);
+            }
+        }
+    }
+
+    fn give_up(&mut self, token: u64) {
+        let Some(w) = self.waiting.remove(&token) else { return };
+        let f = self.brain.reject("full", "wait", "no place came free soon enough");
+        let _ = w.to.send(Err(f));
+    }
+
+    fn ask_replicas(&mut self, now: Ms, ctx: &mut Context<Self>) {
+        if now < self.next_report {
+            return;
+        }
+        self.next_report = now + REPORT_EVERY;
+        for (_, addr) in self.brain.replicas() {
+            let c = self.client.clone();
+            let f = async move { http::call::<(), ReplicaReport>(&c, &addr, calls::REPORT, None, CALL_LIMIT).await };
+            ctx.spawn(f.into_actor(self).map(move |r, me, _| {
+                if let Ok(r) = r {
+                    me.brain.on_report(r, now);
+                    me.wake();
+                }
+            }));
+        }
+    }
+
+    fn say_hello(&mut self, now: Ms) {
+        if now < self.next_hello {
+            return;
+        }
+        self.next_hello = now + HELLO_EVERY;
+        let mut m = self.brain.hello();
+        // A proxy that stops is no longer nominated.
+        if self.stopping {
+            m.http = Name::default();
+        }
+        if let Some(ch) = &mut self.ch {
+            ch.send(&self.agent, m.into());
+        }
+    }
+}
+
+impl Actor for ProxyActor {
+    type Context = Context<Self>;
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(MAILBOX);
+        self.ch = Some(Channels::new(&self.name, &self.listen, ctx.address().recipient()));
+        ctx.run_interval(Duration::from_millis(TICK), |me, ctx| {
+            let now = clock::now();
+            me.say_hello(now);
+            me.ask_replicas(now, ctx);
+            me.wake();
+        });
+    }
+}
+
+impl Handler<Incoming> for ProxyActor {
+    type Result = ();
+    fn handle(&mut self, m: Incoming, _: &mut Self::Context) {
+        // Only the agent beside this proxy tells it anything.
+        if m.0.addr != self.agent {
+            return event(coordination::events::CHANNEL_BAD_FRAME, &m.0.addr, "is not this proxy's agent");
+        }
+        match m.0.msg {
+            Msg::Board(b) => self.brain.on_board(b),
+            Msg::ClaimTold(t) => {
+                if let Some(s) = self.claims.remove(&t.token) {
+                    let _ = s.send(t.state);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Does something with the brain.
+pub struct Look<T>(pub Box<dyn FnOnce(&mut ProxyActor, Ms) -> T + Send>);
+impl<T: Send + 'static> Message for Look<T> {
+    type Result = Result<T, ()>;
+}
+impl<T: Send + 'static> Handler<Look<T>> for ProxyActor {
+    type Result = Result<T, ()>;
+    fn handle(&mut self, m: Look<T>, _: &mut Self::Context) -> Self::Result {
+        Ok((m.0)(self, clock::now()))
+    }
+}
+
+/// Claims a request for a round, or voids it.
+#[derive(Message)]
+#[rtype(result = "u8")]
+pub struct AskClaim {
+    pub request: String,
+    pub round: u64,
+    pub void: bool,
+}
+impl Handler<AskClaim> for ProxyActor {
+    type Result = ResponseFuture<u8>;
+    fn handle(&mut self, m: AskClaim, _: &mut Self::Context) -> Self::Result {
+        self.token += 1;
+        let (s, r) = oneshot::channel();
+        self.claims.insert(self.token, s);
+        let ask = ClaimAsk { token: self.token, request: m.request.into(), round: m.round, void: m.void.into(), age: 0 };
+        if let Some(ch) = &mut self.ch {
+            ch.send(&self.agent, ask.into());
+        }
+        // An agent that has died answers nothing: no majority was heard.
+        let limit = Duration::from_millis(2 * coordination::limits::CLAIM_LIMIT);
+        Box::pin(async move {
+            match tokio::time::timeout(limit, r).await {
+                Ok(Ok(state)) => state,
+                _ => coordination::claims::ABSTAINS,
+            }
+        })
+    }
+}
+
+/// Finds a place, waiting in the buffer if all are taken.
+#[derive(Message)]
+#[rtype(result = "Result<Placed, Fault>")]
+pub struct FindPlace {
+    pub q: RunRequest,
+    pub rank: u32,
+    pub time_left: Ms,
+    pub tried: Vec<String>,
+}
+impl Handler<FindPlace> for ProxyActor {
+    type Result = ResponseFuture<Result<Placed, Fault>>;
+    fn handle(&mut self, m: FindPlace, _: &mut Self::Context) -> Self::Result {
+        let now = clock::now();
+        match self.brain.place(&m.q, &m.tried, now) {
+            Admit::Go(p) => return Box::pin(async { Ok(p) }),
+            Admit::Reject(f) => return Box::pin(async { Err(f) }),
+            Admit::Full => {}
+        }
+        self.token += 1;
+        let t = self.token;
+        let (to, r) = oneshot::channel();
+        self.waiting.insert(t, Waiter { q: m.q, tried: m.tried, to });
+        for worst in self.brain.wait(t, m.rank, m.time_left, now) {
+            self.give_up(worst);
+        }
+        Box::pin(async move { r.await.unwrap_or_else(|_| Err(Fault::new("overload", "wait", "the buffer was dropped").retry(1_000))) })
+    }
+}
+
+/// A round ended.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Done(pub Placed, pub Ended);
+impl Handler<Done> for ProxyActor {
+    type Result = ();
+    fn handle(&mut self, m: Done, _: &mut Self::Context) {
+        self.brain.done(&m.0, m.1, clock::now());
+        self.wake();
+    }
+}
--- a/edge-proxy/src/main.rs
+++ b/edge-proxy/src/main.rs
@@ -1,1 +1,57 @@
-fn main() {}
+//! The edge proxy: answers callers where to go, and passes their requests to replicas.
+
+mod actor;
+mod http;
+mod round;
+
+use actix::Actor;
+use actix_web::{App, HttpServer, web};
+use coordination::{events, proxy::Proxy};
+use daemon_parts::{
+    channels, clock,
+    limits::STOP_LIMIT,
+    logging::{self, StartFault, event},
+    params::{self, EXIT_FAILED, Params},
+    stop,
+};
+use error_stack::{Report, ResultExt};
+
+/// HTTP threads; the brain has its own.
+const WORKERS: usize = 2;
+
+#[actix_web::main]
+async fn main() {
+    let needs = ["name", "zone", "listen", "http", "agent"];
+    let p = params::read_or_exit(params::command("edge-proxy", "Takes callers' requests to replicas"), &needs);
+    if let Err(e) = run(p).await {
+        eprintln!("{e:?}");
+        std::process::exit(EXIT_FAILED);
+    }
+}
+
+async fn run(p: Params) -> Result<(), Report<StartFault>> {
+    let _log = logging::start(&p.log)?;
+    let brain = Proxy::new(p.name.as_str().into(), p.zone.as_str().into(), p.http.as_str().into(), clock::born());
+    let a = actor::ProxyActor::new(&p.name, &p.listen, &p.agent, brain).start();
+    channels::listen(&p.listen, a.clone().recipient()).await?;
+    let b = web::Data::new(a.clone());
+    let server = HttpServer::new(move || App::new().app_data(b.clone()).configure(http::routes))
+        .workers(WORKERS)
+        .disable_signals()
+        .shutdown_timeout(STOP_LIMIT.as_secs())
+        .bind(&p.http)
+        .change_context(StartFault("bind the HTTP port"))
+        .attach_with(|| p.http.clone())?
+        .run();
+    let h = server.handle();
+    let served = actix_rt::spawn(server);
+    event(events::STARTED, &p.name, &format!("http {} processes {}", p.http, p.listen));
+    stop::asked(&p.name).await;
+    let _ = a.send(actor::Look(Box::new(|a, _| a.stopping = true))).await;
+    // Others stop nominating this proxy before its port closes.
+    tokio::time::sleep(http::FAREWELL).await;
+    h.stop(true).await;
+    let _ = served.await;
+    event(events::STOPPED, &p.name, "");
+    Ok(())
+}
