--- a/fleet-tools/src/bin/fleet-runner.rs
+++ b/fleet-tools/src/bin/fleet-runner.rs
@@ -1,1 +1,136 @@
-fn main() {}
+//! Starts a whole fleet of a deployment's size on loopback. For development only.
+
+use std::{path::PathBuf, time::Duration};
+
+use clap::{Arg, Command};
+use daemon_parts::{clock, params::EXIT_PARAMS};
+use fleet_tools::{
+    caller::{self, Told, Want},
+    deployment::Deployment,
+    fleet::Fleet,
+};
+
+/// Bound on the fleet's start; only trouble takes so long.
+const START_LIMIT: Duration = Duration::from_secs(60);
+
+#[actix_rt::main]
+async fn main() {
+    let m = Command::new("fleet-runner")
+        .about("Starts a whole fleet on loopback, for development")
+        .arg(Arg::new("deployment").required(true).value_parser(["dentaplan", "registry"]))
+        .arg(Arg::new("data").long("data").default_value("fleet-data").help("Folder for data and logs"))
+        .arg(Arg::new("log").long("log").default_value("info"))
+        .arg(Arg::new("load").long("load").default_value("0").value_parser(clap::value_parser!(u64)).help("Seconds of callers' load, then end"))
+        .arg(Arg::new("target").long("target").help("Release plan during the load: the version to move to"))
+        .get_matches();
+    let Some(d) = m.get_one::<String>("deployment").and_then(|n| Deployment::named(n)) else { std::process::exit(EXIT_PARAMS) };
+    let data = PathBuf::from(m.get_one::<String>("data").cloned().unwrap_or_default()).join(&d.name);
+    let log = m.get_one::<String>("log").cloned().unwrap_or_default();
+    let load = m.get_one::<u64>("load").copied().unwrap_or(0);
+    if let Err(e) = run(d, data, &log, load, m.get_one::<String>("target").cloned()).await {
+        eprintln!("{e}");
+        std::process::exit(1);
+    }
+}
+
+async fn run(d: Deployment, data: PathBuf, log: &str, load: u64, target: Option<String>) -> Result<(), String> {
+    let f = Fleet::start(d, &data, log).map_err(|e| e.to_string())?;
+    let t = f.until("control daemons settle", START_LIMIT, async |f| f.settled().await).await?;
+    println!("control settled after {t} ms");
+    let v = f.put_spec().await.map_err(|e| e.to_string())?;
+    let t = f.until("every proxy serves", START_LIMIT, async |f| f.serves().await).await?;
+    println!("spec version {} honoured at every edge after {t} ms", v.version);
+    for p in f.processes.values() {
+        println!("{:12} {:10} http {:21} processes {}", p.name, p.zone, p.http, p.listen);
+    }
+    if load == 0 {
+        println!("running; Ctrl-C ends it");
+        daemon_parts::stop::asked("fleet-runner").await;
+        return Ok(());
+    }
+    let service = f.d.spec.services[0].name.clone();
+    if let Some(t) = &target {
+        let v = f.plan(&service, t, 600).await.map_err(|e| e.to_string())?;
+        println!("release plan version {} accepted", v.version);
+    }
+    let told = traffic(&f, Duration::from_secs(load)).await;
+    summary(&told);
+    if let Ok(s) = f.status().await {
+        for r in s.rollouts {
+            println!("rollout {} phase {:?} stable {} alerts {:?}", r.service, r.phase, r.stable, r.alerts);
+        }
+    }
+    Ok(())
+}
+
+/// The deployment's mix at its rate, from callers in every zone.
+async fn traffic(f: &Fleet, long: Duration) -> Vec<Told> {
+    let edges: Vec<(String, String)> = f.proxies().iter().map(|p| (p.zone.clone(), p.http.clone())).collect();
+    let parts: u64 = f.d.mix.iter().map(|m| m.parts).sum();
+    let s = &f.d.spec.services[0];
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut all = Vec::new();
+    let until = clock::now() + long.as_millis() as u64;
+    while clock::now() < until {
+        let (zone, edge) = edges[rng.usize(..edges.len())].clone();
+        let mut x = rng.u64(..parts);
+        let Some(m) = f.d.mix.iter().find(|m| {
+            let hit = x < m.parts;
+            x = x.saturating_sub(m.parts);
+            hit
+        }) else {
+            continue;
+        };
+        let tier = f.d.spec.tiers[rng.usize(..f.d.spec.tiers.len())].name.clone();
+        let mut homes = vec![zone];
+        // Some callers are allowed a second home.
+        if rng.bool() {
+            let z = f.d.spec.zones[rng.usize(..f.d.spec.zones.len())].name.clone();
+            if !homes.contains(&z) {
+                homes.push(z);
+            }
+        }
+        let prefixes = if m.prefixes > 0 { vec![format!("p{}", rng.u64(..m.prefixes))] } else { vec![] };
+        let w = Want {
+            service: s.name.clone(),
+            lane: m.lane.clone(),
+            tier,
+            homes,
+            prefixes,
+            time_left_ms: m.time_left_ms,
+            run_once: rng.bool(),
+            prompt: format!("prompt {}", rng.u64(..)),
+        };
+        let c = f.client.clone();
+        all.push(actix_rt::spawn(async move { caller::once(&c, &edge, &w).await }));
+        tokio::time::sleep(Duration::from_micros(1_000_000 / f.d.rate_per_s)).await;
+    }
+    let mut told = Vec::new();
+    for t in all {
+        told.extend(t.await);
+    }
+    told
+}
+
+fn summary(told: &[Told]) {
+    let mut rows: std::collections::BTreeMap<(&str, &str), [u64; 6]> = Default::default();
+    for t in told {
+        let r = rows.entry((&t.lane, &t.tier)).or_default();
+        r[0] += 1;
+        r[1] += u64::from(t.in_time);
+        r[2] += u64::from(t.outcome == "rejected" || t.outcome == "not_run");
+        r[3] += u64::from(t.outcome == "unknown");
+        r[4] += u64::from(t.broken);
+        r[5] += u64::from(t.warm);
+    }
+    println!("{:14} {:11} {:>6} {:>8} {:>9} {:>8} {:>7} {:>6}", "lane", "tier", "asked", "in time", "rejected", "unknown", "broken", "warm");
+    for ((l, t), r) in rows {
+        println!("{l:14} {t:11} {:>6} {:>8} {:>9} {:>8} {:>7} {:>6}", r[0], r[1], r[2], r[3], r[4], r[5]);
+    }
+    let mut codes: std::collections::BTreeMap<(&str, &str), u64> = Default::default();
+    told.iter().filter(|t| t.outcome != "answered").for_each(|t| *codes.entry((&t.outcome, &t.code)).or_default() += 1);
+    codes.iter().for_each(|((o, c), n)| println!("{o} {c}: {n}"));
+    let mut versions: std::collections::BTreeMap<&str, u64> = Default::default();
+    told.iter().for_each(|t| *versions.entry(&t.version).or_default() += 1);
+    println!("by version: {versions:?}");
+}
--- /dev/null
+++ b/fleet-tools/src/caller.rs
@@ -0,0 +1,175 @@
+//! A stand-in caller: asks where to go, streams from there, and writes down what it was told.
+
+use std::time::Duration;
+
+use awc::Client;
+use daemon_parts::{clock, http::call, limits::CALL_LIMIT};
+use futures_util::StreamExt;
+use remote_calls::{Fault, NominateRequest, Nomination, Outcome, ResumePoint, RunRequest, StreamLine, calls};
+use serde::Serialize;
+
+use crate::replica::digest;
+
+/// What a caller wants.
+#[derive(Clone, Debug)]
+pub struct Want {
+    pub service: String,
+    pub lane: String,
+    pub tier: String,
+    pub homes: Vec<String>,
+    pub prefixes: Vec<String>,
+    pub time_left_ms: u64,
+    pub run_once: bool,
+    pub prompt: String,
+}
+
+/// What a caller saw.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Told {
+    pub request: String,
+    pub lane: String,
+    pub tier: String,
+    pub homes: Vec<String>,
+    pub proxy_zone: String,
+    pub replica: String,
+    pub run: String,
+    pub version: String,
+    pub warm: bool,
+    pub run_once: bool,
+    /// answered, not_run, unknown, or rejected when nothing was nominated.
+    pub outcome: String,
+    pub code: String,
+    pub retry_after_ms: Option<u64>,
+    pub pieces: u64,
+    pub digest: String,
+    /// A piece that was skipped, repeated or out of place.
+    pub broken: bool,
+    pub at_ms: u64,
+    pub ms: u64,
+    pub first_ms: u64,
+    pub in_time: bool,
+    /// How long a rejection took to come.
+    pub rejected_ms: u64,
+}
+
+fn told_fault(t: &mut Told, f: Fault) {
+    t.outcome = match f.outcome {
+        Some(Outcome::Answered) => "answered",
+        Some(Outcome::NotRun) => "not_run",
+        Some(Outcome::Unknown) => "unknown",
+        None => "rejected",
+    }
+    .into();
+    (t.code, t.retry_after_ms) = (f.code, f.retry_after_ms);
+}
+
+/// One request from asking to its end.
+pub async fn once(c: &Client, edge: &str, w: &Want) -> Told {
+    let at = clock::now();
+    let mut t = Told {
+        lane: w.lane.clone(),
+        tier: w.tier.clone(),
+        homes: w.homes.clone(),
+        run_once: w.run_once,
+        at_ms: at,
+        ..Told::default()
+    };
+    let n = NominateRequest {
+        service: w.service.clone(),
+        lane: w.lane.clone(),
+        tier: w.tier.clone(),
+        homes: w.homes.clone(),
+        prefixes: w.prefixes.clone(),
+        time_left_ms: w.time_left_ms,
+        run_once: w.run_once,
+        key: None,
+    };
+    match call::<_, Nomination>(c, edge, calls::NOMINATE, Some(&n), CALL_LIMIT).await {
+        Ok(n) => run(c, w, n, &mut t).await,
+        Err(f) => {
+            // No answer at all is no rejection: nothing was nominated, so nothing can run.
+            told_fault(&mut t, f);
+            t.rejected_ms = clock::now() - at;
+        }
+    }
+    t.ms = clock::now() - at;
+    t.in_time = t.outcome == "answered" && t.ms <= w.time_left_ms;
+    t
+}
+
+/// Runs a nominated request.
+pub async fn run(c: &Client, w: &Want, n: Nomination, t: &mut Told) {
+    let at = t.at_ms;
+    let left = w.time_left_ms.saturating_sub(clock::now() - at);
+    (t.request, t.proxy_zone) = (n.request.clone(), n.zone);
+    let q = RunRequest {
+        request: n.request,
+        service: w.service.clone(),
+        lane: w.lane.clone(),
+        tier: w.tier.clone(),
+        homes: w.homes.clone(),
+        prefixes: w.prefixes.clone(),
+        time_left_ms: left,
+        run_once: w.run_once,
+        key: None,
+        prompt: w.prompt.clone(),
+        resume: None,
+    };
+    stream(c, &n.proxy, &q, t, &mut String::new()).await;
+}
+
+/// Streams and checks what comes; `all` gathers the answer.
+pub async fn stream(c: &Client, proxy: &str, q: &RunRequest, t: &mut Told, all: &mut String) {
+    let limit = Duration::from_millis(q.time_left_ms + 2_000);
+    t.outcome = "unknown".into();
+    let sent = c.post(format!("http://{proxy}{}", calls::RUN.1)).timeout(limit).send_json(q).await;
+    let mut a = match sent {
+        Ok(a) => a,
+        Err(e) => return t.code = format!("lost: {e}"),
+    };
+    if !a.status().is_success() {
+        let b = a.body().await.unwrap_or_default();
+        if let Ok(f) = serde_json::from_slice::<Fault>(&b) {
+            told_fault(t, f);
+        }
+        t.rejected_ms = clock::now() - t.at_ms;
+        return;
+    }
+    let mut next = q.resume.as_ref().map_or(1, |r| r.after + 1);
+    let mut buffer = Vec::new();
+    while let Some(Ok(b)) = a.next().await {
+        buffer.extend_from_slice(&b);
+        while let Some(i) = buffer.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = buffer.drain(..=i).collect();
+            let Ok(l) = serde_json::from_slice::<StreamLine>(&line) else { return t.broken = true };
+            if let Some(s) = l.start {
+                // Another replica's run would be a joined stream.
+                t.broken |= q.resume.as_ref().is_some_and(|r| r.run != s.run) || s.request != q.request;
+                (t.replica, t.run, t.version, t.warm) = (s.replica, s.run, s.version, s.warm);
+            }
+            if let Some(p) = l.piece {
+                t.broken |= p.n != next;
+                if t.first_ms == 0 {
+                    t.first_ms = clock::now() - t.at_ms;
+                }
+                next = p.n + 1;
+                t.pieces += 1;
+                all.push_str(&p.text);
+            }
+            if let Some(e) = l.end {
+                t.outcome = if e.outcome == Outcome::Answered { "answered" } else { "unknown" }.into();
+                t.code = e.fault.map_or(String::new(), |f| f.code);
+                t.broken |= e.outcome == Outcome::Answered && e.pieces + 1 != next;
+                t.digest = digest(all);
+                return;
+            }
+        }
+    }
+}
+
+/// Goes on with a stream that broke off, from the last piece received.
+pub async fn go_on(c: &Client, proxy: &str, q: &RunRequest, t: &mut Told, all: &mut String) {
+    let mut q = q.clone();
+    q.resume = Some(ResumePoint { run: t.run.clone(), replica: t.replica.clone(), after: t.pieces });
+    stream(c, proxy, &q, t, all).await;
+}
--- /dev/null
+++ b/fleet-tools/src/fleet.rs
@@ -0,0 +1,256 @@
+//! A whole fleet as processes on loopback.
+
+use std::{
+    collections::BTreeMap,
+    fs::File,
+    net::TcpListener,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use awc::Client;
+use daemon_parts::{
+    clock,
+    http::{call, call_path},
+    limits::OPERATOR_LIMIT,
+};
+use remote_calls::{
+    Accepted, Fault, Health, PlanPut, PlanState, ReleasePlan, SpecPut, SpecState, Status, ZoneState, calls, fill,
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{deployment::Deployment, replica::Behaviour};
+
+/// One of our processes.
+pub struct Process {
+    pub name: String,
+    pub zone: String,
+    pub http: String,
+    pub listen: String,
+    args: Vec<String>,
+    program: &'static str,
+    child: Option<Child>,
+}
+
+pub struct Fleet {
+    pub d: Deployment,
+    pub folder: PathBuf,
+    pub processes: BTreeMap<String, Process>,
+    pub client: Client,
+}
+
+/// A free loopback address. The port is free when looked at; a fleet's processes bind at once.
+pub fn free() -> std::io::Result<String> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
+}
+
+fn program(n: &str) -> std::io::Result<PathBuf> {
+    let exe = std::env::current_exe()?;
+    let dir = exe.parent().unwrap_or(Path::new("."));
+    // Tests stand one folder below the programs.
+    let at = dir.join(n);
+    Ok(if at.exists() { at } else { dir.join("..").join(n) })
+}
+
+impl Process {
+    pub fn start(&mut self, folder: &Path) -> std::io::Result<()> {
+        let log = File::options().create(true).append(true).open(folder.join(format!("{}.log", self.name)))?;
+        let c = Command::new(program(self.program)?).args(&self.args).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()?;
+        self.child = Some(c);
+        Ok(())
+    }
+    pub fn signal(&self, s: i32) {
+        if let Some(c) = &self.child {
+            // SAFETY: the id is of a child that has not been waited for, so it is still that child's.
+            unsafe { libc::kill(c.id() as i32, s) };
+        }
+    }
+    pub fn kill(&mut self) {
+        if let Some(mut c) = self.child.take() {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+    }
+    pub fn running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // The platform ends its replicas when it is asked to; a kill would leave them.
+        for p in self.processes.values() {
+            p.signal(libc::SIGTERM);
+        }
+        let until = clock::now() + 3_000;
+        for p in self.processes.values_mut() {
+            while p.running() && clock::now() < until && p.program == "stand-in-platform" {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            p.kill();
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts every process of a deployment. Nothing is configured yet.
+    pub fn start(d: Deployment, folder: &Path, log: &str) -> std::io::Result<Fleet> {
+        std::fs::create_dir_all(folder)?;
+        let client = Client::builder().disable_timeout().finish();
+        let mut f = Fleet { d, folder: folder.into(), processes: BTreeMap::new(), client };
+        let platform = free()?;
+        let mut args = vec!["--http".to_string(), platform.clone()];
+        for s in &f.d.spec.services {
+            for z in &s.zones {
+                args.extend(["--start".into(), format!("{}:{}:{}:{}", s.name, z.zone, s.version, z.replicas)]);
+            }
+            for l in &s.lanes {
+                // A warm answer takes a little less than what the spec expects; long lanes stream more pieces.
+                let pieces = if l.expected_ms > 1_000 { 24 } else { 4 };
+                args.extend(["--lane".into(), format!("{}:{}:{pieces}", l.name, l.expected_ms * 3 / 4)]);
+            }
+        }
+        f.add("platform", "", "stand-in-platform", platform.clone(), String::new(), args);
+        let control: Vec<(String, String, String, String)> = f
+            .d
+            .control
+            .iter()
+            .enumerate()
+            .map(|(i, z)| Ok((format!("control-{}", i + 1), z.clone(), free()?, free()?)))
+            .collect::<std::io::Result<_>>()?;
+        let seeds: Vec<String> = control.iter().map(|c| c.2.clone()).collect();
+        let members: Vec<String> = control.iter().map(|c| c.0.clone()).collect();
+        for (n, z, listen, http) in &control {
+            let data = f.folder.join(n).display().to_string();
+            let mut a = args_of(&[("name", n), ("zone", z), ("listen", listen), ("http", http), ("data", &data), ("platform", &platform), ("log", log)]);
+            seeds.iter().for_each(|s| a.extend(["--seed".into(), s.clone()]));
+            members.iter().for_each(|m| a.extend(["--member".into(), m.clone()]));
+            f.add(n, z, "control-daemon", http.clone(), listen.clone(), a);
+        }
+        let edges: Vec<String> = f.d.edges.iter().flat_map(|e| std::iter::repeat_n(e.zone.clone(), e.count)).collect();
+        for (i, z) in edges.iter().enumerate() {
+            let (n, listen) = (format!("edge-{}", i + 1), free()?);
+            let mut a = args_of(&[("name", &n), ("zone", z), ("listen", &listen), ("log", log)]);
+            seeds.iter().for_each(|s| a.extend(["--seed".into(), s.clone()]));
+            f.add(&n, z, "edge-agent", String::new(), listen.clone(), a);
+            let (own, http, p) = (free()?, free()?, format!("proxy-{}", i + 1));
+            let a = args_of(&[("name", &p), ("zone", z), ("listen", &own), ("http", &http), ("agent", &listen), ("log", log)]);
+            f.add(&p, z, "edge-proxy", http, own, a);
+        }
+        let folder = f.folder.clone();
+        for p in f.processes.values_mut() {
+            p.start(&folder)?;
+        }
+        Ok(f)
+    }
+
+    fn add(&mut self, name: &str, zone: &str, program: &'static str, http: String, listen: String, args: Vec<String>) {
+        let p = Process { name: name.into(), zone: zone.into(), http, listen, args, program, child: None };
+        self.processes.insert(name.into(), p);
+    }
+
+    pub fn control(&self) -> Vec<&Process> {
+        self.processes.values().filter(|p| p.program == "control-daemon").collect()
+    }
+    pub fn proxies(&self) -> Vec<&Process> {
+        self.processes.values().filter(|p| p.program == "edge-proxy").collect()
+    }
+    pub fn restart(&mut self, name: &str) -> std::io::Result<()> {
+        let folder = self.folder.clone();
+        match self.processes.get_mut(name) {
+            Some(p) => {
+                p.kill();
+                p.start(&folder)
+            }
+            None => Err(std::io::ErrorKind::NotFound.into()),
+        }
+    }
+    /// Replaces a control machine by an empty one under the same name at a new address.
+    pub fn replace(&mut self, name: &str) -> std::io::Result<()> {
+        let (listen, http, folder) = (free()?, free()?, self.folder.clone());
+        let Some(p) = self.processes.get_mut(name) else { return Err(std::io::ErrorKind::NotFound.into()) };
+        p.kill();
+        for (flag, v) in [("--listen", &listen), ("--http", &http)] {
+            if let Some(i) = p.args.iter().position(|a| a == flag) {
+                p.args[i + 1] = v.clone();
+            }
+        }
+        (p.listen, p.http) = (listen, http);
+        let _ = std::fs::remove_dir_all(folder.join(name));
+        p.start(&folder)
+    }
+
+    /// Calls any control daemon that answers.
+    pub async fn operate<B: Serialize, T: DeserializeOwned>(&self, method: &str, path: &str, body: Option<&B>) -> Result<T, Fault> {
+        let mut last = Fault::new("unreachable", "call_control", "no control daemon answers");
+        for p in self.control() {
+            match call_path(&self.client, &p.http, method, path, body, OPERATOR_LIMIT).await {
+                // Only a call that certainly did nothing is tried at another daemon.
+                Err(f) if f.code == "unreachable" && f.step == "send_call" || f.code == "disk_failed" => last = f,
+                r => return r,
+            }
+        }
+        Err(last)
+    }
+    pub async fn status(&self) -> Result<Status, Fault> {
+        self.operate::<(), _>(calls::STATUS.0, calls::STATUS.1, None).await
+    }
+    pub async fn put_spec(&self) -> Result<Accepted, Fault> {
+        let now: SpecState = self.operate::<(), _>(calls::SPEC_GET.0, calls::SPEC_GET.1, None).await?;
+        let q = SpecPut { expect_version: now.version, spec: self.d.spec.clone() };
+        self.operate(calls::SPEC_PUT.0, calls::SPEC_PUT.1, Some(&q)).await
+    }
+    pub async fn plan(&self, service: &str, target: &str, seconds: u64) -> Result<Accepted, Fault> {
+        let path = fill(calls::PLAN_PUT, service);
+        let now: PlanState = self.operate::<(), _>(calls::PLAN_GET.0, &path, None).await?;
+        let plan = ReleasePlan { service: service.into(), target: target.into(), complete_by: clock::wall_s() + seconds };
+        self.operate(calls::PLAN_PUT.0, &path, Some(&PlanPut { expect_version: now.version, plan })).await
+    }
+    pub async fn zone(&self, zone: &str, evacuated: bool) -> Result<Accepted, Fault> {
+        let q = ZoneState { zone: zone.into(), evacuated };
+        self.operate(calls::ZONE_PUT.0, &fill(calls::ZONE_PUT, zone), Some(&q)).await
+    }
+    pub async fn behave(&self, b: &[Behaviour]) {
+        let Some(p) = self.processes.get("platform") else { return };
+        let _ = self.client.put(format!("http://{}{}", p.http, crate::replica::BEHAVE)).send_json(&b).await;
+    }
+
+    /// Waits until something holds; the time is a bound on trouble, not a measure.
+    pub async fn until<F: AsyncFn(&Fleet) -> bool>(&self, what: &str, limit: Duration, f: F) -> Result<u64, String> {
+        let at = clock::now();
+        while clock::now() - at < limit.as_millis() as u64 {
+            if f(self).await {
+                return Ok(clock::now() - at);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Err(format!("not within {limit:?}: {what}"))
+    }
+    pub async fn healthy(&self, p: &Process) -> bool {
+        let r = call::<(), Health>(&self.client, &p.http, calls::HEALTH, None, Duration::from_millis(500)).await;
+        r.is_ok_and(|h| h.ok)
+    }
+    /// Whether every control daemon has settled.
+    pub async fn settled(&self) -> bool {
+        for p in self.control() {
+            if !self.healthy(p).await {
+                return false;
+            }
+        }
+        true
+    }
+    /// Whether every proxy serves.
+    pub async fn serves(&self) -> bool {
+        for p in self.proxies() {
+            if !self.healthy(p).await {
+                return false;
+            }
+        }
+        true
+    }
+}
+
+fn args_of(pairs: &[(&str, &str)]) -> Vec<String> {
+    pairs.iter().flat_map(|(k, v)| [format!("--{k}"), v.to_string()]).collect()
+}
--- /dev/null
+++ b/fleet-tools/src/lib.rs
@@ -0,0 +1,7 @@
+//! Stand-ins and helpers that put a whole fleet on one machine. For developers only: nothing here runs
+//! in a deployment.
+
+pub mod caller;
+pub mod deployment;
+pub mod fleet;
+pub mod replica;
