--- a/control-daemon/src/disk.rs
+++ b/control-daemon/src/disk.rs
@@ -117,13 +117,16 @@
     }
     if limit > 0 {
         let size: u64 = c.query_row("PRAGMA page_size", [], |r| r.get(0)).change_context_lazy(step("read the page size"))?;
-        c.execute_batch(&format!("PRAGMA max_page_count={}", limit / size.max(1))).change_context_lazy(step("bound the database"))?;
+        c.execute_batch(&format!("PRAGMA max_page_count={}", limit / size.max(1)))
+            .change_context_lazy(step("bound the database"))?;
     }
-    let id: Option<u64> = c.query_row("SELECT id FROM disk", [], |r| r.get(0)).optional().change_context_lazy(step("read the disk's number"))?;
+    let id: Option<u64> =
+        c.query_row("SELECT id FROM disk", [], |r| r.get(0)).optional().change_context_lazy(step("read the disk's number"))?;
     let blank = id.is_none();
     let id = id.unwrap_or_else(|| fastrand::u64(1..i64::MAX as u64));
     // Written at every opening: a disk that takes no writes is found out here.
-    c.execute_batch(&format!("BEGIN; DELETE FROM disk; INSERT INTO disk VALUES ({id}); COMMIT")).change_context_lazy(step("write the disk's number"))?;
+    c.execute_batch(&format!("BEGIN; DELETE FROM disk; INSERT INTO disk VALUES ({id}); COMMIT"))
+        .change_context_lazy(step("write the disk's number"))?;
     if blank {
         let dir = std::fs::File::open(folder).and_then(|d| d.sync_all());
         dir.change_context(DiskFault("sync the data folder"))?;
--- a/control-daemon/src/http.rs
+++ b/control-daemon/src/http.rs
@@ -94,7 +94,8 @@
         return Err(unknown("service", &at));
     }
     let key = format!("{PLAN}{at}");
-    let (version, plan) = look(&b, move |c, _| (c.board().get(&key).map_or(0, |c| c.version), c.board().read::<ReleasePlan>(&key))).await?;
+    let (version, plan) =
+        look(&b, move |c, _| (c.board().get(&key).map_or(0, |c| c.version), c.board().read::<ReleasePlan>(&key))).await?;
     Ok(HttpResponse::Ok().json(PlanState { version, plan }))
 }
 
--- a/control-daemon/src/main.rs
+++ b/control-daemon/src/main.rs
@@ -24,7 +24,8 @@
 #[actix_web::main]
 async fn main() {
     let needs = ["name", "zone", "listen", "http", "seeds", "members", "data", "platform"];
-    let p = params::read_or_exit(params::command("control-daemon", "Keeps landingslip's control state and runs its duties"), &needs);
+    let p =
+        params::read_or_exit(params::command("control-daemon", "Keeps landingslip's control state and runs its duties"), &needs);
     if let Err(e) = run(p).await {
         eprintln!("{e:?}");
         std::process::exit(EXIT_FAILED);
--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -132,7 +132,8 @@
 
     fn on_claim_ask(&mut self, proxy: &Name, m: ClaimAsk, now: Ms, out: &mut Effects) {
         let mship = &self.mship;
-        let addr = |n: &str| if n == &*mship.me().name { Some(mship.me().addr.clone()) } else { mship.get(n).map(|n| n.addr.clone()) };
+        let addr =
+            |n: &str| if n == &*mship.me().name { Some(mship.me().addr.clone()) } else { mship.get(n).map(|n| n.addr.clone()) };
         self.claimer.ask(&m.request, m.round, m.void, m.age, (proxy.clone(), m.token), addr, now, out);
     }
 
@@ -235,7 +236,8 @@
         let until = self.judge(now, out);
         let fresh = std::mem::take(&mut self.fresh);
         let nodes = self.mship.live(EDGE).chain([self.mship.me()]).cloned().collect();
-        let permits = self.permits.values().filter(|(_, u)| *u > now).map(|(p, u)| Lent { permit: p.clone(), until: *u }).collect();
+        let permits =
+            self.permits.values().filter(|(_, u)| *u > now).map(|(p, u)| Lent { permit: p.clone(), until: *u }).collect();
         let Some(p) = self.proxy.as_mut() else { return };
         let full = !p.full;
         p.full = true;
--- a/coordination/src/claims.rs
+++ b/coordination/src/claims.rs
@@ -200,7 +200,9 @@
                 let (node, h) = nodes.get_mut(&n).unwrap();
                 let mut out = vec![];
                 h.on_claim(node, &"p".into(), Claim { token: 0, request: id.clone(), round, void, age: 0 }, 5, &mut out);
-                let won = out.iter().any(|e| matches!(e, crate::Effect::Send { msg: wire_messages::Msg::Claimed(c), .. } if c.state == GRANTED));
+                let won = out
+                    .iter()
+                    .any(|e| matches!(e, crate::Effect::Send { msg: wire_messages::Msg::Claimed(c), .. } if c.state == GRANTED));
                 *granted.entry(round).or_default() += usize::from(won);
             }
             let winners = granted.values().filter(|n| **n >= 2).count();
@@ -210,7 +212,15 @@
 
     #[gtest]
     fn strange_ids_name_no_holders() {
-        for id in ["", "x", "0123456789abcdef", "0123456789abcdef~", "0123456789abcdef~e1", "0123456789abcdef~e1.zz", "0123456789abcdef~a.1~b.1~c.1~d.1"] {
+        for id in [
+            "",
+            "x",
+            "0123456789abcdef",
+            "0123456789abcdef~",
+            "0123456789abcdef~e1",
+            "0123456789abcdef~e1.zz",
+            "0123456789abcdef~a.1~b.1~c.1~d.1",
+        ] {
             expect_that!(holders(id), none());
         }
         expect_that!(holders("0123456789abcdef~a.b.1f"), some(eq(&vec![("a.b".into(), 0x1f)])));
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -451,7 +451,9 @@
     /// Whether any duty is held here, so that back ends need asking.
     pub fn on_duty(&self, now: Ms) -> bool {
         self.board.rows().any(|c| c.key.starts_with(DUTY) && self.regs.holds(&c.key, now).is_some())
-            || self.spec().is_some_and(|s| s.services.iter().any(|v| self.regs.holds(&format!("{DUTY}{}", v.name), now).is_some()))
+            || self
+                .spec()
+                .is_some_and(|s| s.services.iter().any(|v| self.regs.holds(&format!("{DUTY}{}", v.name), now).is_some()))
     }
 
     // ---- time ----
--- a/coordination/src/effect.rs
+++ b/coordination/src/effect.rs
@@ -13,7 +13,11 @@
 pub enum Row {
     Slot(Slot),
     /// Member epoch, voters, and whether this disk has caught up and votes.
-    Members { me: u32, voters: Vec<Voter>, voting: bool },
+    Members {
+        me: u32,
+        voters: Vec<Voter>,
+        voting: bool,
+    },
 }
 
 /// What became of a write.
@@ -31,14 +35,32 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    Send { to: Name, msg: Msg },
+    Send {
+        to: Name,
+        msg: Msg,
+    },
     /// Sync the rows, then do `then`. If syncing fails `then` is dropped and the machine restarts from disk.
-    Persist { rows: Vec<Row>, then: Effects },
+    Persist {
+        rows: Vec<Row>,
+        then: Effects,
+    },
     /// A local caller's write ended.
-    Answer { token: u64, outcome: Outcome },
+    Answer {
+        token: u64,
+        outcome: Outcome,
+    },
     /// An order of a duty. Whoever carries it out checks `until` again first: the process may have slept.
-    Order { service: String, epoch: u64, until: Ms, order: Order },
-    Note { event: Event, peer: Name, text: String },
+    Order {
+        service: String,
+        epoch: u64,
+        until: Ms,
+        order: Order,
+    },
+    Note {
+        event: Event,
+        peer: Name,
+        text: String,
+    },
 }
 
 pub fn send(to: &Name, msg: impl Into<Msg>) -> Effect {
--- a/coordination/src/health.rs
+++ b/coordination/src/health.rs
@@ -147,7 +147,12 @@
     fn one_bad_lane_is_enough_and_a_cold_cache_alone_is_not() {
         let fine = [tally("v1", "a", true, 100, 1, 0), tally("v2", "a", true, 10, 0, 0)];
         expect_that!(verdict(&fine), eq(Verdict::Fine));
-        let lane = [tally("v1", "a", true, 500, 0, 0), tally("v2", "a", true, 50, 0, 0), tally("v1", "b", true, 20, 0, 0), tally("v2", "b", true, 1, 3, 0)];
+        let lane = [
+            tally("v1", "a", true, 500, 0, 0),
+            tally("v2", "a", true, 50, 0, 0),
+            tally("v1", "b", true, 20, 0, 0),
+            tally("v2", "b", true, 1, 3, 0),
+        ];
         expect_that!(verdict(&lane), eq(Verdict::Bad));
         // The canary is slow only where its cache is cold, as the baseline's cold requests are too.
         let cold = [tally("v1", "a", true, 90, 0, 0), tally("v1", "a", false, 10, 0, 9), tally("v2", "a", false, 10, 0, 9)];
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -135,14 +135,14 @@
             to.push(self.known[&self.view[i]].node.addr.clone());
         }
         // Seeds only bring a lonely node in, or join two halves that lost sight of each other.
-        if (self.view.len() < 2 || self.me.beat % 16 == 0)
+        if (self.view.len() < 2 || self.me.beat.is_multiple_of(16))
             && let Some(s) = self.rng.choice(&self.seeds)
             && *s != self.me.addr
         {
             to.push(s.clone());
         }
         // A node given up for dead is knocked at now and then: after a cut nobody else may know of it.
-        if self.me.beat % 4 == 0 {
+        if self.me.beat.is_multiple_of(4) {
             let dead: Vec<Name> = self.known.values().filter(|k| !k.live).map(|k| k.node.addr.clone()).collect();
             to.extend(self.rng.choice(&dead).cloned());
         }
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -15,9 +15,7 @@
     claims,
     control::{LEAVING, SPEC, evacuated},
     health::{Health, Verdict},
-    limits::{
-        AFFINITY_BUSY, COLD_PLACES, KV_FULL, REPORT_OLD, RETRY_AFTER, SECOND_ROUNDS, SECOND_ROUNDS_FREE, WAITING, WARM_UP,
-    },
+    limits::{AFFINITY_BUSY, COLD_PLACES, KV_FULL, REPORT_OLD, RETRY_AFTER, SECOND_ROUNDS, SECOND_ROUNDS_FREE, WAITING, WARM_UP},
     order::weight,
     register::DUTY,
 };
@@ -176,7 +174,8 @@
         self.spec = self.board.read(SPEC);
         self.leaving = self.board.under(LEAVING).map(|(r, _)| r.to_string()).collect();
         let rows = self.board.under(DUTY);
-        let rows = rows.filter_map(|(s, c)| Some((s.to_string(), (c.epoch, c.version, serde_json::from_slice(&c.value.0).ok()?))));
+        let rows =
+            rows.filter_map(|(s, c)| Some((s.to_string(), (c.epoch, c.version, serde_json::from_slice(&c.value.0).ok()?))));
         self.records = rows.collect();
         let zones = self.spec.as_ref().map_or(&[][..], |s| &s.zones);
         self.evacuated = zones.iter().filter(|z| evacuated(&self.board, &z.name)).map(|z| z.name.clone()).collect();
@@ -230,7 +229,12 @@
 
     // ---- checks ----
 
-    fn lane<'a>(spec: &'a Spec, service: &str, lane: &str, tier: &str) -> Result<(&'a ServiceSpec, &'a LaneSpec, u32, u32), Fault> {
+    fn lane<'a>(
+        spec: &'a Spec,
+        service: &str,
+        lane: &str,
+        tier: &str,
+    ) -> Result<(&'a ServiceSpec, &'a LaneSpec, u32, u32), Fault> {
         let bad = |f: &str, m: String| Fault::new("bad_request", "check_request", m).field(f).outcome(Outcome::NotRun);
         let Some(s) = spec.services.iter().find(|s| s.name == service) else {
             return Err(bad("service", format!("no service {service}")));
@@ -317,17 +321,21 @@
     /// The replica for a prompt: the first in its longest prefix's order that is not too busy, else the freest.
     fn pick<'a>(&self, fit: &[(&'a Seen, u32)], prefixes: &[String], version: &str, now: Ms) -> Option<&'a Seen> {
         for p in prefixes {
-            let known = |s: &Seen| self.warm.get(&(s.report.replica.clone(), format!("{version} {p}"))).is_some_and(|t| now - *t < PREFIX_KEPT);
+            let known = |s: &Seen| {
+                self.warm.get(&(s.report.replica.clone(), format!("{version} {p}"))).is_some_and(|t| now - *t < PREFIX_KEPT)
+            };
             let room = |s: &Seen, free: u32| {
                 let places = self.places(s, version, now);
-                free > 0 && Self::load(s) * 100 < places * AFFINITY_BUSY || (known(s) && free > 0)
+                free > 0 && (known(s) || Self::load(s) * 100 < places * AFFINITY_BUSY)
             };
             let best = fit.iter().filter(|(s, f)| room(s, *f)).max_by_key(|(s, _)| weight(p, &s.report.replica));
             if let Some((s, _)) = best {
                 return Some(s);
             }
         }
-        let key = |s: &Seen, free: u32| (u64::from(free) * 1000 / u64::from(s.report.slots.max(1)), weight(&self.name, &s.report.replica));
+        let key = |s: &Seen, free: u32| {
+            (u64::from(free) * 1000 / u64::from(s.report.slots.max(1)), weight(&self.name, &s.report.replica))
+        };
         fit.iter().max_by_key(|(s, f)| key(s, *f)).map(|(s, _)| *s)
     }
 
@@ -336,7 +344,8 @@
         let Some((epoch, version, r)) = self.records.get(service) else { return vec![] };
         let permit = self.permits.get(service).filter(|p| p.until > now && self.rule == RULE_ALL);
         // The canary's permit must be for this very record or a later one of the same holder.
-        let share = permit.filter(|p| p.permit.epoch >= *epoch && p.permit.version >= *version).map_or(0, |p| p.permit.canary_share);
+        let share =
+            permit.filter(|p| p.permit.epoch >= *epoch && p.permit.version >= *version).map_or(0, |p| p.permit.canary_share);
         let (all, canary) = self.shares.get(service).copied().unwrap_or_default();
         let under = |n: u64| (n + 1) * 100 <= u64::from(share) * (all + 1);
         let new = |v: &str| v != r.stable;
@@ -415,7 +424,9 @@
         let spec = self.allowed(now)?;
         let (s, l, rank, _) = Self::lane(&spec, &q.service, &q.lane, &q.tier)?;
         if claims::holders(&q.request).is_none() {
-            return Err(Fault::new("bad_request", "check_request", "is no id that nominate gave").field("request").outcome(Outcome::NotRun));
+            return Err(Fault::new("bad_request", "check_request", "is no id that nominate gave")
+                .field("request")
+                .outcome(Outcome::NotRun));
         }
         if !q.homes.iter().any(|h| **h == *self.zone) {
             let m = format!("this edge is in zone {}, outside the request's homes", self.zone);
@@ -454,7 +465,8 @@
                 let fit = self.fit(&q.service, (&v, &ids), &zs, keep, now);
                 let Some(r) = self.pick(&fit, &q.prefixes, &v, now) else { continue };
                 let id = r.report.replica.clone();
-                let addr = self.records.get(&q.service).and_then(|r| r.2.replicas.iter().find(|p| p.id == id)).map(|p| p.addr.clone());
+                let addr =
+                    self.records.get(&q.service).and_then(|r| r.2.replicas.iter().find(|p| p.id == id)).map(|p| p.addr.clone());
                 let Some(addr) = addr else { continue };
                 return Admit::Go(self.begin(q, role, v, id, addr, now));
             }
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -45,8 +45,14 @@
 #[derive(Clone, Debug)]
 enum Phase {
     /// Promises so far, and the newest accepted value among them.
-    Asking { promises: BTreeSet<Name>, best: Slot, sent: Ms },
-    Holding { version: u64 },
+    Asking {
+        promises: BTreeSet<Name>,
+        best: Slot,
+        sent: Ms,
+    },
+    Holding {
+        version: u64,
+    },
 }
 
 /// This daemon's ownership of one key.
@@ -263,7 +269,8 @@
         let old = self.own.remove(key);
         let (waiting, not_before) = old.map_or((VecDeque::new(), 0), |o| (o.waiting, o.not_before));
         let phase = Phase::Asking { promises: BTreeSet::new(), best: Slot::default(), sent: now };
-        self.own.insert(key.clone(), Own { epoch, phase, write: None, waiting, not_before, outbid: false, renewed: BTreeMap::new() });
+        self.own
+            .insert(key.clone(), Own { epoch, phase, write: None, waiting, not_before, outbid: false, renewed: BTreeMap::new() });
         if now >= not_before {
             self.spread(Prepare { key: key.clone(), epoch, me: self.me }, out);
         }
@@ -308,7 +315,8 @@
                 out.push(Effect::Answer { token: a.token, outcome: WriteOutcome::Conflict(version) });
                 continue;
             }
-            let w = Write { version: version + 1, value: a.value, acks: BTreeSet::new(), token: Some(a.token), at: a.at, sent: now };
+            let w =
+                Write { version: version + 1, value: a.value, acks: BTreeSet::new(), token: Some(a.token), at: a.at, sent: now };
             let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value: w.value.clone(), me };
             o.write = Some(w);
             self.spread(m, out);
@@ -347,7 +355,8 @@
         // Whatever a majority may have taken is written again under the new epoch before anything else:
         // a write whose owner died between two disks ends here, one way for everybody.
         let m = Accept { key: key.clone(), epoch: o.epoch, version: best.version, value: best.value.clone(), me };
-        o.write = Some(Write { version: best.version, value: best.value, acks: BTreeSet::new(), token: None, at: now, sent: now });
+        o.write =
+            Some(Write { version: best.version, value: best.value, acks: BTreeSet::new(), token: None, at: now, sent: now });
         self.spread(m, out);
     }
 
--- a/coordination/src/rollout.rs
+++ b/coordination/src/rollout.rs
@@ -168,7 +168,8 @@
             .filter(|p| p.state == PlatformReplicaState::Running && !i.leaving.contains(&p.id))
             .collect();
         let v = View { i, up };
-        r.replicas = v.up.iter().map(|p| PlacedReplica { id: p.id.clone(), zone: p.zone.clone(), addr: p.addr.clone() }).collect();
+        r.replicas =
+            v.up.iter().map(|p| PlacedReplica { id: p.id.clone(), zone: p.zone.clone(), addr: p.addr.clone() }).collect();
         r.alerts.clear();
 
         let plan = i.plan.filter(|(n, p)| *n != r.failed_plan && p.target != r.stable);
@@ -246,7 +247,7 @@
             return;
         }
         // Canary and baseline start in the same record, so that they meet the same traffic.
-        let began = *self.canary_at.get_or_insert_with(|| now);
+        let began = *self.canary_at.get_or_insert(now);
         if began == now {
             self.health.restart(now);
         }
@@ -289,7 +290,8 @@
         let waits = r.retiring.len() - retired.len();
         let serving: Vec<String> = v.with(&s).into_iter().filter(|id| !r.retiring.contains(id)).collect();
         // The next step: load beside the old version first, on replicas chosen evenly over the zones.
-        let loading: Vec<String> = v.up.iter().filter(|p| v.holds(&p.id, &t) && !new.contains(&p.id)).map(|p| p.id.clone()).collect();
+        let loading: Vec<String> =
+            v.up.iter().filter(|p| v.holds(&p.id, &t) && !new.contains(&p.id)).map(|p| p.id.clone()).collect();
         let pending: Vec<String> = new.iter().filter(|id| serving.contains(id)).cloned().collect();
         let room = size.saturating_sub(loading.len() + pending.len() + waits);
         let mut next: Vec<&String> = serving.iter().filter(|id| !v.holds(id, &t)).collect();
@@ -312,7 +314,8 @@
                 let warm = |n: &str| self.ready_at.get(n).is_some_and(|t| now.saturating_sub(*t) >= WARM_UP);
                 let z = v.zone(id);
                 let floor = v.i.service.zones.iter().find(|c| c.zone == z).map_or(0, |c| c.floor as usize);
-                let mut keep: BTreeSet<&String> = serving.iter().filter(|n| *n != id && !going.contains(*n) && v.zone(n) == z).collect();
+                let mut keep: BTreeSet<&String> =
+                    serving.iter().filter(|n| *n != id && !going.contains(*n) && v.zone(n) == z).collect();
                 keep.extend(new.iter().filter(|n| v.zone(n) == z && warm(n)));
                 if left > 0 && warm(id) && keep.len() >= floor.max(1) {
                     going.insert(id.clone());
@@ -382,9 +385,11 @@
         for z in &v.i.service.zones {
             let here = |p: &&PlatformReplica| p.zone == z.zone && p.service == v.i.service.name;
             // Started ones count though they have not reported yet: a late load is not a missing replica.
-            let have = v.i.platform.iter().filter(here).filter(|p| {
-                p.state != PlatformReplicaState::Draining && !v.i.leaving.contains(&p.id)
-            });
+            let have =
+                v.i.platform
+                    .iter()
+                    .filter(here)
+                    .filter(|p| p.state != PlatformReplicaState::Draining && !v.i.leaving.contains(&p.id));
             let have: Vec<_> = have.collect();
             let need = z.replicas as usize;
             for n in have.len()..need {
--- a/daemon-parts/src/channels.rs
+++ b/daemon-parts/src/channels.rs
@@ -86,7 +86,8 @@
 
 /// Binds the port and reads frames into the inbox.
 pub async fn listen(addr: &str, inbox: Recipient<Incoming>) -> Result<(), Report<StartFault>> {
-    let l = TcpListener::bind(addr).await.change_context(StartFault("bind the port for our processes")).attach(addr.to_string())?;
+    let l =
+        TcpListener::bind(addr).await.change_context(StartFault("bind the port for our processes")).attach(addr.to_string())?;
     let free = std::sync::Arc::new(tokio::sync::Semaphore::new(CHANNELS));
     actix_rt::spawn(async move {
         loop {
--- a/edge-proxy/src/actor.rs
+++ b/edge-proxy/src/actor.rs
@@ -223,7 +223,9 @@
         for worst in self.brain.wait(t, m.rank, m.time_left, now) {
             self.give_up(worst);
         }
-        Box::pin(async move { r.await.unwrap_or_else(|_| Err(Fault::new("overload", "wait", "the buffer was dropped").retry(1_000))) })
+        Box::pin(
+            async move { r.await.unwrap_or_else(|_| Err(Fault::new("overload", "wait", "the buffer was dropped").retry(1_000))) },
+        )
     }
 }
 
--- a/edge-proxy/src/http.rs
+++ b/edge-proxy/src/http.rs
@@ -16,9 +16,7 @@
     limits::CALL_LIMIT,
     logging::event,
 };
-use remote_calls::{
-    Counter, Counters, Fault, Health, NominateRequest, Outcome, RunRequest, StreamEnd, StreamLine, calls,
-};
+use remote_calls::{Counter, Counters, Fault, Health, NominateRequest, Outcome, RunRequest, StreamEnd, StreamLine, calls};
 use tokio::sync::mpsc;
 
 use crate::{
@@ -96,7 +94,9 @@
         match self.b.send(ask).await.unwrap_or(claims::ABSTAINS) {
             claims::GRANTED => Ok(()),
             claims::VOIDED => Err(f("voided", "the request was given up before and never runs").outcome(Outcome::NotRun)),
-            claims::TAKEN => Err(f("claimed", "another round of this request may have run or may be running").outcome(Outcome::Unknown)),
+            claims::TAKEN => {
+                Err(f("claimed", "another round of this request may have run or may be running").outcome(Outcome::Unknown))
+            }
             _ => Err(self.not_run(f("no_claim", "no majority of the claim's holders answered").retry(1_000)).await),
         }
     }
@@ -105,7 +105,9 @@
         if let Some(r) = &self.q.resume {
             let (q, id) = (self.q.clone(), r.replica.clone());
             let found = look(&self.b, move |a, now| a.brain.resume(&q, &id, now)).await.map_err(|a| a.1)?;
-            return found.ok_or_else(|| Fault::new("replica_gone", "resume", "the replica of this run is gone").outcome(Outcome::Unknown));
+            return found.ok_or_else(|| {
+                Fault::new("replica_gone", "resume", "the replica of this run is gone").outcome(Outcome::Unknown)
+            });
         }
         let time_left = self.until.saturating_sub(clock::now());
         let m = FindPlace { q: self.q.clone(), rank: self.rank, time_left, tried: tried.to_vec() };
@@ -137,7 +139,11 @@
             let again = self.q.resume.is_none() && look(&self.b, |a, _| a.brain.second_round()).await.unwrap_or(false);
             if !again {
                 event(events::NO_BUDGET, "caller", &self.q.request);
-                let f = match look(&self.b, |a, _| a.brain.reject("full", "second_round", "the replica took nothing and no second round is left")).await {
+                let f = match look(&self.b, |a, _| {
+                    a.brain.reject("full", "second_round", "the replica took nothing and no second round is left")
+                })
+                .await
+                {
                     Ok(r) => r,
                     Err(_) => f.retry(1_000),
                 };
@@ -230,7 +236,12 @@
         v.push(("spec_version".into(), a.brain.spec_version()));
         for t in a.brain.hello().tallies.0 {
             let at = format!("{}/{}/{}/{}/{}", t.service, t.version, t.lane, if t.warm == 1 { "warm" } else { "cold" }, t.group);
-            v.extend([(format!("sent/{at}"), t.sent), (format!("ok/{at}"), t.ok), (format!("failed/{at}"), t.failed), (format!("slow/{at}"), t.slow)]);
+            v.extend([
+                (format!("sent/{at}"), t.sent),
+                (format!("ok/{at}"), t.ok),
+                (format!("failed/{at}"), t.failed),
+                (format!("slow/{at}"), t.slow),
+            ]);
         }
         (a.name.clone(), v)
     })
--- a/fleet-tools/src/bin/fleet-runner.rs
+++ b/fleet-tools/src/bin/fleet-runner.rs
@@ -20,7 +20,13 @@
         .arg(Arg::new("deployment").required(true).value_parser(["dentaplan", "registry"]))
         .arg(Arg::new("data").long("data").default_value("fleet-data").help("Folder for data and logs"))
         .arg(Arg::new("log").long("log").default_value("info"))
-        .arg(Arg::new("load").long("load").default_value("0").value_parser(clap::value_parser!(u64)).help("Seconds of callers' load, then end"))
+        .arg(
+            Arg::new("load")
+                .long("load")
+                .default_value("0")
+                .value_parser(clap::value_parser!(u64))
+                .help("Seconds of callers' load, then end"),
+        )
         .arg(Arg::new("target").long("target").help("Release plan during the load: the version to move to"))
         .get_matches();
     let Some(d) = m.get_one::<String>("deployment").and_then(|n| Deployment::named(n)) else { std::process::exit(EXIT_PARAMS) };
@@ -123,7 +129,10 @@
         r[4] += u64::from(t.broken);
         r[5] += u64::from(t.warm);
     }
-    println!("{:14} {:11} {:>6} {:>8} {:>9} {:>8} {:>7} {:>6}", "lane", "tier", "asked", "in time", "rejected", "unknown", "broken", "warm");
+    println!(
+        "{:14} {:11} {:>6} {:>8} {:>9} {:>8} {:>7} {:>6}",
+        "lane", "tier", "asked", "in time", "rejected", "unknown", "broken", "warm"
+    );
     for ((l, t), r) in rows {
         println!("{l:14} {t:11} {:>6} {:>8} {:>9} {:>8} {:>7} {:>6}", r[0], r[1], r[2], r[3], r[4], r[5]);
     }
--- a/fleet-tools/src/bin/stand-in-platform.rs
+++ b/fleet-tools/src/bin/stand-in-platform.rs
@@ -67,7 +67,14 @@
         });
         let child = c.spawn().map_err(|e| fault(e.to_string()))?;
         let state = PlatformReplicaState::Starting;
-        let r = PlatformReplica { id: id.clone(), zone: q.zone.clone(), addr, service: q.service.clone(), version: q.version.clone(), state };
+        let r = PlatformReplica {
+            id: id.clone(),
+            zone: q.zone.clone(),
+            addr,
+            service: q.service.clone(),
+            version: q.version.clone(),
+            state,
+        };
         self.replicas.insert(id.clone(), (r, child));
         Ok(id)
     }
--- a/fleet-tools/src/bin/stand-in-replica.rs
+++ b/fleet-tools/src/bin/stand-in-replica.rs
@@ -38,5 +38,10 @@
         lanes,
     };
     let r = web::Data::new(Replica::new(p, b));
-    HttpServer::new(move || App::new().app_data(r.clone()).configure(routes)).workers(1).shutdown_timeout(1).bind(text("http"))?.run().await
+    HttpServer::new(move || App::new().app_data(r.clone()).configure(routes))
+        .workers(1)
+        .shutdown_timeout(1)
+        .bind(text("http"))?
+        .run()
+        .await
 }
--- a/fleet-tools/src/fleet.rs
+++ b/fleet-tools/src/fleet.rs
@@ -56,7 +56,12 @@
 impl Process {
     pub fn start(&mut self, folder: &Path) -> std::io::Result<()> {
         let log = File::options().create(true).append(true).open(folder.join(format!("{}.log", self.name)))?;
-        let c = Command::new(program(self.program)?).args(&self.args).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()?;
+        let c = Command::new(program(self.program)?)
+            .args(&self.args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
         self.child = Some(c);
         Ok(())
     }
@@ -112,18 +117,25 @@
             }
         }
         f.add("platform", "", "stand-in-platform", platform.clone(), String::new(), args);
-        let control: Vec<(String, String, String, String)> = f
-            .d
-            .control
-            .iter()
-            .enumerate()
-            .map(|(i, z)| Ok((format!("control-{}", i + 1), z.clone(), free()?, free()?)))
-            .collect::<std::io::Result<_>>()?;
+        let control: Vec<(String, String, String, String)> =
+            f.d.control
+                .iter()
+                .enumerate()
+                .map(|(i, z)| Ok((format!("control-{}", i + 1), z.clone(), free()?, free()?)))
+                .collect::<std::io::Result<_>>()?;
         let seeds: Vec<String> = control.iter().map(|c| c.2.clone()).collect();
         let members: Vec<String> = control.iter().map(|c| c.0.clone()).collect();
         for (n, z, listen, http) in &control {
             let data = f.folder.join(n).display().to_string();
-            let mut a = args_of(&[("name", n), ("zone", z), ("listen", listen), ("http", http), ("data", &data), ("platform", &platform), ("log", log)]);
+            let mut a = args_of(&[
+                ("name", n),
+                ("zone", z),
+                ("listen", listen),
+                ("http", http),
+                ("data", &data),
+                ("platform", &platform),
+                ("log", log),
+            ]);
             seeds.iter().for_each(|s| a.extend(["--seed".into(), s.clone()]));
             members.iter().for_each(|m| a.extend(["--member".into(), m.clone()]));
             f.add(n, z, "control-daemon", http.clone(), listen.clone(), a);
@@ -182,7 +194,12 @@
     }
 
     /// Calls any control daemon that answers.
-    pub async fn operate<B: Serialize, T: DeserializeOwned>(&self, method: &str, path: &str, body: Option<&B>) -> Result<T, Fault> {
+    pub async fn operate<B: Serialize, T: DeserializeOwned>(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&B>,
+    ) -> Result<T, Fault> {
         let mut last = Fault::new("unreachable", "call_control", "no control daemon answers");
         for p in self.control() {
             match call_path(&self.client, &p.http, method, path, body, OPERATOR_LIMIT).await {
--- a/fleet-tools/src/replica.rs
+++ b/fleet-tools/src/replica.rs
@@ -268,7 +268,10 @@
     // Nobody reads another request's run.
     let Some(x) = s.runs.get(run).filter(|x| x.record.request == q.request) else { return Err(gone().into()) };
     if after > x.record.pieces {
-        return Err(Fault::new("bad_request", "resume", "no such piece was sent").field("resume.after").outcome(Outcome::Unknown).into());
+        return Err(Fault::new("bad_request", "resume", "no such piece was sent")
+            .field("resume.after")
+            .outcome(Outcome::Unknown)
+            .into());
     }
     let (tell, warm, version) = (x.grown.subscribe(), x.warm, x.record.version.clone());
     let start = StreamStart { request: q.request.clone(), run: run.into(), replica: s.p.id.clone(), version, warm };
@@ -288,12 +291,23 @@
                 let s = r.lock();
                 let x = s.runs.get(&id)?;
                 match (x.pieces.get(at as usize), x.record.state) {
-                    (Some(t), _) => (Some(StreamLine { start: None, piece: Some(StreamPiece { n: at + 1, text: t.clone() }), end: None }), false),
+                    (Some(t), _) => (
+                        Some(StreamLine { start: None, piece: Some(StreamPiece { n: at + 1, text: t.clone() }), end: None }),
+                        false,
+                    ),
                     (None, RunState::Running) => (None, false),
                     (None, st) => {
-                        let fault = (st == RunState::Failed).then(|| Fault::new("replica_failed", "generate", "the version failed"));
+                        let fault =
+                            (st == RunState::Failed).then(|| Fault::new("replica_failed", "generate", "the version failed"));
                         let outcome = if fault.is_none() { Outcome::Answered } else { Outcome::Unknown };
-                        (Some(StreamLine { start: None, piece: None, end: Some(StreamEnd { outcome, pieces: x.record.pieces, fault }) }), true)
+                        (
+                            Some(StreamLine {
+                                start: None,
+                                piece: None,
+                                end: Some(StreamEnd { outcome, pieces: x.record.pieces, fault }),
+                            }),
+                            true,
+                        )
                     }
                 }
             };
--- a/remote-calls/build.rs
+++ b/remote-calls/build.rs
@@ -12,8 +12,8 @@
     println!("cargo:rerun-if-changed={FILE}");
     let raw = fs::read_to_string(FILE).expect("read the schema file");
     // JSON Schema keeps shared types under `definitions`; only the references differ from OpenAPI's.
-    let doc: Value = serde_json::from_str(&raw.replace("#/components/schemas/", "#/definitions/"))
-        .expect("the schema file is JSON");
+    let doc: Value =
+        serde_json::from_str(&raw.replace("#/components/schemas/", "#/definitions/")).expect("the schema file is JSON");
     let types = doc["components"]["schemas"].as_object().expect("components.schemas");
     let mut space = TypeSpace::new(TypeSpaceSettings::default().with_derive("PartialEq".into()));
     space
--- a/wire-messages/src/fields.rs
+++ b/wire-messages/src/fields.rs
@@ -59,9 +59,7 @@
             return Err(too_long(r.stream_position()?, "name", n));
         }
         let at = r.stream_position()?;
-        String::from_utf8(read_bytes(r, n)?)
-            .map(Name)
-            .map_err(|e| binrw::Error::Custom { pos: at, err: Box::new(e.to_string()) })
+        String::from_utf8(read_bytes(r, n)?).map(Name).map_err(|e| binrw::Error::Custom { pos: at, err: Box::new(e.to_string()) })
     }
 }
 impl BinWrite for Name {
