Seed proxies' ids from outside, so that two never mint the same one

Cause: two proxies started in one millisecond seeded their ids alike; the claims saw the second request as another round of the first and 18 of 1165 callers were told unknown. No request ran twice: the claim is what caught it. Ruled out: retries by the HTTP client (no request reached a proxy twice), claims' token reuse (tokens are per agent). Before: 18 unknown of 1165.

--- a/control-daemon/src/actor.rs
+++ b/control-daemon/src/actor.rs
@@ -17,6 +17,7 @@
     clock, http,
     limits::{CALL_LIMIT, MAILBOX},
     logging::event,
+    look::Look,
 };
 use remote_calls::{
     Fault, OrderAnswer, PlatformDrain, PlatformList, PlatformStart, PlatformStarted, ReplicaOrder, ReplicaReport, calls,
@@ -52,12 +53,6 @@
     pub value: Vec<u8>,
 }
 
-/// Looks at the brain, if the disk works.
-pub struct Look<T>(pub Box<dyn FnOnce(&mut Control, Ms) -> T + Send>);
-impl<T: Send + 'static> Message for Look<T> {
-    type Result = Result<T, ()>;
-}
-
 impl ControlActor {
     pub fn new(p: ControlParams, platform: String, disk: Disk) -> Self {
         let client = Client::builder().disable_timeout().finish();
@@ -235,9 +230,9 @@
     }
 }
 
-impl<T: Send + 'static> Handler<Look<T>> for ControlActor {
+impl<T: Send + 'static> Handler<Look<Control, T>> for ControlActor {
     type Result = Result<T, ()>;
-    fn handle(&mut self, m: Look<T>, _: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, m: Look<Control, T>, _: &mut Self::Context) -> Self::Result {
         let now = clock::now();
         self.c.as_mut().map(|c| (m.0)(c, now)).ok_or(())
     }
--- a/control-daemon/src/http.rs
+++ b/control-daemon/src/http.rs
@@ -9,6 +9,7 @@
 use daemon_parts::{
     clock,
     http::{Answer, json_config, no_such_path},
+    look::Look,
 };
 use remote_calls::{
     Accepted, Counter, Counters, Fault, KillSwitch, PlanPut, PlanState, PlatformWarning, ReleasePlan, Spec, SpecPut, SpecState,
@@ -16,7 +17,7 @@
 };
 use serde::Serialize;
 
-use crate::actor::{ControlActor, Look, Stopping, Write, no_disk};
+use crate::actor::{ControlActor, Stopping, Write, no_disk};
 
 type Brain = web::Data<Addr<ControlActor>>;
 type Reply = Result<HttpResponse, Answer>;
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -118,7 +118,9 @@
 pub const SLOW_FACTOR: u64 = 4;
 
 impl Proxy {
-    pub fn new(name: Name, zone: Name, http: Name, born: u64) -> Self {
+    /// `seed` is random from outside: two proxies of one fleet must never mint the same ids.
+    pub fn new(name: Name, zone: Name, http: Name, born: u64, seed: u64) -> Self {
+        let rng = fastrand::Rng::with_seed(weight(&name, &seed.to_string()));
         Proxy {
             name,
             zone,
@@ -142,7 +144,7 @@
             warm: BTreeMap::new(),
             waiting: VecDeque::new(),
             rounds: (0, 0),
-            rng: fastrand::Rng::with_seed(born),
+            rng,
             counters: BTreeMap::new(),
         }
     }
@@ -602,3 +604,16 @@
         &self.board
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    #[gtest]
+    fn proxies_started_in_the_same_instant_mint_different_ids() {
+        let p = |n: &str| Proxy::new(n.into(), "z".into(), "".into(), 7, 7).rng.u64(..);
+        expect_that!(p("proxy-1"), not(eq(p("proxy-2"))));
+    }
+}
--- a/daemon-parts/src/lib.rs
+++ b/daemon-parts/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod http;
 pub mod limits;
 pub mod logging;
+pub mod look;
 pub mod params;
 pub mod stop;
--- a/daemon-parts/src/params.rs
+++ b/daemon-parts/src/params.rs
@@ -119,7 +119,7 @@
         bad.extend(p.seeds.iter().filter_map(|s| addr("seeds", s)));
     }
     if needs.contains(&"members") {
-        if p.members.len() < 3 || p.members.len() % 2 == 0 {
+        if p.members.len() < 3 || p.members.len().is_multiple_of(2) {
             bad.push(format!("members: give an odd count of at least three, not {}", p.members.len()));
         }
         if !p.members.contains(&p.name) {
--- a/edge-proxy/src/actor.rs
+++ b/edge-proxy/src/actor.rs
@@ -14,6 +14,7 @@
     clock, http,
     limits::{CALL_LIMIT, MAILBOX},
     logging::event,
+    look::Look,
 };
 use remote_calls::{Fault, ReplicaReport, RunRequest, calls};
 use tokio::sync::oneshot;
@@ -157,14 +158,9 @@
     }
 }
 
-/// Does something with the brain.
-pub struct Look<T>(pub Box<dyn FnOnce(&mut ProxyActor, Ms) -> T + Send>);
-impl<T: Send + 'static> Message for Look<T> {
+impl<T: Send + 'static> Handler<Look<Self, T>> for ProxyActor {
     type Result = Result<T, ()>;
-}
-impl<T: Send + 'static> Handler<Look<T>> for ProxyActor {
-    type Result = Result<T, ()>;
-    fn handle(&mut self, m: Look<T>, _: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, m: Look<Self, T>, _: &mut Self::Context) -> Self::Result {
         Ok((m.0)(self, clock::now()))
     }
 }
--- a/edge-proxy/src/http.rs
+++ b/edge-proxy/src/http.rs
@@ -15,12 +15,13 @@
     http::{Answer, json_config, no_such_path},
     limits::CALL_LIMIT,
     logging::event,
+    look::Look,
 };
 use remote_calls::{Counter, Counters, Fault, Health, NominateRequest, Outcome, RunRequest, StreamEnd, StreamLine, calls};
 use tokio::sync::mpsc;
 
 use crate::{
-    actor::{AskClaim, Done, FindPlace, Look, ProxyActor},
+    actor::{AskClaim, Done, FindPlace, ProxyActor},
     round::{self, Next, NotBegun, Round},
 };
 
--- a/edge-proxy/src/main.rs
+++ b/edge-proxy/src/main.rs
@@ -11,6 +11,7 @@
     channels, clock,
     limits::STOP_LIMIT,
     logging::{self, StartFault, event},
+    look::Look,
     params::{self, EXIT_FAILED, Params},
     stop,
 };
@@ -31,7 +32,8 @@
 
 async fn run(p: Params) -> Result<(), Report<StartFault>> {
     let _log = logging::start(&p.log)?;
-    let brain = Proxy::new(p.name.as_str().into(), p.zone.as_str().into(), p.http.as_str().into(), clock::born());
+    let brain =
+        Proxy::new(p.name.as_str().into(), p.zone.as_str().into(), p.http.as_str().into(), clock::born(), fastrand::u64(..));
     let a = actor::ProxyActor::new(&p.name, &p.listen, &p.agent, brain).start();
     channels::listen(&p.listen, a.clone().recipient()).await?;
     let b = web::Data::new(a.clone());
@@ -47,7 +49,7 @@
     let served = actix_rt::spawn(server);
     event(events::STARTED, &p.name, &format!("http {} processes {}", p.http, p.listen));
     stop::asked(&p.name).await;
-    let _ = a.send(actor::Look(Box::new(|a, _| a.stopping = true))).await;
+    let _ = a.send(Look(Box::new(|a: &mut actor::ProxyActor, _| a.stopping = true))).await;
     // Others stop nominating this proxy before its port closes.
     tokio::time::sleep(http::FAREWELL).await;
     h.stop(true).await;
--- a/fleet-tools/src/bin/stand-in-platform.rs
+++ b/fleet-tools/src/bin/stand-in-platform.rs
@@ -130,10 +130,11 @@
         };
         for r in all {
             let report = call::<(), ReplicaReport>(&c, &r.addr, calls::REPORT, None, LOOK_EVERY).await;
-            if r.state == PlatformReplicaState::Starting && report.is_ok() {
-                if let Some(x) = p.lock().replicas.get_mut(&r.id) {
-                    x.0.state = PlatformReplicaState::Running;
-                }
+            if r.state == PlatformReplicaState::Starting
+                && report.is_ok()
+                && let Some(x) = p.lock().replicas.get_mut(&r.id)
+            {
+                x.0.state = PlatformReplicaState::Running;
             }
             if r.state != PlatformReplicaState::Draining {
                 continue;
@@ -142,11 +143,11 @@
             let epoch = p.lock().epochs.get(&r.service).copied().unwrap_or(0);
             let o = ReplicaOrder { service: r.service.clone(), epoch, action: OrderAction::Drain, version: r.version.clone() };
             let _ = call::<_, OrderAnswer>(&c, &r.addr, calls::ORDER, Some(&o), LOOK_EVERY).await;
-            if report.is_ok_and(|x| x.leaving && x.busy == 0) {
-                if let Some((_, mut child)) = p.lock().replicas.remove(&r.id) {
-                    let _ = child.kill();
-                    let _ = child.wait();
-                }
+            if report.is_ok_and(|x| x.leaving && x.busy == 0)
+                && let Some((_, mut child)) = p.lock().replicas.remove(&r.id)
+            {
+                let _ = child.kill();
+                let _ = child.wait();
             }
         }
     }
--- a/fleet-tools/src/replica.rs
+++ b/fleet-tools/src/replica.rs
@@ -177,7 +177,7 @@
         if s.leaving {
             return no("leaving", "this replica is leaving");
         }
-        if !s.loaded.get(&q.version).is_some_and(|t| *t <= clock::now()) {
+        if s.loaded.get(&q.version).is_none_or(|t| *t > clock::now()) {
             return no("not_loaded", "this version is not loaded here");
         }
         // It can run somewhat more than it runs well, no more.
