--- a/daemon-parts/src/lib.rs
+++ b/daemon-parts/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod limits;
 pub mod logging;
 pub mod look;
+pub mod operator;
 pub mod params;
 pub mod stop;
--- a/daemon-parts/src/logging.rs
+++ b/daemon-parts/src/logging.rs
@@ -21,7 +21,10 @@
 
 /// Starts logging to standard error.
 pub fn start(level: &str) -> Result<LoggerHandle, Report<StartFault>> {
-    Logger::try_with_str(level).and_then(|l| l.format(line).log_to_stderr().start()).change_context(StartFault("start the log"))
+    // Libraries only speak when something is wrong; the events are ours.
+    Logger::try_with_str(format!("warn, daemon_parts={level}"))
+        .and_then(|l| l.format(line).log_to_stderr().start())
+        .change_context(StartFault("start the log"))
 }
 
 /// Logs one numbered event.
--- a/fleet-tools/src/bin/fleet-runner.rs
+++ b/fleet-tools/src/bin/fleet-runner.rs
@@ -43,7 +43,7 @@
     let f = Fleet::start(d, &data, log).map_err(|e| e.to_string())?;
     let t = f.until("control daemons settle", START_LIMIT, async |f| f.settled().await).await?;
     println!("control settled after {t} ms");
-    let v = f.put_spec().await.map_err(|e| e.to_string())?;
+    let v = f.operator().put_spec(f.d.spec.clone(), None).await.map_err(|e| e.to_string())?;
     let t = f.until("every proxy serves", START_LIMIT, async |f| f.serves().await).await?;
     println!("spec version {} honoured at every edge after {t} ms", v.version);
     for p in f.processes.values() {
@@ -56,12 +56,12 @@
     }
     let service = f.d.spec.services[0].name.clone();
     if let Some(t) = &target {
-        let v = f.plan(&service, t, 600).await.map_err(|e| e.to_string())?;
+        let v = f.operator().put_plan(&service, t, 600, None).await.map_err(|e| e.to_string())?;
         println!("release plan version {} accepted", v.version);
     }
     let told = traffic(&f, Duration::from_secs(load)).await;
     summary(&told);
-    if let Ok(s) = f.status().await {
+    if let Ok(s) = f.operator().status().await {
         for r in s.rollouts {
             println!("rollout {} phase {:?} stable {} alerts {:?}", r.service, r.phase, r.stable, r.alerts);
         }
--- a/fleet-tools/src/bin/stand-in-platform.rs
+++ b/fleet-tools/src/bin/stand-in-platform.rs
@@ -55,8 +55,7 @@
         let n = self.next.entry(q.zone.clone()).or_insert(0);
         *n += 1;
         let id = format!("{}-{}", q.zone, n);
-        let l = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(|e| fault(e.to_string()))?;
-        let addr = l.to_string();
+        let addr = fleet_tools::fleet::free().map_err(|e| fault(e.to_string()))?;
         let exe = std::env::current_exe().map_err(|e| fault(e.to_string()))?.with_file_name("stand-in-replica");
         let b = serde_json::to_string(&self.behaviour).unwrap_or_default();
         let mut c = Process::new(exe);
--- a/fleet-tools/src/fleet.rs
+++ b/fleet-tools/src/fleet.rs
@@ -3,22 +3,16 @@
 use std::{
     collections::BTreeMap,
     fs::File,
-    net::TcpListener,
+    net::{Ipv4Addr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
     time::Duration,
 };
 
 use awc::Client;
-use daemon_parts::{
-    clock,
-    http::{call, call_path},
-    limits::OPERATOR_LIMIT,
-};
-use remote_calls::{
-    Accepted, Fault, Health, PlanPut, PlanState, ReleasePlan, SpecPut, SpecState, Status, ZoneState, calls, fill,
-};
-use serde::{Serialize, de::DeserializeOwned};
+use daemon_parts::{clock, http::call, operator::Operator};
+use remote_calls::{Health, calls};
 
 use crate::{deployment::Deployment, replica::Behaviour};
 
@@ -40,9 +34,13 @@
     pub client: Client,
 }
 
-/// A free loopback address. The port is free when looked at; a fleet's processes bind at once.
+/// A free address on a loopback IP of its own: outgoing channels start from 127.0.0.1, so none of them
+/// can take the port between this look and the process's bind.
 pub fn free() -> std::io::Result<String> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let (n, id) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id());
+    let ip = Ipv4Addr::new(127, 1 + (id % 200) as u8, (n >> 8) as u8 + (id / 200 % 100) as u8, n as u8);
+    Ok(TcpListener::bind((ip, 0))?.local_addr()?.to_string())
 }
 
 fn program(n: &str) -> std::io::Result<PathBuf> {
@@ -193,40 +191,9 @@
         p.start(&folder)
     }
 
-    /// Calls any control daemon that answers.
-    pub async fn operate<B: Serialize, T: DeserializeOwned>(
-        &self,
-        method: &str,
-        path: &str,
-        body: Option<&B>,
-    ) -> Result<T, Fault> {
-        let mut last = Fault::new("unreachable", "call_control", "no control daemon answers");
-        for p in self.control() {
-            match call_path(&self.client, &p.http, method, path, body, OPERATOR_LIMIT).await {
-                // Only a call that certainly did nothing is tried at another daemon.
-                Err(f) if f.code == "unreachable" && f.step == "send_call" || f.code == "disk_failed" => last = f,
-                r => return r,
-            }
-        }
-        Err(last)
-    }
-    pub async fn status(&self) -> Result<Status, Fault> {
-        self.operate::<(), _>(calls::STATUS.0, calls::STATUS.1, None).await
-    }
-    pub async fn put_spec(&self) -> Result<Accepted, Fault> {
-        let now: SpecState = self.operate::<(), _>(calls::SPEC_GET.0, calls::SPEC_GET.1, None).await?;
-        let q = SpecPut { expect_version: now.version, spec: self.d.spec.clone() };
-        self.operate(calls::SPEC_PUT.0, calls::SPEC_PUT.1, Some(&q)).await
-    }
-    pub async fn plan(&self, service: &str, target: &str, seconds: u64) -> Result<Accepted, Fault> {
-        let path = fill(calls::PLAN_PUT, service);
-        let now: PlanState = self.operate::<(), _>(calls::PLAN_GET.0, &path, None).await?;
-        let plan = ReleasePlan { service: service.into(), target: target.into(), complete_by: clock::wall_s() + seconds };
-        self.operate(calls::PLAN_PUT.0, &path, Some(&PlanPut { expect_version: now.version, plan })).await
-    }
-    pub async fn zone(&self, zone: &str, evacuated: bool) -> Result<Accepted, Fault> {
-        let q = ZoneState { zone: zone.into(), evacuated };
-        self.operate(calls::ZONE_PUT.0, &fill(calls::ZONE_PUT, zone), Some(&q)).await
+    /// Operators' calls to this fleet.
+    pub fn operator(&self) -> Operator {
+        Operator { client: self.client.clone(), control: self.control().iter().map(|p| p.http.clone()).collect() }
     }
     pub async fn behave(&self, b: &[Behaviour]) {
         let Some(p) = self.processes.get("platform") else { return };
