--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -14,7 +14,9 @@
 pub mod order;
 pub mod proxy;
 pub mod register;
+pub mod request;
 pub mod rollout;
+pub mod stream;
 
 pub use effect::{Effect, Effects, Ms, Outcome as WriteOutcome, Row, send};
 pub use wire_messages as wire;
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -84,6 +84,8 @@
 pub const AFFINITY_BUSY: u32 = 75;
 /// Percent. KV cache fuller than this takes a replica out for requests without a prefix there.
 pub const KV_FULL: u32 = 95;
+/// ms. A place chosen longer ago is chosen again before a call: the process slept, permits may have lapsed.
+pub const PLACE_OLD: Ms = 300;
 /// Percent of first rounds that may be second rounds.
 pub const SECOND_ROUNDS: u64 = 5;
 /// Second rounds a proxy may always spend, so that a quiet fleet can retry at all.
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -33,6 +33,13 @@
     pub at: Ms,
 }
 
+impl Placed {
+    /// Whether it was chosen so long ago that the process must have slept since.
+    pub fn stale(&self, now: Ms) -> bool {
+        now.saturating_sub(self.at) > PLACE_OLD
+    }
+}
+
 /// How a round ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
--- /dev/null
+++ b/coordination/src/stream.rs
@@ -0,0 +1,115 @@
+//! Checks a replica's stream line by line, before anything is passed on: its own request, the very next
+//! number, an end that counts what came.
+
+use remote_calls::{Fault, Outcome, StreamEnd, StreamLine};
+
+/// What a line means for the caller.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// Pass it on.
+    Line(StreamLine),
+    /// The end mark, whole: pass it on, the round is over.
+    End(StreamLine),
+    /// No whole answer will come; the line that tells the caller so.
+    Broken(StreamLine),
+}
+
+#[derive(Clone, Debug)]
+pub struct Lines {
+    request: String,
+    replica: String,
+    next: u64,
+    over: bool,
+}
+
+impl Lines {
+    /// `after`: the last piece that the caller already has.
+    pub fn new(request: &str, replica: &str, after: u64) -> Self {
+        Lines { request: request.into(), replica: replica.into(), next: after + 1, over: false }
+    }
+
+    pub fn broken(&mut self, code: &str, m: impl Into<String>) -> Next {
+        self.over = true;
+        let f = Fault::new(code, "read_stream", m).peer(self.replica.clone()).outcome(Outcome::Unknown);
+        self.unknown(f)
+    }
+    fn unknown(&self, f: Fault) -> Next {
+        let end = StreamEnd { outcome: Outcome::Unknown, pieces: self.next - 1, fault: Some(f) };
+        Next::Broken(StreamLine { start: None, piece: None, end: Some(end) })
+    }
+
+    pub fn take(&mut self, l: StreamLine) -> Next {
+        match (&l.start, &l.piece, &l.end) {
+            _ if self.over => self.broken("over", "the round has ended"),
+            (Some(s), None, None) if s.request == self.request && s.replica == self.replica => Next::Line(l),
+            (Some(_), None, None) => self.broken("bad_stream", "the answer is to another request"),
+            (None, Some(p), None) if p.n == self.next => {
+                self.next += 1;
+                Next::Line(l)
+            }
+            (None, Some(p), None) => {
+                let m = format!("piece {} came where {} was due", p.n, self.next);
+                self.broken("bad_stream", m)
+            }
+            (None, None, Some(e)) if e.outcome == Outcome::Answered && e.pieces + 1 == self.next => {
+                self.over = true;
+                Next::End(l)
+            }
+            (None, None, Some(e)) if e.outcome != Outcome::Answered => {
+                self.over = true;
+                let f = e.fault.clone().unwrap_or_else(|| Fault::new("replica_failed", "read_stream", "the replica gave up"));
+                self.unknown(f.peer(self.replica.clone()).outcome(Outcome::Unknown))
+            }
+            _ => self.broken("bad_stream", "the end mark does not count what came"),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+    use remote_calls::{StreamPiece, StreamStart};
+
+    use super::*;
+
+    fn start(request: &str) -> StreamLine {
+        let s = StreamStart { request: request.into(), run: "u".into(), replica: "r".into(), version: "v".into(), warm: true };
+        StreamLine { start: Some(s), piece: None, end: None }
+    }
+    fn piece(n: u64) -> StreamLine {
+        StreamLine { start: None, piece: Some(StreamPiece { n, text: "x".into() }), end: None }
+    }
+    fn end(pieces: u64) -> StreamLine {
+        StreamLine { start: None, piece: None, end: Some(StreamEnd { outcome: Outcome::Answered, pieces, fault: None }) }
+    }
+    /// Whether a stream is passed on as a whole answer.
+    fn whole(after: u64, lines: Vec<StreamLine>) -> bool {
+        let mut l = Lines::new("q", "r", after);
+        let mut ok = false;
+        for x in lines {
+            match l.take(x) {
+                Next::Line(_) => {}
+                Next::End(_) => ok = true,
+                Next::Broken(_) => return false,
+            }
+        }
+        ok
+    }
+
+    #[gtest]
+    fn only_a_whole_answer_to_the_very_request_counts() {
+        expect_true!(whole(0, vec![start("q"), piece(1), piece(2), end(2)]));
+        expect_true!(whole(2, vec![start("q"), piece(3), end(3)]));
+        let bad = [
+            vec![start("other"), piece(1), end(1)],
+            vec![start("q"), piece(1), piece(3), end(2)],
+            vec![start("q"), piece(1), piece(1), end(2)],
+            vec![start("q"), piece(1), end(2)],
+            vec![start("q"), piece(1), piece(2)],
+            vec![start("q"), piece(1), end(1), piece(2)],
+        ];
+        for b in bad {
+            expect_false!(whole(0, b));
+        }
+    }
+}
--- a/edge-proxy/src/http.rs
+++ b/edge-proxy/src/http.rs
@@ -9,6 +9,8 @@
 use coordination::{
     Ms, claims, events,
     proxy::{Ended, Placed, SLOW_FACTOR},
+    request::{Got, NotBegun, Request, Step},
+    stream::Next,
 };
 use daemon_parts::{
     clock,
@@ -17,12 +19,12 @@
     logging::event,
     look::Look,
 };
-use remote_calls::{Counter, Counters, Fault, Health, NominateRequest, Outcome, RunRequest, StreamEnd, StreamLine, calls};
+use remote_calls::{Counter, Counters, Fault, Health, NominateRequest, Outcome, RunRequest, calls};
 use tokio::sync::mpsc;
 
 use crate::{
     actor::{AskClaim, Done, FindPlace, ProxyActor},
-    round::{self, Next, NotBegun, Round},
+    round::{self, Round},
 };
 
 type Brain = web::Data<Addr<ProxyActor>>;
@@ -59,159 +61,106 @@
     Ok(HttpResponse::Ok().json(r?))
 }
 
-/// What is known of a request that will not be run here.
-struct Run {
-    b: Brain,
-    q: RunRequest,
-    round: u64,
-    until: Ms,
-    rank: u32,
-}
-
-impl Run {
-    /// "Not run" must stay true: for a run-once request a majority voids the id before it is said.
-    async fn not_run(&self, mut f: Fault) -> Fault {
-        f.outcome = Some(Outcome::NotRun);
-        if !self.q.run_once || claims::holders(&self.q.request).is_none() {
-            return f;
-        }
-        let ask = AskClaim { request: self.q.request.clone(), round: self.round, void: true };
-        match self.b.send(ask).await.unwrap_or(claims::ABSTAINS) {
-            claims::GRANTED | claims::VOIDED => f,
-            _ => {
-                f.outcome = Some(Outcome::Unknown);
-                f
+/// Does the steps of one request until it streams or its final answer is known.
+async fn steps(b: &Brain, r: &mut Request, until: Ms) -> Result<(Placed, Round), Fault> {
+    let mut step = Step::Check;
+    let mut begun = None;
+    loop {
+        let got = match step {
+            Step::Check => {
+                let q = r.q.clone();
+                let checked = look(b, move |a, now| a.brain.check(&q, now)).await.map_err(|a| a.1)?;
+                if checked.is_ok() {
+                    let _ = look(b, |a, _| a.brain.first_round()).await;
+                }
+                Got::Checked(checked)
             }
-        }
-    }
-
-    async fn claim(&self) -> Result<(), Fault> {
-        // A resume reads on in a run that was claimed when it began.
-        if !self.q.run_once || self.q.resume.is_some() {
-            return Ok(());
-        }
-        let ask = AskClaim { request: self.q.request.clone(), round: self.round, void: false };
-        let f = |code: &str, m: &str| Fault::new(code, "claim", m);
-        match self.b.send(ask).await.unwrap_or(claims::ABSTAINS) {
-            claims::GRANTED => Ok(()),
-            claims::VOIDED => Err(f("voided", "the request was given up before and never runs").outcome(Outcome::NotRun)),
-            claims::TAKEN => {
-                Err(f("claimed", "another round of this request may have run or may be running").outcome(Outcome::Unknown))
+            Step::Claim { void } => {
+                let ask = AskClaim { request: r.q.request.clone(), round: r.round, void };
+                Got::Claimed(b.send(ask).await.unwrap_or(claims::ABSTAINS))
             }
-            _ => Err(self.not_run(f("no_claim", "no majority of the claim's holders answered").retry(1_000)).await),
-        }
+            Step::Place => Got::Placed(place(b, r, until).await),
+            Step::Call(p) if p.stale(clock::now()) => {
+                let _ = b.send(Done(p, Ended::Dropped)).await;
+                Got::Begun(Err(NotBegun::Stale))
+            }
+            Step::Call(p) => {
+                let x = round::begin(&client(), &r.q, &p, until).await;
+                if let Err(e) = &x {
+                    event(events::ROUND_FAILED, &p.replica, &e.to_string());
+                    let _ = b.send(Done(p, e.ended())).await;
+                }
+                Got::Begun(x.map(|round| begun = Some(round)))
+            }
+            Step::Budget => Got::Budget(budget(b, &r.q.request).await),
+            Step::Stream(p) => match begun.take() {
+                Some(round) => return Ok((p, round)),
+                None => return Err(Fault::new("overload", "begin", "the round was lost").outcome(Outcome::Unknown)),
+            },
+            Step::Reply(f) => return Err(f),
+        };
+        step = r.next(got);
     }
+}
 
-    async fn place(&self, tried: &[String]) -> Result<Placed, Fault> {
-        if let Some(r) = &self.q.resume {
-            let (q, id) = (self.q.clone(), r.replica.clone());
-            let found = look(&self.b, move |a, now| a.brain.resume(&q, &id, now)).await.map_err(|a| a.1)?;
-            return found.ok_or_else(|| {
-                Fault::new("replica_gone", "resume", "the replica of this run is gone").outcome(Outcome::Unknown)
-            });
-        }
-        let time_left = self.until.saturating_sub(clock::now());
-        let m = FindPlace { q: self.q.clone(), rank: self.rank, time_left, tried: tried.to_vec() };
-        self.b.send(m).await.unwrap_or_else(|e| Err(busy(e).1))
+async fn place(b: &Brain, r: &Request, until: Ms) -> Result<Placed, Fault> {
+    if let Some(at) = &r.q.resume {
+        let (q, id) = (r.q.clone(), at.replica.clone());
+        let found = look(b, move |a, now| a.brain.resume(&q, &id, now)).await.map_err(|a| a.1)?;
+        return found.ok_or_else(|| Fault::new("replica_gone", "resume", "the replica of this run is gone"));
     }
+    let time_left = until.saturating_sub(clock::now());
+    let m = FindPlace { q: r.q.clone(), rank: r.rank, time_left, tried: r.tried.clone() };
+    b.send(m).await.unwrap_or_else(|e| Err(busy(e).1))
+}
 
-    /// Finds a replica that begins the request: a second only if the first certainly ran nothing.
-    async fn begin(&self) -> Result<(Placed, Round), Fault> {
-        let mut tried = Vec::new();
-        loop {
-            let p = match self.place(&tried).await {
-                Ok(p) => p,
-                Err(f) if f.outcome == Some(Outcome::Unknown) => return Err(f),
-                Err(f) => return Err(self.not_run(f).await),
-            };
-            let f = match round::begin(&client(), &self.q, &p, self.until).await {
-                Ok(r) => return Ok((p, r)),
-                Err(NotBegun::Unknown(f)) => {
-                    event(events::ROUND_FAILED, &p.replica, &f.to_string());
-                    let _ = self.b.send(Done(p, Ended::Failed)).await;
-                    return Err(f.outcome(Outcome::Unknown));
-                }
-                Err(NotBegun::NotRun(f)) => f,
-            };
-            let ended = if f.code == "busy" { Ended::Busy } else { Ended::Dropped };
-            event(events::ROUND_FAILED, &p.replica, &f.to_string());
-            tried.push(p.replica.clone());
-            let _ = self.b.send(Done(p, ended)).await;
-            let again = self.q.resume.is_none() && look(&self.b, |a, _| a.brain.second_round()).await.unwrap_or(false);
-            if !again {
-                event(events::NO_BUDGET, "caller", &self.q.request);
-                let f = match look(&self.b, |a, _| {
-                    a.brain.reject("full", "second_round", "the replica took nothing and no second round is left")
-                })
-                .await
-                {
-                    Ok(r) => r,
-                    Err(_) => f.retry(1_000),
-                };
-                return Err(self.not_run(f).await);
-            }
-            event(events::SECOND_ROUND, "caller", &self.q.request);
+async fn budget(b: &Brain, request: &str) -> Result<(), Fault> {
+    let r = look(b, |a, _| {
+        if a.brain.second_round() {
+            return Ok(());
         }
-    }
+        Err(a.brain.reject("full", "second_round", "the replica took nothing and no second round is left"))
+    });
+    let r = r.await.map_err(|a| a.1)?;
+    let e = if r.is_ok() { events::SECOND_ROUND } else { events::NO_BUDGET };
+    event(e, "caller", request);
+    r
+}
 
-    /// Passes a begun round on until its end; whatever is not the end mark ends as unknown.
-    async fn pass_on(self, p: Placed, mut r: Round, out: Lines) {
-        let line = |l: &StreamLine| {
-            let mut v = serde_json::to_vec(l).unwrap_or_default();
-            v.push(b'\n');
-            Ok(Bytes::from(v))
-        };
-        let expected = look(&self.b, {
-            let (s, l) = (self.q.service.clone(), self.q.lane.clone());
-            move |a, _| a.brain.expected(&s, &l)
-        });
-        let expected = expected.await.unwrap_or(0);
-        let mut pieces = 0;
-        let ended = loop {
-            let (l, end) = match r.next().await {
-                Next::Start(s) => (StreamLine { start: Some(s), piece: None, end: None }, None),
-                Next::Line(l) => {
-                    pieces += 1;
-                    (l, None)
-                }
-                Next::End(l) => {
-                    let slow = expected > 0 && clock::now().saturating_sub(p.at) > expected * SLOW_FACTOR;
-                    (l, Some(if slow { Ended::Slow } else { Ended::Answered }))
-                }
-                Next::Broken(f) => {
-                    event(events::ROUND_FAILED, &p.replica, &f.to_string());
-                    let e = StreamEnd { outcome: Outcome::Unknown, pieces, fault: Some(f) };
-                    (StreamLine { start: None, piece: None, end: Some(e) }, Some(Ended::Failed))
-                }
-            };
-            // A caller that left leaves its replica too; nothing is said about the version.
-            if out.send(line(&l)).await.is_err() {
-                break end.unwrap_or(Ended::Dropped);
+/// Passes a begun round on until its end; whatever is not the end mark ends as unknown.
+async fn pass_on(b: Brain, q: RunRequest, p: Placed, mut r: Round, out: Lines) {
+    let expected = look(&b, move |a, _| a.brain.expected(&q.service, &q.lane)).await.unwrap_or(0);
+    let ended = loop {
+        let (l, end) = match r.next().await {
+            Next::Line(l) => (l, None),
+            Next::End(l) => {
+                let slow = expected > 0 && clock::now().saturating_sub(p.at) > expected * SLOW_FACTOR;
+                (l, Some(if slow { Ended::Slow } else { Ended::Answered }))
             }
-            if let Some(e) = end {
-                break e;
+            Next::Broken(l) => {
+                let f = l.end.as_ref().and_then(|e| e.fault.as_ref()).map(|f| f.to_string());
+                event(events::ROUND_FAILED, &p.replica, &f.unwrap_or_default());
+                (l, Some(Ended::Failed))
             }
         };
-        let _ = self.b.send(Done(p, ended)).await;
-    }
+        let mut v = serde_json::to_vec(&l).unwrap_or_default();
+        v.push(b'\n');
+        // A caller that left leaves its replica too; nothing is said about the version.
+        if out.send(Ok(Bytes::from(v))).await.is_err() {
+            break end.unwrap_or(Ended::Dropped);
+        }
+        if let Some(e) = end {
+            break e;
+        }
+    };
+    let _ = b.send(Done(p, ended)).await;
 }
 
 async fn run(b: Brain, q: web::Json<RunRequest>) -> Reply {
     let q = q.into_inner();
     let until = clock::now() + q.time_left_ms;
-    let mut run = Run { b, round: fastrand::u64(1..), until, rank: 0, q };
-    let begun = async {
-        let q = run.q.clone();
-        let checked = look(&run.b, move |a, now| a.brain.check(&q, now)).await.map_err(|a| a.1)?;
-        run.rank = match checked {
-            Ok(r) => r,
-            Err(f) => return Err(run.not_run(f).await),
-        };
-        run.claim().await?;
-        let _ = look(&run.b, |a, _| a.brain.first_round()).await;
-        run.begin().await
-    };
-    let (p, r) = match begun.await {
+    let mut r = Request::new(q, fastrand::u64(1..));
+    let (p, round) = match steps(&b, &mut r, until).await {
         Ok(x) => x,
         Err(f) => {
             event(events::REJECTED, "caller", &f.to_string());
@@ -219,7 +168,7 @@
         }
     };
     let (s, lines) = mpsc::channel(LINES);
-    actix_rt::spawn(run.pass_on(p, r, s));
+    actix_rt::spawn(pass_on(b, r.q, p, round, s));
     let body = futures_util::stream::unfold(lines, |mut r| async { r.recv().await.map(|x| (x, r)) });
     Ok(HttpResponse::Ok().content_type("application/x-ndjson").streaming(body))
 }
