--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -15,7 +15,10 @@
     claims,
     control::{LEAVING, SPEC, evacuated},
     health::{Health, Verdict},
-    limits::{AFFINITY_BUSY, COLD_PLACES, KV_FULL, REPORT_OLD, RETRY_AFTER, SECOND_ROUNDS, SECOND_ROUNDS_FREE, WAITING, WARM_UP},
+    limits::{
+        AFFINITY_BUSY, COLD_PLACES, KV_FULL, PLACE_OLD, REPORT_OLD, RETRY_AFTER, SECOND_ROUNDS, SECOND_ROUNDS_FREE, WAITING,
+        WARM_UP,
+    },
     order::weight,
     register::DUTY,
 };
