--- /dev/null
+++ b/fleet-simulator/src/lib.rs
@@ -0,0 +1,9 @@
+//! Whole fleets in virtual time, by seed, with faults; and the checkers of what callers, replicas and
+//! operators observed, which real fleets use as well.
+
+pub mod checkers;
+pub mod deployment;
+pub mod faults;
+pub mod history;
+pub mod schedule;
+pub mod world;
--- a/fleet-simulator/src/main.rs
+++ b/fleet-simulator/src/main.rs
@@ -1,1 +1,101 @@
-fn main() {}
+//! Runs whole fleets in virtual time by seed, checks what was observed, and prints how to replay a failure.
+
+use std::{collections::BTreeMap, process::exit};
+
+use clap::{Arg, ArgAction, Command};
+use fleet_simulator::{
+    checkers,
+    deployment::Deployment,
+    history::History,
+    schedule::{self, LENGTH, NAMES},
+    world::World,
+};
+
+fn main() {
+    let list: String = NAMES.iter().map(|(n, h)| format!("  {n:18} {h}\n")).collect();
+    let number = |n: &'static str, d: &'static str, h: &'static str| {
+        Arg::new(n).long(n).default_value(d).value_parser(clap::value_parser!(u64)).help(h)
+    };
+    let m = Command::new("fleet-simulator")
+        .about("Runs whole fleets in virtual time")
+        .after_help(format!("Schedules:\n{list}"))
+        .arg(Arg::new("deployment").long("deployment").default_value("dentaplan").help("dentaplan, registry or all"))
+        .arg(Arg::new("schedule").long("schedule").default_value("all").help("a schedule's name, or all"))
+        .arg(number("seed", "1", "First seed"))
+        .arg(number("seeds", "1", "How many seeds"))
+        .arg(Arg::new("trace").long("trace").action(ArgAction::SetTrue).help("Print the events of a run"))
+        .arg(Arg::new("figures").long("figures").action(ArgAction::SetTrue).help("Print what callers saw"))
+        .get_matches();
+    let text = |n: &str| m.get_one::<String>(n).cloned().unwrap_or_default();
+    let num = |n: &str| m.get_one::<u64>(n).copied().unwrap_or(1);
+    let bad = |e: String| -> ! {
+        eprintln!("{e}");
+        exit(2)
+    };
+    let deployments: Vec<Deployment> = match text("deployment").as_str() {
+        "all" => ["dentaplan", "registry"].iter().filter_map(|n| Deployment::named(n)).collect(),
+        n => match Deployment::named(n) {
+            Some(d) => vec![d],
+            None => bad(format!("no deployment {n}")),
+        },
+    };
+    let names: Vec<&str> = match text("schedule").as_str() {
+        "all" => NAMES.iter().map(|n| n.0).collect(),
+        n => match NAMES.iter().find(|x| x.0 == n) {
+            Some(x) => vec![x.0],
+            None => bad(format!("no schedule {n}; --help lists them")),
+        },
+    };
+    let (mut runs, mut failed) = (0, 0);
+    for d in &deployments {
+        for name in &names {
+            for seed in num("seed")..num("seed") + num("seeds") {
+                let Some(s) = schedule::named(name, seed, d) else { continue };
+                let mut w = World::new(d.clone(), seed, LENGTH, s);
+                w.run();
+                runs += 1;
+                let found = checkers::check(&w.h);
+                if m.get_flag("figures") {
+                    println!("{} {name} seed {seed}", d.name);
+                    figures(&w.h);
+                    if let Some(r) = w.rollout() {
+                        println!("  rollout {:?} stable {} target {:?} alerts {:?}", r.phase, r.stable, r.target, r.alerts);
+                    }
+                }
+                if m.get_flag("trace") {
+                    w.trace.iter().for_each(|l| println!("{l}"));
+                }
+                if found.is_empty() {
+                    continue;
+                }
+                failed += 1;
+                println!("FAILED fleet-simulator --deployment {} --schedule {name} --seed {seed} --trace", d.name);
+                found.iter().take(5).for_each(|f| println!("  {f}"));
+            }
+        }
+    }
+    println!("{runs} runs, {failed} failed");
+    exit(i32::from(failed > 0))
+}
+
+fn figures(h: &History) {
+    let mut rows: BTreeMap<(&str, &str), [u64; 5]> = BTreeMap::new();
+    for t in &h.told {
+        let r = rows.entry((&t.lane, &t.tier)).or_default();
+        r[0] += 1;
+        r[1] += u64::from(t.in_time);
+        r[2] += u64::from(t.outcome == "rejected" || t.outcome == "not_run");
+        r[3] += u64::from(t.outcome == "unknown");
+        r[4] += u64::from(t.warm);
+    }
+    for ((l, t), r) in rows {
+        println!(
+            "  {l:14} {t:11} asked {:>5} in time {:>5} rejected {:>4} unknown {:>4} warm {:>5}",
+            r[0], r[1], r[2], r[3], r[4]
+        );
+    }
+    let mut codes: BTreeMap<(&str, &str), u64> = BTreeMap::new();
+    h.told.iter().filter(|t| t.outcome != "answered").for_each(|t| *codes.entry((&t.outcome, &t.code)).or_default() += 1);
+    codes.iter().for_each(|((o, c), n)| println!("  {o} {c}: {n}"));
+    println!("  runs {} calls {} asked {} specs {} refused {}", h.runs.len(), h.calls, h.asked, h.specs.len(), h.refused.len());
+}
--- a/fleet-tools/src/lib.rs
+++ b/fleet-tools/src/lib.rs
@@ -2,6 +2,6 @@
 //! in a deployment.
 
 pub mod caller;
-pub mod deployment;
+pub use fleet_simulator::deployment;
 pub mod fleet;
 pub mod replica;
