--- a/fleet-simulator/src/history.rs
+++ b/fleet-simulator/src/history.rs
@@ -62,7 +62,7 @@
     pub cold: Vec<(Ms, String, u32)>,
     /// The platform's warning was accepted.
     pub warned: Vec<(Ms, String)>,
-    /// A zone was evacuated (true) or restored, accepted.
+    /// A zone's evacuation was accepted (true), or its restoring was asked for: an answer may be lost.
     pub zones: Vec<(Ms, String, bool)>,
     /// A spec was accepted: when, its version, its mark.
     pub specs: Vec<(Ms, u64, u64)>,
@@ -74,5 +74,7 @@
     pub bad: Vec<(Ms, String, Option<String>)>,
     /// Every daemon was down until then.
     pub losses: Vec<Ms>,
+    /// A machine of an edge stood still from, to: nobody there could answer.
+    pub stalls: Vec<(Ms, Ms)>,
     pub end_ms: Ms,
 }
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -739,7 +739,7 @@
                 }
             }
             (Op::Spec(m), WriteOutcome::Conflict(_) | WriteOutcome::NotAccepted(_)) => self.h.refused.push(m),
-            (Op::Zone(z, on), WriteOutcome::Accepted(_)) => self.h.zones.push((self.now, z, on)),
+            (Op::Zone(z, true), WriteOutcome::Accepted(_)) => self.h.zones.push((self.now, z, true)),
             (Op::Warned(r), WriteOutcome::Accepted(_)) => self.h.warned.push((self.now, r)),
             _ => {}
         }
@@ -1509,7 +1509,10 @@
                 self.after(down, Ev::Start(To::Proxy(at)));
             }
             Fault::FreezeControl { at, ms } => self.ctl[at].frozen = now + ms,
-            Fault::FreezeEdge { at, ms } => self.edges[at].frozen = now + ms,
+            Fault::FreezeEdge { at, ms } => {
+                self.edges[at].frozen = now + ms;
+                self.h.stalls.push((now, now + ms));
+            }
             Fault::Cut { a, b, ms, one_way } => self.cuts.push(Cut { a, b, until: now + ms, one_way }),
             Fault::DiskSlow { at, sync, ms } => self.ctl[at].disk.slow = (sync, now + ms),
             Fault::DiskFull { at, ms } => self.ctl[at].disk.full_until = now + ms,
@@ -1573,6 +1576,9 @@
     fn zone(&mut self, nth: usize, evacuated: bool) {
         let Some(i) = self.any() else { return };
         let zone = self.d.spec.zones[nth % self.d.spec.zones.len()].name.clone();
+        if !evacuated {
+            self.h.zones.push((self.now, zone.clone(), false));
+        }
         let z = ZoneState { zone: zone.clone(), evacuated };
         let bytes = serde_json::to_vec(&z).unwrap_or_default();
         self.write(i, &format!("{ZONE}{zone}"), None, bytes, Op::Zone(zone, evacuated));
