An edge that was cut off serves again only on a control majority's word

Cause: when its cut ended an edge heard most edges before any control daemon, took the stable rule and served 100 ms under a spec two versions old. Ruled out: late commits (the spec was on all daemons 4 s earlier) and repair (digests had not yet been exchanged, so nothing was mended). The stable rule is now only for agents that went on hearing the others without a gap.

--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -213,8 +213,9 @@
         if hears {
             self.heard = at;
         }
-        // After a freeze this agent's picture of the others is old until it has heard them again.
-        let awake = now.saturating_sub(self.woke) > NODE_GONE;
+        // An agent that was cut off or asleep may hold old news: from then on only a control majority lets it
+        // serve again. The stable rule is for those that went on hearing the others all along.
+        let awake = self.rule != RULE_NONE && now.saturating_sub(self.woke) > NODE_GONE;
         let alone = now.saturating_sub(self.heard) > STABLE_BOUND;
         let (rule, until) = if hears {
             (RULE_ALL, until)
