A deposed owner learns its write's outcome from the next owner's commit

Cause: an owner whose own voter had promised a higher epoch went on offering writes, was rejected and answered unknown, though the next commit tells. Before: every write at a former owner after a one-way cut ended unknown. After: its own promise deposes it at once, and a write in flight is answered accepted or conflict as soon as the key's next commit shows which.

--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -42,6 +42,16 @@
     sent: Ms,
 }
 
+/// A write whose owner was deposed: what the next owner commits tells what became of it.
+#[derive(Clone, Debug)]
+struct Limbo {
+    token: u64,
+    key: Name,
+    version: u64,
+    value: Blob,
+    at: Ms,
+}
+
 #[derive(Clone, Debug)]
 enum Phase {
     /// Promises so far, and the newest accepted value among them.
@@ -79,6 +89,7 @@
     addrs: BTreeMap<Name, Name>,
     slots: BTreeMap<Name, Slot>,
     own: BTreeMap<Name, Own>,
+    limbo: Vec<Limbo>,
     /// Who may keep a duty, as this voter let it: epoch, member epoch, until.
     grants: BTreeMap<Name, (u64, u32, Ms)>,
     abstain_until: Ms,
@@ -98,6 +109,7 @@
             addrs: BTreeMap::new(),
             slots: BTreeMap::new(),
             own: BTreeMap::new(),
+            limbo: Vec::new(),
             grants: BTreeMap::new(),
             // A voter that has just started has forgotten whom it let keep a duty; it waits those permits out.
             abstain_until: now + PERMIT,
@@ -204,6 +216,10 @@
         }
         s.promised = m.epoch;
         let slot = s.clone();
+        // Its own promise tells this daemon that the key is no longer its own.
+        if self.own.get(&m.key).is_some_and(|o| o.epoch < m.epoch) {
+            self.give_up(&m.key, "another daemon takes the key", out);
+        }
         let then = vec![send(to, Promise { epoch: m.epoch, me, ok: 1, wait: 0, slot: slot.clone() })];
         out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then });
     }
@@ -229,8 +245,23 @@
         out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then: vec![send(to, a)] });
     }
 
+    /// Ends writes in limbo. Had a majority taken such a write, the next owner would have written it
+    /// again; another value under its version means that it never was and never will be the value.
+    fn settle_limbo(&mut self, c: &Change, out: &mut Effects) {
+        self.limbo.retain(|l| {
+            let mine = l.key == c.key && l.version == c.version;
+            if mine {
+                let same = l.value == c.value;
+                let outcome = if same { WriteOutcome::Accepted(c.version) } else { WriteOutcome::Conflict(c.version) };
+                out.push(Effect::Answer { token: l.token, outcome });
+            }
+            !mine
+        });
+    }
+
     /// Learns a committed value.
     pub fn on_commit(&mut self, c: &Change, out: &mut Effects) {
+        self.settle_limbo(c, out);
         self.highest = self.highest.max(c.epoch);
         let s = self.slot(&c.key);
         if (c.epoch, c.version) < (s.epoch, s.version) || (s.epoch, s.version, s.committed) == (c.epoch, c.version, c.version) {
@@ -279,8 +310,10 @@
     /// Gives up a key: what was offered may still count, what waited never will.
     fn give_up(&mut self, key: &Name, why: &'static str, out: &mut Effects) {
         let Some(o) = self.own.remove(key) else { return };
-        if let Some(token) = o.write.and_then(|w| w.token) {
-            out.push(Effect::Answer { token, outcome: WriteOutcome::Unknown });
+        if let Some(w) = o.write
+            && let Some(token) = w.token
+        {
+            self.limbo.push(Limbo { token, key: key.clone(), version: w.version, value: w.value, at: w.at });
         }
         let no = WriteOutcome::NotAccepted(why);
         out.extend(o.waiting.into_iter().map(|a| Effect::Answer { token: a.token, outcome: no }));
@@ -447,6 +480,14 @@
 
     /// Takes, hands over, resends, renews and times out. `wanted`: keys that must have an owner.
     pub fn tick(&mut self, now: Ms, live: &dyn Fn(&str) -> bool, wanted: &[Name], out: &mut Effects) {
+        self.limbo.retain(|l| {
+            let late = now.saturating_sub(l.at) > WRITE_LIMIT;
+            if late {
+                out.push(note(events::WRITE_UNKNOWN, &self.name, format!("{} version {}", l.key, l.version)));
+                out.push(Effect::Answer { token: l.token, outcome: WriteOutcome::Unknown });
+            }
+            !late
+        });
         if !self.voting {
             return;
         }
