Judge a version's failures over all lanes as well as each

Cause: a canary with 54% failures showed two on one lane and one on the other; neither lane alone had the three that the verdict needs, for 8 s.

--- a/coordination/src/health.rs
+++ b/coordination/src/health.rs
@@ -90,6 +90,12 @@
         let mut lanes: Vec<&Name> = self.sums.keys().filter(|c| &*c.0 == new).map(|c| &c.1).collect();
         lanes.dedup();
         for w in [HEALTH_WINDOW, LONG_WINDOW] {
+            // Few failures on each of several lanes are many together.
+            let of = |v: &str| self.within(now, w, |c| &*c.0 == v);
+            let (n, o) = (of(new), of(old));
+            if worse((n.0, n.1), (o.0, o.1)) {
+                return Verdict::Bad;
+            }
             for l in &lanes {
                 let of = |v: &str, warm: Option<bool>| {
                     self.within(now, w, |c| &*c.0 == v && c.1 == **l && warm.is_none_or(|x| x == c.2))
