Stable rule by comparing boards with most edges; health in several windows

Ruled out: late commits (specs were on all reachable daemons in 30 ms). Claims now wait 300 ms, as a void follows them.

--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -14,7 +14,7 @@
     claims::{Claimer, Holding},
     effect::{note, send},
     events,
-    limits::{NODE_GONE, PERMIT, POLL_EVERY, REPAIR_EVERY, RULE_LIFE, STABLE_BOUND, TICK},
+    limits::{MET, MISSED, NODE_GONE, PERMIT, POLL_EVERY, REPAIR_EVERY, RULE_LIFE, STABLE_BOUND, TICK},
     membership::{CONTROL, EDGE, Membership},
 };
 
@@ -63,6 +63,8 @@
     next_board: Ms,
     fresh: Vec<Change>,
     woke: Ms,
+    /// When each edge was last asked for a comparison of boards that it answered.
+    met: BTreeMap<Name, Ms>,
 }
 
 impl Agent {
@@ -84,6 +86,7 @@
             next_board: 0,
             fresh: Vec::new(),
             woke: 0,
+            met: BTreeMap::new(),
         }
     }
     pub fn board(&self) -> &Board {
@@ -104,12 +107,14 @@
             Msg::News(m) => self.on_news(from, m, now, &mut out),
             Msg::Digests(m) => {
                 let ranges = self.board.differ(&m.ranges);
-                if !ranges.is_empty() {
-                    let changes = List(self.board.within(&ranges));
-                    out.push(send(addr, Mend { changes, answer: 0, indexes: List(ranges) }));
-                }
+                let changes = List(self.board.within(&ranges));
+                out.push(send(addr, Mend { sent: m.sent, changes, answer: 0, indexes: List(ranges) }));
+            }
+            Msg::Mend(m) => {
+                let at = self.met.entry(from.clone()).or_insert(0);
+                *at = (*at).max(m.sent);
+                self.on_mend(addr, m, &mut out);
             }
-            Msg::Mend(m) => self.on_mend(addr, m, &mut out),
             Msg::Claim(m) => self.holding.on_claim(self.mship.me(), addr, m, now, &mut out),
             Msg::Claimed(m) => {
                 let ended = self.claimer.on_claimed(from, m);
@@ -199,10 +204,19 @@
             .filter(|c| m.changes.iter().find(|o| o.key == c.key).is_none_or(|o| crate::board::stamp(c) > crate::board::stamp(o)))
             .collect();
         if m.answer == 0 && !newer.is_empty() {
-            out.push(send(addr, Mend { changes: List(newer), answer: 1, indexes: List::default() }));
+            out.push(send(addr, Mend { sent: 0, changes: List(newer), answer: 1, indexes: List::default() }));
         }
     }
 
+    /// Whether most edges have lately compared boards with this one. Rumours would not do: a beat that is
+    /// passed on may be seconds old, and news that most edges have must have come here by now.
+    fn meets_most_edges(&self, now: Ms) -> bool {
+        let all = self.mship.known(EDGE).count() + 1;
+        let met =
+            self.mship.known(EDGE).filter(|n| self.met.get(&n.name).is_some_and(|t| now.saturating_sub(*t) <= MET)).count() + 1;
+        met * 2 > all
+    }
+
     /// Works out the rule and until when it holds.
     fn judge(&mut self, now: Ms, out: &mut Effects) -> Ms {
         let mut sent: Vec<Ms> = self.sources.values().map(|s| s.sent).collect();
@@ -219,7 +233,7 @@
         let alone = now.saturating_sub(self.heard) > STABLE_BOUND;
         let (rule, until) = if hears {
             (RULE_ALL, until)
-        } else if self.ready && awake && !alone && self.mship.hears_most_edges() {
+        } else if self.ready && awake && !alone && self.meets_most_edges(now) {
             (RULE_STABLE, now + RULE_LIFE)
         } else {
             (RULE_NONE, 0)
@@ -262,13 +276,7 @@
             self.poll(now, &mut out);
         }
         if now >= self.next_repair {
-            self.next_repair = now + REPAIR_EVERY;
-            let ranges = List(self.board.digests());
-            let near: Vec<Node> = self.mship.view().into_iter().filter(|n| n.role == EDGE).collect();
-            let i = (now / REPAIR_EVERY) as usize;
-            if let Some(n) = near.get(i % near.len().max(1)) {
-                out.push(send(&n.addr, Digests { ranges }));
-            }
+            self.repair(now, &mut out);
         }
         self.judge(now, &mut out);
         if now >= self.next_board {
@@ -277,6 +285,20 @@
         out
     }
 
+    /// Compares boards with one neighbour, or with every edge while no control majority is heard.
+    fn repair(&mut self, now: Ms, out: &mut Effects) {
+        let ask = |n: &Node, b: &Board| send(&n.addr, Digests { sent: now, ranges: List(b.digests()) });
+        if now.saturating_sub(self.heard) > MISSED && self.heard > 0 {
+            self.next_repair = now + MET / 3;
+            out.extend(self.mship.known(EDGE).map(|n| ask(n, &self.board)));
+            return;
+        }
+        self.next_repair = now + REPAIR_EVERY;
+        let near: Vec<Node> = self.mship.view().into_iter().filter(|n| n.role == EDGE).collect();
+        let i = (now / REPAIR_EVERY) as usize;
+        out.extend(near.get(i % near.len().max(1)).map(|n| ask(n, &self.board)));
+    }
+
     fn poll(&mut self, now: Ms, out: &mut Effects) {
         let (tallies, opens) = match &self.proxy {
             Some(p) => (p.tallies.clone(), p.opens.clone()),
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -8,7 +8,7 @@
 };
 use wire_messages::{
     Beat, Blob, Change, Forward, Forwarded, Genesis, Join, List, Msg, Name, News, Node, Open, Permit, Poll, Slots, SlotsAsk,
-    Voter,
+    Tally, Voter,
 };
 
 use crate::{
@@ -351,9 +351,14 @@
 
     fn on_poll(&mut self, addr: &Name, m: Poll, now: Ms, out: &mut Effects) {
         let name = m.node.name.clone();
-        for t in &m.tallies.0 {
-            let l = self.loops.entry(t.service.to_string()).or_insert_with(|| Loop::new(now));
-            l.health.feed(&name, std::slice::from_ref(t));
+        let mut by: BTreeMap<Name, Vec<Tally>> = BTreeMap::new();
+        // Services without a count yet are told too: a source is known from its first word on.
+        for s in self.spec().map_or(vec![], |s| s.services) {
+            by.insert(s.name.into(), vec![]);
+        }
+        m.tallies.0.into_iter().for_each(|t| by.entry(t.service.clone()).or_default().push(t));
+        for (s, v) in by {
+            self.loops.entry(s.to_string()).or_insert_with(|| Loop::new(now)).health.feed(&name, &v);
         }
         let full = m.run != self.run;
         let after = if full { 0 } else { m.after };
--- a/coordination/src/health.rs
+++ b/coordination/src/health.rs
@@ -1,13 +1,13 @@
 //! Health of versions: counts of ended and failed requests by version, lane and cache warmth, summed
 //! over edges, and the verdict on one version against another.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use wire_messages::{Name, Tally};
 
 use crate::{
     Ms,
-    limits::{BAD_FAILURES, BAD_MARGIN, HEALTH_WINDOW},
+    limits::{BAD_FAILURES, BAD_MARGIN, HEALTH_WINDOWS},
 };
 
 /// Version, lane, warm.
@@ -15,8 +15,8 @@
 /// Ended, failed, slow.
 type Counts = (u64, u64, u64);
 
-/// ms. The long window: a quiet service's failures are few and far between.
-const LONG_WINDOW: Ms = 30_000;
+/// ms. The longest window.
+const LONG_WINDOW: Ms = HEALTH_WINDOWS[HEALTH_WINDOWS.len() - 1];
 /// ms. Spacing of remembered sums.
 const SPACING: Ms = 250;
 
@@ -30,6 +30,7 @@
 pub struct Health {
     /// Last cumulative counts of each source's cell, so that a restarted source adds nothing twice.
     last: BTreeMap<(Name, Cell, u8), Counts>,
+    sources: BTreeSet<Name>,
     sums: BTreeMap<Cell, Counts>,
     past: VecDeque<(Ms, BTreeMap<Cell, Counts>)>,
 }
@@ -44,12 +45,20 @@
 impl Health {
     /// Adds a source's cumulative tallies of one service.
     pub fn feed(&mut self, source: &Name, tallies: &[Tally]) {
+        // What a source counted before it was first heard is of no known time.
+        let first = self.sources.insert(source.clone());
         for t in tallies {
             let cell = (t.version.clone(), t.lane.clone(), t.warm != 0);
             let c = (t.ok + t.failed, t.failed, t.slow);
             let old = self.last.insert((source.clone(), cell.clone(), t.group), c).unwrap_or_default();
             // Counts below the last ones are a new life of the source: they count from nought.
-            let d = if c.0 < old.0 { c } else { minus(c, old) };
+            let d = if first {
+                Counts::default()
+            } else if c.0 < old.0 {
+                c
+            } else {
+                minus(c, old)
+            };
             let s = self.sums.entry(cell).or_default();
             *s = plus(*s, d);
         }
@@ -89,27 +98,25 @@
     pub fn judge(&self, new: &str, old: &str, now: Ms) -> Verdict {
         let mut lanes: Vec<&Name> = self.sums.keys().filter(|c| &*c.0 == new).map(|c| &c.1).collect();
         lanes.dedup();
-        for w in [HEALTH_WINDOW, LONG_WINDOW] {
-            // Few failures on each of several lanes are many together.
-            let of = |v: &str| self.within(now, w, |c| &*c.0 == v);
-            let (n, o) = (of(new), of(old));
-            if worse((n.0, n.1), (o.0, o.1)) {
-                return Verdict::Bad;
-            }
-            for l in &lanes {
-                let of = |v: &str, warm: Option<bool>| {
-                    self.within(now, w, |c| &*c.0 == v && c.1 == **l && warm.is_none_or(|x| x == c.2))
-                };
-                let (n, o) = (of(new, None), of(old, None));
-                if worse((n.0, n.1), (o.0, o.1)) {
+        // Few failures on each of several lanes are many together; all on one lane are many there.
+        let cells = std::iter::once(None).chain(lanes.into_iter().map(Some));
+        for l in cells {
+            let of = |w: Ms, v: &str, warm: Option<bool>| {
+                self.within(now, w, |c| &*c.0 == v && l.is_none_or(|l| c.1 == *l) && warm.is_none_or(|x| x == c.2))
+            };
+            let long = of(LONG_WINDOW, old, None);
+            for w in HEALTH_WINDOWS {
+                let (n, o) = (of(w, new, None), of(w, old, None));
+                // What befalls both versions in one window is no fault of the new one, nor is what the old one always has.
+                if worse((n.0, n.1), (o.0, o.1)) && worse((n.0, n.1), (long.0, long.1)) {
                     return Verdict::Bad;
                 }
-                for warm in [true, false] {
-                    let (n, o) = (of(new, Some(warm)), of(old, Some(warm)));
-                    // Without a like cache on the other side nothing can be said about slowness.
-                    if o.0 >= BAD_FAILURES && worse((n.0, n.2), (o.0, o.2)) {
-                        return Verdict::Bad;
-                    }
+            }
+            for warm in [true, false] {
+                let (n, o) = (of(LONG_WINDOW, new, Some(warm)), of(LONG_WINDOW, old, Some(warm)));
+                // Without a like cache on the other side nothing can be said about slowness.
+                if o.0 >= BAD_FAILURES && worse((n.0, n.2), (o.0, o.2)) {
+                    return Verdict::Bad;
                 }
             }
         }
@@ -145,6 +152,7 @@
     fn verdict(rows: &[Tally]) -> Verdict {
         let mut h = Health::default();
         h.restart(0);
+        h.feed(&"e1".into(), &[]);
         h.feed(&"e1".into(), rows);
         h.judge("v2", "v1", 1_000)
     }
@@ -171,7 +179,8 @@
     fn a_restarted_source_is_not_counted_twice_and_old_failures_leave_the_window() {
         let mut h = Health::default();
         h.restart(0);
-        h.feed(&"e1".into(), &[tally("v2", "a", true, 10, 0, 0)]);
+        h.feed(&"e1".into(), &[tally("v2", "a", true, 900, 0, 0)]);
+        h.feed(&"e1".into(), &[tally("v2", "a", true, 910, 0, 0)]);
         h.feed(&"e1".into(), &[tally("v2", "a", true, 2, 0, 0)]);
         expect_that!(h.ended("v2", 10), eq(12));
         h.feed(&"e1".into(), &[tally("v2", "a", true, 2, 5, 0)]);
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -38,14 +38,18 @@
 pub const NODE_FORGOTTEN: Ms = 600_000;
 /// ms. Range digests between neighbouring agents.
 pub const REPAIR_EVERY: Ms = 500;
+/// ms. A comparison of boards counts as lately made; three are tried within it.
+pub const MET: Ms = 900;
+/// ms. Without a control majority for so long an agent compares boards with every edge, well before its rule lapses.
+pub const MISSED: Ms = 1_200;
 /// Ranges that keys are split into for repair.
 pub const RANGES: u16 = 16;
 /// ms. How long an edge that hears no control majority goes on with stable versions while it hears most edges.
 pub const STABLE_BOUND: Ms = 60_000;
 /// ms. A rule handed to a proxy holds this long; an agent that died is noticed by then.
 pub const RULE_LIFE: Ms = 1_500;
-/// ms. Longest wait for a claim's majority; three loopback or in-country round trips.
-pub const CLAIM_LIMIT: Ms = 500;
+/// ms. Longest wait for a claim's majority; many in-country round trips, and short enough to void after it.
+pub const CLAIM_LIMIT: Ms = 300;
 /// ms. How long claims are remembered: five times the longest time left that a lane may grant.
 pub const CLAIM_KEPT: Ms = 600_000;
 /// Holders of one claim: a majority of three outlives one of them.
@@ -70,8 +74,9 @@
 pub const BAD_FAILURES: u64 = 3;
 /// Percent by which a version's failure rate must exceed the other's.
 pub const BAD_MARGIN: u64 = 10;
-/// ms. Window that failure rates are taken over; the brief cuts a bad version within 5 s.
-pub const HEALTH_WINDOW: Ms = 4_000;
+/// ms. Windows that failure rates are taken over: short ones show a version that has just turned, long ones
+/// a quiet service's.
+pub const HEALTH_WINDOWS: [Ms; 6] = [1_000, 2_000, 4_000, 8_000, 16_000, 30_000];
 /// ms. A loop step that has not moved for this long raises the stuck alert.
 pub const STUCK_AFTER: Ms = 60_000;
 /// ms. A loading replica that takes longer is counted late and its start is not repeated before.
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -121,9 +121,11 @@
 /// Prefixes remembered; the oldest go first.
 const PREFIXES: usize = 20_000;
 /// ms. A version that was capped stays so until it has shown nothing for this long.
-const SUSPECT_FOR: Ms = 3_000;
+const SUSPECT_FOR: Ms = 15_000;
 /// Percent of its time left that a request may spend waiting for a place.
 const WAIT_PERCENT: u64 = 20;
+/// ms. Longest wait for a place: a rejection that comes later is no answer at once.
+const WAIT_MAX: Ms = 600;
 /// Ended requests over a lane's expected time by this factor count as slow.
 pub const SLOW_FACTOR: u64 = 4;
 
@@ -555,7 +557,12 @@
         let Some(stable) = self.records.get(&p.service).map(|r| r.2.stable.clone()) else { return };
         let rows = self.hello().tallies.0;
         let rows: Vec<Tally> = rows.into_iter().filter(|t| *t.service == *p.service).collect();
-        let h = self.health.entry(p.service.clone()).or_default();
+        let h = self.health.entry(p.service.clone()).or_insert_with(|| {
+            // This proxy has counted everything itself: nothing came before.
+            let mut h = Health::default();
+            h.feed(&self.name, &[]);
+            h
+        });
         h.feed(&self.name, &rows);
         h.tick(now);
         if p.version != stable && h.judge(&p.version, &stable, now) == Verdict::Bad {
@@ -584,7 +591,7 @@
 
     /// Lets a request wait for a place; the worst of a full buffer gives way. Gives tokens to reject.
     pub fn wait(&mut self, token: u64, rank: u32, time_left: Ms, now: Ms) -> Vec<u64> {
-        let until = now + time_left * WAIT_PERCENT / 100;
+        let until = now + (time_left * WAIT_PERCENT / 100).min(WAIT_MAX);
         let at = self.waiting.iter().position(|w| w.rank > rank).unwrap_or(self.waiting.len());
         self.waiting.insert(at, Waiting { token, rank, until });
         if self.waiting.len() <= WAITING {
--- a/fleet-simulator/src/checkers.rs
+++ b/fleet-simulator/src/checkers.rs
@@ -210,7 +210,7 @@
 fn at_once(h: &History) -> Found {
     let stalled = |t: &Told| h.stalls.iter().any(|s| s.0 <= t.at_ms + t.ms && s.1 >= t.at_ms);
     let rejected = h.told.iter().filter(|t| (t.outcome == "not_run" || t.outcome == "rejected") && t.code != "unreachable");
-    let slow = rejected.clone().filter(|t| t.ms > AT_ONCE && t.code != "full" && !stalled(t));
+    let slow = rejected.clone().filter(|t| t.ms > AT_ONCE && !stalled(t));
     let mut f: Found = slow.map(|t| format!("{} was rejected as {} after {} ms", t.request, t.code, t.ms)).collect();
     let mute = rejected.filter(|t| {
         t.retry_after_ms.is_none()
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -82,8 +82,9 @@
     /// `full`: a frame of all keys, not a piece of the feed.
     21u8 News { sent: u64, run: u64, upto: u64, full: u8, settled: u8, voters: u32, changes: List<Change>, permits: List<Permit> }
     30u8 Shuffle { nodes: List<Node>, answer: u8 }
-    31u8 Digests { ranges: List<Range> }
-    32u8 Mend { changes: List<Change>, answer: u8, indexes: List<Range> }
+    /// `sent` comes back in the answer: an agent that hears no control daemon counts who answers it.
+    31u8 Digests { sent: u64, ranges: List<Range> }
+    32u8 Mend { sent: u64, changes: List<Change>, answer: u8, indexes: List<Range> }
     /// Take the single run of a request, or void it so that it can never run.
     33u8 Claim { token: u64, request: Name, round: u64, void: u8, age: u64 }
     /// `state`: 0 granted, 1 another round's, 2 voided, 3 abstains.
