--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -37,6 +37,7 @@
 #[derive(Clone, Debug, Default)]
 struct Proxy {
     addr: Name,
+    life: u64,
     at: Ms,
     tallies: Vec<Tally>,
     opens: Vec<Open>,
@@ -145,7 +146,7 @@
     fn on_hello(&mut self, addr: &Name, m: ProxyHello, now: Ms) {
         self.mship.set_http(&m.http);
         let full = self.proxy.as_ref().is_some_and(|p| p.full && p.addr == *addr && now.saturating_sub(p.at) < RULE_LIFE);
-        self.proxy = Some(Proxy { addr: addr.clone(), at: now, tallies: m.tallies.0, opens: m.opens.0, full });
+        self.proxy = Some(Proxy { addr: addr.clone(), life: m.born, at: now, tallies: m.tallies.0, opens: m.opens.0, full });
     }
 
     fn on_news(&mut self, from: &Name, m: News, now: Ms, out: &mut Effects) {
@@ -300,9 +301,9 @@
     }
 
     fn poll(&mut self, now: Ms, out: &mut Effects) {
-        let (tallies, opens) = match &self.proxy {
-            Some(p) => (p.tallies.clone(), p.opens.clone()),
-            None => (vec![], vec![]),
+        let (life, tallies, opens) = match &self.proxy {
+            Some(p) => (p.life, p.tallies.clone(), p.opens.clone()),
+            None => (0, vec![], vec![]),
         };
         let seen = self.board.rows().map(|c| Change { value: Default::default(), ..c.clone() });
         let seen: List<Change> = seen.collect();
@@ -312,6 +313,7 @@
             let s = self.sources.get(&n.name).cloned().unwrap_or_default();
             let m = Poll {
                 node: self.mship.me().clone(),
+                life,
                 sent: now,
                 run: s.run,
                 after: s.upto,
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -358,7 +358,7 @@
         }
         m.tallies.0.into_iter().for_each(|t| by.entry(t.service.clone()).or_default().push(t));
         for (s, v) in by {
-            self.loops.entry(s.to_string()).or_insert_with(|| Loop::new(now)).health.feed(&name, &v);
+            self.loops.entry(s.to_string()).or_insert_with(|| Loop::new(now)).health.feed(&name, m.life, &v);
         }
         let full = m.run != self.run;
         let after = if full { 0 } else { m.after };
@@ -551,6 +551,8 @@
             return vec![];
         }
         self.next_loop = now + LOOP_EVERY;
+        // Every daemon keeps the evidence: whoever takes a duty over judges by it at once.
+        self.loops.values_mut().for_each(|l| l.health.tick(now));
         let (Some(spec), Some(platform)) = (self.spec(), self.platform.clone()) else { return vec![] };
         let leaving: BTreeSet<String> = self.board.under(LEAVING).map(|(r, _)| r.to_string()).collect();
         let mut out = Vec::new();
@@ -559,10 +561,7 @@
             let Some((epoch, until)) = self.regs.holds(&key, now) else {
                 // Timings of a duty that is not held are worth nothing when it comes back.
                 if let Some(l) = self.loops.get_mut(&s.name) {
-                    let h = std::mem::take(&mut l.health);
-                    *l = Loop::new(now);
-                    l.health = h;
-                    l.health.tick(now);
+                    *l = Loop { health: std::mem::take(&mut l.health), ..Loop::new(now) };
                 }
                 continue;
             };
--- a/coordination/src/health.rs
+++ b/coordination/src/health.rs
@@ -1,7 +1,7 @@
 //! Health of versions: counts of ended and failed requests by version, lane and cache warmth, summed
 //! over edges, and the verdict on one version against another.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use wire_messages::{Name, Tally};
 
@@ -28,9 +28,9 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    /// Last cumulative counts of each source's cell, so that a restarted source adds nothing twice.
+    /// Last cumulative counts of each source's cell.
     last: BTreeMap<(Name, Cell, u8), Counts>,
-    sources: BTreeSet<Name>,
+    sources: BTreeMap<Name, u64>,
     sums: BTreeMap<Cell, Counts>,
     past: VecDeque<(Ms, BTreeMap<Cell, Counts>)>,
 }
@@ -44,9 +44,13 @@
 
 impl Health {
     /// Adds a source's cumulative tallies of one service.
-    pub fn feed(&mut self, source: &Name, tallies: &[Tally]) {
-        // What a source counted before it was first heard is of no known time.
-        let first = self.sources.insert(source.clone());
+    pub fn feed(&mut self, source: &Name, life: u64, tallies: &[Tally]) {
+        // What a source counted before it was first heard is of no known time; a later life counts from nought.
+        let old = self.sources.insert(source.clone(), life);
+        let first = old.is_none();
+        if old.is_some_and(|o| o != life) {
+            self.last.retain(|(s, ..), _| s != source);
+        }
         for t in tallies {
             let cell = (t.version.clone(), t.lane.clone(), t.warm != 0);
             let c = (t.ok + t.failed, t.failed, t.slow);
@@ -152,8 +156,8 @@
     fn verdict(rows: &[Tally]) -> Verdict {
         let mut h = Health::default();
         h.restart(0);
-        h.feed(&"e1".into(), &[]);
-        h.feed(&"e1".into(), rows);
+        h.feed(&"e1".into(), 1, &[]);
+        h.feed(&"e1".into(), 1, rows);
         h.judge("v2", "v1", 1_000)
     }
 
@@ -179,11 +183,11 @@
     fn a_restarted_source_is_not_counted_twice_and_old_failures_leave_the_window() {
         let mut h = Health::default();
         h.restart(0);
-        h.feed(&"e1".into(), &[tally("v2", "a", true, 900, 0, 0)]);
-        h.feed(&"e1".into(), &[tally("v2", "a", true, 910, 0, 0)]);
-        h.feed(&"e1".into(), &[tally("v2", "a", true, 2, 0, 0)]);
-        expect_that!(h.ended("v2", 10), eq(12));
-        h.feed(&"e1".into(), &[tally("v2", "a", true, 2, 5, 0)]);
+        h.feed(&"e1".into(), 1, &[tally("v2", "a", true, 900, 0, 0)]);
+        h.feed(&"e1".into(), 1, &[tally("v2", "a", true, 910, 0, 0)]);
+        h.feed(&"e1".into(), 2, &[tally("v2", "a", true, 12, 0, 0)]);
+        expect_that!(h.ended("v2", 10), eq(22));
+        h.feed(&"e1".into(), 2, &[tally("v2", "a", true, 12, 5, 0)]);
         expect_that!(h.judge("v2", "v1", 100), eq(Verdict::Bad));
         (0..400).for_each(|i| h.tick(i * 250));
         expect_that!(h.judge("v2", "v1", 100_000), eq(Verdict::Fine));
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -485,6 +485,10 @@
                 return Admit::Go(self.begin(q, role, v, id, addr, now));
             }
         }
+        // A second round does not wait again: its answer is due at once.
+        if !tried.is_empty() {
+            return Admit::Reject(self.reject("full", "place", "no other replica has a place"));
+        }
         Admit::Full
     }
 
@@ -560,10 +564,10 @@
         let h = self.health.entry(p.service.clone()).or_insert_with(|| {
             // This proxy has counted everything itself: nothing came before.
             let mut h = Health::default();
-            h.feed(&self.name, &[]);
+            h.feed(&self.name, self.born, &[]);
             h
         });
-        h.feed(&self.name, &rows);
+        h.feed(&self.name, self.born, &rows);
         h.tick(now);
         if p.version != stable && h.judge(&p.version, &stable, now) == Verdict::Bad {
             self.suspects.insert(p.version.clone(), now + SUSPECT_FOR);
--- a/coordination/src/rollout.rs
+++ b/coordination/src/rollout.rs
@@ -248,7 +248,8 @@
         }
         // Canary and baseline start in the same record, so that they meet the same traffic.
         let began = *self.canary_at.get_or_insert(now);
-        if began == now {
+        // A duty that changes hands goes on with the evidence; only a canary that starts is judged afresh.
+        if began == now && members(r, GroupRole::Canary, &t).is_empty() {
             self.health.restart(now);
         }
         let c = v.i.spec.canary_percent;
--- a/edge-proxy/src/round.rs
+++ b/edge-proxy/src/round.rs
@@ -17,7 +17,7 @@
 /// Longest line a replica may send, in bytes.
 const LINE_MAX: usize = 256 << 10;
 /// ms. Opening a connection to a replica.
-const OPEN_LIMIT: Ms = 400;
+const OPEN_LIMIT: Ms = 300;
 
 type Body = Pin<Box<dyn Stream<Item = Result<Bytes, awc::error::PayloadError>>>>;
 
--- a/fleet-simulator/src/checkers.rs
+++ b/fleet-simulator/src/checkers.rs
@@ -104,7 +104,9 @@
         if *version < old {
             f.push(format!("{edge} slipped back from {old} to {version} at {t}"));
         }
-        let due = h.specs.iter().filter(|s| s.0 + HONOURED < *t).map(|s| s.1).max().unwrap_or(0);
+        // A spec accepted while every edge is out of reach is due once they can be reached again.
+        let apart = |s: Ms| h.apart.iter().filter(|a| a.0 <= s + HONOURED && a.1 > s).map(|a| a.1).max().unwrap_or(s);
+        let due = h.specs.iter().filter(|s| apart(s.0) + HONOURED < *t).map(|s| s.1).max().unwrap_or(0);
         if *version < due {
             f.push(format!("{edge} still honours {version} at {t}, {due} was due"));
         }
--- a/fleet-simulator/src/history.rs
+++ b/fleet-simulator/src/history.rs
@@ -76,5 +76,7 @@
     pub losses: Vec<Ms>,
     /// A machine of an edge stood still from, to: nobody there could answer.
     pub stalls: Vec<(Ms, Ms)>,
+    /// No edge could reach any control daemon from, to. What was accepted then can reach nobody.
+    pub apart: Vec<(Ms, Ms)>,
     pub end_ms: Ms,
 }
--- a/fleet-simulator/src/main.rs
+++ b/fleet-simulator/src/main.rs
@@ -25,6 +25,7 @@
         .arg(number("seeds", "1", "How many seeds"))
         .arg(Arg::new("trace").long("trace").action(ArgAction::SetTrue).help("Print the events of a run"))
         .arg(Arg::new("figures").long("figures").action(ArgAction::SetTrue).help("Print what callers saw"))
+        .arg(Arg::new("history").long("history").value_name("FILE").help("Write what was observed in the last run, as JSON"))
         .get_matches();
     let text = |n: &str| m.get_one::<String>(n).cloned().unwrap_or_default();
     let num = |n: &str| m.get_one::<u64>(n).copied().unwrap_or(1);
@@ -62,6 +63,11 @@
                         println!("  rollout {:?} stable {} target {:?} alerts {:?}", r.phase, r.stable, r.target, r.alerts);
                     }
                 }
+                if let Some(f) = m.get_one::<String>("history")
+                    && let Err(e) = std::fs::write(f, serde_json::to_vec(&w.h).unwrap_or_default())
+                {
+                    bad(format!("{f}: {e}"))
+                }
                 if m.get_flag("trace") {
                     w.trace.iter().for_each(|l| println!("{l}"));
                 }
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -31,7 +31,7 @@
 /// ms. Hello of proxies, as the shell sends it.
 const HELLO_EVERY: Ms = 200;
 /// ms. A connection that nobody answers is given up.
-const OPEN_LIMIT: Ms = 400;
+const OPEN_LIMIT: Ms = 300;
 /// ms. Loading a version.
 const LOAD: Ms = 1_500;
 /// Places of a replica.
@@ -1328,11 +1328,13 @@
 
     fn begun(&mut self, id: u64, life: u64, got: Result<(), NotBegun>) {
         let now = self.now;
-        let Some(f) = self.flows.get(&id).filter(|f| f.life == life) else { return };
+        let Some(f) = self.flows.get_mut(&id).filter(|f| f.life == life) else { return };
         if life != self.edges[f.edge].life {
             return;
         }
-        if let (Err(e), Some(p)) = (&got, f.placed.clone()) {
+        if got.is_err()
+            && let (Err(e), Some(p)) = (&got, f.placed.take())
+        {
             let ended = e.ended();
             if let Some(b) = self.edges[f.edge].proxy.as_mut() {
                 b.done(&p, ended, now);
@@ -1408,6 +1410,11 @@
     /// The caller hears nothing more of its request.
     fn lost(&mut self, id: u64) {
         let Some(f) = self.flows.get_mut(&id) else { return };
+        // The shell notices that the caller has left and gives its place back.
+        let e = &mut self.edges[f.edge];
+        if let (Some(p), Some(b), true) = (f.placed.take(), e.proxy.as_mut(), f.life == e.life) {
+            b.done(&p, Ended::Dropped, self.now);
+        }
         let nominated = !f.told.request.is_empty();
         f.told.outcome = if nominated { "unknown" } else { "rejected" }.into();
         f.told.code = "unreachable".into();
@@ -1513,7 +1520,13 @@
                 self.edges[at].frozen = now + ms;
                 self.h.stalls.push((now, now + ms));
             }
-            Fault::Cut { a, b, ms, one_way } => self.cuts.push(Cut { a, b, until: now + ms, one_way }),
+            Fault::Cut { a, b, ms, one_way } => {
+                let (es, cs) = (self.edges.iter().all(|e| a.contains(&e.name)), self.ctl.iter().all(|c| b.contains(&c.p.name.0)));
+                if es && cs {
+                    self.h.apart.push((now, now + ms));
+                }
+                self.cuts.push(Cut { a, b, until: now + ms, one_way });
+            }
             Fault::DiskSlow { at, sync, ms } => self.ctl[at].disk.slow = (sync, now + ms),
             Fault::DiskFull { at, ms } => self.ctl[at].disk.full_until = now + ms,
             Fault::ReplicaCrash { nth, down } => {
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -77,8 +77,8 @@
     /// A starter or newcomer asks for all slots a voter has, once the voter follows member epoch `me`.
     14u8 SlotsAsk { me: u32 }
     15u8 Slots { me: u32, slots: List<Slot> }
-    /// An agent asks for news: `sent` comes back so that permits count from the asking.
-    20u8 Poll { node: Node, sent: u64, run: u64, after: u64, tallies: List<Tally>, opens: List<Open>, seen: List<Change> }
+    /// An agent asks for news. `life`: of the proxy whose tallies it brings. `sent` comes back so that permits count from the asking.
+    20u8 Poll { node: Node, life: u64, sent: u64, run: u64, after: u64, tallies: List<Tally>, opens: List<Open>, seen: List<Change> }
     /// `full`: a frame of all keys, not a piece of the feed.
     21u8 News { sent: u64, run: u64, upto: u64, full: u8, settled: u8, voters: u32, changes: List<Change>, permits: List<Permit> }
     30u8 Shuffle { nodes: List<Node>, answer: u8 }
