--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -561,7 +561,7 @@
             let Some((epoch, until)) = self.regs.holds(&key, now) else {
                 // Timings of a duty that is not held are worth nothing when it comes back.
                 if let Some(l) = self.loops.get_mut(&s.name) {
-                    *l = Loop { health: std::mem::take(&mut l.health), ..Loop::new(now) };
+                    l.rest(now);
                 }
                 continue;
             };
--- a/coordination/src/rollout.rs
+++ b/coordination/src/rollout.rs
@@ -123,6 +123,11 @@
         l
     }
 
+    /// The duty is not held here: all timing is forgotten, the evidence is kept.
+    pub fn rest(&mut self, now: Ms) {
+        *self = Loop { health: std::mem::take(&mut self.health), phase_at: now, moved_at: now, ..Loop::default() };
+    }
+
     fn enter(&mut self, r: &mut RolloutRecord, p: RolloutPhase, now: Ms) {
         r.phase = p;
         (self.phase_at, self.canary_at) = (now, None);
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -1014,6 +1014,9 @@
                     told.proxy_zone = self.edges[e2].zone.clone();
                     self.add_flow(twin, q, told, e2, until);
                     let ms = self.rng.u64(5..1_500);
+                    if let Some(f) = self.flows.get_mut(&twin) {
+                        f.told.at_ms = now + ms;
+                    }
                     self.after(ms, Ev::Run { flow: twin, edge: e2 });
                     self.after(until.saturating_sub(now) + PATIENCE, Ev::TimeUp { flow: twin });
                 }
@@ -1423,7 +1426,7 @@
 
     fn finish(&mut self, id: u64) {
         let Some(mut f) = self.flows.remove(&id) else { return };
-        f.told.ms = self.now - f.told.at_ms;
+        f.told.ms = self.now.saturating_sub(f.told.at_ms);
         f.told.in_time = f.told.outcome == "answered" && self.now <= f.until;
         self.h.told.push(f.told);
     }
