--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -485,7 +485,7 @@
                 let (hello, replicas) = (p.hello(), p.replicas());
                 if now >= self.edges[i].next_hello {
                     self.edges[i].next_hello = now + HELLO_EVERY;
-                    self.to_agent(i, hello.into());
+                    self.post_agent(i, hello.into());
                 }
                 if now >= self.edges[i].next_report {
                     self.edges[i].next_report = now + REPORT_EVERY;
@@ -593,7 +593,7 @@
         }
     }
 
-    fn to_agent(&mut self, i: usize, msg: Msg) {
+    fn post_agent(&mut self, i: usize, msg: Msg) {
         let (name, addr, to): (Name, Name, Name) =
             (format!("proxy-{}", i + 1).into(), format!("x{}", i + 1).into(), format!("a{}", i + 1).into());
         self.post(To::Proxy(i), &name, &addr, &to, msg);
@@ -1082,7 +1082,7 @@
                     self.claims.insert(m.token, id);
                     let token = m.token;
                     self.seq += 1;
-                    self.to_agent(edge, m.into());
+                    self.post_agent(edge, m.into());
                     return self.after(2 * CLAIM_LIMIT, Ev::ClaimLate { flow: id, token });
                 }
                 Step::Place => {
