A new duty holder hears all replicas before it decides; edges tell recent counts

Cause: after a handover the holder's first pass had no reports, took the canary for not ready, dropped it and began it afresh without the evidence; and a daemon that had just started knew nothing of failures before its first poll. Ruled out: thresholds (the counts at the holder were nought).

--- a/coordination/src/health.rs
+++ b/coordination/src/health.rs
@@ -33,6 +33,8 @@
     sources: BTreeMap<Name, u64>,
     sums: BTreeMap<Cell, Counts>,
     past: VecDeque<(Ms, BTreeMap<Cell, Counts>)>,
+    /// Sums at the last restart: nothing before it counts.
+    floor: BTreeMap<Cell, Counts>,
 }
 
 fn minus(a: Counts, b: Counts) -> Counts {
@@ -45,7 +47,8 @@
 impl Health {
     /// Adds a source's cumulative tallies of one service.
     pub fn feed(&mut self, source: &Name, life: u64, tallies: &[Tally]) {
-        // What a source counted before it was first heard is of no known time; a later life counts from nought.
+        // Of what a source counted before it was first heard only its last half minute is evidence; a later
+        // life of it counts from nought.
         let old = self.sources.insert(source.clone(), life);
         let first = old.is_none();
         if old.is_some_and(|o| o != life) {
@@ -72,7 +75,8 @@
             return;
         }
         self.past.push_back((now, self.sums.clone()));
-        while self.past.front().is_some_and(|(t, _)| now.saturating_sub(*t) > LONG_WINDOW) {
+        // One that is older than the longest window stays: it is that window's beginning.
+        while self.past.get(1).is_some_and(|(t, _)| now.saturating_sub(*t) > LONG_WINDOW) {
             self.past.pop_front();
         }
     }
@@ -80,16 +84,21 @@
     pub fn restart(&mut self, now: Ms) {
         self.past.clear();
         self.past.push_back((now, self.sums.clone()));
+        self.floor = self.sums.clone();
     }
     /// Counts within the last `w` ms, of cells that `f` picks.
     fn within(&self, now: Ms, w: Ms, f: impl Fn(&Cell) -> bool) -> Counts {
-        let base = self.past.iter().find(|(t, _)| now.saturating_sub(*t) <= w).map(|(_, m)| m);
+        let base = self.past.iter().rev().find(|(t, _)| now.saturating_sub(*t) >= w).map_or(&self.floor, |(_, m)| m);
         let mut sum = (0, 0, 0);
         for (c, v) in self.sums.iter().filter(|(c, _)| f(c)) {
-            sum = plus(sum, minus(*v, base.and_then(|m| m.get(c)).copied().unwrap_or_default()));
+            sum = plus(sum, minus(*v, base.get(c).copied().unwrap_or_default()));
         }
         sum
     }
+    /// What one cell counted in the longest window.
+    pub fn recent(&self, version: &str, lane: &str, warm: bool, now: Ms) -> Counts {
+        self.within(now, LONG_WINDOW, |c| &*c.0 == version && &*c.1 == lane && c.2 == warm)
+    }
     /// Requests of a version that ended since the last restart, within the long window.
     pub fn ended(&self, version: &str, now: Ms) -> u64 {
         self.within(now, LONG_WINDOW, |c| &*c.0 == version).0
@@ -150,6 +159,7 @@
             failed,
             slow,
             group: 0,
+            ..Tally::default()
         }
     }
 
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -60,6 +60,8 @@
 pub const REPORT_OLD: Ms = 1_200;
 /// ms. The rollout loop's period.
 pub const LOOP_EVERY: Ms = 300;
+/// ms. A new duty holder waits so long for the reports of all replicas; some may be dark.
+pub const HEAR_ALL: Ms = 2_000;
 /// Replicas that retire in one step, at least; the source's value.
 pub const STEP_MIN: usize = 3;
 /// Percent of a service that retires in one step when that is more; the source's value.
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -195,17 +195,27 @@
         self.evacuated = zones.iter().filter(|z| evacuated(&self.board, &z.name)).map(|z| z.name.clone()).collect();
     }
 
-    pub fn hello(&self) -> ProxyHello {
-        let tallies = self.tallies.iter().map(|((s, v, l, warm, g), n)| Tally {
-            service: s.as_str().into(),
-            version: v.as_str().into(),
-            lane: l.as_str().into(),
-            warm: (*warm).into(),
-            group: *g,
-            sent: n[0],
-            ok: n[1],
-            failed: n[2],
-            slow: n[3],
+    pub fn hello(&self, now: Ms) -> ProxyHello {
+        let mut told = BTreeSet::new();
+        let tallies = self.tallies.iter().map(|((s, v, l, warm, g), n)| {
+            // Recent counts are kept over all groups, so they go with the first of a cell's groups only.
+            let first = told.insert((s, v, l, *warm));
+            let h = self.health.get(s).filter(|_| first);
+            let new = h.map_or((0, 0, 0), |h| h.recent(v, l, *warm, now));
+            Tally {
+                service: s.as_str().into(),
+                version: v.as_str().into(),
+                lane: l.as_str().into(),
+                warm: (*warm).into(),
+                group: *g,
+                sent: n[0],
+                ok: n[1],
+                failed: n[2],
+                slow: n[3],
+                new_ended: new.0,
+                new_failed: new.1,
+                new_slow: new.2,
+            }
         });
         let opens = self.open.iter().filter(|(_, n)| **n > 0).map(|((r, v), n)| Open {
             replica: r.as_str().into(),
@@ -559,7 +569,7 @@
         }
         // This proxy caps a version as soon as its own counts show failures; the control plane's cut follows.
         let Some(stable) = self.records.get(&p.service).map(|r| r.2.stable.clone()) else { return };
-        let rows = self.hello().tallies.0;
+        let rows = self.hello(now).tallies.0;
         let rows: Vec<Tally> = rows.into_iter().filter(|t| *t.service == *p.service).collect();
         let h = self.health.entry(p.service.clone()).or_insert_with(|| {
             // This proxy has counted everything itself: nothing came before.
--- a/coordination/src/rollout.rs
+++ b/coordination/src/rollout.rs
@@ -12,8 +12,8 @@
     Ms,
     health::{Health, Verdict},
     limits::{
-        CANARY_MIN, CANARY_QUIET, CANARY_REQUESTS, DRAIN_EXTRA, LOAD_LATE, REPORT_OLD, STEP_MIN, STEP_PERCENT, STUCK_AFTER,
-        WARM_UP,
+        CANARY_MIN, CANARY_QUIET, CANARY_REQUESTS, DRAIN_EXTRA, HEAR_ALL, LOAD_LATE, REPORT_OLD, STEP_MIN, STEP_PERCENT,
+        STUCK_AFTER, WARM_UP,
     },
 };
 
@@ -46,6 +46,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Loop {
     pub health: Health,
+    /// Since when the duty is held here.
+    held_at: Ms,
     phase_at: Ms,
     moved_at: Ms,
     shape: Option<(RolloutPhase, usize, usize)>,
@@ -118,14 +120,14 @@
 
 impl Loop {
     pub fn new(now: Ms) -> Self {
-        let mut l = Loop { phase_at: now, moved_at: now, ..Loop::default() };
+        let mut l = Loop { held_at: now, phase_at: now, moved_at: now, ..Loop::default() };
         l.health.restart(now);
         l
     }
 
     /// The duty is not held here: all timing is forgotten, the evidence is kept.
     pub fn rest(&mut self, now: Ms) {
-        *self = Loop { health: std::mem::take(&mut self.health), phase_at: now, moved_at: now, ..Loop::default() };
+        *self = Loop { health: std::mem::take(&mut self.health), held_at: now, phase_at: now, moved_at: now, ..Loop::default() };
     }
 
     fn enter(&mut self, r: &mut RolloutRecord, p: RolloutPhase, now: Ms) {
@@ -173,6 +175,10 @@
             .filter(|p| p.state == PlatformReplicaState::Running && !i.leaving.contains(&p.id))
             .collect();
         let v = View { i, up };
+        // A new holder that has not heard every replica yet would take the unheard for lost.
+        if now.saturating_sub(self.held_at) < HEAR_ALL && v.up.iter().any(|p| v.report(&p.id).is_none()) {
+            return (r, out);
+        }
         r.replicas =
             v.up.iter().map(|p| PlacedReplica { id: p.id.clone(), zone: p.zone.clone(), addr: p.addr.clone() }).collect();
         r.alerts.clear();
@@ -253,10 +259,6 @@
         }
         // Canary and baseline start in the same record, so that they meet the same traffic.
         let began = *self.canary_at.get_or_insert(now);
-        // A duty that changes hands goes on with the evidence; only a canary that starts is judged afresh.
-        if began == now && members(r, GroupRole::Canary, &t).is_empty() {
-            self.health.restart(now);
-        }
         let c = v.i.spec.canary_percent;
         let rest = old.iter().filter(|id| !base.contains(id)).cloned().collect();
         r.groups = vec![
--- a/edge-proxy/src/actor.rs
+++ b/edge-proxy/src/actor.rs
@@ -114,7 +114,7 @@
             return;
         }
         self.next_hello = now + HELLO_EVERY;
-        let mut m = self.brain.hello();
+        let mut m = self.brain.hello(now);
         // A proxy that stops is no longer nominated.
         if self.stopping {
             m.http = Name::default();
--- a/edge-proxy/src/http.rs
+++ b/edge-proxy/src/http.rs
@@ -181,10 +181,10 @@
 }
 
 async fn counters(b: Brain) -> Reply {
-    let (process, v) = look(&b, |a, _| {
+    let (process, v) = look(&b, |a, now| {
         let mut v: Vec<(String, u64)> = a.brain.counters.iter().map(|(n, v)| (n.to_string(), *v)).collect();
         v.push(("spec_version".into(), a.brain.spec_version()));
-        for t in a.brain.hello().tallies.0 {
+        for t in a.brain.hello(now).tallies.0 {
             let at = format!("{}/{}/{}/{}/{}", t.service, t.version, t.lane, if t.warm == 1 { "warm" } else { "cold" }, t.group);
             v.extend([
                 (format!("sent/{at}"), t.sent),
