Count edges' recent failures at a new holder, and judge before anything else

Cause: the counts of the last half minute were told but not taken (an edit had missed its place), and a holder granted the canary its share while it still waited for the replicas' reports. Ruled out: lost counts (edges told them) and windows (they were empty).

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -395,7 +395,9 @@
             let (epoch, until) = self.regs.holds(&c.key, now)?;
             let r: RolloutRecord = serde_json::from_slice(&c.value.0).ok()?;
             let share = r.target.as_deref().map_or(&[][..], |t| members(&r, remote_calls::GroupRole::Canary, t));
-            let share = if share.is_empty() { 0 } else { self.spec().map_or(0, |s| s.canary_percent) };
+            // A holder that does not know the replicas yet has no ground to let a canary have anything.
+            let heard = self.loops.get(s).is_some_and(|l| l.heard);
+            let share = if share.is_empty() || !heard { 0 } else { self.spec().map_or(0, |s| s.canary_percent) };
             let ttl = (until - now).min(PERMIT) as u32;
             Some(Permit { service: s.into(), epoch, version: c.version, canary_share: share, ttl })
         });
--- a/coordination/src/health.rs
+++ b/coordination/src/health.rs
@@ -58,14 +58,7 @@
             let cell = (t.version.clone(), t.lane.clone(), t.warm != 0);
             let c = (t.ok + t.failed, t.failed, t.slow);
             let old = self.last.insert((source.clone(), cell.clone(), t.group), c).unwrap_or_default();
-            // Counts below the last ones are a new life of the source: they count from nought.
-            let d = if first {
-                Counts::default()
-            } else if c.0 < old.0 {
-                c
-            } else {
-                minus(c, old)
-            };
+            let d = if first { (t.new_ended, t.new_failed, t.new_slow) } else { minus(c, old) };
             let s = self.sums.entry(cell).or_default();
             *s = plus(*s, d);
         }
--- a/coordination/src/rollout.rs
+++ b/coordination/src/rollout.rs
@@ -48,6 +48,8 @@
     pub health: Health,
     /// Since when the duty is held here.
     held_at: Ms,
+    /// Every replica was heard or given up: what the loop decides is founded.
+    pub heard: bool,
     phase_at: Ms,
     moved_at: Ms,
     shape: Option<(RolloutPhase, usize, usize)>,
@@ -175,15 +177,21 @@
             .filter(|p| p.state == PlatformReplicaState::Running && !i.leaving.contains(&p.id))
             .collect();
         let v = View { i, up };
-        // A new holder that has not heard every replica yet would take the unheard for lost.
+        let plan = i.plan.filter(|(n, p)| *n != r.failed_plan && p.target != r.stable);
+        // A new holder that has not heard every replica yet would take the unheard for lost. What the edges
+        // counted it knows at once.
         if now.saturating_sub(self.held_at) < HEAR_ALL && v.up.iter().any(|p| v.report(&p.id).is_none()) {
+            let at_work = matches!(r.phase, RolloutPhase::Canary | RolloutPhase::Shifting | RolloutPhase::Baking);
+            if at_work && self.turned_back(&mut r, now) {
+                r.groups.iter_mut().filter(|g| g.version != old.stable).for_each(|g| g.share_percent = 0);
+            }
             return (r, out);
         }
+        self.heard = true;
         r.replicas =
             v.up.iter().map(|p| PlacedReplica { id: p.id.clone(), zone: p.zone.clone(), addr: p.addr.clone() }).collect();
         r.alerts.clear();
 
-        let plan = i.plan.filter(|(n, p)| *n != r.failed_plan && p.target != r.stable);
         self.replan(&mut r, plan, now);
         match r.phase {
             RolloutPhase::Steady => self.steady(&mut r, &v),
