Tell a duty's holder when a voter has promised a higher epoch

Cause: while two daemons took turns after a total loss, one was promised a duty by a majority and then gave way; the other held the key under a lower epoch, got no renewals and no word why, and the duty rested for good. Ruled out: slow disks (the wait went on for 30 s after they were well).

--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -279,7 +279,13 @@
         }
         let mut keys = List::default();
         for h in m.keys {
-            if self.slots.get(&h.key).is_some_and(|s| s.promised == h.epoch) {
+            let promised = self.slots.get(&h.key).map_or(0, |s| s.promised);
+            // Told at once: a holder whom nobody renews any more must not rest on a key that nobody else takes.
+            if promised > h.epoch {
+                out.push(send(to, Accepted { key: h.key, epoch: h.epoch, version: 0, promised, me: self.me, ok: 0 }));
+                continue;
+            }
+            if promised == h.epoch {
                 self.grants.insert(h.key.clone(), (h.epoch, self.me, now + PERMIT));
                 keys.0.push(h);
             }
