--- /dev/null
+++ b/runbook-runner/src/runbook.rs
@@ -0,0 +1,152 @@
+//! A runbook: named steps, each an operator call or a condition to wait for. Read and checked whole
+//! before the first step.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+
+/// s. Longest that one step may wait.
+const WITHIN_MAX: u64 = 3_600;
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Runbook {
+    pub about: String,
+    /// Names that `--set` must give; they stand in the steps as `{name}`.
+    #[serde(default)]
+    pub takes: Vec<String>,
+    pub steps: Vec<Step>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    pub name: String,
+    #[serde(default)]
+    pub call: Option<Call>,
+    #[serde(default)]
+    pub wait: Option<Wait>,
+    /// s. Bound on a wait.
+    #[serde(default)]
+    pub within_s: u64,
+}
+
+/// Operator calls. Each may be made again without harm.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Call {
+    Evacuate {
+        zone: String,
+    },
+    Restore {
+        zone: String,
+    },
+    Plan {
+        service: String,
+        target: String,
+        complete_within_s: u64,
+    },
+    KillSwitch {
+        on: bool,
+    },
+    /// Puts the accepted spec again: proves that a majority of disks takes writes.
+    TouchSpec {},
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Wait {
+    /// The daemon asked has settled, and so many members are live.
+    Members {
+        live: usize,
+    },
+    /// Every edge lately heard honours the accepted spec.
+    Honoured {
+        edges: usize,
+    },
+    Zone {
+        zone: String,
+        evacuated: bool,
+    },
+    /// The service is steady on this version.
+    Stable {
+        service: String,
+        version: String,
+    },
+    /// The member epoch has risen above what it was when the runbook began.
+    MembersChanged {},
+}
+
+/// Reads a runbook, with the line of what is wrong.
+pub fn read(text: &str, set: &BTreeMap<String, String>) -> Result<Runbook, String> {
+    let raw: Runbook = serde_json::from_str(text).map_err(|e| format!("line {}: {e}", e.line()))?;
+    let line = |what: &str| text.lines().position(|l| l.contains(what)).map_or(1, |i| i + 1);
+    for n in &raw.takes {
+        if !set.contains_key(n) {
+            return Err(format!("line {}: needs --set {n}=...", line("\"takes\"")));
+        }
+    }
+    if let Some(n) = set.keys().find(|n| !raw.takes.contains(n)) {
+        return Err(format!("line {}: does not take {n}", line("\"takes\"")));
+    }
+    let mut filled = text.to_string();
+    for (n, v) in set {
+        // As JSON text without its quotes, so that a value cannot break out of its string.
+        let v = serde_json::to_string(v).unwrap_or_default();
+        filled = filled.replace(&format!("{{{n}}}"), v.trim_matches('"'));
+    }
+    let b: Runbook = serde_json::from_str(&filled).map_err(|e| format!("line {}: {e}", e.line()))?;
+    if b.steps.is_empty() {
+        return Err(format!("line {}: has no step", line("\"steps\"")));
+    }
+    for s in &b.steps {
+        let quoted = serde_json::to_string(&s.name).unwrap_or_default();
+        let at = filled.lines().position(|l| l.contains("\"name\"") && l.contains(&quoted)).map_or(1, |i| i + 1);
+        match (&s.call, &s.wait) {
+            (Some(_), None) if s.within_s == 0 => {}
+            (None, Some(_)) if (1..=WITHIN_MAX).contains(&s.within_s) => {}
+            (None, Some(_)) => return Err(format!("line {at}: step {:?} needs within_s of 1 to {WITHIN_MAX}", s.name)),
+            (Some(_), None) => return Err(format!("line {at}: step {:?} calls; only waits take within_s", s.name)),
+            _ => return Err(format!("line {at}: step {:?} must either call or wait", s.name)),
+        }
+    }
+    Ok(b)
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    #[gtest]
+    fn shipped_runbooks_are_valid_and_malformed_ones_name_line_and_reason() {
+        let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/runbooks");
+        let mut n = 0;
+        for f in std::fs::read_dir(dir).unwrap() {
+            let text = std::fs::read_to_string(f.unwrap().path()).unwrap();
+            let takes: Runbook = serde_json::from_str(&text).unwrap();
+            let set = takes.takes.iter().map(|t| (t.clone(), "x".to_string())).collect();
+            expect_that!(read(&text, &set), ok(anything()));
+            n += 1;
+        }
+        expect_that!(n, ge(6));
+        let none = BTreeMap::new();
+        let bad = [
+            ("{\"about\": \"\",\n\"steps\": []}", "line 2: has no step"),
+            ("{\"about\": \"\",\n\"steps\": [\n{\"name\": \"a\"}]}", "line 3: step \"a\" must either call or wait"),
+            (
+                "{\"about\": \"\",\n\"steps\": [\n{\"name\": \"a\", \"wait\": {\"members\": {\"live\": 3}}}]}",
+                "line 3: step \"a\" needs within_s",
+            ),
+            (
+                "{\"about\": \"\",\n\"steps\": [{\"name\": \"a\",\n\"call\": {\"reboot\": {}}}]}",
+                "line 3: unknown variant `reboot`",
+            ),
+            ("{\"about\": \"\", \"takes\": [\"zone\"],\n\"steps\": []}", "line 1: needs --set zone"),
+        ];
+        for (text, why) in bad {
+            expect_that!(read(text, &none), err(starts_with(why)));
+        }
+    }
+}
