--- a/daemon-parts/src/operator.rs
+++ b/daemon-parts/src/operator.rs
@@ -22,6 +22,9 @@
     pub async fn path<B: Serialize, T: DeserializeOwned>(&self, method: &str, path: &str, b: Option<&B>) -> Result<T, Fault> {
         let mut last = Fault::new("unreachable", "call_control", "no control daemon is named");
         for a in &self.control {
+            if a.parse::<std::net::SocketAddr>().is_err() {
+                return Err(Fault::new("bad_request", "call_control", format!("{a:?} is no IP:port")).field("control"));
+            }
             match call_path(&self.client, a, method, path, b, OPERATOR_LIMIT).await {
                 // Only a connection that was never made is certain to have carried nothing.
                 Err(f) if b.is_some() && f.code == "unreachable" && !f.message.contains("onnect") => {
