--- a/fleet-simulator/src/main.rs
+++ b/fleet-simulator/src/main.rs
@@ -6,9 +6,9 @@
 use fleet_simulator::{
     checkers,
     deployment::Deployment,
-    history::History,
+    history::{History, Ms},
     schedule::{self, LENGTH, NAMES},
-    world::World,
+    world::{SAMPLE, World},
 };
 
 fn main() {
@@ -84,6 +84,14 @@
     exit(i32::from(failed > 0))
 }
 
+/// How long after its acceptance every serving edge honoured a spec; none if a newer one came first.
+fn honoured(h: &History, (t, v, _): &(Ms, u64, u64)) -> Option<Ms> {
+    let next = h.specs.iter().filter(|s| s.1 > *v).map(|s| s.0).min().unwrap_or(h.end_ms);
+    let late = h.seen.iter().filter(|s| s.0 >= *t && s.0 < next && s.2 < *v).map(|s| s.0).max();
+    let seen = h.seen.iter().any(|s| s.0 >= *t && s.0 < next && s.2 >= *v);
+    seen.then(|| late.map_or(0, |l| l + SAMPLE - t))
+}
+
 fn figures(h: &History) {
     let mut rows: BTreeMap<(&str, &str), [u64; 5]> = BTreeMap::new();
     for t in &h.told {
@@ -103,5 +111,18 @@
     let mut codes: BTreeMap<(&str, &str), u64> = BTreeMap::new();
     h.told.iter().filter(|t| t.outcome != "answered").for_each(|t| *codes.entry((&t.outcome, &t.code)).or_default() += 1);
     codes.iter().for_each(|((o, c), n)| println!("  {o} {c}: {n}"));
+    let honoured: Vec<Ms> = h.specs.iter().filter_map(|s| honoured(h, s)).collect();
+    if let Some(most) = honoured.iter().max() {
+        let mean = honoured.iter().sum::<Ms>() / honoured.len() as Ms;
+        println!("  specs honoured at every serving edge after {mean} ms on average, {most} ms at most");
+    }
+    for (_, v, _) in &h.bad {
+        let of = h.runs.iter().filter(|r| r.version == *v);
+        println!("  bad {v} got {} of {} requests", of.count(), h.runs.len());
+    }
+    for t in &h.losses {
+        let first = h.told.iter().filter(|x| x.outcome == "answered" && x.at_ms >= *t).map(|x| x.at_ms + x.ms - t).min();
+        println!("  first answer after a total loss: {first:?} ms");
+    }
     println!("  runs {} calls {} asked {} specs {} refused {}", h.runs.len(), h.calls, h.asked, h.specs.len(), h.refused.len());
 }
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -39,7 +39,7 @@
 /// Prefixes a replica caches.
 const CACHE: usize = 64;
 /// ms. Sampling of what edges honour.
-const SAMPLE: Ms = 250;
+pub const SAMPLE: Ms = 50;
 /// ms. Callers come from then on.
 const TRAFFIC_FROM: Ms = 5_000;
 /// ms. A caller gives up so long after its time left.
