--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -11,10 +11,10 @@
 use crate::{
     Effects, Ms,
     board::Board,
-    claims::{Claimer, Holding},
+    claims::{self, Claimer, Holding},
     effect::{note, send},
     events,
-    limits::{MET, MISSED, NODE_GONE, PERMIT, POLL_EVERY, REPAIR_EVERY, RULE_LIFE, STABLE_BOUND, TICK},
+    limits::{KNOWS_EDGES, MET, MISSED, NODE_GONE, PERMIT, POLL_EVERY, REPAIR_EVERY, RULE_LIFE, STABLE_BOUND, TICK},
     membership::{CONTROL, EDGE, Membership},
 };
 
@@ -54,6 +54,7 @@
     permits: BTreeMap<Name, (Permit, Ms)>,
     proxy: Option<Proxy>,
     holding: Holding,
+    began: Ms,
     claimer: Claimer,
     ready: bool,
     rule: u8,
@@ -69,7 +70,7 @@
 }
 
 impl Agent {
-    pub fn new(me: Node, seeds: Vec<Name>, seed: u64) -> Self {
+    pub fn new(me: Node, seeds: Vec<Name>, seed: u64, now: Ms) -> Self {
         Agent {
             mship: Membership::new(Node { role: EDGE, ..me }, seeds, seed),
             board: Board::default(),
@@ -77,7 +78,8 @@
             voters: 0,
             permits: BTreeMap::new(),
             proxy: None,
-            holding: Holding::default(),
+            holding: Holding::new(now),
+            began: now,
             claimer: Claimer::default(),
             ready: false,
             rule: RULE_NONE,
@@ -137,10 +139,13 @@
     }
 
     fn on_claim_ask(&mut self, proxy: &Name, m: ClaimAsk, now: Ms, out: &mut Effects) {
-        let mship = &self.mship;
-        let addr =
-            |n: &str| if n == &*mship.me().name { Some(mship.me().addr.clone()) } else { mship.get(n).map(|n| n.addr.clone()) };
-        self.claimer.ask(&m.request, m.round, m.void, m.age, (proxy.clone(), m.token), addr, now, out);
+        // A young agent may know few edges, and a majority of few is no majority.
+        if m.request.starts_with(claims::KEY) && now.saturating_sub(self.began) < KNOWS_EDGES {
+            out.push(send(proxy, ClaimTold { token: m.token, state: claims::ABSTAINS }));
+            return;
+        }
+        let edges: Vec<Node> = self.mship.known(EDGE).chain([self.mship.me()]).cloned().collect();
+        self.claimer.ask(proxy, &m, &edges, now, out);
     }
 
     fn on_hello(&mut self, addr: &Name, m: ProxyHello, now: Ms) {
--- a/coordination/src/claims.rs
+++ b/coordination/src/claims.rs
@@ -4,13 +4,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use wire_messages::{Claim, Claimed, Name, Node};
+use wire_messages::{Claim, ClaimAsk, ClaimTold, Claimed, Name, Node};
 
 use crate::{
     Effects, Ms,
     effect::{note, send},
     events,
-    limits::{CLAIM_GROUP, CLAIM_KEPT, CLAIM_LIMIT},
+    limits::{CLAIM_GROUP, CLAIM_KEPT, CLAIM_LIMIT, KEY_MARGIN},
     order::agreed,
 };
 
@@ -20,6 +20,9 @@
 pub const VOIDED: u8 = 2;
 pub const ABSTAINS: u8 = 3;
 
+/// Claims on a caller's own key begin with this.
+pub const KEY: &str = "k:";
+
 /// An edge and its life.
 type Holder = (Name, u64);
 
@@ -47,14 +50,27 @@
 /// What this edge granted: request to (round, voided, when).
 #[derive(Clone, Debug, Default)]
 pub struct Holding {
+    /// When this life began.
+    began: Ms,
     rows: BTreeMap<Name, (u64, bool, Ms)>,
     ages: std::collections::VecDeque<(Ms, Name)>,
 }
 
 impl Holding {
+    pub fn new(began: Ms) -> Self {
+        Holding { began, ..Holding::default() }
+    }
+
     /// `me`: this edge and its life.
     pub fn on_claim(&mut self, me: &Node, to: &Name, m: Claim, now: Ms, out: &mut Effects) {
-        let named = holders(&m.request).is_some_and(|h| h.iter().any(|(n, b)| *n == me.name && *b == me.born));
+        // A key names no holders. Its caller says how long ago it first used it, by its own clock: a holder
+        // whose life is shorter than that may have forgotten a grant.
+        let lived = now.saturating_sub(self.began);
+        let named = if m.request.starts_with(KEY) {
+            m.age == 0 || m.age + KEY_MARGIN < lived && m.age < CLAIM_KEPT
+        } else {
+            holders(&m.request).is_some_and(|h| h.iter().any(|(n, b)| *n == me.name && *b == me.born))
+        };
         let state = if !named {
             out.push(note(events::CLAIM_ABSTAINED, to, m.request.to_string()));
             ABSTAINS
@@ -105,27 +121,22 @@
 pub type Ended = (Name, u64, u8);
 
 impl Claimer {
-    /// Asks the id's holders. `addr` finds an edge's address if it is known.
-    #[allow(clippy::too_many_arguments, reason = "one message's fields and where to answer")]
-    pub fn ask(
-        &mut self,
-        request: &Name,
-        round: u64,
-        void: u8,
-        age: u64,
-        proxy: (Name, u64),
-        addr: impl Fn(&str) -> Option<Name>,
-        now: Ms,
-        out: &mut Effects,
-    ) {
-        let Some(h) = holders(request) else {
-            out.push(send(&proxy.0, wire_messages::ClaimTold { token: proxy.1, state: ABSTAINS }));
+    /// Asks the id's holders, or every known edge for a caller's key. `edges`: all that are known, this one
+    /// among them.
+    pub fn ask(&mut self, proxy: &Name, m: &ClaimAsk, edges: &[Node], now: Ms, out: &mut Effects) {
+        let proxy = (proxy.clone(), m.token);
+        let by_key = m.request.starts_with(KEY);
+        let all = || edges.iter().map(|n| (n.name.clone(), n.born)).collect();
+        let h: Option<Vec<Holder>> = if by_key { Some(all()) } else { holders(&m.request) };
+        let Some(h) = h.filter(|h| !h.is_empty()) else {
+            out.push(send(&proxy.0, ClaimTold { token: proxy.1, state: ABSTAINS }));
             return;
         };
         self.token += 1;
         for (n, _) in &h {
-            if let Some(a) = addr(n) {
-                out.push(send(&a, Claim { token: self.token, request: request.clone(), round, void, age }));
+            if let Some(e) = edges.iter().find(|e| e.name == *n) {
+                let c = Claim { token: self.token, request: m.request.clone(), round: m.round, void: m.void, age: m.age };
+                out.push(send(&e.addr, c));
             }
         }
         // A majority of three even where fewer edges were known when the id was minted: one of one would
@@ -210,6 +221,35 @@
         }
     }
 
+    /// A key is claimed on a majority of all edges; one that lived shorter than the key's age abstains.
+    #[gtest]
+    fn a_key_runs_once_over_restarts_of_its_holders() {
+        for seed in 0..2_000 {
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let all = edges();
+            let mut held: Vec<Holding> = all.iter().map(|_| Holding::new(0)).collect();
+            let mut won = 0;
+            let first = 100_000;
+            for round in 1..=3u64 {
+                let now = first + round * 20_000;
+                // Some holders restart between the tries.
+                held.iter_mut().filter(|_| rng.u8(..) < 40).for_each(|h| *h = Holding::new(now - 1_000));
+                let age = if round == 1 { 0 } else { now - first };
+                let mut granted = 0;
+                for (n, h) in all.iter().zip(&mut held).filter(|_| rng.u8(..) < 200) {
+                    let mut out = vec![];
+                    let c = Claim { token: 0, request: "k:mine".into(), round, void: 0, age };
+                    h.on_claim(n, &"p".into(), c, now, &mut out);
+                    granted += usize::from(out.iter().any(
+                        |e| matches!(e, crate::Effect::Send { msg: wire_messages::Msg::Claimed(c), .. } if c.state == GRANTED),
+                    ));
+                }
+                won += usize::from(granted > all.len() / 2);
+            }
+            expect_that!(won, le(1), "seed {seed}");
+        }
+    }
+
     #[gtest]
     fn strange_ids_name_no_holders() {
         for id in [
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -52,6 +52,10 @@
 pub const CLAIM_LIMIT: Ms = 300;
 /// ms. How long claims are remembered: five times the longest time left that a lane may grant.
 pub const CLAIM_KEPT: Ms = 600_000;
+/// ms. A key's age as its caller tells it may be off by so much: two machines' clocks over ten minutes.
+pub const KEY_MARGIN: Ms = 5_000;
+/// ms. An agent knows all edges after so long; before that its majority of them could be another's minority.
+pub const KNOWS_EDGES: Ms = 3_000;
 /// Holders of one claim: a majority of three outlives one of them.
 pub const CLAIM_GROUP: usize = 3;
 /// ms. Replicas and the platform are asked this often.
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -466,6 +466,10 @@
                 .field("request")
                 .outcome(Outcome::NotRun));
         }
+        if q.key.is_some() && !q.run_once {
+            let m = "a key is for what may run only once";
+            return Err(Fault::new("bad_request", "check_request", m).field("key").outcome(Outcome::NotRun));
+        }
         if !q.homes.iter().any(|h| **h == *self.zone) {
             let m = format!("this edge is in zone {}, outside the request's homes", self.zone);
             return Err(Fault::new("wrong_zone", "check_request", m).field("homes").outcome(Outcome::NotRun));
--- a/coordination/src/request.rs
+++ b/coordination/src/request.rs
@@ -85,6 +85,14 @@
         Request { q, round, rank: 0, tried: vec![], placed: None, pending: None, perhaps: false }
     }
 
+    /// What a claim is made on, and how long ago it was first used: the caller's own key, or the id.
+    pub fn claimed_name(&self) -> (String, u64) {
+        match &self.q.key {
+            Some(k) => (format!("{}{}", claims::KEY, k.value.as_str()), k.first_used_ms_ago),
+            None => (self.q.request.clone(), 0),
+        }
+    }
+
     fn claims(&self) -> bool {
         // A resume reads on in a run that was claimed when it began.
         self.q.run_once && self.q.resume.is_none()
@@ -97,7 +105,7 @@
             return Step::Reply(f);
         }
         f.outcome = Some(Outcome::NotRun);
-        if !self.claims() || claims::holders(&self.q.request).is_none() {
+        if !self.claims() || (self.q.key.is_none() && claims::holders(&self.q.request).is_none()) {
             return Step::Reply(f);
         }
         self.pending = Some(f);
--- a/edge-agent/src/main.rs
+++ b/edge-agent/src/main.rs
@@ -83,7 +83,7 @@
         ..Node::default()
     };
     let seeds = p.seeds.iter().map(|s| s.as_str().into()).collect();
-    let brain = Agent::new(me, seeds, born);
+    let brain = Agent::new(me, seeds, born, clock::now());
     let a = AgentActor { name: p.name.clone(), listen: p.listen.clone(), brain, ch: None }.start();
     channels::listen(&p.listen, a.recipient()).await?;
     event(events::STARTED, &p.name, &format!("processes {}", p.listen));
--- a/edge-proxy/src/actor.rs
+++ b/edge-proxy/src/actor.rs
@@ -172,6 +172,8 @@
     pub request: String,
     pub round: u64,
     pub void: bool,
+    /// ms since a caller's key was first used.
+    pub age: u64,
 }
 impl Handler<AskClaim> for ProxyActor {
     type Result = ResponseFuture<u8>;
@@ -179,7 +181,7 @@
         self.token += 1;
         let (s, r) = oneshot::channel();
         self.claims.insert(self.token, s);
-        let ask = ClaimAsk { token: self.token, request: m.request.into(), round: m.round, void: m.void.into(), age: 0 };
+        let ask = ClaimAsk { token: self.token, request: m.request.into(), round: m.round, void: m.void.into(), age: m.age };
         if let Some(ch) = &mut self.ch {
             ch.send(&self.agent, ask.into());
         }
--- a/edge-proxy/src/http.rs
+++ b/edge-proxy/src/http.rs
@@ -76,7 +76,8 @@
                 Got::Checked(checked)
             }
             Step::Claim { void } => {
-                let ask = AskClaim { request: r.q.request.clone(), round: r.round, void };
+                let (request, age) = r.claimed_name();
+                let ask = AskClaim { request, round: r.round, void, age };
                 Got::Claimed(b.send(ask).await.unwrap_or(claims::ABSTAINS))
             }
             Step::Place => Got::Placed(place(b, r, until).await),
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -442,7 +442,7 @@
                     ..Node::default()
                 };
                 let seeds = vec!["c1".into(), "c2".into(), "c3".into()];
-                e.agent = Some(Agent::new(me.clone(), seeds, self.rng.u64(..)));
+                e.agent = Some(Agent::new(me.clone(), seeds, self.rng.u64(..), self.now));
                 self.addrs.insert(me.addr, t);
                 self.after(TICK, Ev::Tick(t));
             }
@@ -1083,13 +1083,8 @@
                     Got::Claimed(claims::GRANTED)
                 }
                 Step::Claim { void } => {
-                    let m = ClaimAsk {
-                        token: self.seq,
-                        request: f.q.request.as_str().into(),
-                        round: r.round,
-                        void: void.into(),
-                        age: 0,
-                    };
+                    let (name, age) = r.claimed_name();
+                    let m = ClaimAsk { token: self.seq, request: name.into(), round: r.round, void: void.into(), age };
                     f.token = m.token;
                     self.claims.insert(m.token, id);
                     let token = m.token;
--- a/fleet-tools/src/bin/fleet-runner.rs
+++ b/fleet-tools/src/bin/fleet-runner.rs
@@ -4,8 +4,9 @@
 
 use clap::{Arg, Command};
 use daemon_parts::{clock, params::EXIT_PARAMS};
+use fleet_simulator::{checkers, history::Told};
 use fleet_tools::{
-    caller::{self, Told, Want},
+    caller::{self, Want},
     deployment::Deployment,
     fleet::Fleet,
 };
@@ -66,7 +67,12 @@
             println!("rollout {} phase {:?} stable {} alerts {:?}", r.service, r.phase, r.stable, r.alerts);
         }
     }
-    Ok(())
+    let found = checkers::check(&f.history(told).await.map_err(|e| e.to_string())?);
+    if found.is_empty() {
+        println!("every checker is content");
+        return Ok(());
+    }
+    Err(found.join("\n"))
 }
 
 /// The deployment's mix at its rate, from callers in every zone.
@@ -119,22 +125,21 @@
 }
 
 fn summary(told: &[Told]) {
-    let mut rows: std::collections::BTreeMap<(&str, &str), [u64; 6]> = Default::default();
+    let mut rows: std::collections::BTreeMap<(&str, &str), [u64; 5]> = Default::default();
     for t in told {
         let r = rows.entry((&t.lane, &t.tier)).or_default();
         r[0] += 1;
         r[1] += u64::from(t.in_time);
         r[2] += u64::from(t.outcome == "rejected" || t.outcome == "not_run");
         r[3] += u64::from(t.outcome == "unknown");
-        r[4] += u64::from(t.broken);
-        r[5] += u64::from(t.warm);
+        r[4] += u64::from(t.warm);
     }
     println!(
         "{:14} {:11} {:>6} {:>8} {:>9} {:>8} {:>7} {:>6}",
         "lane", "tier", "asked", "in time", "rejected", "unknown", "broken", "warm"
     );
     for ((l, t), r) in rows {
-        println!("{l:14} {t:11} {:>6} {:>8} {:>9} {:>8} {:>7} {:>6}", r[0], r[1], r[2], r[3], r[4], r[5]);
+        println!("{l:14} {t:11} {:>6} {:>8} {:>9} {:>8} {:>6}", r[0], r[1], r[2], r[3], r[4]);
     }
     let mut codes: std::collections::BTreeMap<(&str, &str), u64> = Default::default();
     told.iter().filter(|t| t.outcome != "answered").for_each(|t| *codes.entry((&t.outcome, &t.code)).or_default() += 1);
--- a/fleet-tools/src/caller.rs
+++ b/fleet-tools/src/caller.rs
@@ -4,9 +4,9 @@
 
 use awc::Client;
 use daemon_parts::{clock, http::call, limits::CALL_LIMIT};
+use fleet_simulator::history::Told;
 use futures_util::StreamExt;
 use remote_calls::{Fault, NominateRequest, Nomination, Outcome, ResumePoint, RunRequest, StreamLine, calls};
-use serde::Serialize;
 
 use crate::replica::digest;
 
@@ -23,35 +23,6 @@
     pub prompt: String,
 }
 
-/// What a caller saw.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Told {
-    pub request: String,
-    pub lane: String,
-    pub tier: String,
-    pub homes: Vec<String>,
-    pub proxy_zone: String,
-    pub replica: String,
-    pub run: String,
-    pub version: String,
-    pub warm: bool,
-    pub run_once: bool,
-    /// answered, not_run, unknown, or rejected when nothing was nominated.
-    pub outcome: String,
-    pub code: String,
-    pub retry_after_ms: Option<u64>,
-    pub pieces: u64,
-    pub digest: String,
-    /// A piece that was skipped, repeated or out of place.
-    pub broken: bool,
-    pub at_ms: u64,
-    pub ms: u64,
-    pub first_ms: u64,
-    pub in_time: bool,
-    /// How long a rejection took to come.
-    pub rejected_ms: u64,
-}
-
 fn told_fault(t: &mut Told, f: Fault) {
     t.outcome = match f.outcome {
         Some(Outcome::Answered) => "answered",
@@ -89,7 +60,6 @@
         Err(f) => {
             // No answer at all is no rejection: nothing was nominated, so nothing can run.
             told_fault(&mut t, f);
-            t.rejected_ms = clock::now() - at;
         }
     }
     t.ms = clock::now() - at;
@@ -132,34 +102,30 @@
         if let Ok(f) = serde_json::from_slice::<Fault>(&b) {
             told_fault(t, f);
         }
-        t.rejected_ms = clock::now() - t.at_ms;
         return;
     }
-    let mut next = q.resume.as_ref().map_or(1, |r| r.after + 1);
     let mut buffer = Vec::new();
     while let Some(Ok(b)) = a.next().await {
         buffer.extend_from_slice(&b);
         while let Some(i) = buffer.iter().position(|b| *b == b'\n') {
             let line: Vec<u8> = buffer.drain(..=i).collect();
-            let Ok(l) = serde_json::from_slice::<StreamLine>(&line) else { return t.broken = true };
+            let Ok(l) = serde_json::from_slice::<StreamLine>(&line) else { return t.code = "bad_line".into() };
             if let Some(s) = l.start {
-                // Another replica's run would be a joined stream.
-                t.broken |= q.resume.as_ref().is_some_and(|r| r.run != s.run) || s.request != q.request;
+                if !t.runs.contains(&s.run) {
+                    t.runs.push(s.run.clone());
+                }
                 (t.replica, t.run, t.version, t.warm) = (s.replica, s.run, s.version, s.warm);
             }
             if let Some(p) = l.piece {
-                t.broken |= p.n != next;
                 if t.first_ms == 0 {
                     t.first_ms = clock::now() - t.at_ms;
                 }
-                next = p.n + 1;
-                t.pieces += 1;
+                t.pieces.push(p.n);
                 all.push_str(&p.text);
             }
             if let Some(e) = l.end {
                 t.outcome = if e.outcome == Outcome::Answered { "answered" } else { "unknown" }.into();
                 t.code = e.fault.map_or(String::new(), |f| f.code);
-                t.broken |= e.outcome == Outcome::Answered && e.pieces + 1 != next;
                 t.digest = digest(all);
                 return;
             }
@@ -170,6 +136,6 @@
 /// Goes on with a stream that broke off, from the last piece received.
 pub async fn go_on(c: &Client, proxy: &str, q: &RunRequest, t: &mut Told, all: &mut String) {
     let mut q = q.clone();
-    q.resume = Some(ResumePoint { run: t.run.clone(), replica: t.replica.clone(), after: t.pieces });
+    q.resume = Some(ResumePoint { run: t.run.clone(), replica: t.replica.clone(), after: t.pieces.len() as u64 });
     stream(c, proxy, &q, t, all).await;
 }
--- a/fleet-tools/src/fleet.rs
+++ b/fleet-tools/src/fleet.rs
@@ -11,8 +11,9 @@
 };
 
 use awc::Client;
-use daemon_parts::{clock, http::call, operator::Operator};
-use remote_calls::{Health, calls};
+use daemon_parts::{clock, http::call, limits::OPERATOR_LIMIT, operator::Operator};
+use fleet_simulator::history::{History, Run, Told};
+use remote_calls::{Fault, Health, PlatformList, ReplicaRuns, RunState, calls};
 
 use crate::{deployment::Deployment, replica::Behaviour};
 
@@ -200,6 +201,32 @@
         let _ = self.client.put(format!("http://{}{}", p.http, crate::replica::BEHAVE)).send_json(&b).await;
     }
 
+    /// What callers were told, with every replica's own record, for the checkers.
+    pub async fn history(&self, told: Vec<Told>) -> Result<History, Fault> {
+        let Some(p) = self.processes.get("platform") else { return Ok(History::default()) };
+        let l: PlatformList = call::<(), _>(&self.client, &p.http, calls::PLATFORM_LIST, None, OPERATOR_LIMIT).await?;
+        let mut h = History { asked: told.len() as u64, end_ms: clock::now(), ..History::default() };
+        for r in &l.replicas {
+            let runs: ReplicaRuns = call::<(), _>(&self.client, &r.addr, calls::RUNS, None, OPERATOR_LIMIT).await?;
+            h.runs.extend(runs.runs.into_iter().map(|x| Run {
+                run: x.run,
+                request: x.request,
+                replica: r.id.clone(),
+                zone: r.zone.clone(),
+                lane: x.lane,
+                version: x.version,
+                homes: x.homes,
+                done: x.state == RunState::Done,
+                failed: x.state == RunState::Failed,
+                digest: x.digest,
+                at_ms: x.at_ms,
+                end_ms: x.at_ms,
+            }));
+        }
+        h.told = told;
+        Ok(h)
+    }
+
     /// Waits until something holds; the time is a bound on trouble, not a measure.
     pub async fn until<F: AsyncFn(&Fleet) -> bool>(&self, what: &str, limit: Duration, f: F) -> Result<u64, String> {
         let at = clock::now();
