--- a/fleet-simulator/src/checkers.rs
+++ b/fleet-simulator/src/checkers.rs
@@ -55,17 +55,29 @@
     if h.told.iter().any(|t| t.outcome == "answered") { vec![] } else { vec!["nothing was answered".into()] }
 }
 
+/// What may run once: a request id, or all ids that came under one key of a caller.
+fn once_names(h: &History) -> BTreeMap<&str, &str> {
+    let once = h.told.iter().filter(|t| t.run_once && !t.request.is_empty());
+    once.map(|t| (t.request.as_str(), if t.key.is_empty() { t.request.as_str() } else { t.key.as_str() })).collect()
+}
+
 fn run_once(h: &History) -> Found {
-    let once: BTreeSet<&str> = h.told.iter().filter(|t| t.run_once).map(|t| t.request.as_str()).collect();
+    let once = once_names(h);
     let mut n: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
-    h.runs.iter().filter(|r| once.contains(r.request.as_str())).for_each(|r| n.entry(&r.request).or_default().push(&r.run));
+    for r in &h.runs {
+        if let Some(name) = once.get(r.request.as_str()) {
+            n.entry(name).or_default().push(&r.run);
+        }
+    }
     n.iter().filter(|(_, v)| v.len() > 1).map(|(q, v)| format!("{q} ran as {v:?}")).collect()
 }
 
 fn not_run(h: &History) -> Found {
-    let ran: BTreeMap<&str, &str> = h.runs.iter().map(|r| (r.request.as_str(), r.run.as_str())).collect();
+    let once = once_names(h);
+    let name = |q: &str| once.get(q).map_or(q.to_string(), |n| n.to_string());
+    let ran: BTreeMap<String, &str> = h.runs.iter().map(|r| (name(&r.request), r.run.as_str())).collect();
     let told = h.told.iter().filter(|t| t.outcome == "not_run");
-    told.filter_map(|t| ran.get(t.request.as_str()).map(|r| format!("{} was told not run and ran as {r}", t.request))).collect()
+    told.filter_map(|t| ran.get(&name(&t.request)).map(|r| format!("{} was told not run and ran as {r}", t.request))).collect()
 }
 
 fn whole_answer(h: &History) -> Found {
@@ -280,6 +292,14 @@
         };
         caught("served", |h| h.told.clear());
         caught("run_once", |h| again(h, |_| ()));
+        caught("run_once", |h| {
+            h.told[0].key = "mine".into();
+            let mut t = h.told[0].clone();
+            t.request = "p".into();
+            t.outcome = "unknown".into();
+            h.told.push(t);
+            again(h, |r| r.request = "p".into());
+        });
         caught("not_run", |h| {
             let mut t = h.told[0].clone();
             t.outcome = "not_run".into();
--- a/fleet-simulator/src/history.rs
+++ b/fleet-simulator/src/history.rs
@@ -17,6 +17,9 @@
     pub version: String,
     pub warm: bool,
     pub run_once: bool,
+    /// The caller's own key, if it gave one.
+    #[serde(default)]
+    pub key: String,
     /// answered, not_run, unknown, or rejected when nothing was nominated.
     pub outcome: String,
     pub code: String,
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -46,6 +46,8 @@
 const PATIENCE: Ms = 2_000;
 /// Percent of run-once requests that are sent twice.
 const REPEATS: u32 = 5;
+/// Percent of run-once requests that come under a caller's key.
+const KEYED: u32 = 20;
 /// Lines of trace that are kept.
 const TRACE: usize = 600;
 
@@ -957,8 +959,21 @@
             prompt: format!("prompt {id}"),
             resume: None,
         };
-        let told =
-            Told { lane: q.lane.clone(), tier: q.tier.clone(), homes, run_once: q.run_once, at_ms: self.now, ..Told::default() };
+        let mut q = q;
+        // Some callers name a run-once request by a key of their own.
+        if q.run_once && self.rng.u32(..100) < KEYED {
+            q.key = serde_json::from_value(serde_json::json!({"value": format!("key-{id}"), "first_used_ms_ago": 0})).ok();
+        }
+        let key = q.key.as_ref().map_or(String::new(), |k| k.value.to_string());
+        let told = Told {
+            key,
+            lane: q.lane.clone(),
+            tier: q.tier.clone(),
+            homes,
+            run_once: q.run_once,
+            at_ms: self.now,
+            ..Told::default()
+        };
         let until = self.now + m.time_left_ms;
         self.add_flow(id, q, told, edge, until);
         let z = self.d.edges[zone].zone.clone();
@@ -1021,8 +1036,20 @@
                     let Some(e2) = self.rng.choice(&near).copied() else { return };
                     let mut told = told;
                     told.proxy_zone = self.edges[e2].zone.clone();
-                    self.add_flow(twin, q, told, e2, until);
                     let ms = self.rng.u64(5..1_500);
+                    let mut q = q;
+                    if let Some(k) = &mut q.key {
+                        // A repeat under a key asks for a new id, and says how old the key is.
+                        k.first_used_ms_ago = now + ms - told.at_ms;
+                        told.request.clear();
+                        self.add_flow(twin, q, told, e2, until);
+                        if let Some(f) = self.flows.get_mut(&twin) {
+                            f.told.at_ms = now + ms;
+                        }
+                        self.after(ms, Ev::Nominate { flow: twin });
+                        return self.after(until.saturating_sub(now) + PATIENCE, Ev::TimeUp { flow: twin });
+                    }
+                    self.add_flow(twin, q, told, e2, until);
                     if let Some(f) = self.flows.get_mut(&twin) {
                         f.told.at_ms = now + ms;
                     }
