--- a/daemon-parts/src/params.rs
+++ b/daemon-parts/src/params.rs
@@ -84,6 +84,7 @@
     over(&mut p.platform, "platform");
     over(&mut p.agent, "agent");
     over(&mut p.log, "log");
+    // The bound is only in the file: it belongs to the disk, not to one start.
     p.data = text("data").map(PathBuf::from).or(p.data);
     let many = |n: &str| m.get_many::<String>(n).map(|v| v.cloned().collect::<Vec<_>>());
     p.seeds = many("seed").unwrap_or(p.seeds);
--- a/fleet-tools/src/bin/fleet-runner.rs
+++ b/fleet-tools/src/bin/fleet-runner.rs
@@ -2,22 +2,40 @@
 
 use std::{path::PathBuf, time::Duration};
 
-use clap::{Arg, Command};
+use clap::{Arg, ArgAction, Command};
 use daemon_parts::{clock, params::EXIT_PARAMS};
-use fleet_simulator::{checkers, history::Told};
+use fleet_simulator::{
+    checkers,
+    history::{History, Told},
+};
 use fleet_tools::{
     caller::{self, Want},
     deployment::Deployment,
     fleet::Fleet,
+    replica::Behaviour,
 };
 
 /// Bound on the fleet's start; only trouble takes so long.
 const START_LIMIT: Duration = Duration::from_secs(60);
 
+/// What can be brought about on real processes.
+const FAULTS: [(&str, &str); 8] = [
+    ("kill", "control-1, edge-1 and proxy-1 are killed and started again after 3 s"),
+    ("freeze", "control-1, edge-2 and proxy-2 are stopped for 6 s and go on"),
+    ("wipe", "control-1 loses its disk"),
+    ("replace", "control-2 is replaced by an empty machine at a new address"),
+    ("full-disk", "control-3 starts again with a disk that has no room, and gets room after 8 s"),
+    ("total-loss", "every daemon is killed and started again"),
+    ("evacuate", "the last zone is evacuated, and restored after 8 s"),
+    ("bad-version", "a version that fails on 60% is rolled out"),
+];
+
 #[actix_rt::main]
 async fn main() {
+    let faults: String = FAULTS.iter().map(|(n, h)| format!("  {n:12} {h}\n")).collect();
     let m = Command::new("fleet-runner")
         .about("Starts a whole fleet on loopback, for development")
+        .after_help(format!("Faults:\n{faults}"))
         .arg(Arg::new("deployment").required(true).value_parser(["dentaplan", "registry"]))
         .arg(Arg::new("data").long("data").default_value("fleet-data").help("Folder for data and logs"))
         .arg(Arg::new("log").long("log").default_value("info"))
@@ -28,20 +46,35 @@
                 .value_parser(clap::value_parser!(u64))
                 .help("Seconds of callers' load, then end"),
         )
+        .arg(
+            Arg::new("fault")
+                .long("fault")
+                .action(ArgAction::Append)
+                .value_parser(FAULTS.map(|f| f.0))
+                .help("Bring this about a third into the load; may be given again"),
+        )
         .arg(Arg::new("target").long("target").help("Release plan during the load: the version to move to"))
         .get_matches();
     let Some(d) = m.get_one::<String>("deployment").and_then(|n| Deployment::named(n)) else { std::process::exit(EXIT_PARAMS) };
     let data = PathBuf::from(m.get_one::<String>("data").cloned().unwrap_or_default()).join(&d.name);
     let log = m.get_one::<String>("log").cloned().unwrap_or_default();
     let load = m.get_one::<u64>("load").copied().unwrap_or(0);
-    if let Err(e) = run(d, data, &log, load, m.get_one::<String>("target").cloned()).await {
+    let faults = m.get_many::<String>("fault").unwrap_or_default().cloned().collect();
+    if let Err(e) = run(d, data, &log, load, m.get_one::<String>("target").cloned(), faults).await {
         eprintln!("{e}");
         std::process::exit(1);
     }
 }
 
-async fn run(d: Deployment, data: PathBuf, log: &str, load: u64, target: Option<String>) -> Result<(), String> {
-    let f = Fleet::start(d, &data, log).map_err(|e| e.to_string())?;
+async fn run(
+    d: Deployment,
+    data: PathBuf,
+    log: &str,
+    load: u64,
+    target: Option<String>,
+    faults: Vec<String>,
+) -> Result<(), String> {
+    let mut f = Fleet::start(d, &data, log).map_err(|e| e.to_string())?;
     let t = f.until("control daemons settle", START_LIMIT, async |f| f.settled().await).await?;
     println!("control settled after {t} ms");
     let v = f.operator().put_spec(f.d.spec.clone(), None).await.map_err(|e| e.to_string())?;
@@ -60,14 +93,23 @@
         let v = f.operator().put_plan(&service, t, 600, None).await.map_err(|e| e.to_string())?;
         println!("release plan version {} accepted", v.version);
     }
-    let told = traffic(&f, Duration::from_secs(load)).await;
+    let callers = actix_rt::spawn(traffic(Callers::of(&f), Duration::from_secs(load)));
+    tokio::time::sleep(Duration::from_secs(load / 3)).await;
+    let mut seen = History::default();
+    for x in &faults {
+        println!("fault {x}");
+        fault(&mut f, x, &mut seen).await.map_err(|e| format!("{x}: {e}"))?;
+    }
+    let told = callers.await.map_err(|e| e.to_string())?;
     summary(&told);
     if let Ok(s) = f.operator().status().await {
         for r in s.rollouts {
             println!("rollout {} phase {:?} stable {} alerts {:?}", r.service, r.phase, r.stable, r.alerts);
         }
     }
-    let found = checkers::check(&f.history(told).await.map_err(|e| e.to_string())?);
+    let h = f.history(told).await.map_err(|e| e.to_string())?;
+    let found =
+        checkers::check(&History { firsts: h.asked, told: h.told, runs: h.runs, asked: h.asked, end_ms: h.end_ms, ..seen });
     if found.is_empty() {
         println!("every checker is content");
         return Ok(());
@@ -75,9 +117,82 @@
     Err(found.join("\n"))
 }
 
+/// Brings a fault about and waits until the fleet is whole again.
+async fn fault(f: &mut Fleet, name: &str, seen: &mut History) -> Result<(), String> {
+    let io = |e: std::io::Error| e.to_string();
+    let pause = |s: u64| tokio::time::sleep(Duration::from_secs(s));
+    let signal = |f: &Fleet, names: &[&str], s| names.iter().filter_map(|n| f.processes.get(*n)).for_each(|p| p.signal(s));
+    match name {
+        "kill" => {
+            let names = ["control-1", "edge-1", "proxy-1"];
+            names.iter().filter_map(|n| f.processes.get_mut(*n).map(|p| p.kill())).for_each(drop);
+            pause(3).await;
+            names.iter().try_for_each(|n| f.restart(n)).map_err(io)?;
+        }
+        "freeze" => {
+            let names = ["control-1", "edge-2", "proxy-2"];
+            signal(f, &names, libc::SIGSTOP);
+            let at = clock::now();
+            pause(6).await;
+            signal(f, &names, libc::SIGCONT);
+            seen.stalls.push((at, clock::now()));
+        }
+        "wipe" => {
+            if let Some(p) = f.processes.get_mut("control-1") {
+                p.kill();
+            }
+            std::fs::remove_dir_all(f.folder.join("control-1")).map_err(io)?;
+            f.restart("control-1").map_err(io)?;
+        }
+        "replace" => f.replace("control-2").map_err(io)?,
+        "full-disk" => {
+            f.limit("control-3", Some(4_096)).map_err(io)?;
+            pause(8).await;
+            f.limit("control-3", None).map_err(io)?;
+        }
+        "total-loss" => {
+            let names: Vec<String> = f.processes.keys().filter(|n| *n != "platform").cloned().collect();
+            names.iter().filter_map(|n| f.processes.get_mut(n).map(|p| p.kill())).for_each(drop);
+            names.iter().try_for_each(|n| f.restart(n)).map_err(io)?;
+            seen.losses.push(clock::now());
+        }
+        "evacuate" => {
+            let zone = f.d.spec.zones.last().map_or(String::new(), |z| z.name.clone());
+            f.operator().put_zone(&zone, true).await.map_err(|e| e.to_string())?;
+            seen.zones.push((clock::now(), zone.clone(), true));
+            pause(8).await;
+            seen.zones.push((clock::now(), zone.clone(), false));
+            f.operator().put_zone(&zone, false).await.map_err(|e| e.to_string())?;
+        }
+        _ => {
+            let (v, service) = ("v9".to_string(), f.d.spec.services[0].name.clone());
+            f.behave(&[Behaviour { version: v.clone(), lane: None, fail_percent: 60, slow_percent: 0 }]).await;
+            seen.bad.push((clock::now(), v.clone(), None));
+            f.operator().put_plan(&service, &v, 600, None).await.map_err(|e| e.to_string())?;
+        }
+    }
+    let t = f.until("the fleet is whole again", START_LIMIT, async |f| f.settled().await && f.serves().await).await?;
+    println!("whole again after {t} ms");
+    Ok(())
+}
+
+/// What callers know of a fleet.
+struct Callers {
+    d: Deployment,
+    edges: Vec<(String, String)>,
+    client: awc::Client,
+}
+
+impl Callers {
+    fn of(f: &Fleet) -> Self {
+        let edges = f.proxies().iter().map(|p| (p.zone.clone(), p.http.clone())).collect();
+        Callers { d: f.d.clone(), edges, client: f.client.clone() }
+    }
+}
+
 /// The deployment's mix at its rate, from callers in every zone.
-async fn traffic(f: &Fleet, long: Duration) -> Vec<Told> {
-    let edges: Vec<(String, String)> = f.proxies().iter().map(|p| (p.zone.clone(), p.http.clone())).collect();
+async fn traffic(f: Callers, long: Duration) -> Vec<Told> {
+    let edges = f.edges;
     let parts: u64 = f.d.mix.iter().map(|m| m.parts).sum();
     let s = &f.d.spec.services[0];
     let mut rng = fastrand::Rng::with_seed(1);
--- a/fleet-tools/src/fleet.rs
+++ b/fleet-tools/src/fleet.rs
@@ -177,6 +177,16 @@
             None => Err(std::io::ErrorKind::NotFound.into()),
         }
     }
+    /// Starts a control daemon again with this bound on its database, or with none.
+    pub fn limit(&mut self, name: &str, bytes: Option<u64>) -> std::io::Result<()> {
+        let file = self.folder.join(format!("{name}.params.json"));
+        std::fs::write(&file, format!("{{\"data_limit\": {}}}", bytes.unwrap_or(0)))?;
+        let Some(p) = self.processes.get_mut(name) else { return Err(std::io::ErrorKind::NotFound.into()) };
+        if !p.args.iter().any(|a| a == "--params") {
+            p.args.extend(["--params".into(), file.display().to_string()]);
+        }
+        self.restart(name)
+    }
     /// Replaces a control machine by an empty one under the same name at a new address.
     pub fn replace(&mut self, name: &str) -> std::io::Result<()> {
         let (listen, http, folder) = (free()?, free()?, self.folder.clone());
