Do not wait for permits at genesis; fill a real disk

Cause: at the very first start every voter waited 3 s for permits that nobody had ever been given, so no rollout record stood and callers were told full. Ruled out: ramps (they begin at the replicas' first report either way). The full-disk fault now puts a spec that needs room: the bound alone was met by reusing pages and nothing failed.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -294,6 +294,8 @@
     }
     fn begin(&mut self, voters: Vec<Voter>, out: &mut Effects) {
         self.regs.follow(1, voters, out);
+        // Nobody ever voted before: there is no permit to wait out.
+        self.regs.no_permits_before();
         self.regs.voting = true;
         out.push(note(events::GENESIS, &self.p.name, ""));
         out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -132,6 +132,10 @@
         r
     }
 
+    /// No voter has let anybody keep a duty in any life.
+    pub fn no_permits_before(&mut self) {
+        self.abstain_until = 0;
+    }
     pub fn set_addr(&mut self, name: &Name, addr: &Name) {
         self.addrs.insert(name.clone(), addr.clone());
     }
--- a/daemon-parts/src/logging.rs
+++ b/daemon-parts/src/logging.rs
@@ -21,6 +21,8 @@
 
 /// Starts logging to standard error.
 pub fn start(level: &str) -> Result<LoggerHandle, Report<StartFault>> {
+    // Reports go into log lines: no colours there.
+    Report::set_color_mode(error_stack::fmt::ColorMode::None);
     // Libraries only speak when something is wrong; the events are ours.
     Logger::try_with_str(format!("warn, daemon_parts={level}"))
         .and_then(|l| l.format(line).log_to_stderr().start())
--- a/fleet-tools/src/bin/fleet-runner.rs
+++ b/fleet-tools/src/bin/fleet-runner.rs
@@ -14,6 +14,7 @@
     fleet::Fleet,
     replica::Behaviour,
 };
+use remote_calls::TierSpec;
 
 /// Bound on the fleet's start; only trouble takes so long.
 const START_LIMIT: Duration = Duration::from_secs(60);
@@ -147,7 +148,16 @@
         "replace" => f.replace("control-2").map_err(io)?,
         "full-disk" => {
             f.limit("control-3", Some(4_096)).map_err(io)?;
+            f.until("it is back", START_LIMIT, async |f| f.settled().await).await?;
+            // The bound holds the file at its size: a spec that needs more room is what it cannot take.
+            let mut big = f.d.spec.clone();
+            let more = (0..600).map(|i| TierSpec { name: format!("spare-{i}"), rank: 100 + i, keep_free: 90 });
+            big.tiers.extend(more);
+            let v = f.operator().put_spec(big, None).await.map_err(|e| e.to_string())?;
+            println!("the others accepted a large spec as version {}", v.version);
             pause(8).await;
+            let full = !f.settled().await;
+            println!("control-3 confirms nothing: {full}");
             f.limit("control-3", None).map_err(io)?;
         }
         "total-loss" => {
