Emit the events that the catalogue names: resting loops, suspects, leaving replicas

Cause: three events stood in the catalogue and nothing logged them. A daemon that should run a service's loop and has not for 60 s now says so (no platform list, no permit, a kill switch left on).

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -16,7 +16,7 @@
     board::Board,
     effect::{note, send},
     events,
-    limits::{BEAT_EVERY, FOLLOWER_GONE, FORWARD_LIMIT, LOOP_EVERY, PEER_GONE, PERMIT},
+    limits::{BEAT_EVERY, FOLLOWER_GONE, FORWARD_LIMIT, LOOP_EVERY, LOOP_RESTS, PEER_GONE, PERMIT},
     membership::{CONTROL, Membership},
     register::{DUTY, MEMBERS, Registers},
     rollout::{Inputs, Loop, first_record, members},
@@ -101,6 +101,9 @@
     next_beat: Ms,
     next_loop: Ms,
     next_join: Ms,
+    /// When this daemon last ran each service's loop, or first was the one to run it; and which alerts stand.
+    ran: BTreeMap<String, Ms>,
+    resting: BTreeSet<String>,
     /// Writes of rollout records under way, by service.
     writing: BTreeMap<u64, String>,
 }
@@ -144,6 +147,8 @@
             next_beat: 0,
             next_loop: 0,
             next_join: 0,
+            ran: BTreeMap::new(),
+            resting: BTreeSet::new(),
             writing: BTreeMap::new(),
         };
         c.publish(now, &mut Vec::new());
@@ -416,6 +421,9 @@
         let mut new = false;
         for c in fresh {
             if self.board.merge(&c) {
+                if let Some(r) = c.key.strip_prefix(LEAVING).filter(|_| !c.value.0.is_empty()) {
+                    out.push(note(events::LEAVING, r, ""));
+                }
                 self.seq += 1;
                 self.feed.insert(c.key.clone(), self.seq);
                 new = true;
@@ -481,6 +489,7 @@
         };
         let live = self.live(now);
         self.regs.tick(now, &live, &wanted, &mut out);
+        self.watch_loops(now, &live, &mut out);
         let late: Vec<u64> = self.passed.iter().filter(|(_, t)| **t <= now).map(|(k, _)| *k).collect();
         for token in late {
             self.passed.remove(&token);
@@ -497,6 +506,23 @@
         self.finish(now, out)
     }
 
+    /// Raises the alert when a loop that this daemon should run has not run for long: no platform list, no
+    /// permit, a kill switch left on.
+    fn watch_loops(&mut self, now: Ms, live: &dyn Fn(&str) -> bool, out: &mut Effects) {
+        for s in self.spec().map_or(vec![], |s| s.services) {
+            let mine = self.regs.first(&format!("{DUTY}{}", s.name), live).is_some_and(|v| v.name == self.p.name);
+            if !mine {
+                self.ran.remove(&s.name);
+                self.resting.remove(&s.name);
+                continue;
+            }
+            let at = *self.ran.entry(s.name.clone()).or_insert(now);
+            if now.saturating_sub(at) > LOOP_RESTS && self.resting.insert(s.name.clone()) {
+                out.push(note(events::LOOP_RESTS, &s.name, format!("{} ms", now - at)));
+            }
+        }
+    }
+
     fn beat(&mut self, now: Ms, out: &mut Effects) {
         if now < self.next_beat {
             return;
@@ -587,6 +613,8 @@
             let (platform, reports) = (&platform.replicas, &self.reports);
             let i = Inputs { spec: &spec, service: s, plan, platform, reports, leaving: &leaving, open: &open, now, wall };
             let (next, orders) = l.step(&old, &i);
+            self.ran.insert(s.name.clone(), now);
+            self.resting.remove(&s.name);
             if let Some(v) = l.bad.take() {
                 out.push(note(events::BAD_VERSION, &s.name, v));
             }
@@ -699,6 +727,7 @@
             ("keys", self.regs.keys().count() as u64),
             ("edges", self.agents.len() as u64),
             ("member_epoch", self.regs.me.into()),
+            ("loops_resting", self.resting.len() as u64),
         ]
     }
     /// Services whose rollout is under way.
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -85,6 +85,8 @@
 pub const HEALTH_WINDOWS: [Ms; 6] = [1_000, 2_000, 4_000, 8_000, 16_000, 30_000];
 /// ms. A loop step that has not moved for this long raises the stuck alert.
 pub const STUCK_AFTER: Ms = 60_000;
+/// ms. A loop that has not run for this long raises its alert; a handover takes a tenth of it.
+pub const LOOP_RESTS: Ms = 60_000;
 /// ms. A loading replica that takes longer is counted late and its start is not repeated before.
 pub const LOAD_LATE: Ms = 15_000;
 /// ms. Ramp of a cold replica from its first place to all of them.
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -566,8 +566,8 @@
         self.tallies.entry(k).or_default()[i] += 1;
     }
 
-    /// A round ended.
-    pub fn done(&mut self, p: &Placed, e: Ended, now: Ms) {
+    /// A round ended. Gives the version that this proxy begins to cap, if it does.
+    pub fn done(&mut self, p: &Placed, e: Ended, now: Ms) -> Option<String> {
         let k = (p.replica.clone(), p.version.clone());
         if let Some(n) = self.open.get_mut(&k) {
             *n = n.saturating_sub(1);
@@ -586,7 +586,7 @@
             Ended::Dropped | Ended::Busy => {}
         }
         // This proxy caps a version as soon as its own counts show failures; the control plane's cut follows.
-        let Some(stable) = self.records.get(&p.service).map(|r| r.2.stable.clone()) else { return };
+        let stable = self.records.get(&p.service).map(|r| r.2.stable.clone())?;
         let rows = self.hello(now).tallies.0;
         let rows: Vec<Tally> = rows.into_iter().filter(|t| *t.service == *p.service).collect();
         let h = self.health.entry(p.service.clone()).or_insert_with(|| {
@@ -597,9 +597,11 @@
         });
         h.feed(&self.name, self.born, &rows);
         h.tick(now);
-        if p.version != stable && h.judge(&p.version, &stable, now) == Verdict::Bad {
-            self.suspects.insert(p.version.clone(), now + SUSPECT_FOR);
+        if p.version == stable || h.judge(&p.version, &stable, now) == Verdict::Fine {
+            return None;
         }
+        let old = self.suspects.insert(p.version.clone(), now + SUSPECT_FOR);
+        old.is_none_or(|t| t <= now).then(|| p.version.clone())
     }
 
     // ---- rounds ----
--- a/edge-proxy/src/actor.rs
+++ b/edge-proxy/src/actor.rs
@@ -234,7 +234,9 @@
 impl Handler<Done> for ProxyActor {
     type Result = ();
     fn handle(&mut self, m: Done, _: &mut Self::Context) {
-        self.brain.done(&m.0, m.1, clock::now());
+        if let Some(v) = self.brain.done(&m.0, m.1, clock::now()) {
+            event(coordination::events::SUSPECT, &m.0.replica, &v);
+        }
         self.wake();
     }
 }
--- a/fleet-tools/src/caller.rs
+++ b/fleet-tools/src/caller.rs
@@ -23,6 +23,37 @@
     pub prompt: String,
 }
 
+impl Want {
+    pub fn nominate(&self) -> NominateRequest {
+        NominateRequest {
+            service: self.service.clone(),
+            lane: self.lane.clone(),
+            tier: self.tier.clone(),
+            homes: self.homes.clone(),
+            prefixes: self.prefixes.clone(),
+            time_left_ms: self.time_left_ms,
+            run_once: self.run_once,
+            key: None,
+        }
+    }
+    pub fn run(&self, request: String, time_left_ms: u64) -> RunRequest {
+        let n = self.nominate();
+        RunRequest {
+            request,
+            service: n.service,
+            lane: n.lane,
+            tier: n.tier,
+            homes: n.homes,
+            prefixes: n.prefixes,
+            time_left_ms,
+            run_once: n.run_once,
+            key: n.key,
+            prompt: self.prompt.clone(),
+            resume: None,
+        }
+    }
+}
+
 fn told_fault(t: &mut Told, f: Fault) {
     t.outcome = match f.outcome {
         Some(Outcome::Answered) => "answered",
@@ -45,16 +76,7 @@
         at_ms: at,
         ..Told::default()
     };
-    let n = NominateRequest {
-        service: w.service.clone(),
-        lane: w.lane.clone(),
-        tier: w.tier.clone(),
-        homes: w.homes.clone(),
-        prefixes: w.prefixes.clone(),
-        time_left_ms: w.time_left_ms,
-        run_once: w.run_once,
-        key: None,
-    };
+    let n = w.nominate();
     match call::<_, Nomination>(c, edge, calls::NOMINATE, Some(&n), CALL_LIMIT).await {
         Ok(n) => run(c, w, n, &mut t).await,
         Err(f) => {
@@ -72,19 +94,7 @@
     let at = t.at_ms;
     let left = w.time_left_ms.saturating_sub(clock::now() - at);
     (t.request, t.proxy_zone) = (n.request.clone(), n.zone);
-    let q = RunRequest {
-        request: n.request,
-        service: w.service.clone(),
-        lane: w.lane.clone(),
-        tier: w.tier.clone(),
-        homes: w.homes.clone(),
-        prefixes: w.prefixes.clone(),
-        time_left_ms: left,
-        run_once: w.run_once,
-        key: None,
-        prompt: w.prompt.clone(),
-        resume: None,
-    };
+    let q = w.run(n.request, left);
     stream(c, &n.proxy, &q, t, &mut String::new()).await;
 }
 
--- a/fleet-tools/tests/ordinary.rs
+++ b/fleet-tools/tests/ordinary.rs
@@ -10,7 +10,7 @@
     deployment::Deployment,
     fleet::Fleet,
 };
-use remote_calls::{Fault, NominateRequest, Nomination, RolloutPhase, RunRequest, calls};
+use remote_calls::{Fault, Nomination, RolloutPhase, calls};
 
 /// Bound on trouble only.
 const LONG: Duration = Duration::from_secs(240);
@@ -57,16 +57,7 @@
         }
     }
     async fn nominate(&self, w: &Want) -> Result<Nomination, Fault> {
-        let n = NominateRequest {
-            service: w.service.clone(),
-            lane: w.lane.clone(),
-            tier: w.tier.clone(),
-            homes: w.homes.clone(),
-            prefixes: w.prefixes.clone(),
-            time_left_ms: w.time_left_ms,
-            run_once: w.run_once,
-            key: None,
-        };
+        let n = w.nominate();
         call(&self.f.client, &self.edge(&w.homes[0]), calls::NOMINATE, Some(&n), LONG).await
     }
 }
@@ -115,19 +106,7 @@
     // The same id again, at the same edge and at another; a long lane leaves a slow machine its time.
     let w = Want { lane: "explanations".into(), time_left_ms: 25_000, ..w };
     let n = s.nominate(&w).await.unwrap();
-    let q = RunRequest {
-        request: n.request.clone(),
-        service: w.service.clone(),
-        lane: w.lane.clone(),
-        tier: w.tier.clone(),
-        homes: w.homes.clone(),
-        prefixes: w.prefixes.clone(),
-        time_left_ms: w.time_left_ms,
-        run_once: true,
-        key: None,
-        prompt: w.prompt.clone(),
-        resume: None,
-    };
+    let q = w.run(n.request.clone(), w.time_left_ms);
     let edges: Vec<String> = s.f.proxies().into_iter().filter(|p| p.zone == "tbilisi").map(|p| p.http.clone()).collect();
     for (i, e) in edges.iter().take(2).enumerate() {
         let mut t = Told { request: q.request.clone(), homes: q.homes.clone(), run_once: true, ..Told::default() };
