--- a/operator-command/src/main.rs
+++ b/operator-command/src/main.rs
@@ -1,5 +1,7 @@
 //! The operators' command line: every operator call, readable or as JSON.
 
+mod objects;
+
 use std::process::exit;
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
@@ -7,6 +9,7 @@
     operator::Operator,
     params::{EXIT_FAILED, EXIT_PARAMS},
 };
+use objects::Wanted;
 use remote_calls::{Accepted, Counters, Fault, Health, PlatformWarning, Spec, Status, WarnKind, calls, spec_check};
 use serde::Serialize;
 
@@ -40,6 +43,11 @@
         .subcommand(Command::new("spec-get").about("The accepted spec"))
         .subcommand(Command::new("spec-put").about("Replace the spec").arg(file.clone()).arg(expect.clone()))
         .subcommand(Command::new("spec-check").about("Check a spec without sending it").arg(file))
+        .subcommand(
+            Command::new("apply")
+                .about("Apply Kubernetes-style objects (kinds Fleet, ReleasePlan, Zone), one or a list")
+                .arg(arg("file", "JSON file; - reads standard input")),
+        )
         .subcommand(Command::new("plan-get").about("A service's release plan").arg(arg("service", "The service")))
         .subcommand(
             Command::new("plan-put")
@@ -65,11 +73,15 @@
         .subcommand(Command::new("warn-replica").about("Say that a replica will be stopped").arg(arg("id", "The replica")))
 }
 
-fn read_spec(m: &ArgMatches) -> Result<Spec, Fault> {
+fn read_file(m: &ArgMatches) -> Result<String, Fault> {
     let f = text(m, "file");
-    let bad = |m: String| Fault::new("bad_spec", "read_file", m).field(&f);
     let t = if f == "-" { std::io::read_to_string(std::io::stdin()) } else { std::fs::read_to_string(&f) };
-    let s: Spec = serde_json::from_str(&t.map_err(|e| bad(e.to_string()))?).map_err(|e| bad(e.to_string()))?;
+    t.map_err(|e| Fault::new("bad_spec", "read_file", e.to_string()).field(f))
+}
+
+fn read_spec(m: &ArgMatches) -> Result<Spec, Fault> {
+    let bad = |e: serde_json::Error| Fault::new("bad_spec", "read_file", e.to_string()).field("file");
+    let s: Spec = serde_json::from_str(&read_file(m)?).map_err(bad)?;
     spec_check::check(&s)?;
     Ok(s)
 }
@@ -145,6 +157,17 @@
             let spec = read_spec(m)?;
             show(json, &a.put_spec(spec, expect()).await?, accepted);
         }
+        "apply" => {
+            // All objects are checked before the first call is made.
+            for w in objects::read(&read_file(m)?)? {
+                let r = match w {
+                    Wanted::Spec(s) => a.put_spec(*s, None).await?,
+                    Wanted::Plan(service, target, within) => a.put_plan(&service, &target, within, None).await?,
+                    Wanted::Zone(zone, evacuated) => a.put_zone(&zone, evacuated).await?,
+                };
+                show(json, &r, accepted);
+            }
+        }
         "plan-get" => {
             show(json, &a.plan(&text(m, "service")).await?, |s| match &s.plan {
                 Some(p) => format!("version {}: {} to {} by {}", s.version, p.service, p.target, p.complete_by),
