--- a/fleet-tools/src/bin/fleet-runner.rs
+++ b/fleet-tools/src/bin/fleet-runner.rs
@@ -259,10 +259,7 @@
         r[3] += u64::from(t.outcome == "unknown");
         r[4] += u64::from(t.warm);
     }
-    println!(
-        "{:14} {:11} {:>6} {:>8} {:>9} {:>8} {:>7} {:>6}",
-        "lane", "tier", "asked", "in time", "rejected", "unknown", "broken", "warm"
-    );
+    println!("{:14} {:11} {:>6} {:>8} {:>9} {:>8} {:>6}", "lane", "tier", "asked", "in time", "rejected", "unknown", "warm");
     for ((l, t), r) in rows {
         println!("{l:14} {t:11} {:>6} {:>8} {:>9} {:>8} {:>6}", r[0], r[1], r[2], r[3], r[4]);
     }
