--- a/control-daemon/src/main.rs
+++ b/control-daemon/src/main.rs
@@ -6,11 +6,11 @@
 
 use actix::Actor;
 use actix_web::{App, HttpServer, web};
-use coordination::{control::ControlParams, events};
+use coordination::control::ControlParams;
 use daemon_parts::{
     channels,
     limits::BODY_MAX,
-    logging::{self, StartFault, event},
+    logging::{self, StartFault},
     params::{self, EXIT_FAILED, Params},
     stop,
 };
@@ -56,14 +56,10 @@
     .change_context(StartFault("bind the HTTP port"))
     .attach_with(|| p.http.clone())?
     .run();
-    let h = server.handle();
-    let served = actix_rt::spawn(server);
-    event(events::STARTED, &p.name, &format!("http {} processes {}", p.http, p.listen));
-    stop::asked(&p.name).await;
-    let _ = brain.send(actor::Stopping).await;
-    tokio::time::sleep(std::time::Duration::from_millis(FAREWELL)).await;
-    h.stop(true).await;
-    let _ = served.await;
-    event(events::STOPPED, &p.name, "");
+    let farewell = async {
+        let _ = brain.send(actor::Stopping).await;
+        tokio::time::sleep(std::time::Duration::from_millis(FAREWELL)).await;
+    };
+    stop::serve(server, &p.name, &format!("http {} processes {}", p.http, p.listen), farewell).await;
     Ok(())
 }
--- a/edge-proxy/src/main.rs
+++ b/edge-proxy/src/main.rs
@@ -6,11 +6,11 @@
 
 use actix::Actor;
 use actix_web::{App, HttpServer, web};
-use coordination::{events, proxy::Proxy};
+use coordination::proxy::Proxy;
 use daemon_parts::{
     channels, clock,
     limits::STOP_LIMIT,
-    logging::{self, StartFault, event},
+    logging::{self, StartFault},
     look::Look,
     params::{self, EXIT_FAILED, Params},
     stop,
@@ -45,15 +45,11 @@
         .change_context(StartFault("bind the HTTP port"))
         .attach_with(|| p.http.clone())?
         .run();
-    let h = server.handle();
-    let served = actix_rt::spawn(server);
-    event(events::STARTED, &p.name, &format!("http {} processes {}", p.http, p.listen));
-    stop::asked(&p.name).await;
-    let _ = a.send(Look(Box::new(|a: &mut actor::ProxyActor, _| a.stopping = true))).await;
-    // Others stop nominating this proxy before its port closes.
-    tokio::time::sleep(http::FAREWELL).await;
-    h.stop(true).await;
-    let _ = served.await;
-    event(events::STOPPED, &p.name, "");
+    let farewell = async {
+        let _ = a.send(Look(Box::new(|a: &mut actor::ProxyActor, _| a.stopping = true))).await;
+        // Others stop nominating this proxy before its port closes.
+        tokio::time::sleep(http::FAREWELL).await;
+    };
+    stop::serve(server, &p.name, &format!("http {} processes {}", p.http, p.listen), farewell).await;
     Ok(())
 }
