--- /dev/null
+++ b/coordination/src/bounds.rs
@@ -0,0 +1,70 @@
+//! What operators promise their callers, as times, shares and rates. Shells read them from their params; state
+//! machines derive permits, lapses, drains and budgets from them.
+
+use serde::Deserialize;
+
+use crate::Ms;
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Bounds {
+    /// ms. A daemon undisturbed for so long must keep all bounds below.
+    pub contact: Ms,
+    /// ms. An operator's order is answered by then.
+    pub answer: Ms,
+    /// ms. A daemon that came back with a lost disk counts as whole again after so long.
+    pub sync: Ms,
+    /// ms. A leaving replica gets nothing new after so long.
+    pub drain: Ms,
+    /// ms. From SIGTERM to SIGKILL.
+    pub grace: Ms,
+    /// ms. A new spec is honoured everywhere after so long.
+    pub apply: Ms,
+    /// ms. An evacuated zone gets nothing after so long.
+    pub evacuate: Ms,
+    /// ms. A bad version gets nothing after so long.
+    pub rollback: Ms,
+    /// Part of a service's requests that a version on trial may take, and so many besides.
+    pub canary_share: f64,
+    pub canary_slack: f64,
+    /// Second rounds: part of first ones, over this window in ms, and so many besides.
+    pub retry_share: f64,
+    pub retry_window: Ms,
+    pub retry_slack: f64,
+    /// A cold replica's rate may be exceeded by this factor, and so many besides.
+    pub cold_over: f64,
+    pub cold_slack: f64,
+    /// s. Longest that callers may keep an answer on where to go.
+    pub directory_s: u64,
+    /// Daemons with a disk, zones and regions of which so many may be lost at once.
+    pub lost_disks: u32,
+    pub lost_zones: u32,
+    pub lost_regions: u32,
+}
+
+impl Default for Bounds {
+    /// The brief's own bounds.
+    fn default() -> Self {
+        Bounds {
+            contact: 5_000,
+            answer: 5_000,
+            sync: 4_000,
+            drain: 5_000,
+            grace: 30_000,
+            apply: 3_000,
+            evacuate: 5_000,
+            rollback: 5_000,
+            canary_share: 0.1,
+            canary_slack: 50.0,
+            retry_share: 0.05,
+            retry_window: 10_000,
+            retry_slack: 2.0,
+            cold_over: 1.5,
+            cold_slack: 5.0,
+            directory_s: 5,
+            lost_disks: 1,
+            lost_zones: 1,
+            lost_regions: 1,
+        }
+    }
+}
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod agent;
 pub mod board;
+pub mod bounds;
 pub mod claims;
 pub mod control;
 pub mod effect;
@@ -12,6 +13,7 @@
 pub mod limits;
 pub mod membership;
 pub mod order;
+pub mod pass;
 pub mod proxy;
 pub mod register;
 pub mod request;
--- /dev/null
+++ b/coordination/src/pass.rs
@@ -0,0 +1,71 @@
+//! A request that comes by host and path, as the proxy's brain sees it. How it is spelled on a wire is a
+//! dialect's business; what it may do is decided by the same brain as all others.
+
+use std::collections::BTreeMap;
+
+use remote_calls::PathSpec;
+
+use crate::Ms;
+
+/// A part of a prompt: its id and its size in tokens. A part is kept only behind all parts before it.
+pub type Part = (u64, u32);
+
+/// What a request tells of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ask {
+    pub host: String,
+    pub path: String,
+    /// The caller's name for this try; it comes to one edge only.
+    pub round: String,
+    /// ms that the caller will wait, if it tells.
+    pub left: Option<Ms>,
+    /// Last piece the caller already has, if it resumes.
+    pub after: Option<String>,
+    pub model: String,
+    /// Tokens of the prompt, and most tokens out.
+    pub tokens: (u32, u32),
+    /// The parts of its prompt in order; the last is its own or its session's.
+    pub parts: Vec<Part>,
+}
+
+/// What an answer tells of its replica.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Told {
+    /// The caller's name of the round that it answers.
+    pub round: Option<String>,
+    /// The replica says that it did not run the request.
+    pub not_run: bool,
+    /// Another replica, or another version, stands at this address.
+    pub other: bool,
+    /// Requests running, waiting, and places.
+    pub load: Option<(u32, u32, u32)>,
+    /// ms that it stays cold.
+    pub cold: Option<Ms>,
+    /// Weights' versions that it ran, as it spells them.
+    pub versions: Option<String>,
+}
+
+/// Index of a spec's paths: the longest prefix that begins a path wins.
+#[derive(Clone, Debug, Default)]
+pub struct Paths {
+    hosts: BTreeMap<String, Vec<std::sync::Arc<PathSpec>>>,
+}
+
+impl Paths {
+    pub fn new(all: &[PathSpec]) -> Self {
+        let mut hosts: BTreeMap<String, Vec<std::sync::Arc<PathSpec>>> = BTreeMap::new();
+        for p in all {
+            hosts.entry(p.host.to_ascii_lowercase()).or_default().push(std::sync::Arc::new(p.clone()));
+        }
+        // Longest first: the first that fits wins.
+        hosts.values_mut().for_each(|v| v.sort_by_key(|p| std::cmp::Reverse(p.prefix.len())));
+        Paths { hosts }
+    }
+    pub fn find(&self, host: &str, path: &str) -> Option<std::sync::Arc<PathSpec>> {
+        // A port in the host names the edge, not the lane.
+        let name = host.rsplit_once(':').filter(|(_, p)| p.bytes().all(|b| b.is_ascii_digit())).map_or(host, |(h, _)| h);
+        let path = path.split(['?', '#']).next().unwrap_or(path);
+        let v = self.hosts.get(&name.to_ascii_lowercase())?;
+        v.iter().find(|p| path.starts_with(p.prefix.as_str())).cloned()
+    }
+}
--- a/coordination/src/rollout.rs
+++ b/coordination/src/rollout.rs
@@ -126,6 +126,18 @@
     r.groups.iter().find(|g| g.role == role && g.version == version).map_or(&[], |g| &g.replicas)
 }
 
+/// A replica as edges are told of it.
+fn placed(p: &PlatformReplica) -> PlacedReplica {
+    PlacedReplica {
+        id: p.id.clone(),
+        zone: p.zone.clone(),
+        addr: p.addr.clone(),
+        version: p.version.clone(),
+        slots: p.slots,
+        cold: p.cold_ms > 0,
+    }
+}
+
 impl Loop {
     pub fn new(now: Ms) -> Self {
         let mut l = Loop { held_at: now, phase_at: now, moved_at: now, ..Loop::default() };
@@ -197,8 +209,7 @@
             return (r, out);
         }
         self.heard = true;
-        r.replicas =
-            v.up.iter().map(|p| PlacedReplica { id: p.id.clone(), zone: p.zone.clone(), addr: p.addr.clone() }).collect();
+        r.replicas = v.up.iter().map(|p| placed(p)).collect();
         r.alerts.clear();
 
         self.replan(&mut r, plan, now);
--- a/daemon-parts/src/params.rs
+++ b/daemon-parts/src/params.rs
@@ -1,8 +1,9 @@
 //! A program's params: a JSON file, flags over it, all faults named at once.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
+use coordination::bounds::Bounds;
 use serde::Deserialize;
 
 /// Exit code of a program whose params are not valid.
@@ -35,6 +36,13 @@
     /// Control daemons only: most bytes the database may grow to; 0 sets no bound.
     pub data_limit: u64,
     pub log: String,
+    /// Region of each zone; a zone that is not named is its own region.
+    pub regions: BTreeMap<String, String>,
+    /// Control daemons only: the whole system starts for the first time and the seeds found it.
+    pub founding: bool,
+    /// Edges only: a daemon cut off from the control plane serves stable versions on by what it knew last.
+    pub serve_on: bool,
+    pub bounds: Bounds,
 }
 
 /// A field a program needs.
--- a/fleet-simulator/src/world/replicas.rs
+++ b/fleet-simulator/src/world/replicas.rs
@@ -23,6 +23,10 @@
             service: service.into(),
             version: version.into(),
             state,
+            slots: 0,
+            cold_ms: 0,
+            left_ms: 0,
+            loaded: true,
         };
         let born = 1_000_000 + self.now + self.next_rep;
         let rep = Rep {
--- a/fleet-tools/src/bin/stand-in-platform.rs
+++ b/fleet-tools/src/bin/stand-in-platform.rs
@@ -73,6 +73,10 @@
             service: q.service.clone(),
             version: q.version.clone(),
             state,
+            slots: 0,
+            cold_ms: 0,
+            left_ms: 0,
+            loaded: true,
         };
         self.replicas.insert(id.clone(), (r, child));
         Ok(id)
