Place requests by expected cost; budgets, cold shares and paths in the proxy's brain

Requests by host and path go through the proxy's one brain: a replica is nominated by travel, reading, load, carried bytes and shared parts read again. Cold replicas and second rounds are parted over the edges by their known count.

--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -67,6 +67,8 @@
     woke: Ms,
     /// When each edge was last asked for a comparison of boards that it answered.
     met: BTreeMap<Name, Ms>,
+    /// Cut off from the control plane it serves stable versions on by what it knew last.
+    serve_on: bool,
 }
 
 impl Agent {
@@ -90,8 +92,17 @@
             fresh: Vec::new(),
             woke: 0,
             met: BTreeMap::new(),
+            serve_on: false,
         }
     }
+    /// Whether the proxy beside this agent still speaks but sends callers elsewhere: the whole machine stops.
+    pub fn proxy_goes(&self, now: Ms) -> bool {
+        self.mship.me().http.is_empty() && self.proxy.as_ref().is_some_and(|p| now.saturating_sub(p.at) < RULE_LIFE)
+    }
+    /// Operators who would rather serve by old news than reject, where bounds hold only for daemons in touch.
+    pub fn set_serve_on(&mut self, on: bool) {
+        self.serve_on = on;
+    }
     pub fn board(&self) -> &Board {
         &self.board
     }
@@ -241,6 +252,9 @@
         let alone = now.saturating_sub(self.heard) > STABLE_BOUND;
         let (rule, until) = if hears {
             (RULE_ALL, until)
+        } else if self.serve_on && self.ready {
+            // Bounds bind daemons in touch; what always binds is kept by each edge's own part of it.
+            (RULE_STABLE, now + RULE_LIFE)
         } else if self.ready && awake && !alone && self.meets_most_edges(now) {
             (RULE_STABLE, now + RULE_LIFE)
         } else {
--- a/coordination/src/board.rs
+++ b/coordination/src/board.rs
@@ -2,11 +2,20 @@
 
 use std::collections::BTreeMap;
 
+use remote_calls::Spec;
 use wire_messages::{Change, Name, Range};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::limits::RANGES;
 
+/// Reads the operator's document, as it is kept under its key, into a spec.
+pub type SpecReader = fn(&[u8]) -> Option<Spec>;
+
+/// The reader of the product's own documents.
+pub fn own_spec(b: &[u8]) -> Option<Spec> {
+    serde_json::from_slice(b).ok()
+}
+
 /// Order of two values of one key.
 pub type Stamp = (u64, u64);
 
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -146,3 +146,53 @@
 pub const WAIT_MAX: Ms = 600;
 /// Ended requests over a lane's expected time by this factor count as slow.
 pub const SLOW_FACTOR: u64 = 4;
+/// Tokens of a prompt that a replica reads in a ms: what today's engines do; only compared among replicas.
+pub const READ_TOKENS_A_MS: f64 = 50.0;
+/// Shared parts that are read again cost so many times their reading: others wait for it, and accelerators are dear.
+pub const READ_AGAIN_WEIGHT: f64 = 2.0;
+/// ms. What any shared part read again costs besides: keeps small ones together where little speaks against it.
+pub const SHARED_PART_MS: f64 = 8.0;
+/// Bytes that a token takes on the way.
+pub const TOKEN_BYTES: f64 = 2.0;
+/// ms. What a byte between regions is worth in waiting.
+pub const CROSS_REGION_BYTE_MS: f64 = 0.002;
+/// ms there and back before any channel was opened: in a zone, in a region, between regions.
+pub const ZONE_MS: f64 = 1.0;
+pub const NEAR_MS: f64 = 3.0;
+pub const FAR_MS: f64 = 80.0;
+/// Weight of a new opening time against all before.
+pub const TRAVEL_WEIGHT: f64 = 0.25;
+/// ms. What each request that runs or waits on a replica costs the next.
+pub const LOAD_MS: f64 = 4.0;
+/// ms. What a full replica costs: more than any way.
+pub const FULL_MS: f64 = 600.0;
+/// ms. What it costs to exceed the rate that the replica would bear if it turned cold now.
+pub const RATE_MS: f64 = 60.0;
+/// ms. A step down a prompt's agreed order of replicas, so that all proxies overflow to the same one.
+pub const ORDER_MS: f64 = 3.0;
+/// ms. A replica that waits for nobody's first piece longer than this is quiet: new requests go elsewhere.
+pub const QUIET: Ms = 900;
+/// ms. A replica that failed is left alone for so long, doubled each time, at most so long.
+pub const DOWN_FIRST: Ms = 250;
+pub const DOWN_MOST: Ms = 2_000;
+/// ms. A replica that was down for so long has started anew and is cold.
+pub const DOWN_COLD: Ms = 400;
+/// ms. What an answer told of its replica's load counts for so long.
+pub const LOAD_OLD: Ms = 1_500;
+/// Weight of a new lag of first pieces against all before, and the most ms that it counts.
+pub const LAG_WEIGHT: f64 = 0.2;
+pub const LAG_MOST: f64 = 400.0;
+/// Part of a cold replica's rate that all proxies together use: the rest covers their not knowing of each other.
+pub const COLD_PART: f64 = 0.9;
+/// Part of what a cold replica bears over its rate that proxies' first rounds may use up together.
+pub const COLD_BURST_PART: f64 = 0.7;
+/// ms. A count of edges that falls is believed after so long: those that went may only have been cut off.
+pub const EDGES_FALL: Ms = 15_000;
+/// ms. A slot of the budget's window.
+pub const BUDGET_SLOT: Ms = 500;
+/// Part of the budget that is spent: the rest covers daemons that started anew.
+pub const BUDGET_KEPT: f64 = 0.7;
+/// Shared parts remembered; some hundred bytes each would be too dear for more.
+pub const KEPT_PARTS: usize = 8_000;
+/// Shared parts smaller than this are not worth remembering, in tokens.
+pub const KEPT_TOKENS: u32 = 200;
--- a/coordination/src/order.rs
+++ b/coordination/src/order.rs
@@ -17,3 +17,12 @@
     names.sort_by_key(|n| std::cmp::Reverse(weight(key, by(n))));
     names
 }
+
+/// One number from two.
+pub fn mix(a: u64, b: u64) -> u64 {
+    xxh3_64_with_seed(&b.to_le_bytes(), a)
+}
+/// Weight of a number's `name`; the highest goes first.
+pub fn weight_of(key: u64, name: u64) -> u64 {
+    mix(key, name)
+}
--- a/coordination/src/pass.rs
+++ b/coordination/src/pass.rs
@@ -45,6 +45,25 @@
     pub versions: Option<String>,
 }
 
+/// How a round ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PassEnd {
+    Answered,
+    Slow,
+    /// It may have run: a reset, a garbled answer, an early end, the replica's own failure.
+    Failed,
+    /// No channel: nothing was sent.
+    Unreachable,
+    /// Its time ran out without a head.
+    Silent,
+    /// The replica says that it did not run it and is full.
+    Full,
+    /// Another replica or version stands at the address.
+    Other,
+    /// The downstream left.
+    Dropped,
+}
+
 /// Index of a spec's paths: the longest prefix that begins a path wins.
 #[derive(Clone, Debug, Default)]
 pub struct Paths {
--- /dev/null
+++ b/coordination/src/placement/kept.rs
@@ -0,0 +1,34 @@
+//! Which shared parts lately went to which replica. Bounded: the longest unused are forgotten first.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    Ms,
+    limits::{KEPT_PARTS, PREFIX_KEPT},
+};
+
+#[derive(Clone, Debug, Default)]
+pub struct Kept {
+    at: BTreeMap<(u64, u64), Ms>,
+}
+
+impl Kept {
+    /// `site`: the replica's life, as a number.
+    pub fn put(&mut self, site: u64, part: u64, now: Ms) {
+        self.at.insert((site, part), now);
+        if self.at.len() <= KEPT_PARTS {
+            return;
+        }
+        // Half of the age that the oldest half has: seldom done, so that each request pays little for it.
+        let mut ages: Vec<Ms> = self.at.values().copied().collect();
+        ages.sort_unstable();
+        let cut = ages[ages.len() / 4];
+        self.at.retain(|_, t| *t > cut);
+    }
+    pub fn has(&self, site: u64, part: u64, now: Ms) -> bool {
+        self.at.get(&(site, part)).is_some_and(|t| now.saturating_sub(*t) < PREFIX_KEPT)
+    }
+    pub fn forget(&mut self, site: u64) {
+        self.at.retain(|(s, _), _| *s != site);
+    }
+}
--- /dev/null
+++ b/coordination/src/placement/nominate.rs
@@ -0,0 +1,246 @@
+//! All replicas that a proxy knows, and the nomination of one of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use remote_calls::{EngineSpec, PathSpec, PlacedReplica};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Kept, Site, Travel, again_ms, carry_ms, chain, read_ms, shared, tokens};
+use crate::{
+    Ms,
+    bounds::Bounds,
+    limits::{COLD_BURST_PART, COLD_PART, DOWN_COLD, EDGES_FALL, FULL_MS, KEPT_TOKENS, LOAD_MS, ORDER_MS, RATE_MS},
+    order::{weight, weight_of},
+    pass::{Ask, Told},
+};
+
+/// A replica that was nominated.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Nominee {
+    pub id: String,
+    pub addr: String,
+    pub version: String,
+    /// Its shared parts should lie in the replica's cache.
+    pub warm: bool,
+    /// ms that its prompt takes to read there.
+    pub read_ms: f64,
+    /// ms to the first piece as expected.
+    pub expected: f64,
+}
+
+/// What a nomination is for.
+pub struct Want<'a> {
+    pub lane: &'a PathSpec,
+    pub ask: &'a Ask,
+    pub tried: &'a [String],
+    pub evacuated: &'a BTreeSet<String>,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    addr: String,
+    version: String,
+    site: Site,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    rows: BTreeMap<String, Row>,
+    kept: Kept,
+    pub travel: Travel,
+    pub bounds: Bounds,
+    engines: BTreeMap<String, EngineSpec>,
+    /// Names of edges, mine among them, and the most there were lately.
+    edges: Vec<String>,
+    me: String,
+    most: (usize, Ms),
+}
+
+impl Placement {
+    pub fn new(me: &str, zone: &str, regions: BTreeMap<String, String>, bounds: Bounds) -> Self {
+        Placement { me: me.into(), travel: Travel::new(zone, regions), bounds, ..Placement::default() }
+    }
+
+    // ---- what is known ----
+
+    pub fn set_edges(&mut self, names: Vec<String>, now: Ms) {
+        let n = names.len().max(1);
+        // A smaller count would give each a larger part while those that were counted may still draw theirs.
+        if n >= self.most.0 || now.saturating_sub(self.most.1) > EDGES_FALL {
+            self.most = (n, now);
+        }
+        self.edges = names;
+    }
+    pub fn edges(&self) -> usize {
+        self.most.0.max(1)
+    }
+    pub fn set_engine(&mut self, service: &str, e: &EngineSpec) {
+        self.engines.insert(service.into(), e.clone());
+    }
+    /// Takes the replicas of a service as its record has them.
+    pub fn set_service(&mut self, service: &str, all: &[PlacedReplica], old: &BTreeSet<String>, now: Ms) {
+        let cold_ms = self.engines.get(service).map_or(0, |e| e.cold_ms);
+        let listed: BTreeSet<&String> = all.iter().map(|r| &r.id).collect();
+        for id in old.iter().filter(|id| !listed.contains(id)) {
+            if let Some(r) = self.rows.remove(id) {
+                self.kept.forget(r.site.number);
+            }
+        }
+        for r in all {
+            let number = xxh3_64(r.id.as_bytes());
+            let row = self.rows.entry(r.id.clone()).or_insert_with(|| Row {
+                addr: r.addr.clone(),
+                version: r.version.clone(),
+                site: Site::new(number, &r.zone, r.slots),
+            });
+            (row.addr, row.version) = (r.addr.clone(), r.version.clone());
+            if r.cold {
+                row.site.set_cold(now + cold_ms.max(1));
+            }
+        }
+    }
+    pub fn zone(&self, id: &str) -> Option<&str> {
+        self.rows.get(id).map(|r| r.site.zone.as_str())
+    }
+    /// Channels that this proxy may hold to one replica: its part of what the replica accepts from all.
+    pub fn channels(&self, service: &str) -> usize {
+        let all = self.engines.get(service).map_or(0, |e| e.channels as usize);
+        if all == 0 { usize::MAX } else { (all * 4 / 5 / self.edges()).max(2) }
+    }
+
+    /// This proxy's part of a cold replica's rate: none if others are to warm it.
+    fn cold_rate(&self, service: &str, id: &str) -> f64 {
+        let Some(rate) = self.engines.get(service).and_then(|e| e.cold_rate).filter(|r| *r > 0.0) else { return f64::MAX };
+        // Each of those who warm it may send one at the same moment: no more of them than what it bears besides.
+        let spare = rate * (self.bounds.cold_over - 1.0).max(0.0) + self.bounds.cold_slack;
+        let all = self.edges().min((spare * COLD_BURST_PART).max(1.0) as usize).max(1);
+        let before = self.edges.iter().filter(|n| **n != self.me && weight(id, n) > weight(id, &self.me)).count();
+        if before >= all { 0.0 } else { rate * COLD_PART / all as f64 }
+    }
+
+    // ---- nominating ----
+
+    pub fn nominate<'a>(&mut self, service: &str, ids: impl Iterator<Item = &'a String>, w: &Want, now: Ms) -> Option<Nominee> {
+        let mut all: Vec<(&'a String, f64)> = vec![];
+        for id in ids.filter(|id| !w.tried.contains(id)) {
+            let rate = self.cold_rate(service, id);
+            let Some(r) = self.rows.get_mut(id.as_str()) else { continue };
+            let zone = r.site.zone.as_str();
+            let home = w.lane.homes.is_empty() || w.lane.homes.iter().any(|h| *h == self.travel.region(zone));
+            if home && !w.evacuated.contains(zone) && r.site.may_warm(rate, now) {
+                all.push((id, 0.0));
+            }
+        }
+        // Those that fail are left alone while there are others; where there are none they are better than nobody.
+        if all.iter().any(|(id, _)| self.rows[*id].site.answers(now)) {
+            all.retain(|(id, _)| self.rows[*id].site.answers(now));
+        }
+        self.weigh(service, &mut all, w, now);
+        let (id, _) = all.iter().min_by(|a, b| a.1.total_cmp(&b.1))?;
+        Some(self.nominee(id, w.ask, now))
+    }
+
+    fn weigh(&self, service: &str, all: &mut [(&String, f64)], w: &Want, now: Ms) {
+        let parts = shared(&w.ask.parts);
+        let again = again_ms(tokens(parts));
+        let carry = carry_ms(w.ask);
+        let key = chain(&w.ask.parts);
+        let near = all.iter().map(|(id, _)| self.travel.ms(&self.rows[*id].site.zone)).fold(f64::MAX, f64::min);
+        // A prompt whose shared parts are dear to read again has one place among all; of others each region has one.
+        let region = again < carry + near;
+        let place = |id: &String| {
+            let s = &self.rows[id].site;
+            let far = region && self.travel.far(&s.zone);
+            (!far, key.map_or(0, |k| weight_of(k, s.number)))
+        };
+        let mut order: Vec<((bool, u64), usize)> = all.iter().enumerate().map(|(i, (id, _))| (place(id), i)).collect();
+        order.sort_unstable_by(|a, b| b.cmp(a));
+        let edges = self.edges();
+        let bears = self.engines.get(service).and_then(|e| e.cold_rate).unwrap_or(0.0) * self.bounds.cold_over / edges as f64;
+        for (step, (_, i)) in order.into_iter().enumerate() {
+            let s = &self.rows[all[i].0].site;
+            let mut c = self.travel.ms(&s.zone) + s.lag + s.reading + s.load(edges) * LOAD_MS;
+            if self.travel.far(&s.zone) {
+                c += carry;
+            }
+            if key.is_some() {
+                c += step.min(8) as f64 * ORDER_MS;
+                // The first in order is taken to keep the parts: somebody has read them there or will.
+                if step > 0 && !self.keeps(s.number, parts, now) {
+                    c += again;
+                }
+            }
+            if s.full(edges) {
+                c += FULL_MS * s.load(edges) / f64::from(s.slots.max(1));
+            }
+            // Any replica may turn cold unseen: what it would then bear is not exceeded while others can take it.
+            if bears > 0.0 && s.rate_now(now) + 1.0 > bears {
+                c += RATE_MS * (s.rate_now(now) + 1.0) / bears;
+            }
+            all[i].1 = c;
+        }
+    }
+
+    fn keeps(&self, site: u64, parts: &[(u64, u32)], now: Ms) -> bool {
+        parts.iter().filter(|p| p.1 >= KEPT_TOKENS).all(|p| self.kept.has(site, p.0, now))
+            && parts.iter().any(|p| p.1 >= KEPT_TOKENS)
+    }
+
+    fn nominee(&self, id: &str, ask: &Ask, now: Ms) -> Nominee {
+        let r = &self.rows[id];
+        let warm = self.keeps(r.site.number, shared(&ask.parts), now);
+        let read = read_ms(ask.tokens.0.saturating_sub(if warm { tokens(shared(&ask.parts)) } else { 0 }));
+        let expected = self.travel.ms(&r.site.zone) + r.site.reading + read;
+        Nominee { id: id.into(), addr: r.addr.clone(), version: r.version.clone(), warm, read_ms: read, expected }
+    }
+
+    // ---- what becomes of it ----
+
+    pub fn send(&mut self, n: &Nominee, ask: &Ask, now: Ms) {
+        let Some(r) = self.rows.get_mut(&n.id) else { return };
+        r.site.send(n.read_ms, now);
+        r.site.warm_one(now);
+        for p in shared(&ask.parts).iter().filter(|p| p.1 >= KEPT_TOKENS) {
+            self.kept.put(r.site.number, p.0, now);
+        }
+    }
+    pub fn opened(&mut self, id: &str, took: Ms) {
+        let Some(r) = self.rows.get(id) else { return };
+        let zone = r.site.zone.clone();
+        self.travel.took(&zone, took as f64);
+    }
+    pub fn heard(&mut self, service: &str, id: &str, t: &Told, now: Ms) {
+        let cold_ms = self.engines.get(service).map_or(0, |e| e.cold_ms);
+        let Some(r) = self.rows.get_mut(id) else { return };
+        r.site.heard(t, now);
+        if let Some(ms) = t.cold.filter(|m| *m > 0) {
+            r.site.set_cold(now + ms);
+        }
+        if t.other {
+            return;
+        }
+        // What did not answer for a while has most likely started anew, and bears little yet.
+        if r.site.well(now).is_some_and(|d| d >= DOWN_COLD) {
+            r.site.set_cold(now + cold_ms);
+        }
+    }
+    pub fn first_piece(&mut self, id: &str, read_ms: f64, late: f64, now: Ms) {
+        if let Some(r) = self.rows.get_mut(id) {
+            r.site.first_piece(read_ms, late, now);
+        }
+    }
+    /// `unheard`: ms of reading, if no first piece has come. `failed`: the replica is at fault.
+    pub fn end(&mut self, id: &str, unheard: Option<f64>, failed: bool, now: Ms) {
+        let Some(r) = self.rows.get_mut(id) else { return };
+        r.site.end(unheard);
+        if failed {
+            r.site.fail(now);
+        }
+    }
+    /// Another life stands at the address: the replica is gone, whatever the record still says.
+    pub fn gone(&mut self, id: &str) {
+        if let Some(r) = self.rows.remove(id) {
+            self.kept.forget(r.site.number);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/placement/site.rs
@@ -0,0 +1,167 @@
+//! One replica as a proxy sees it: what is open there, what its answers told, whether it answers at all.
+
+use crate::{
+    Ms,
+    limits::{DOWN_FIRST, DOWN_MOST, LAG_MOST, LAG_WEIGHT, LOAD_OLD, QUIET},
+    pass::Told,
+    placement::Bucket,
+};
+
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// Number of this life of the replica, for tables keyed by it.
+    pub number: u64,
+    pub zone: String,
+    pub slots: u32,
+    /// Rounds of ours that are open there, and those of them that have not had a first piece.
+    pub open: u32,
+    pub unheard: u32,
+    /// ms of reading that our unheard rounds still need there.
+    pub reading: f64,
+    /// What an answer last told: running, waiting; how many of ours were open then; when.
+    told: Option<(u32, u32, u32, Ms)>,
+    /// Recent rounds of ours, decaying over a second.
+    rate: f64,
+    rate_at: Ms,
+    /// ms by which first pieces come later than expected.
+    pub lag: f64,
+    /// Failures in a row, and until when it is left alone.
+    fails: u32,
+    down_until: Ms,
+    down_since: Option<Ms>,
+    /// Since when somebody waits there, and when it was last heard.
+    waits_since: Option<Ms>,
+    heard_at: Ms,
+    /// It bears little until then.
+    cold_until: Ms,
+    cold: Option<Bucket>,
+}
+
+impl Site {
+    pub fn new(number: u64, zone: &str, slots: u32) -> Self {
+        Site {
+            number,
+            zone: zone.into(),
+            slots,
+            open: 0,
+            unheard: 0,
+            reading: 0.0,
+            told: None,
+            rate: 0.0,
+            rate_at: 0,
+            lag: 0.0,
+            fails: 0,
+            down_until: 0,
+            down_since: None,
+            waits_since: None,
+            heard_at: 0,
+            cold_until: 0,
+            cold: None,
+        }
+    }
+
+    // ---- what is sent ----
+
+    pub fn send(&mut self, read_ms: f64, now: Ms) {
+        self.open += 1;
+        self.unheard += 1;
+        self.reading += read_ms;
+        self.rate = self.rate_now(now) + 1.0;
+        self.rate_at = now;
+        self.waits_since.get_or_insert(now);
+    }
+    pub fn first_piece(&mut self, read_ms: f64, late_ms: f64, now: Ms) {
+        self.unheard = self.unheard.saturating_sub(1);
+        self.reading = (self.reading - read_ms).max(0.0);
+        self.lag = (self.lag + (late_ms - self.lag) * LAG_WEIGHT).clamp(0.0, LAG_MOST);
+        self.sign(now);
+    }
+    pub fn end(&mut self, read_ms: Option<f64>) {
+        self.open = self.open.saturating_sub(1);
+        if let Some(ms) = read_ms {
+            self.unheard = self.unheard.saturating_sub(1);
+            self.reading = (self.reading - ms).max(0.0);
+        }
+        if self.unheard == 0 {
+            self.waits_since = None;
+        }
+    }
+
+    // ---- what is heard ----
+
+    /// Any sign of life.
+    pub fn sign(&mut self, now: Ms) {
+        self.heard_at = now;
+        self.waits_since = (self.unheard > 0).then_some(now);
+    }
+    pub fn heard(&mut self, t: &Told, now: Ms) {
+        self.sign(now);
+        if let Some((running, waiting, slots)) = t.load {
+            self.told = Some((running, waiting, self.open, now));
+            if slots > 0 {
+                self.slots = slots;
+            }
+        }
+    }
+    /// Gives how long it had been down.
+    pub fn well(&mut self, now: Ms) -> Option<Ms> {
+        (self.fails, self.down_until) = (0, 0);
+        self.down_since.take().map(|t| now.saturating_sub(t))
+    }
+    pub fn fail(&mut self, now: Ms) {
+        // Rounds that were under way together fail together: they are one failure.
+        if now < self.down_until {
+            return;
+        }
+        self.fails += 1;
+        self.down_since.get_or_insert(now);
+        self.down_until = now + (DOWN_FIRST << (self.fails - 1).min(8)).min(DOWN_MOST);
+    }
+
+    // ---- what is thought of it ----
+
+    /// Whether it may be tried: not lately failed, and after a failure by one round at a time.
+    pub fn answers(&self, now: Ms) -> bool {
+        let quiet = self.waits_since.is_some_and(|t| now.saturating_sub(t.max(self.heard_at)) > QUIET);
+        now >= self.down_until && !quiet && (self.fails == 0 || self.unheard == 0)
+    }
+    pub fn rate_now(&self, now: Ms) -> f64 {
+        self.rate * (-(now.saturating_sub(self.rate_at) as f64) / 1_000.0).exp()
+    }
+    /// Requests that run or wait there, as far as can be told.
+    pub fn load(&self, edges: usize) -> f64 {
+        let mine = f64::from(self.open);
+        let Some((running, waiting, open, _)) = self.told else { return mine * edges as f64 };
+        (f64::from(running + waiting) + mine - f64::from(open)).max(mine)
+    }
+    pub fn load_old(&self, now: Ms) -> bool {
+        self.told.is_none_or(|t| now.saturating_sub(t.3) > LOAD_OLD)
+    }
+    pub fn full(&self, edges: usize) -> bool {
+        self.slots > 0 && self.load(edges) >= f64::from(self.slots)
+    }
+
+    // ---- cold ----
+
+    pub fn set_cold(&mut self, until: Ms) {
+        self.cold_until = self.cold_until.max(until);
+    }
+    pub fn is_cold(&self, now: Ms) -> bool {
+        now < self.cold_until
+    }
+    /// Whether a cold replica may get one more from this proxy, whose part is `rate` a second.
+    pub fn may_warm(&mut self, rate: f64, now: Ms) -> bool {
+        if !self.is_cold(now) {
+            self.cold = None;
+            return true;
+        }
+        let b = self.cold.get_or_insert_with(|| Bucket::new(rate, 1.0, now));
+        b.set_rate(rate, now);
+        b.has(now)
+    }
+    pub fn warm_one(&mut self, now: Ms) {
+        if let Some(b) = &mut self.cold {
+            b.draw(now);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/placement/travel.rs
@@ -0,0 +1,43 @@
+//! How far zones are, learned from how long channels take to open.
+
+use std::collections::BTreeMap;
+
+use crate::limits::{FAR_MS, NEAR_MS, TRAVEL_WEIGHT, ZONE_MS};
+
+#[derive(Clone, Debug, Default)]
+pub struct Travel {
+    zone: String,
+    regions: BTreeMap<String, String>,
+    /// ms there and back, by zone.
+    took: BTreeMap<String, f64>,
+}
+
+impl Travel {
+    pub fn new(zone: &str, regions: BTreeMap<String, String>) -> Self {
+        Travel { zone: zone.into(), regions, took: BTreeMap::new() }
+    }
+    /// A zone that no region is named for is its own.
+    pub fn region<'a>(&'a self, zone: &'a str) -> &'a str {
+        self.regions.get(zone).map_or(zone, |r| r.as_str())
+    }
+    pub fn home(&self) -> &str {
+        self.region(&self.zone)
+    }
+    pub fn far(&self, zone: &str) -> bool {
+        self.region(zone) != self.home()
+    }
+    /// ms there and back.
+    pub fn ms(&self, zone: &str) -> f64 {
+        self.took.get(zone).copied().unwrap_or(match zone {
+            z if z == self.zone => ZONE_MS,
+            z if self.far(z) => FAR_MS,
+            _ => NEAR_MS,
+        })
+    }
+    pub fn took(&mut self, zone: &str, ms: f64) {
+        let old = self.ms(zone);
+        // A slow opening is most often the replica's, not the way's: it weighs less than a quick one.
+        let w = if ms > old { TRAVEL_WEIGHT / 4.0 } else { TRAVEL_WEIGHT };
+        self.took.insert(zone.into(), old + (ms - old) * w);
+    }
+}
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -1,25 +1,32 @@
 //! A proxy's brain: what it may do, where a request goes, who waits and who is rejected, and what is
 //! counted. It nominates for callers that ask where to go, and places requests that have come.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+};
 
 use remote_calls::{
-    Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, ReplicaReport, RolloutRecord, RunRequest, ServiceSpec, Spec,
+    Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, PathSpec, ReplicaReport, RolloutRecord, RunRequest,
+    ServiceSpec, Spec,
 };
 use wire_messages::{Board as BoardMsg, Lent, List, Name, Node, Open, ProxyHello, Tally};
 
 use crate::{
     Ms,
     agent::{RULE_ALL, RULE_NONE, RULE_STABLE},
-    board::Board,
+    board::{Board, SpecReader, own_spec, stamp},
+    bounds::Bounds,
     claims,
     control::{LEAVING, SPEC, evacuated},
     health::{Health, Verdict},
     limits::{
         AFFINITY_BUSY, COLD_PLACES, KV_FULL, PLACE_OLD, PREFIX_KEPT, PREFIXES, PRESS_EBB, PRESS_MOST, PRESS_STEP, REPORT_OLD,
-        RETRY_AFTER, SECOND_ROUNDS, SECOND_ROUNDS_FREE, SUSPECT_FOR, WAIT_MAX, WAIT_PERCENT, WAITING, WARM_UP,
+        RETRY_AFTER, SECOND_ROUNDS, SECOND_ROUNDS_FREE, SLOW_FACTOR, SUSPECT_FOR, WAIT_MAX, WAIT_PERCENT, WAITING, WARM_UP,
     },
     order::weight,
+    pass::{Ask, PassEnd, Paths, Told},
+    placement::{Budget, Nominee, Placement, Want},
     register::DUTY,
 };
 
@@ -34,6 +41,8 @@
     pub role: GroupRole,
     pub warm: bool,
     pub at: Ms,
+    /// Number of a round that came by host and path; 0 for others.
+    pub flight: u64,
 }
 
 impl Placed {
@@ -76,6 +85,17 @@
     ready: BTreeMap<String, Ms>,
 }
 
+/// A round under way that came by host and path.
+#[derive(Clone, Debug)]
+struct Flight {
+    /// ms of reading, until its first piece has come.
+    read_ms: Option<f64>,
+    expected: f64,
+    at: Ms,
+    slow_ms: f64,
+    slow: bool,
+}
+
 /// A request in the buffer.
 #[derive(Clone, Debug)]
 struct Waiting {
@@ -122,12 +142,21 @@
     budget: u64,
     rng: fastrand::Rng,
     pub counters: BTreeMap<&'static str, u64>,
+    reader: SpecReader,
+    /// Place of the spec on the board that was read last, and the index of its paths.
+    read: (u64, u64),
+    paths: Paths,
+    placement: Placement,
+    budgets: BTreeMap<String, Budget>,
+    flights: BTreeMap<u64, Flight>,
+    flight: u64,
 }
 
 impl Proxy {
     /// `seed` is random from outside: two proxies of one fleet must never mint the same ids.
     pub fn new(name: Name, zone: Name, http: Name, born: u64, seed: u64) -> Self {
         let rng = fastrand::Rng::with_seed(weight(&name, &seed.to_string()));
+        let (me, at) = (name.clone(), zone.clone());
         Proxy {
             name,
             zone,
@@ -155,8 +184,23 @@
             budget: SECOND_ROUNDS_FREE * 100,
             rng,
             counters: BTreeMap::new(),
+            reader: own_spec,
+            read: (0, 0),
+            paths: Paths::default(),
+            placement: Placement::new(&me, &at, BTreeMap::new(), Bounds::default()),
+            budgets: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            flight: 0,
         }
     }
+    /// Another spelling of the operator's document than the product's own.
+    pub fn set_reader(&mut self, r: SpecReader) {
+        self.reader = r;
+    }
+    /// Bounds to keep and the region of each zone.
+    pub fn set_bounds(&mut self, b: Bounds, regions: BTreeMap<String, String>) {
+        self.placement = Placement::new(&self.name, &self.zone, regions, b);
+    }
 
     fn count(&mut self, what: &'static str) {
         *self.counters.entry(what).or_default() += 1;
@@ -164,8 +208,10 @@
 
     // ---- what the agent says ----
 
-    pub fn on_board(&mut self, m: BoardMsg) {
+    pub fn on_board(&mut self, m: BoardMsg, now: Ms) {
         (self.rule, self.until, self.nodes) = (m.rule, m.until, m.nodes.0);
+        let edges = self.nodes.iter().filter(|n| !n.http.is_empty()).map(|n| n.name.to_string()).collect();
+        self.placement.set_edges(edges, now);
         self.whole |= m.full != 0;
         let mut new = false;
         for c in &m.changes.0 {
@@ -178,17 +224,35 @@
             }
         }
         if new {
-            self.read_board();
+            self.read_board(now);
         }
     }
 
-    fn read_board(&mut self) {
-        self.spec = self.board.read(SPEC);
+    fn read_board(&mut self, now: Ms) {
+        let spec = self.board.get(SPEC).filter(|c| !c.value.0.is_empty());
+        // Documents grow long and records change often: each is read once per change of its own.
+        if let Some(c) = spec.filter(|c| stamp(c) != self.read) {
+            let s = (self.reader)(&c.value.0);
+            self.read = stamp(c);
+            self.paths = Paths::new(s.as_ref().map_or(&[], |s| &s.paths));
+            for v in s.iter().flat_map(|s| &s.services) {
+                v.engine.iter().for_each(|e| self.placement.set_engine(&v.name, e));
+            }
+            self.spec = s;
+        }
         self.leaving = self.board.under(LEAVING).map(|(r, _)| r.to_string()).collect();
-        let rows = self.board.under(DUTY);
-        let rows =
-            rows.filter_map(|(s, c)| Some((s.to_string(), (c.epoch, c.version, serde_json::from_slice(&c.value.0).ok()?))));
-        self.records = rows.collect();
+        let changed: Vec<(String, (u64, u64))> = self
+            .board
+            .under(DUTY)
+            .map(|(s, c)| (s.to_string(), stamp(c)))
+            .filter(|(s, at)| self.records.get(s).is_none_or(|r| (r.0, r.1) != *at))
+            .collect();
+        for (s, at) in changed {
+            let Some(r) = self.board.read::<RolloutRecord>(&format!("{DUTY}{s}")) else { continue };
+            let old = self.records.get(&s).map_or(BTreeSet::new(), |o| o.2.replicas.iter().map(|p| p.id.clone()).collect());
+            self.placement.set_service(&s, &r.replicas, &old, now);
+            self.records.insert(s, (at.0, at.1, r));
+        }
         let zones = self.spec.as_ref().map_or(&[][..], |s| &s.zones);
         self.evacuated = zones.iter().filter(|z| evacuated(&self.board, &z.name)).map(|z| z.name.clone()).collect();
     }
@@ -613,21 +677,27 @@
             s.since += 1;
         }
         *self.open.entry((replica.clone(), version.clone())).or_default() += 1;
+        self.share_out(&q.service, role);
+        let p =
+            Placed { service: q.service.clone(), lane: q.lane.clone(), version, replica, addr, role, warm, at: now, flight: 0 };
+        self.tally(&p, 0);
+        p
+    }
+
+    /// Counts a round of a service towards its canary's share, or out of it.
+    fn share_out(&mut self, service: &str, role: GroupRole) {
         let canary = |r: &RolloutRecord| r.groups.iter().any(|g| g.role == GroupRole::Canary);
-        let share = match self.records.get(&q.service) {
-            Some((.., r)) if canary(r) => self.permits.get(&q.service).map_or(0, |p| p.permit.canary_share),
+        let share = match self.records.get(service) {
+            Some((.., r)) if canary(r) => self.permits.get(service).map_or(0, |p| p.permit.canary_share),
             _ => 0,
         };
         // Each request lets the canary have its percent of one; nothing is saved up beyond one, nor from before
         // there was a canary.
-        let n = self.shares.entry(q.service.clone()).or_default();
+        let n = self.shares.entry(service.into()).or_default();
         *n = if share == 0 { 0 } else { (*n + share).min(100) };
         if role == GroupRole::Canary {
             *n = n.saturating_sub(100);
         }
-        let p = Placed { service: q.service.clone(), lane: q.lane.clone(), version, replica, addr, role, warm, at: now };
-        self.tally(&p, 0);
-        p
     }
 
     fn tally(&mut self, p: &Placed, i: usize) {
@@ -673,6 +743,140 @@
         old.is_none_or(|t| t <= now).then(|| p.version.clone())
     }
 
+    // ---- requests that come by host and path ----
+
+    /// The lane of a request, if this edge may serve at all.
+    pub fn path(&mut self, host: &str, path: &str, now: Ms) -> Result<Arc<PathSpec>, Fault> {
+        if self.rule == RULE_NONE || now >= self.until {
+            return Err(self.reject("no_rule", "check_rule", "this edge may not serve now"));
+        }
+        if !self.whole || self.spec.is_none() {
+            return Err(self.reject("no_spec", "check_rule", "no spec is known yet"));
+        }
+        let none = || Fault::new("not_found", "find_lane", "no lane has this host and path").outcome(Outcome::NotRun);
+        self.paths.find(host, path).ok_or_else(none)
+    }
+
+    /// Nominates a replica for a request. `tried`: replicas that it went to before.
+    pub fn pass(&mut self, lane: &PathSpec, ask: &Ask, tried: &[String], until: Ms, now: Ms) -> Admit {
+        if now >= until {
+            return Admit::Reject(self.reject("no_time", "nominate", "it could not end in its time left"));
+        }
+        for service in self.by_weight(lane) {
+            if tried.is_empty() {
+                self.budgets.entry(service.clone()).or_default().first(&self.placement.bounds, now);
+            }
+            for (role, version, ids) in self.groups(&service, now) {
+                let evacuated = std::mem::take(&mut self.evacuated);
+                let leaving = &self.leaving;
+                let open = ids.iter().filter(|id| !leaving.contains(*id));
+                let w = Want { lane, ask, tried, evacuated: &evacuated };
+                let n = self.placement.nominate(&service, open, &w, now);
+                self.evacuated = evacuated;
+                if let Some(n) = n {
+                    return Admit::Go(self.fly(lane, service, role, version, n, ask, now));
+                }
+            }
+        }
+        Admit::Reject(self.reject("no_replica", "nominate", "no replica may take it now"))
+    }
+
+    /// Services of a lane, one drawn by weight first; the others may serve it too if that one has nobody.
+    fn by_weight(&mut self, lane: &PathSpec) -> Vec<String> {
+        let total: u32 = lane.split.iter().map(|s| s.weight).sum();
+        let mut x = if total > 0 { self.rng.u32(..total) } else { 0 };
+        let mut names: Vec<String> = vec![];
+        for s in lane.split.iter().filter(|s| s.weight > 0) {
+            if x < s.weight && !names.contains(&s.service) {
+                names.insert(0, s.service.clone());
+            } else if !names.contains(&s.service) {
+                names.push(s.service.clone());
+            }
+            x = if x < s.weight { u32::MAX } else { x - s.weight };
+        }
+        names
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one nomination's parts, put together in one place")]
+    fn fly(
+        &mut self,
+        lane: &PathSpec,
+        service: String,
+        role: GroupRole,
+        version: String,
+        n: Nominee,
+        ask: &Ask,
+        now: Ms,
+    ) -> Placed {
+        self.placement.send(&n, ask, now);
+        self.flight += 1;
+        let slow = lane.expected_ms.max(1) as f64 * SLOW_FACTOR as f64;
+        self.flights
+            .insert(self.flight, Flight { read_ms: Some(n.read_ms), expected: n.expected, at: now, slow_ms: slow, slow: false });
+        let p = Placed {
+            service,
+            lane: lane.lane.clone(),
+            version,
+            replica: n.id,
+            addr: n.addr,
+            role,
+            warm: n.warm,
+            at: now,
+            flight: self.flight,
+        };
+        *self.open.entry((p.replica.clone(), p.version.clone())).or_default() += 1;
+        self.share_out(&p.service, role);
+        self.tally(&p, 0);
+        p
+    }
+
+    /// Draws a second round on the budget that holds over all proxies.
+    pub fn second_pass(&mut self, service: &str, now: Ms) -> bool {
+        let edges = self.placement.edges();
+        let b = self.budgets.entry(service.into()).or_default();
+        let may = b.second(&self.placement.bounds, edges, now);
+        self.count(if may { "second_rounds" } else { "second_rounds_denied" });
+        may
+    }
+    /// Most channels this proxy may hold to each replica of a service.
+    pub fn channels(&self, service: &str) -> usize {
+        self.placement.channels(service)
+    }
+    /// A channel was opened; it took so long.
+    pub fn opened(&mut self, p: &Placed, took: Ms, _now: Ms) {
+        self.placement.opened(&p.replica, took);
+    }
+    /// An answer's head came.
+    pub fn heard(&mut self, p: &Placed, t: &Told, now: Ms) {
+        self.placement.heard(&p.service, &p.replica, t, now);
+    }
+    /// The first event or bytes of an answer came.
+    pub fn first_piece(&mut self, p: &Placed, now: Ms) {
+        let Some(f) = self.flights.get_mut(&p.flight) else { return };
+        let Some(read) = f.read_ms.take() else { return };
+        let took = now.saturating_sub(f.at) as f64;
+        f.slow = took > f.slow_ms;
+        self.placement.first_piece(&p.replica, read, (took - f.expected).max(0.0), now);
+    }
+    /// A round ended; said once for each. Gives the version that this proxy begins to cap, if it does.
+    pub fn passed(&mut self, p: &Placed, e: PassEnd, now: Ms) -> Option<String> {
+        let f = self.flights.remove(&p.flight)?;
+        let failed = matches!(e, PassEnd::Failed | PassEnd::Unreachable | PassEnd::Silent);
+        self.placement.end(&p.replica, f.read_ms, failed, now);
+        if e == PassEnd::Other {
+            self.placement.gone(&p.replica);
+        }
+        let ended = match e {
+            PassEnd::Answered if f.slow => Ended::Slow,
+            PassEnd::Answered => Ended::Answered,
+            PassEnd::Slow => Ended::Slow,
+            PassEnd::Failed | PassEnd::Silent => Ended::Failed,
+            PassEnd::Unreachable | PassEnd::Full | PassEnd::Other => Ended::Busy,
+            PassEnd::Dropped => Ended::Dropped,
+        };
+        self.done(p, ended, now)
+    }
+
     // ---- rounds ----
 
     /// Whether a second round may be made: a small share of first rounds, and a few for free.
--- a/coordination/src/request.rs
+++ b/coordination/src/request.rs
@@ -191,6 +191,7 @@
             role: remote_calls::GroupRole::Stable,
             warm: false,
             at: 0,
+            flight: 0,
         }
     }
     fn outcome(s: Step) -> Option<Outcome> {
--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -46,3 +46,7 @@
 pub const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// ms. An edge heard longer ago is out of reach.
 pub const EDGE_HEARD: u64 = 3_000;
+/// An agent that was asked to stop hears by then that its proxy was too: two of the proxy's hellos.
+pub const FAREWELL: Duration = Duration::from_millis(2 * HELLO_EVERY);
+/// ms. An agent ends so long before its grace does.
+pub const AGENT_LAST: Ms = 300;
--- a/edge-agent/src/lib.rs
+++ b/edge-agent/src/lib.rs
@@ -7,8 +7,9 @@
 use daemon_parts::{
     channels::{self, Channels, Incoming},
     clock,
-    limits::MAILBOX,
+    limits::{AGENT_LAST, FAREWELL, MAILBOX},
     logging::{self, StartFault, event},
+    look::Look,
     params::Params,
     stop,
 };
@@ -60,6 +61,13 @@
     }
 }
 
+impl<T: Send + 'static> Handler<Look<Self, T>> for AgentActor {
+    type Result = Result<T, ()>;
+    fn handle(&mut self, m: Look<Self, T>, _: &mut Self::Context) -> Self::Result {
+        Ok((m.0)(self, clock::now()))
+    }
+}
+
 /// Runs until the process is asked to stop.
 pub async fn run(p: Params) -> Result<(), Report<StartFault>> {
     let _log = logging::start(&p.log)?;
@@ -72,11 +80,22 @@
         ..Node::default()
     };
     let seeds = p.seeds.iter().map(|s| s.as_str().into()).collect();
-    let brain = Agent::new(me, seeds, born, clock::now());
+    let mut brain = Agent::new(me, seeds, born, clock::now());
+    brain.set_serve_on(p.serve_on);
     let a = AgentActor { name: p.name.clone(), listen: p.listen.clone(), brain, ch: None }.start();
-    channels::listen(&p.bind, a.recipient()).await?;
+    channels::listen(&p.bind, a.clone().recipient()).await?;
     event(events::STARTED, &p.name, &format!("processes {}", p.listen));
     stop::asked(&p.name).await;
+    // A proxy that was asked to stop as well still serves what comes, by this agent's rule and news.
+    let last = clock::now() + p.bounds.grace.saturating_sub(AGENT_LAST);
+    tokio::time::sleep(FAREWELL).await;
+    while clock::now() < last {
+        let goes = a.send(Look(Box::new(|a: &mut AgentActor, now| a.brain.proxy_goes(now)))).await;
+        if !matches!(goes, Ok(Ok(true))) {
+            break;
+        }
+        tokio::time::sleep(FAREWELL).await;
+    }
     event(events::STOPPED, &p.name, "");
     Ok(())
 }
--- a/edge-proxy/src/actor.rs
+++ b/edge-proxy/src/actor.rs
@@ -145,7 +145,7 @@
             return event(coordination::events::CHANNEL_BAD_FRAME, &m.0.addr, "is not this proxy's agent");
         }
         match m.0.msg {
-            Msg::Board(b) => self.brain.on_board(b),
+            Msg::Board(b) => self.brain.on_board(b, clock::now()),
             Msg::ClaimTold(t) => {
                 if let Some(s) = self.claims.remove(&t.token) {
                     let _ = s.send(t.state);
--- a/fleet-simulator/src/world/network.rs
+++ b/fleet-simulator/src/world/network.rs
@@ -145,7 +145,7 @@
                         (b.rule, b.until) = (2, Ms::MAX);
                     }
                     if let Some(p) = &mut self.edges[i].proxy {
-                        p.on_board(b);
+                        p.on_board(b, now);
                     }
                 }
                 Msg::ClaimTold(c) => {
