Pass requests by host and path to replicas, as a second seam on the same brain

Requests come as raw HTTP and go to the replica that the brain nominates; bodies and streams return unchanged. Resumable streams go on at another replica behind the last whole event. The brain moves behind a lock that the actor and the HTTP worker share.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod membership;
 pub mod order;
 pub mod pass;
+pub mod pass_stream;
 pub mod placement;
 pub mod proxy;
 pub mod register;
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -196,3 +196,5 @@
 pub const KEPT_PARTS: usize = 8_000;
 /// Shared parts smaller than this are not worth remembering, in tokens.
 pub const KEPT_TOKENS: u32 = 200;
+/// Bytes of one event of a stream that may be resumed; the largest seen are a hundredth of it.
+pub const EVENT_MAX: usize = 64 << 10;
--- /dev/null
+++ b/coordination/src/pass_stream.rs
@@ -0,0 +1,220 @@
+//! Event streams that may go on at another replica: only whole events are passed on, so that after a cut the next
+//! run follows behind the last of them, with none missing, torn or twice.
+
+use std::borrow::Cow;
+
+use crate::limits::EVENT_MAX;
+
+/// One answer's events, over all runs that make it up.
+#[derive(Clone, Debug, Default)]
+pub struct Events {
+    /// Bytes of an event that is not whole yet.
+    half: Vec<u8>,
+    /// Id of the last whole event that was passed on.
+    last: Option<String>,
+    /// An event without an id was passed on since: no run could be told to go on behind it.
+    unnamed: bool,
+    /// An event outgrew the bound: bytes pass as they come, and nothing can follow a cut.
+    plain: bool,
+    /// This run follows another: what that one passed on is left out.
+    behind: bool,
+}
+
+impl Events {
+    /// Takes bytes as they came; gives those that go on now.
+    pub fn take<'a>(&mut self, b: &'a [u8]) -> Cow<'a, [u8]> {
+        if self.plain {
+            return Cow::Borrowed(b);
+        }
+        // The common case: bytes that are whole events go on as they came.
+        if self.half.is_empty() && !self.behind {
+            let n = self.read(b);
+            self.half.extend_from_slice(&b[n..]);
+            self.bound();
+            return Cow::Borrowed(&b[..n]);
+        }
+        self.half.extend_from_slice(b);
+        let all = std::mem::take(&mut self.half);
+        let n = if self.behind { all.len() - after_events(&all) } else { self.read(&all) };
+        self.half = all[n..].to_vec();
+        let mut out = all;
+        out.truncate(n);
+        if self.behind {
+            out = self.leave_out(&out);
+        }
+        self.bound();
+        Cow::Owned(out)
+    }
+    /// The replica ended its answer: what is left belongs to it too.
+    pub fn rest(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.half)
+    }
+    /// The run was cut; another will follow. Drops the torn event.
+    pub fn cut(&mut self) {
+        self.half.clear();
+        self.behind = true;
+    }
+    /// Whether a run that follows can be told where to go on.
+    pub fn resumable(&self) -> bool {
+        !self.plain && !self.unnamed
+    }
+    /// Id of the last whole event passed on, if any was.
+    pub fn last(&self) -> Option<&str> {
+        self.last.as_deref()
+    }
+
+    fn bound(&mut self) {
+        // A stream that hides its events for so long is none that could be resumed; memory is bounded.
+        self.plain = self.half.len() > EVENT_MAX && !self.behind;
+    }
+    /// Reads whole events and says where they end.
+    fn read(&mut self, b: &[u8]) -> usize {
+        let mut from = 0;
+        while let Some(n) = event_end(&b[from..]) {
+            self.pass(&b[from..from + n]);
+            from += n;
+        }
+        from
+    }
+    fn pass(&mut self, e: &[u8]) {
+        match (id(e), has_data(e)) {
+            (Some(id), _) => (self.last, self.unnamed) = (Some(id.to_string()), false),
+            (None, true) => self.unnamed = true,
+            (None, false) => {}
+        }
+    }
+    /// Events of a run that follows another: only those behind what was passed on.
+    fn leave_out(&mut self, all: &[u8]) -> Vec<u8> {
+        let mut out = Vec::with_capacity(all.len());
+        let mut from = 0;
+        while let Some(n) = event_end(&all[from..]) {
+            let e = &all[from..from + n];
+            from += n;
+            let number = |s: &str| s.parse::<u64>().ok();
+            let old = match (id(e), self.last()) {
+                (Some(x), Some(l)) => x == l || number(x).zip(number(l)).is_some_and(|(x, l)| x <= l),
+                _ => false,
+            };
+            if !old {
+                self.pass(e);
+                out.extend_from_slice(e);
+            }
+        }
+        out
+    }
+}
+
+/// Bytes behind the last whole event.
+fn after_events(b: &[u8]) -> usize {
+    let mut from = 0;
+    while let Some(n) = event_end(&b[from..]) {
+        from += n;
+    }
+    b.len() - from
+}
+/// Length of the event that begins here, with the empty line that ends it.
+fn event_end(b: &[u8]) -> Option<usize> {
+    let mut from = 0;
+    while let Some(n) = b[from..].iter().position(|c| *c == b'\n') {
+        let line = &b[from..from + n];
+        from += n + 1;
+        if line.is_empty() || line == b"\r" {
+            return Some(from);
+        }
+    }
+    None
+}
+fn lines(e: &[u8]) -> impl Iterator<Item = &[u8]> {
+    e.split(|c| *c == b'\n').map(|l| l.strip_suffix(b"\r").unwrap_or(l))
+}
+fn id(e: &[u8]) -> Option<&str> {
+    let l = lines(e).filter_map(|l| l.strip_prefix(b"id:")).last()?;
+    std::str::from_utf8(l.strip_prefix(b" ").unwrap_or(l)).ok()
+}
+fn has_data(e: &[u8]) -> bool {
+    lines(e).any(|l| l.starts_with(b"data"))
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use super::*;
+
+    fn event(n: u64) -> String {
+        format!("id: {n}\ndata: piece {n}\n\n")
+    }
+    fn events(r: std::ops::RangeInclusive<u64>) -> String {
+        r.map(event).collect()
+    }
+    /// Feeds bytes in pieces of random sizes.
+    fn feed(e: &mut Events, all: &[u8], rng: &mut fastrand::Rng) -> Vec<u8> {
+        let mut out = vec![];
+        let mut rest = all;
+        while !rest.is_empty() {
+            let (a, b) = rest.split_at(rng.usize(1..=rest.len().min(40)));
+            out.extend_from_slice(&e.take(a));
+            rest = b;
+        }
+        out
+    }
+
+    #[gtest]
+    fn bytes_pass_unchanged_however_they_are_cut_into_pieces() {
+        for seed in 0..200 {
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let nl = if rng.bool() { "\r\n" } else { "\n" };
+            let all = format!("x-v: 2\n: hello\n\n{}retry: 5", events(1..=9)).replace('\n', nl);
+            let mut e = Events::default();
+            let mut out = feed(&mut e, all.as_bytes(), &mut rng);
+            out.extend(e.rest());
+            expect_that!(String::from_utf8(out).unwrap(), eq(&all));
+            expect_that!(e.last(), some(eq("9")));
+        }
+    }
+
+    #[gtest]
+    fn whole_events_are_not_copied() {
+        let b = events(1..=2);
+        expect_true!(matches!(Events::default().take(b.as_bytes()), Cow::Borrowed(x) if x.len() == b.len()));
+    }
+
+    #[gtest]
+    fn after_any_cut_the_runs_make_one_stream_without_a_torn_missing_or_doubled_event() {
+        let all = events(1..=8);
+        for seed in 0..400 {
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let mut e = Events::default();
+            let cut = rng.usize(0..all.len());
+            let mut out = feed(&mut e, &all.as_bytes()[..cut], &mut rng);
+            expect_true!(e.resumable());
+            e.cut();
+            // A run that honours the id, or one that begins a little earlier.
+            let last: u64 = e.last().map_or(0, |l| l.parse().unwrap());
+            let from = if rng.bool() { last + 1 } else { last.max(1) };
+            out.extend(feed(&mut e, events(from..=8).as_bytes(), &mut rng));
+            out.extend(e.rest());
+            expect_that!(String::from_utf8(out).unwrap(), eq(&all));
+        }
+    }
+
+    #[gtest]
+    fn what_no_id_tells_of_cannot_be_resumed() {
+        let mut e = Events::default();
+        e.take(b"id: 1\ndata: a\n\n: nothing\n\n");
+        expect_true!(e.resumable());
+        e.take(b"data: b\n\n");
+        expect_false!(e.resumable());
+        e.take(b"id: 2\ndata: c\n\n");
+        expect_true!(e.resumable());
+    }
+
+    #[gtest]
+    fn an_endless_event_holds_no_endless_memory() {
+        let mut e = Events::default();
+        let b = vec![b'x'; EVENT_MAX / 2 + 1];
+        expect_that!(e.take(&b).len(), eq(0));
+        expect_that!(e.take(&b).len(), eq(0));
+        expect_false!(e.resumable());
+    }
+}
--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -50,3 +50,42 @@
 pub const FAREWELL: Duration = Duration::from_millis(2 * HELLO_EVERY);
 /// ms. An agent ends so long before its grace does.
 pub const AGENT_LAST: Ms = 300;
+/// Bytes of a request's body that are kept so that a further round can send them again.
+pub const UPLOAD_KEPT: usize = 256 << 10;
+/// ms. A channel to a replica that was idle for longer is not used for what may run only once: it could have been
+/// dropped without notice, and opening another costs little.
+pub const ONCE_IDLE: Ms = 1_000;
+/// ms. A channel is dropped so long before its replica would close it: a request and a close must not cross.
+pub const IDLE_MARGIN: Ms = 300;
+/// ms. Longest that a channel is kept idle when its replica does not tell.
+pub const IDLE_KEPT: Ms = 10_000;
+/// ms. Idle channels are looked over this often.
+pub const IDLE_SWEEP: Ms = 1_000;
+/// What was sent on a channel is acknowledged by then, or the channel is lost: a machine without power says nothing.
+pub const SENT_LIMIT: Duration = Duration::from_millis(1_800);
+/// A silent channel is probed this often, so that a cut shows on streams that only come in.
+pub const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// Opening a channel may take the fixed part and so many times what it took of late.
+pub const OPEN_FACTOR: u64 = 3;
+/// Weight of a new opening time against all before, in percent.
+pub const OPEN_WEIGHT: u64 = 25;
+/// Replicas that a request may find out of reach before it is rejected.
+pub const UNREACHED_MOST: u32 = 3;
+/// Bytes of a channel's buffers; heads are a hundredth of it.
+pub const CHANNEL_BYTES: usize = 64 << 10;
+/// ms. An answer that has begun is ended so long after its time: its replica stops at the very end by itself.
+pub const LATE_SLACK: Ms = 100;
+/// Bytes of a rejection that are read so that its channel can be used on; more, and it is closed.
+pub const REJECTION_MAX: u64 = 16 << 10;
+/// s. A downstream's channel that is idle for longer is closed.
+pub const DOWNSTREAM_IDLE: Duration = Duration::from_secs(20);
+/// A downstream's first head comes by then.
+pub const DOWNSTREAM_HEAD: Duration = Duration::from_secs(20);
+/// ms before the end of its grace. A stopping proxy takes nothing new from then on.
+pub const STOP_TAKES: Ms = 2_500;
+/// ms before the end of its grace. It ends by then, whatever is open.
+pub const STOP_LAST: Ms = 600;
+/// How often a stopping proxy looks whether anything is open.
+pub const STOP_LOOK: Duration = Duration::from_millis(20);
+/// ms. What a stopping proxy tells those who come too late: another edge takes them at once.
+pub const STOP_RETRY: Ms = 50;
--- a/daemon-parts/src/params.rs
+++ b/daemon-parts/src/params.rs
@@ -23,6 +23,8 @@
     pub bind: String,
     /// Where HTTP callers reach it.
     pub http: String,
+    /// Proxies only: where it is asked whether they serve, if that is another address.
+    pub ready: String,
     /// Addresses of three other processes.
     pub seeds: Vec<String>,
     /// Control daemons only: names of all of them.
--- a/edge-proxy/src/actor.rs
+++ b/edge-proxy/src/actor.rs
@@ -8,7 +8,7 @@
 use coordination::{
     Ms,
     limits::{REPORT_EVERY, TICK},
-    proxy::{Admit, Ended, Placed, Proxy},
+    proxy::{Admit, Ended, Placed},
 };
 use daemon_parts::{
     channels::{Channels, Incoming},
@@ -21,6 +21,8 @@
 use tokio::sync::oneshot;
 use wire_messages::{ClaimAsk, Msg, Name};
 
+use crate::shared::{Shared, hold};
+
 /// A request that waits for a place.
 struct Waiter {
     q: RunRequest,
@@ -32,7 +34,7 @@
     pub name: String,
     pub listen: String,
     pub agent: Name,
-    pub brain: Proxy,
+    pub brain: Shared,
     ch: Option<Channels>,
     client: Client,
     claims: HashMap<u64, oneshot::Sender<u8>>,
@@ -44,7 +46,7 @@
 }
 
 impl ProxyActor {
-    pub fn new(name: &str, listen: &str, agent: &str, brain: Proxy) -> Self {
+    pub fn new(name: &str, listen: &str, agent: &str, brain: Shared) -> Self {
         ProxyActor {
             name: name.into(),
             listen: listen.into(),
@@ -64,29 +66,33 @@
     /// Gives places that came free to those who wait, best tier first.
     fn wake(&mut self) {
         let now = clock::now();
-        let (tokens, late) = self.brain.waiters(now);
+        let (tokens, late) = hold(&self.brain).waiters(now);
+        if tokens.is_empty() && late.is_empty() {
+            return;
+        }
         for t in late {
             self.give_up(t);
         }
         for t in tokens {
             let Some(w) = self.waiting.get(&t) else { continue };
-            let r = match self.brain.place(&w.q, &w.tried, now) {
+            let admit = hold(&self.brain).place(&w.q, &w.tried, now);
+            let r = match admit {
                 Admit::Go(p) => Ok(p),
                 Admit::Reject(f) => Err(f),
                 Admit::Full => continue,
             };
-            self.brain.unwait(t);
+            hold(&self.brain).unwait(t);
             let Some(w) = self.waiting.remove(&t) else { continue };
             // A caller that left while waiting gives its place back.
             if let Err(Ok(p)) = w.to.send(r) {
-                self.brain.done(&p, Ended::Dropped, now);
+                hold(&self.brain).done(&p, Ended::Dropped, now);
             }
         }
     }
 
     fn give_up(&mut self, token: u64) {
         let Some(w) = self.waiting.remove(&token) else { return };
-        let f = self.brain.reject("full", "wait", "no place came free soon enough");
+        let f = hold(&self.brain).reject("full", "wait", "no place came free soon enough");
         let _ = w.to.send(Err(f));
     }
 
@@ -95,24 +101,31 @@
             return;
         }
         self.next_report = now + REPORT_EVERY;
-        for (_, addr) in self.brain.replicas() {
+        let all = hold(&self.brain).replicas();
+        for (_, addr) in all {
             let c = self.client.clone();
             let f = async move { http::call::<(), ReplicaReport>(&c, &addr, calls::REPORT, None, CALL_LIMIT).await };
             ctx.spawn(f.into_actor(self).map(move |r, me, _| {
                 if let Ok(r) = r {
-                    me.brain.on_report(r, now);
+                    hold(&me.brain).on_report(r, now);
                     me.wake();
                 }
             }));
         }
     }
 
+    /// Tells the agent at once that this proxy stops: others no longer send callers to it.
+    pub fn stop(&mut self, now: Ms) {
+        (self.stopping, self.next_hello) = (true, 0);
+        self.say_hello(now);
+    }
+
     fn say_hello(&mut self, now: Ms) {
         if now < self.next_hello {
             return;
         }
         self.next_hello = now + HELLO_EVERY;
-        let mut m = self.brain.hello(now);
+        let mut m = hold(&self.brain).hello(now);
         // A proxy that stops is no longer nominated.
         if self.stopping {
             m.http = Name::default();
@@ -145,7 +158,7 @@
             return event(coordination::events::CHANNEL_BAD_FRAME, &m.0.addr, "is not this proxy's agent");
         }
         match m.0.msg {
-            Msg::Board(b) => self.brain.on_board(b, clock::now()),
+            Msg::Board(b) => hold(&self.brain).on_board(b, clock::now()),
             Msg::ClaimTold(t) => {
                 if let Some(s) = self.claims.remove(&t.token) {
                     let _ = s.send(t.state);
@@ -207,7 +220,8 @@
     type Result = ResponseFuture<Result<Placed, Fault>>;
     fn handle(&mut self, m: FindPlace, _: &mut Self::Context) -> Self::Result {
         let now = clock::now();
-        match self.brain.place(&m.q, &m.tried, now) {
+        let admit = hold(&self.brain).place(&m.q, &m.tried, now);
+        match admit {
             Admit::Go(p) => return Box::pin(async { Ok(p) }),
             Admit::Reject(f) => return Box::pin(async { Err(f) }),
             Admit::Full => {}
@@ -216,7 +230,8 @@
         let t = self.token;
         let (to, r) = oneshot::channel();
         self.waiting.insert(t, Waiter { q: m.q, tried: m.tried, to });
-        for worst in self.brain.wait(t, m.rank, m.time_left, now) {
+        let worst = hold(&self.brain).wait(t, m.rank, m.time_left, now);
+        for worst in worst {
             self.give_up(worst);
         }
         Box::pin(
@@ -232,7 +247,8 @@
 impl Handler<Done> for ProxyActor {
     type Result = ();
     fn handle(&mut self, m: Done, _: &mut Self::Context) {
-        if let Some(v) = self.brain.done(&m.0, m.1, clock::now()) {
+        let suspect = hold(&self.brain).done(&m.0, m.1, clock::now());
+        if let Some(v) = suspect {
             event(coordination::events::SUSPECT, &m.0.replica, &v);
         }
         self.wake();
--- /dev/null
+++ b/edge-proxy/src/dialect.rs
@@ -0,0 +1,20 @@
+//! How requests by host and path are spelled on a wire. The product decides; a dialect only translates.
+
+use coordination::{
+    Ms,
+    pass::{Ask, Told},
+    proxy::Placed,
+};
+use http::HeaderMap;
+use remote_calls::PathSpec;
+
+pub trait Dialect: Send + Sync {
+    /// What a downstream's headers tell of its request.
+    fn ask(&self, host: &str, path: &str, h: &HeaderMap) -> Ask;
+    /// Dresses a round's headers for the replica that it goes to, with the time left.
+    fn dress(&self, h: &mut HeaderMap, lane: &PathSpec, p: &Placed, left: Ms);
+    /// What the head of an answer tells of its replica.
+    fn told(&self, status: u16, h: &HeaderMap) -> Told;
+    /// Path at which it is asked whether this edge serves.
+    fn ready_path(&self) -> &str;
+}
--- /dev/null
+++ b/edge-proxy/src/front.rs
@@ -0,0 +1,179 @@
+//! Requests by host and path as they come from downstreams.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed},
+};
+
+use actix_web::{
+    HttpRequest, HttpResponse,
+    http::StatusCode,
+    web::{self, Payload},
+};
+use coordination::{Ms, events};
+use daemon_parts::{clock, limits::STOP_RETRY, logging::event};
+use http::{HeaderMap, HeaderName, HeaderValue, Uri, header};
+use remote_calls::{Fault, Outcome};
+
+use crate::{
+    answer,
+    dialect::Dialect,
+    pass::{Ending, Passage},
+    pool::Pool,
+    shared::{Shared, hold},
+    upload::Upload,
+};
+
+/// Whether this proxy stops, and what it still has open.
+#[derive(Default)]
+pub struct Stopping {
+    begun: AtomicBool,
+    /// ms. From then on nothing new is taken.
+    takes: AtomicU64,
+    open: AtomicUsize,
+}
+
+impl Stopping {
+    pub fn begin(&self, takes: Ms) {
+        self.takes.store(takes, Relaxed);
+        self.begun.store(true, Relaxed);
+    }
+    pub fn begun(&self) -> bool {
+        self.begun.load(Relaxed)
+    }
+    pub fn open(&self) -> usize {
+        self.open.load(Relaxed)
+    }
+    fn takes(&self, now: Ms) -> bool {
+        !self.begun() || now < self.takes.load(Relaxed)
+    }
+}
+
+/// A request that is open, from its head to the end of its answer.
+pub struct Open(Arc<Stopping>);
+impl Open {
+    fn new(s: &Arc<Stopping>) -> Self {
+        s.open.fetch_add(1, Relaxed);
+        Open(s.clone())
+    }
+}
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Relaxed);
+    }
+}
+
+/// What the front needs of the proxy.
+#[derive(Clone)]
+pub struct Front {
+    pub brain: Shared,
+    pub dialect: Arc<dyn Dialect>,
+    pub stopping: Arc<Stopping>,
+    /// Address at which it is asked whether this edge serves.
+    pub ready: String,
+}
+
+/// Whether a header concerns one channel only.
+pub fn own_channel(n: &HeaderName, all: &HeaderMap) -> bool {
+    const OWN: [&str; 8] =
+        ["connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect"];
+    if OWN.contains(&n.as_str()) {
+        return true;
+    }
+    let named = |v: &HeaderValue| v.to_str().is_ok_and(|v| v.split(',').any(|x| x.trim().eq_ignore_ascii_case(n.as_str())));
+    all.get_all(header::CONNECTION).iter().any(named)
+}
+
+/// A downstream's headers that go along.
+fn headers(r: &HttpRequest) -> HeaderMap {
+    let mut all = HeaderMap::with_capacity(r.headers().len() + 4);
+    for (n, v) in r.headers() {
+        let name = HeaderName::from_bytes(n.as_str().as_bytes());
+        if let (Ok(n), Ok(v)) = (name, HeaderValue::from_bytes(v.as_bytes())) {
+            all.append(n, v);
+        }
+    }
+    let own: Vec<HeaderName> = all.keys().filter(|n| own_channel(n, &all)).cloned().collect();
+    own.iter().for_each(|n| {
+        all.remove(n);
+    });
+    all
+}
+
+fn reply((s, f): Ending, close: bool) -> HttpResponse {
+    event(events::REJECTED, "caller", &f.to_string());
+    let mut r = HttpResponse::build(StatusCode::from_u16(s.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY));
+    if let Some(ms) = f.retry_after_ms {
+        // Callers by host and path read fractions of a second.
+        r.insert_header(("Retry-After", format!("{}.{:03}", ms / 1_000, ms % 1_000)));
+    }
+    if close {
+        r.force_close();
+    }
+    r.json(f)
+}
+
+/// Whether this edge serves, for those who list it.
+fn ready(f: &Front) -> HttpResponse {
+    let ok = !f.stopping.begun() && hold(&f.brain).ready(clock::now());
+    if ok { HttpResponse::Ok().finish() } else { HttpResponse::ServiceUnavailable().finish() }
+}
+
+/// A request by host and path.
+pub async fn pass(r: HttpRequest, p: Payload, f: web::Data<Front>) -> HttpResponse {
+    if r.path() == f.dialect.ready_path() && r.app_config().local_addr().to_string() == f.ready {
+        return ready(&f);
+    }
+    let open = Open::new(&f.stopping);
+    let now = clock::now();
+    let host = r.headers().get("host").and_then(|v| v.to_str().ok()).or_else(|| r.uri().host()).unwrap_or_default();
+    let target = r.uri().path_and_query().map_or("/", |p| p.as_str());
+    let lane = hold(&f.brain).path(host, r.uri().path(), now);
+    let headers = headers(&r);
+    let length = headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    // Read before anything is answered, so that the channel can carry the next request whatever becomes of this.
+    let Ok(upload) = Upload::read(p.into_inner(), length).await else {
+        let m = Fault::new("bad_request", "read_body", "its body did not come whole").outcome(Outcome::NotRun);
+        return reply((http::StatusCode::BAD_REQUEST, m), true);
+    };
+    let close = || f.stopping.begun();
+    let lane = match lane {
+        Ok(l) => l,
+        Err(e) => {
+            let s = daemon_parts::http::status(&e).as_u16();
+            return reply((http::StatusCode::from_u16(s).unwrap_or_default(), e), close());
+        }
+    };
+    if !f.stopping.takes(now) {
+        let m = Fault::new("stopping", "take_request", "this edge stops").outcome(Outcome::NotRun).retry(STOP_RETRY);
+        return reply((http::StatusCode::SERVICE_UNAVAILABLE, m), true);
+    }
+    let (Ok(method), Ok(uri)) = (r.method().as_str().parse(), target.parse::<Uri>()) else {
+        let m = Fault::new("bad_request", "read_head", "its method or path is none").outcome(Outcome::NotRun);
+        return reply((http::StatusCode::BAD_REQUEST, m), close());
+    };
+    let ask = f.dialect.ask(host, r.uri().path(), &headers);
+    let until = now + ask.left.map_or(lane.time_limit_ms, |l| l.min(lane.time_limit_ms));
+    let mut p = Passage {
+        brain: f.brain.clone(),
+        dialect: f.dialect.clone(),
+        pool: Pool::here(),
+        lane,
+        ask,
+        until,
+        method,
+        uri,
+        headers,
+        upload: Some(upload),
+        tried: vec![],
+        rounds: 0,
+        unreached: 0,
+        perhaps: false,
+        service: String::new(),
+        refusal: None,
+    };
+    match p.begin().await {
+        Ok(b) => answer::pass_on(p, b, open, close()),
+        Err(e) => reply(e, close()),
+    }
+}
--- a/edge-proxy/src/http.rs
+++ b/edge-proxy/src/http.rs
@@ -5,7 +5,12 @@
 use std::cell::OnceCell;
 
 use actix::Addr;
-use actix_web::{HttpResponse, web, web::Bytes};
+use actix_web::{
+    HttpResponse,
+    guard::{GuardContext, fn_guard},
+    web,
+    web::Bytes,
+};
 use awc::Client;
 use coordination::{
     Ms, claims, events,
@@ -26,7 +31,9 @@
 
 use crate::{
     actor::{AskClaim, Done, FindPlace, ProxyActor},
+    front::{self, Front},
     round::{self, Round},
+    shared::hold,
 };
 
 type Brain = web::Data<Addr<ProxyActor>>;
@@ -51,7 +58,7 @@
 
 async fn nominate(b: Brain, q: web::Json<NominateRequest>) -> Reply {
     let q = q.into_inner();
-    let mut r = look(&b, move |a, now| a.brain.nominate(&q, now)).await?;
+    let mut r = look(&b, move |a, now| hold(&a.brain).nominate(&q, now)).await?;
     if let Err(f) = &mut r {
         // Nothing was nominated: there is no request yet that could run or not.
         f.outcome = None;
@@ -68,9 +75,9 @@
         let got = match step {
             Step::Check => {
                 let q = r.q.clone();
-                let checked = look(b, move |a, now| a.brain.check(&q, now)).await.map_err(|a| a.1)?;
+                let checked = look(b, move |a, now| hold(&a.brain).check(&q, now)).await.map_err(|a| a.1)?;
                 if checked.is_ok() {
-                    let _ = look(b, |a, _| a.brain.first_round()).await;
+                    let _ = look(b, |a, _| hold(&a.brain).first_round()).await;
                 }
                 Got::Checked(checked)
             }
@@ -106,7 +113,7 @@
 async fn place(b: &Brain, r: &Request, until: Ms) -> Result<Placed, Fault> {
     if let Some(at) = &r.q.resume {
         let (q, id) = (r.q.clone(), at.replica.clone());
-        let found = look(b, move |a, now| a.brain.resume(&q, &id, now)).await.map_err(|a| a.1)?;
+        let found = look(b, move |a, now| hold(&a.brain).resume(&q, &id, now)).await.map_err(|a| a.1)?;
         return found.ok_or_else(|| Fault::new("replica_gone", "resume", "the replica of this run is gone"));
     }
     let time_left = until.saturating_sub(clock::now());
@@ -116,10 +123,11 @@
 
 async fn budget(b: &Brain, rank: u32, request: &str) -> Result<(), Fault> {
     let r = look(b, move |a, now| {
-        if a.brain.second_round(rank, now) {
+        let mut b = hold(&a.brain);
+        if b.second_round(rank, now) {
             return Ok(());
         }
-        Err(a.brain.reject("full", "second_round", "the replica took nothing and no second round is left"))
+        Err(b.reject("full", "second_round", "the replica took nothing and no second round is left"))
     });
     let r = r.await.map_err(|a| a.1)?;
     let e = if r.is_ok() { events::SECOND_ROUND } else { events::NO_BUDGET };
@@ -129,7 +137,7 @@
 
 /// Passes a begun round on until its end; whatever is not the end mark ends as unknown.
 async fn pass_on(b: Brain, q: RunRequest, p: Placed, mut r: Round, out: Lines) {
-    let expected = look(&b, move |a, _| a.brain.expected(&q.service, &q.lane)).await.unwrap_or(0);
+    let expected = look(&b, move |a, _| hold(&a.brain).expected(&q.service, &q.lane)).await.unwrap_or(0);
     let ended = loop {
         let (l, end) = match r.next().await {
             Next::Line(l) => (l, None),
@@ -174,7 +182,7 @@
 }
 
 async fn health(b: Brain) -> Reply {
-    let (name, ok) = look(&b, |a, now| (a.name.clone(), a.brain.ready(now) && !a.stopping)).await?;
+    let (name, ok) = look(&b, |a, now| (a.name.clone(), hold(&a.brain).ready(now) && !a.stopping)).await?;
     let detail = if ok { "serves" } else { "may not serve now" }.into();
     let mut r = if ok { HttpResponse::Ok() } else { HttpResponse::ServiceUnavailable() };
     Ok(r.json(Health { ok, process: name, detail }))
@@ -182,9 +190,10 @@
 
 async fn counters(b: Brain) -> Reply {
     let (process, v) = look(&b, |a, now| {
-        let mut v: Vec<(String, u64)> = a.brain.counters.iter().map(|(n, v)| (n.to_string(), *v)).collect();
-        v.push(("spec_version".into(), a.brain.spec_version()));
-        for t in a.brain.hello(now).tallies.0 {
+        let b = hold(&a.brain);
+        let mut v: Vec<(String, u64)> = b.counters.iter().map(|(n, v)| (n.to_string(), *v)).collect();
+        v.push(("spec_version".into(), b.spec_version()));
+        for t in b.hello(now).tallies.0 {
             let at = format!("{}/{}/{}/{}/{}", t.service, t.version, t.lane, if t.warm == 1 { "warm" } else { "cold" }, t.group);
             v.extend([
                 (format!("sent/{at}"), t.sent),
@@ -201,12 +210,31 @@
 }
 
 pub fn routes(c: &mut web::ServiceConfig) {
+    own(c);
+    c.default_service(web::to(no_such_path));
+}
+
+/// The product's own calls.
+fn own(c: &mut web::ServiceConfig) {
     c.app_data(json_config())
         .route(calls::NOMINATE.1, web::post().to(nominate))
         .route(calls::RUN.1, web::post().to(run))
         .route(calls::HEALTH.1, web::get().to(health))
-        .route(calls::COUNTERS.1, web::get().to(counters))
-        .default_service(web::to(no_such_path));
+        .route(calls::COUNTERS.1, web::get().to(counters));
+}
+
+/// The product's own calls where no lane takes their path, and requests by host and path.
+pub fn routes_and_lanes(c: &mut web::ServiceConfig, f: Front) {
+    let brain = f.brain.clone();
+    let free = move |g: &GuardContext| {
+        let path = g.head().uri.path();
+        let ours = [calls::NOMINATE, calls::RUN, calls::HEALTH, calls::COUNTERS].iter().any(|c| c.1 == path);
+        let host = g.head().headers.get("host").and_then(|v| v.to_str().ok()).unwrap_or_default();
+        ours && hold(&brain).path(host, path, clock::now()).is_err()
+    };
+    c.app_data(web::Data::new(f))
+        .service(web::scope("").guard(fn_guard(free)).configure(own))
+        .default_service(web::to(front::pass));
 }
 
 /// How long a stopping proxy lets its last counts reach the agent.
--- a/edge-proxy/src/lib.rs
+++ b/edge-proxy/src/lib.rs
@@ -1,30 +1,62 @@
 //! The edge proxy: answers callers where to go, and passes their requests to replicas.
 
 pub mod actor;
+mod answer;
+pub mod dialect;
+pub mod front;
 pub mod http;
+mod pass;
+mod pool;
 pub mod round;
+pub mod shared;
+mod upload;
 
-use actix::Actor;
-use actix_web::{App, HttpServer, web};
-use coordination::proxy::Proxy;
-use daemon_parts::limits::WORKERS;
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use actix::{Actor, Addr};
+use actix_web::{App, HttpServer, dev::ServerHandle, web};
+use coordination::{board::SpecReader, events, proxy::Proxy};
 use daemon_parts::{
     channels, clock,
-    limits::STOP_LIMIT,
-    logging::{self, StartFault},
+    limits::{DOWNSTREAM_HEAD, DOWNSTREAM_IDLE, STOP_LAST, STOP_LIMIT, STOP_LOOK, STOP_TAKES, WORKERS},
+    logging::{self, StartFault, event},
     look::Look,
     params::Params,
     stop,
 };
 use error_stack::{Report, ResultExt};
 
-/// Runs until the process is asked to stop.
-pub async fn run(p: Params) -> Result<(), Report<StartFault>> {
-    let _log = logging::start(&p.log)?;
-    let brain =
+use crate::{
+    actor::ProxyActor,
+    dialect::Dialect,
+    front::{Front, Stopping},
+    shared::Shared,
+};
+
+fn brain(p: &Params, reader: SpecReader) -> Proxy {
+    let mut b =
         Proxy::new(p.name.as_str().into(), p.zone.as_str().into(), p.http.as_str().into(), clock::born(), fastrand::u64(..));
-    let a = actor::ProxyActor::new(&p.name, &p.listen, &p.agent, brain).start();
+    b.set_reader(reader);
+    b
+}
+
+/// Runs until the process is asked to stop. With a dialect it also passes requests by host and path.
+pub async fn run(p: Params, dialect: Option<Arc<dyn Dialect>>, reader: SpecReader) -> Result<(), Report<StartFault>> {
+    let _log = logging::start(&p.log)?;
+    let brain: Shared = Arc::new(Mutex::new(brain(&p, reader)));
+    let a = ProxyActor::new(&p.name, &p.listen, &p.agent, brain.clone()).start();
     channels::listen(&p.bind, a.clone().recipient()).await?;
+    match dialect {
+        Some(d) => with_lanes(p, a, brain, d).await,
+        None => own(p, a).await,
+    }
+}
+
+/// The product's own calls alone.
+async fn own(p: Params, a: Addr<ProxyActor>) -> Result<(), Report<StartFault>> {
     let b = web::Data::new(a.clone());
     let server = HttpServer::new(move || App::new().app_data(b.clone()).configure(http::routes))
         .workers(WORKERS)
@@ -35,10 +67,61 @@
         .attach_with(|| p.http.clone())?
         .run();
     let farewell = async {
-        let _ = a.send(Look(Box::new(|a: &mut actor::ProxyActor, _| a.stopping = true))).await;
+        let _ = a.send(Look(Box::new(|a: &mut ProxyActor, now| a.stop(now)))).await;
         // Others stop nominating this proxy before its port closes.
         tokio::time::sleep(http::FAREWELL).await;
     };
     stop::serve(server, &p.name, &format!("http {} processes {}", p.http, p.listen), farewell).await;
     Ok(())
 }
+
+/// Requests by host and path as well.
+async fn with_lanes(p: Params, a: Addr<ProxyActor>, brain: Shared, dialect: Arc<dyn Dialect>) -> Result<(), Report<StartFault>> {
+    let stopping = Arc::new(Stopping::default());
+    let f = Front { brain, dialect, stopping: stopping.clone(), ready: p.ready.clone() };
+    let b = web::Data::new(a.clone());
+    let mut server = HttpServer::new(move || {
+        let f = f.clone();
+        App::new().app_data(b.clone()).configure(|c| http::routes_and_lanes(c, f))
+    })
+    // One thread: channels to replicas are shared by all requests, and the brain is under one lock anyway.
+    .workers(1)
+    .disable_signals()
+    .tcp_nodelay(true)
+    // A downstream that closes has left: its replica stops work.
+    .h1_allow_half_closed(false)
+    .keep_alive(DOWNSTREAM_IDLE)
+    .client_request_timeout(DOWNSTREAM_HEAD)
+    .shutdown_timeout(1)
+    .bind(&p.http)
+    .change_context(StartFault("bind the HTTP port"))
+    .attach_with(|| p.http.clone())?;
+    if !p.ready.is_empty() {
+        server = server.bind(&p.ready).change_context(StartFault("bind the readiness port")).attach_with(|| p.ready.clone())?;
+    }
+    let server = server.run();
+    let h = server.handle();
+    let served = actix_rt::spawn(server);
+    event(events::STARTED, &p.name, &format!("http {} processes {}", p.http, p.listen));
+    stop::asked(&p.name).await;
+    let _ = a.send(Look(Box::new(|a: &mut ProxyActor, now| a.stop(now)))).await;
+    wind_down(&stopping, &h, p.bounds.grace).await;
+    let _ = served.await;
+    event(events::STOPPED, &p.name, "");
+    Ok(())
+}
+
+/// Serves what comes until the grace is nearly over, for callers keep their lists for a while; then lets open
+/// requests end.
+async fn wind_down(s: &Stopping, h: &ServerHandle, grace: u64) {
+    let now = clock::now();
+    let (takes, last) = (now + grace.saturating_sub(STOP_TAKES), now + grace.saturating_sub(STOP_LAST));
+    s.begin(takes);
+    while clock::now() < last && (clock::now() < takes || s.open() > 0) {
+        tokio::time::sleep(STOP_LOOK).await;
+    }
+    let left = Duration::from_millis((last + STOP_LAST / 2).saturating_sub(clock::now()));
+    // What was answered last still goes out; whatever does not end by then is cut by the process's end.
+    let _ = tokio::time::timeout(left, h.stop(true)).await;
+    h.stop(false).await;
+}
--- /dev/null
+++ b/edge-proxy/src/upload.rs
@@ -0,0 +1,78 @@
+//! A request's body on its way to a replica.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use actix_web::{dev::Payload, web::BytesMut};
+use bytes::Bytes;
+use daemon_parts::limits::UPLOAD_KEPT;
+use futures_util::{Stream, StreamExt};
+use http_body::{Body, Frame, SizeHint};
+
+pub enum Upload {
+    /// All of it: small enough to be sent again.
+    Whole(Bytes),
+    /// Its beginning, and the rest as the downstream sends it; `left` of all, if its length was told.
+    Flow { head: Bytes, rest: Payload, left: Option<u64> },
+}
+
+impl Upload {
+    /// Reads a small body whole; of a large one only so much that it is known to be large.
+    pub async fn read(mut p: Payload, length: Option<u64>) -> io::Result<Self> {
+        // Memory grows with what arrives, not with what the length claims.
+        let mut b = BytesMut::new();
+        while let Some(x) = p.next().await {
+            let x = x.map_err(io::Error::other)?;
+            b.extend_from_slice(&x);
+            if b.len() > UPLOAD_KEPT {
+                return Ok(Upload::Flow { head: b.freeze(), rest: p, left: length });
+            }
+        }
+        Ok(Upload::Whole(b.freeze()))
+    }
+    /// The same body for a further round, if all of it is kept.
+    pub fn again(&self) -> Option<Self> {
+        match self {
+            Upload::Whole(b) => Some(Upload::Whole(b.clone())),
+            Upload::Flow { .. } => None,
+        }
+    }
+}
+
+impl Body for Upload {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let piece = match &mut *self {
+            Upload::Whole(b) if b.is_empty() => return Poll::Ready(None),
+            Upload::Whole(b) => std::mem::take(b),
+            Upload::Flow { head, rest, left } => {
+                let b = match head.is_empty() {
+                    false => std::mem::take(head),
+                    true => match std::task::ready!(Pin::new(rest).poll_next(cx)) {
+                        Some(Ok(b)) => b,
+                        Some(Err(e)) => return Poll::Ready(Some(Err(io::Error::other(e)))),
+                        None => return Poll::Ready(None),
+                    },
+                };
+                *left = left.map(|l| l.saturating_sub(b.len() as u64));
+                b
+            }
+        };
+        Poll::Ready(Some(Ok(Frame::data(piece))))
+    }
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Upload::Whole(b) if b.is_empty())
+    }
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Upload::Whole(b) => SizeHint::with_exact(b.len() as u64),
+            Upload::Flow { left: Some(n), .. } => SizeHint::with_exact(*n),
+            Upload::Flow { .. } => SizeHint::new(),
+        }
+    }
+}
