--- /dev/null
+++ b/coordination/tests/placement.rs
@@ -0,0 +1,145 @@
+//! What must hold over all proxies together, each deciding alone: cold ramps, budgets, homes, a prompt's one place.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coordination::{
+    bounds::Bounds,
+    pass::{Ask, Told},
+    placement::{Budget, Placement, Want},
+};
+use googletest::prelude::*;
+use remote_calls::{EngineSpec, PathSpec, PlacedReplica};
+
+fn lane(homes: &[&str]) -> PathSpec {
+    serde_json::from_value(serde_json::json!({"lane": "l", "host": "h", "prefix": "/p/", "kind": "stream", "time_limit_ms": 5000,
+        "expected_ms": 600, "homes": homes, "split": [{"service": "s", "weight": 1}]}))
+    .unwrap()
+}
+fn replica(id: &str, zone: &str, cold: bool) -> PlacedReplica {
+    PlacedReplica { id: id.into(), zone: zone.into(), addr: id.into(), version: "v1".into(), slots: 64, cold }
+}
+fn engine() -> EngineSpec {
+    EngineSpec { slots: 64, cold_ms: 3_000, cold_rate: Some(26.0), ..EngineSpec::default() }
+}
+fn regions() -> BTreeMap<String, String> {
+    [("a", "ra"), ("b", "rb"), ("c", "rc")].map(|(z, r)| (z.to_string(), r.to_string())).into()
+}
+/// Proxies of a fleet, spread over three zones, that all know the same replicas.
+fn fleet(n: usize, all: &[PlacedReplica]) -> Vec<Placement> {
+    let names: Vec<String> = (0..n).map(|i| format!("e{i}")).collect();
+    let one = |i: usize| {
+        let mut p = Placement::new(&names[i], ["a", "b", "c"][i % 3], regions(), Bounds::default());
+        p.set_edges(names.clone(), 0);
+        p.set_engine("s", &engine());
+        p.set_service("s", all, &BTreeSet::new(), 0);
+        p
+    };
+    (0..n).map(one).collect()
+}
+fn ask(parts: &[(u64, u32)]) -> Ask {
+    Ask { tokens: (parts.iter().map(|p| p.1).sum(), 40), parts: parts.to_vec(), ..Ask::default() }
+}
+/// One request through a proxy; it is answered at once if `answered`.
+fn go(p: &mut Placement, ids: &[String], lane: &PathSpec, a: &Ask, answered: bool, now: u64) -> Option<String> {
+    let w = Want { lane, ask: a, tried: &[], evacuated: &BTreeSet::new() };
+    let n = p.nominate("s", ids.iter(), &w, now)?;
+    p.send(&n, a, now);
+    if answered {
+        p.heard("s", &n.id, &Told::default(), now);
+        p.first_piece(&n.id, n.read_ms, 0.0, now);
+        p.end(&n.id, None, false, now);
+    }
+    Some(n.id)
+}
+
+#[gtest]
+fn a_cold_replica_bears_its_rate_over_all_proxies_in_every_second() {
+    let b = Bounds::default();
+    for n in [1, 2, 6, 11, 40, 88, 360] {
+        // The cold one is all there is, so that everybody wants it, far more often than it bears.
+        let all = [replica("cold", "a", true)];
+        let ids = vec!["cold".to_string()];
+        let (mut fleet, l) = (fleet(n, &all), lane(&[]));
+        let mut sent: Vec<u64> = vec![];
+        for now in (0..2_900).step_by(10) {
+            for p in &mut fleet {
+                sent.extend(go(p, &ids, &l, &ask(&[(1, 10)]), true, now).map(|_| now));
+            }
+        }
+        let most = sent.iter().map(|t| sent.iter().filter(|s| **s >= *t && **s < *t + 1_000).count()).max().unwrap_or(0);
+        expect_that!(most as f64, le(26.0 * b.cold_over + b.cold_slack), "{n} proxies");
+        expect_that!(most, ge(8), "{n} proxies warm it too slowly");
+    }
+}
+
+#[gtest]
+fn second_rounds_hold_over_all_proxies_in_every_window() {
+    let b = Bounds { retry_share: 0.2, retry_slack: 52.0, ..Bounds::default() };
+    for n in [1, 6, 88] {
+        let mut all = vec![Budget::default(); n];
+        let (mut first, mut second): (Vec<u64>, Vec<u64>) = (vec![], vec![]);
+        // A quiet time, then everything fails: every first round wants as many second ones as it can get.
+        for now in (0..40_000u64).step_by(20) {
+            let p = &mut all[(now / 20) as usize % n];
+            p.first(&b, now);
+            first.push(now);
+            for _ in 0..3 {
+                if now > 15_000 && p.second(&b, n, now) {
+                    second.push(now);
+                }
+            }
+        }
+        for end in (b.retry_window..40_000).step_by(100) {
+            let within = |v: &[u64]| v.iter().filter(|t| **t > end - b.retry_window && **t <= end).count() as f64;
+            expect_that!(within(&second), le(b.retry_share * within(&first) + b.retry_slack), "{n} proxies at {end}");
+        }
+        expect_that!(second, not(is_empty()));
+    }
+}
+
+#[gtest]
+fn a_long_shared_prompt_has_one_place_for_all_regions_and_a_short_one_stays_near() {
+    let all: Vec<PlacedReplica> = (0..18).map(|i| replica(&format!("r{i}"), ["a", "b", "c"][i % 3], false)).collect();
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let l = lane(&[]);
+    for k in 0..50u64 {
+        let mut fleet = fleet(6, &all);
+        let long = ask(&[(k, 13_000), (1_000 + k, 3_000)]);
+        let places: BTreeSet<String> = fleet.iter_mut().filter_map(|p| go(p, &ids, &l, &long, true, 10)).collect();
+        expect_that!(places, len(eq(1)), "prompt {k}");
+        for (i, p) in fleet.iter_mut().enumerate() {
+            let short = ask(&[(k, 55), (2_000 + k, 40), (i as u64, 290)]);
+            let id = go(p, &ids, &l, &short, true, 20).unwrap();
+            expect_that!(p.zone(&id).unwrap(), eq(["a", "b", "c"][i % 3]));
+        }
+    }
+}
+
+#[gtest]
+fn homes_and_evacuated_zones_are_kept_whatever_it_costs() {
+    let all = [replica("ra", "a", false), replica("rb", "b", false), replica("rc", "c", false)];
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let mut p = fleet(3, &all).remove(0);
+    for _ in 0..200 {
+        expect_that!(go(&mut p, &ids, &lane(&["rb"]), &ask(&[(1, 10)]), false, 10), some(eq("rb")));
+    }
+    let gone: BTreeSet<String> = ["b".to_string()].into();
+    let (l, a) = (lane(&["rb"]), ask(&[(1, 10)]));
+    let w = Want { lane: &l, ask: &a, tried: &[], evacuated: &gone };
+    expect_that!(p.nominate("s", ids.iter(), &w, 10), none());
+}
+
+#[gtest]
+fn a_replica_that_fails_is_left_alone_and_comes_back_slowly() {
+    let all = [replica("ra", "a", false), replica("rb", "a", false)];
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let mut p = fleet(3, &all).remove(0);
+    let (l, a) = (lane(&[]), ask(&[(1, 10)]));
+    let bad = go(&mut p, &ids, &l, &a, false, 1_000).unwrap();
+    p.end(&bad, Some(1.0), true, 1_000);
+    (0..20).for_each(|i| expect_that!(go(&mut p, &ids, &l, &a, true, 1_010 + i), some(not(eq(&bad)))));
+    // Later it is tried by one round at a time until that is heard.
+    let tries: Vec<String> =
+        (0..200).filter_map(|i| go(&mut p, &ids, &l, &a, i > 150, 1_600 + i)).filter(|id| *id == bad).collect();
+    expect_that!(tries.len(), le(1));
+}
