Keep a record of all replicas of a service that the platform places

Cause: in mode placed there are no reports, and the loop waited for them and ordered starts and loads. A new holder waits for a list asked since its duty began, not for reports: an older one could bring a drained replica back. Ruled out: a group per version, as releases replace replicas one by one without any order.

--- a/control-daemon/src/actor.rs
+++ b/control-daemon/src/actor.rs
@@ -169,7 +169,7 @@
         let f = async move { http::call::<(), PlatformList>(&c, &a, calls::PLATFORM_LIST, None, CALL_LIMIT).await };
         ctx.spawn(f.into_actor(self).map(|r, me, _| {
             if let (Ok(l), Some(c)) = (r, &mut me.c) {
-                c.on_platform(l);
+                c.on_platform(l, now);
             }
         }));
         for (_, addr) in brain.replicas() {
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -96,6 +96,8 @@
     caught: BTreeSet<Name>,
     loops: BTreeMap<String, Loop>,
     platform: Option<PlatformList>,
+    /// When the platform was asked for the list that stands.
+    listed: Ms,
     reports: BTreeMap<String, (ReplicaReport, Ms)>,
     pub going: bool,
     pub disk_ok: bool,
@@ -143,6 +145,7 @@
             caught: BTreeSet::new(),
             loops: BTreeMap::new(),
             platform: None,
+            listed: 0,
             reports: BTreeMap::new(),
             going: false,
             disk_ok: true,
@@ -460,7 +463,12 @@
 
     // ---- back ends ----
 
-    pub fn on_platform(&mut self, l: PlatformList) {
+    /// `asked`: when the platform was asked for it; an answer that was overtaken is dropped.
+    pub fn on_platform(&mut self, l: PlatformList, asked: Ms) {
+        if self.listed > asked {
+            return;
+        }
+        self.listed = asked;
         self.reports.retain(|id, _| l.replicas.iter().any(|r| r.id == *id));
         self.platform = Some(l);
     }
@@ -591,7 +599,9 @@
         self.next_loop = now + LOOP_EVERY;
         // Every daemon keeps the evidence: whoever takes a duty over judges by it at once.
         self.loops.values_mut().for_each(|l| l.health.tick(now));
-        let (Some(spec), Some(platform)) = (self.spec(), self.platform.clone()) else { return vec![] };
+        // Taken out and put back: it is large, and nothing below replaces it.
+        let Some(spec) = self.spec() else { return vec![] };
+        let Some(platform) = self.platform.take() else { return vec![] };
         let leaving: BTreeSet<String> = self.board.under(LEAVING).map(|(r, _)| r.to_string()).collect();
         let mut out = Vec::new();
         for s in &spec.services {
@@ -619,7 +629,9 @@
             };
             let plan = plan.as_ref().map(|(n, p)| (*n, p));
             let (platform, reports) = (&platform.replicas, &self.reports);
-            let i = Inputs { spec: &spec, service: s, plan, platform, reports, leaving: &leaving, open: &open, now, wall };
+            let listed = self.listed;
+            let i =
+                Inputs { spec: &spec, service: s, plan, platform, reports, leaving: &leaving, listed, open: &open, now, wall };
             let (next, orders) = l.step(&old, &i);
             self.ran.insert(s.name.clone(), now);
             self.resting.remove(&s.name);
@@ -667,6 +679,7 @@
             .map(|r| Name(format!("{LEAVING}{r}")))
             .filter(|k| self.regs.holds(k, now).is_some())
             .collect();
+        self.platform = Some(platform);
         for k in gone {
             self.regs.propose(NOBODY, &k, None, Blob::default(), now, &mut out);
         }
--- a/coordination/src/rollout.rs
+++ b/coordination/src/rollout.rs
@@ -17,6 +17,8 @@
     },
 };
 
+mod placed;
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
     Replica { id: String, addr: String, action: OrderAction, version: String },
@@ -32,6 +34,8 @@
     pub platform: &'a [PlatformReplica],
     pub reports: &'a BTreeMap<String, (ReplicaReport, Ms)>,
     pub leaving: &'a BTreeSet<String>,
+    /// When the platform was asked for the list.
+    pub listed: Ms,
     /// Streams that proxies still have open on a replica's version.
     pub open: &'a dyn Fn(&str, &str) -> u64,
     pub now: Ms,
@@ -56,6 +60,7 @@
     retire_at: BTreeMap<String, Ms>,
     canary_at: Option<Ms>,
     pub bad: Option<String>,
+    placed: placed::Memory,
 }
 
 /// A step's next record and what to order.
@@ -127,7 +132,7 @@
 }
 
 /// A replica as edges are told of it.
-fn placed(p: &PlatformReplica) -> PlacedReplica {
+fn told(p: &PlatformReplica) -> PlacedReplica {
     PlacedReplica {
         id: p.id.clone(),
         zone: p.zone.clone(),
@@ -190,6 +195,9 @@
         if i.service.mode == ServiceMode::Ignore {
             return (r, out);
         }
+        if i.service.mode == ServiceMode::Placed {
+            return self.placed(old, i);
+        }
         let mine = |p: &&PlatformReplica| p.service == i.service.name;
         let up: Vec<_> = i
             .platform
@@ -209,7 +217,7 @@
             return (r, out);
         }
         self.heard = true;
-        r.replicas = v.up.iter().map(|p| placed(p)).collect();
+        r.replicas = v.up.iter().map(|p| told(p)).collect();
         r.alerts.clear();
 
         self.replan(&mut r, plan, now);
@@ -593,6 +601,7 @@
                     platform: &self.platform,
                     reports: &self.reports,
                     leaving: &leaving,
+                    listed: self.now,
                     open: &open,
                     now: self.now,
                     wall: self.now / 1_000,
--- a/fleet-simulator/src/world/network.rs
+++ b/fleet-simulator/src/world/network.rs
@@ -118,8 +118,9 @@
         }
         let replicas =
             if self.stale.0 > self.now { self.stale.1.clone() } else { self.reps.values().map(|r| r.r.clone()).collect() };
+        let now = self.clock(To::Control(at));
         if let Some(b) = &mut self.ctl[at].brain {
-            b.on_platform(PlatformList { replicas });
+            b.on_platform(PlatformList { replicas }, now);
         }
     }
 
