--- a/daemon-parts/src/params.rs
+++ b/daemon-parts/src/params.rs
@@ -33,6 +33,10 @@
     pub platform: String,
     /// Proxies only: the agent's address on this machine.
     pub agent: String,
+    /// Proxies only: where a platform asks whether this proxy takes requests.
+    pub readiness: String,
+    /// Control daemons only: where callers ask for the edges' addresses.
+    pub directory: String,
     /// Control daemons only: most bytes the database may grow to; 0 sets no bound.
     pub data_limit: u64,
     pub log: String,
