--- a/control-daemon/src/actor.rs
+++ b/control-daemon/src/actor.rs
@@ -167,7 +167,7 @@
         self.next_report = now + REPORT_EVERY;
         let (c, a) = (self.client.clone(), self.platform.clone());
         let f = async move { http::call::<(), PlatformList>(&c, &a, calls::PLATFORM_LIST, None, CALL_LIMIT).await };
-        ctx.spawn(f.into_actor(self).map(|r, me, _| {
+        ctx.spawn(f.into_actor(self).map(move |r, me, _| {
             if let (Ok(l), Some(c)) = (r, &mut me.c) {
                 c.on_platform(l, now);
             }
