Count first pieces and the logarithms of their times by version

Cause: a version that is several times slower shows only against a lane's expected time, not against the version beside it. Sums of logarithms compare by geometric means, which a few long prompts hardly move. Ruled out: plain sums; prompts' lengths have long tails.

--- a/coordination/src/health.rs
+++ b/coordination/src/health.rs
@@ -7,13 +7,46 @@
 
 use crate::{
     Ms,
-    limits::{BAD_ALONE, BAD_FAILURES, BAD_MARGIN, HEALTH_SPACING, HEALTH_WINDOWS},
+    limits::{BAD_ALONE, BAD_FAILURES, BAD_MARGIN, HEALTH_SPACING, HEALTH_WINDOWS, LOG_UNIT},
 };
 
 /// Version, lane, warm.
 type Cell = (Name, Name, bool);
-/// Ended, failed, slow.
-type Counts = (u64, u64, u64);
+/// Makes a set of counts that are added and taken away field by field.
+macro_rules! counts {
+    ($($(#[$d:meta])* $f:ident),* $(,)?) => {
+        /// What was counted of a cell.
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+        pub struct Counts { $($(#[$d])* pub $f: u64),* }
+        impl Counts {
+            fn minus(self, o: Counts) -> Counts {
+                Counts { $($f: self.$f.saturating_sub(o.$f)),* }
+            }
+            fn plus(self, o: Counts) -> Counts {
+                Counts { $($f: self.$f + o.$f),* }
+            }
+        }
+    };
+}
+
+counts! {
+    sent,
+    ended,
+    failed,
+    slow,
+    /// First pieces, and the sum of `log_ms` of the times to them.
+    firsts,
+    first_log,
+}
+
+/// Stands for every version but the one that is judged.
+pub const OTHERS: &str = "";
+
+/// A time as its logarithm, in sixteenths of a doubling. Sums of these compare versions by geometric means, which
+/// a few long prompts hardly move.
+pub fn log_ms(ms: Ms) -> u64 {
+    ((ms.max(1) as f64).log2() * LOG_UNIT).round() as u64
+}
 
 /// ms. The longest window.
 const LONG_WINDOW: Ms = HEALTH_WINDOWS[HEALTH_WINDOWS.len() - 1];
@@ -30,6 +63,7 @@
 pub struct Health {
     /// Last cumulative counts of each source's cell.
     last: BTreeMap<(Name, Cell, u8), Counts>,
+    /// Each source's life.
     sources: BTreeMap<Name, u64>,
     sums: BTreeMap<Cell, Counts>,
     past: VecDeque<(Ms, BTreeMap<Cell, Counts>)>,
@@ -37,11 +71,10 @@
     floor: BTreeMap<Cell, Counts>,
 }
 
-fn minus(a: Counts, b: Counts) -> Counts {
-    (a.0.saturating_sub(b.0), a.1.saturating_sub(b.1), a.2.saturating_sub(b.2))
-}
-fn plus(a: Counts, b: Counts) -> Counts {
-    (a.0 + b.0, a.1 + b.1, a.2 + b.2)
+impl Counts {
+    fn failures(&self) -> (u64, u64) {
+        (self.ended, self.failed)
+    }
 }
 
 impl Health {
@@ -56,11 +89,15 @@
         }
         for t in tallies {
             let cell = (t.version.clone(), t.lane.clone(), t.warm != 0);
-            let c = (t.ok + t.failed, t.failed, t.slow);
+            let ended = t.ok + t.failed;
+            let (failed, slow, firsts, first_log) = (t.failed, t.slow, t.firsts, t.first_log);
+            let c = Counts { sent: t.sent, ended, failed, slow, firsts, first_log };
             let old = self.last.insert((source.clone(), cell.clone(), t.group), c).unwrap_or_default();
-            let d = if first { (t.new_ended, t.new_failed, t.new_slow) } else { minus(c, old) };
+            let (ended, failed, slow) = (t.new_ended, t.new_failed, t.new_slow);
+            let recent = Counts { sent: ended, ended, failed, slow, ..Counts::default() };
+            let d = if first { recent } else { c.minus(old) };
             let s = self.sums.entry(cell).or_default();
-            *s = plus(*s, d);
+            *s = s.plus(d);
         }
     }
     pub fn tick(&mut self, now: Ms) {
@@ -82,26 +119,24 @@
     /// Counts within the last `w` ms, of cells that `f` picks.
     fn within(&self, now: Ms, w: Ms, f: impl Fn(&Cell) -> bool) -> Counts {
         let base = self.past.iter().rev().find(|(t, _)| now.saturating_sub(*t) >= w).map_or(&self.floor, |(_, m)| m);
-        let mut sum = (0, 0, 0);
-        for (c, v) in self.sums.iter().filter(|(c, _)| f(c)) {
-            sum = plus(sum, minus(*v, base.get(c).copied().unwrap_or_default()));
-        }
-        sum
+        let cells = self.sums.iter().filter(|(c, _)| f(c));
+        cells.fold(Counts::default(), |sum, (c, v)| sum.plus(v.minus(base.get(c).copied().unwrap_or_default())))
     }
-    /// What one cell counted in the longest window.
-    pub fn recent(&self, version: &str, lane: &str, warm: bool, now: Ms) -> Counts {
-        self.within(now, LONG_WINDOW, |c| &*c.0 == version && &*c.1 == lane && c.2 == warm)
+    /// What one cell counted in the longest window: ended, failed, slow.
+    pub fn recent(&self, version: &str, lane: &str, warm: bool, now: Ms) -> (u64, u64, u64) {
+        let c = self.within(now, LONG_WINDOW, |c| &*c.0 == version && &*c.1 == lane && c.2 == warm);
+        (c.ended, c.failed, c.slow)
     }
     /// Requests of a version that ended since the last restart, within the long window.
     pub fn ended(&self, version: &str, now: Ms) -> u64 {
-        self.within(now, LONG_WINDOW, |c| &*c.0 == version).0
+        self.within(now, LONG_WINDOW, |c| &*c.0 == version).ended
     }
     pub fn failed(&self, version: &str, now: Ms) -> u64 {
-        self.within(now, EVER, |c| &*c.0 == version).1
+        self.within(now, EVER, |c| &*c.0 == version).failed
     }
     /// Requests of a version that ended on a lane since the last restart.
     pub fn ended_on(&self, version: &str, lane: &str, now: Ms) -> u64 {
-        self.within(now, EVER, |c| &*c.0 == version && &*c.1 == lane).0
+        self.within(now, EVER, |c| &*c.0 == version && &*c.1 == lane).ended
     }
     fn lanes(&self, version: &str) -> Vec<&Name> {
         let mut v: Vec<&Name> = self.sums.keys().filter(|c| &*c.0 == version).map(|c| &c.1).collect();
@@ -114,7 +149,7 @@
         cells.into_iter().any(|l| {
             HEALTH_WINDOWS.iter().any(|w| {
                 let n = self.within(now, *w, |c| &*c.0 == version && l.is_none_or(|l| c.1 == *l));
-                n.1 >= BAD_FAILURES && n.1 * 100 >= n.0 * BAD_ALONE
+                n.failed >= BAD_FAILURES && n.failed * 100 >= n.ended * BAD_ALONE
             })
         })
     }
@@ -123,7 +158,7 @@
         self.lanes(new).into_iter().any(|l| {
             let of = |v: &str| self.within(now, EVER, |c| &*c.0 == v && c.1 == *l);
             let (n, o) = (of(new), of(old));
-            n.1 > 0 && higher((n.0, n.1), (o.0, o.1))
+            n.failed > 0 && higher(n.failures(), o.failures())
         })
     }
     /// Judges `new` against `old`, lane by lane. Failures are compared over all caches, as a cold cache
@@ -146,14 +181,14 @@
             for w in HEALTH_WINDOWS.into_iter().chain(ever.then_some(EVER)) {
                 let (n, o) = (of(w, new, None), of(w, old, None));
                 // What befalls both versions in one window is no fault of the new one, nor is what the old one always has.
-                if worse((n.0, n.1), (o.0, o.1)) && worse((n.0, n.1), (long.0, long.1)) {
+                if worse(n.failures(), o.failures()) && worse(n.failures(), long.failures()) {
                     return Verdict::Bad;
                 }
             }
             for warm in [true, false] {
                 let (n, o) = (of(LONG_WINDOW, new, Some(warm)), of(LONG_WINDOW, old, Some(warm)));
                 // Without a like cache on the other side nothing can be said about slowness.
-                if o.0 >= BAD_FAILURES && worse((n.0, n.2), (o.0, o.2)) {
+                if o.ended >= BAD_FAILURES && worse((n.ended, n.slow), (o.ended, o.slow)) {
                     return Verdict::Bad;
                 }
             }
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -91,6 +91,8 @@
 /// ms. Windows that failure rates are taken over: short ones show a version that has just turned, long ones
 /// a quiet service's.
 pub const HEALTH_WINDOWS: [Ms; 6] = [1_000, 2_000, 4_000, 8_000, 16_000, 30_000];
+/// Parts of a doubling in a time's logarithm: a twentieth of a time is more than any comparison needs.
+pub const LOG_UNIT: f64 = 16.0;
 /// ms. One step of loading, warming and retiring, where none has been seen yet: half of what either deployment
 /// took in its first rollouts, and more than a warm-up.
 pub const STEP_GUESS: Ms = 8_000;
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -213,6 +213,7 @@
                 new_ended: new.0,
                 new_failed: new.1,
                 new_slow: new.2,
+                ..Tally::default()
             }
         });
         let opens = self.open.iter().filter(|(_, n)| **n > 0).map(|((r, v), n)| Open {
