Compare writes with the operator's release at the key's owner; read by a majority; give the daemon a face

A daemon that lags would have told an operator of a conflict that there is none, and one that was deposed without having heard of it would answer older values. The owner now compares, and tells what stands (a conflict, a reading, that the very document stands already) only once a majority of voters has confirmed its ownership since it was asked; the question is the renewal that duties use, so no disk is touched. A spec is read once a change instead of at each call. The face holds what a platform puts over the daemon: routes, the document's reader, the list of replicas. Frames may take 8 MiB, since documents may take 4.

--- a/control-daemon/src/actor.rs
+++ b/control-daemon/src/actor.rs
@@ -11,6 +11,7 @@
     effect::note,
     events,
     limits::{REPORT_EVERY, TICK},
+    register::Expect,
     rollout::Order,
 };
 use daemon_parts::{
@@ -25,11 +26,15 @@
 };
 use tokio::sync::oneshot;
 
-use crate::disk::{Disk, Held};
+use crate::{
+    disk::{Disk, Held},
+    face::{ListCall, Replicas},
+};
 
 pub struct ControlActor {
     p: ControlParams,
     platform: String,
+    replicas: Replicas,
     disk: Disk,
     ch: Option<Channels>,
     /// None while the disk fails: nothing is said, taken or confirmed then.
@@ -37,6 +42,8 @@
     waiting: HashMap<u64, oneshot::Sender<WriteOutcome>>,
     client: Client,
     next_report: Ms,
+    /// A list call is under way: one that takes long must not put a later one's answer back.
+    listing: bool,
     next_open: Ms,
     opening: bool,
     stopping: bool,
@@ -47,15 +54,29 @@
 #[rtype(result = "WriteOutcome")]
 pub struct Write {
     pub key: String,
-    pub expect: Option<u64>,
+    pub expect: Expect,
     pub value: Vec<u8>,
 }
 
+/// Asks for the newest version of a key that any majority has taken.
+#[derive(Message)]
+#[rtype(result = "WriteOutcome")]
+pub struct Newest(pub String);
+
 impl ControlActor {
-    pub fn new(p: ControlParams, platform: String, disk: Disk) -> Self {
+    pub fn new(p: ControlParams, platform: String, replicas: Replicas, disk: Disk) -> Self {
         let client = Client::builder().disable_timeout().finish();
         let (waiting, c, ch) = (HashMap::new(), None, None);
-        ControlActor { p, platform, disk, ch, c, waiting, client, next_report: 0, next_open: 0, opening: false, stopping: false }
+        let (next_report, listing, next_open, opening, stopping) = (0, false, 0, false, false);
+        ControlActor { p, platform, replicas, disk, ch, c, waiting, client, next_report, listing, next_open, opening, stopping }
+    }
+
+    /// Carries out what was asked for and awaits its answer.
+    fn answer(&mut self, (token, out): (u64, Effects), ctx: &mut Context<Self>) -> ResponseFuture<WriteOutcome> {
+        let (s, r) = oneshot::channel();
+        self.waiting.insert(token, s);
+        self.carry(out, ctx);
+        Box::pin(async move { r.await.unwrap_or(WriteOutcome::Unknown) })
     }
 
     fn carry(&mut self, effects: Effects, ctx: &mut Context<Self>) {
@@ -164,6 +185,9 @@
         if now < self.next_report || !brain.on_duty(now) {
             return;
         }
+        if let Replicas::Listed { call, every } = self.replicas {
+            return self.ask_list(call, now + every.as_millis() as Ms, ctx);
+        }
         self.next_report = now + REPORT_EVERY;
         let (c, a) = (self.client.clone(), self.platform.clone());
         let f = async move { http::call::<(), PlatformList>(&c, &a, calls::PLATFORM_LIST, None, CALL_LIMIT).await };
@@ -184,6 +208,23 @@
         }
     }
 
+    /// Asks for a list that tells everything; one that fails changes nothing.
+    fn ask_list(&mut self, call: ListCall, next: Ms, ctx: &mut Context<Self>) {
+        if self.listing {
+            return;
+        }
+        (self.listing, self.next_report) = (true, next);
+        let f = call(self.client.clone(), self.platform.clone()).into_actor(self).map(|r, me, _| {
+            me.listing = false;
+            match (r, &mut me.c) {
+                (Ok(l), Some(c)) => c.on_platform(l),
+                (Err(e), _) => event(events::LIST_FAILED, &me.platform, &e.to_string()),
+                _ => {}
+            }
+        });
+        ctx.spawn(f);
+    }
+
     fn tick(&mut self, ctx: &mut Context<Self>) {
         let now = clock::now();
         let Some(c) = &mut self.c else { return self.reopen(ctx) };
@@ -220,11 +261,19 @@
         let Some(c) = &mut self.c else {
             return Box::pin(async { WriteOutcome::NotAccepted("this daemon's disk does not work") });
         };
-        let (token, out) = c.write(&m.key, m.expect, m.value, clock::now());
-        let (s, r) = oneshot::channel();
-        self.waiting.insert(token, s);
-        self.carry(out, ctx);
-        Box::pin(async move { r.await.unwrap_or(WriteOutcome::Unknown) })
+        let asked = c.write(&m.key, m.expect, m.value, clock::now());
+        self.answer(asked, ctx)
+    }
+}
+
+impl Handler<Newest> for ControlActor {
+    type Result = ResponseFuture<WriteOutcome>;
+    fn handle(&mut self, m: Newest, ctx: &mut Self::Context) -> Self::Result {
+        let Some(c) = &mut self.c else {
+            return Box::pin(async { WriteOutcome::NotAccepted("this daemon's disk does not work") });
+        };
+        let asked = c.newest(&m.0, clock::now());
+        self.answer(asked, ctx)
     }
 }
 
--- a/control-daemon/src/http.rs
+++ b/control-daemon/src/http.rs
@@ -1,12 +1,16 @@
 //! Operators' and the platform's calls.
 
+use std::sync::Arc;
+
 use actix::Addr;
 use actix_web::{HttpResponse, web};
 use coordination::{
     Ms, WriteOutcome,
     control::{Control, KILL, LEAVING, PLAN, SPEC, ZONE},
+    register::Expect,
+    wire::Change,
 };
-use daemon_parts::limits::VERSION_MAX;
+use daemon_parts::limits::{NEWS_EVERY, NEWS_TURNS, VERSION_MAX};
 use daemon_parts::{
     clock,
     http::{Answer, json_config, no_such_path},
@@ -18,25 +22,54 @@
 };
 use serde::Serialize;
 
-use crate::actor::{ControlActor, Stopping, Write, no_disk};
+use crate::actor::{ControlActor, Newest, Stopping, Write, no_disk};
 
-type Brain = web::Data<Addr<ControlActor>>;
-type Reply = Result<HttpResponse, Answer>;
+pub type Brain = web::Data<Addr<ControlActor>>;
+pub type Reply = Result<HttpResponse, Answer>;
 
 fn busy<E>(_: E) -> Answer {
     Fault::new("overload", "ask_owner", "the daemon's buffer is full").retry(1_000).into()
 }
 
-async fn look<T: Send + 'static>(b: &Brain, f: impl FnOnce(&mut Control, Ms) -> T + Send + 'static) -> Result<T, Answer> {
+/// Looks at the brain in its own turn.
+pub async fn look<T: Send + 'static>(b: &Brain, f: impl FnOnce(&mut Control, Ms) -> T + Send + 'static) -> Result<T, Answer> {
     let r = b.send(Look(Box::new(f))).await.map_err(busy)?;
     r.map_err(|()| no_disk().into())
 }
 
 async fn write(b: &Brain, key: String, expect: Option<u64>, v: &impl Serialize) -> Reply {
     let value = serde_json::to_vec(v).map_err(|e| Fault::new("bad_json", "write_value", e.to_string()))?;
-    let o = b.send(Write { key: key.clone(), expect, value }).await.map_err(busy)?;
+    let version = put(b, &key, expect.into(), value).await?;
+    Ok(HttpResponse::Ok().json(Accepted { version }))
+}
+
+/// Has a value synced on a majority; gives its version.
+pub async fn put(b: &Brain, key: &str, expect: Expect, value: Vec<u8>) -> Result<u64, Answer> {
+    let o = b.send(Write { key: key.into(), expect, value }).await.map_err(busy)?;
+    outcome(key, o)
+}
+
+/// The newest value of a key that any majority has taken; none if there never was one.
+pub async fn newest(b: &Brain, key: &str) -> Result<Option<Change>, Answer> {
+    let version = outcome(key, b.send(Newest(key.into())).await.map_err(busy)?)?;
+    if version == 0 {
+        return Ok(None);
+    }
+    // The owner has told it to all others by now; one who missed that is mended.
+    for _ in 0..NEWS_TURNS {
+        let k = key.to_string();
+        let held = look(b, move |c, _| c.board().get(&k).filter(|c| c.version >= version).cloned()).await?;
+        if held.is_some() {
+            return Ok(held);
+        }
+        actix_rt::time::sleep(NEWS_EVERY).await;
+    }
+    Err(Fault::new("not_settled", "read_value", format!("version {version} of {key} has not come here yet")).retry(500).into())
+}
+
+fn outcome(key: &str, o: WriteOutcome) -> Result<u64, Answer> {
     Err(match o {
-        WriteOutcome::Accepted(version) => return Ok(HttpResponse::Ok().json(Accepted { version })),
+        WriteOutcome::Accepted(version) => return Ok(version),
         WriteOutcome::Conflict(v) => {
             let m = format!("another write came first; version {v} of {key} stands");
             Fault::new("conflict", "compare_version", m).field("expect_version").version(v).into()
@@ -56,10 +89,10 @@
 
 async fn spec_get(b: Brain) -> Reply {
     let (version, spec) = look(&b, |c, _| (c.board().get(SPEC).map_or(0, |c| c.version), c.spec())).await?;
-    Ok(HttpResponse::Ok().json(SpecState { version, spec }))
+    Ok(HttpResponse::Ok().json(SpecState { version, spec: spec.map(|s| Spec::clone(&s)) }))
 }
 
-async fn spec_of(b: &Brain) -> Result<Spec, Answer> {
+async fn spec_of(b: &Brain) -> Result<Arc<Spec>, Answer> {
     let s = look(b, |c, _| c.spec()).await?;
     s.ok_or_else(|| Fault::new("no_spec", "read_spec", "no spec has been accepted yet").retry(1_000).into())
 }
--- a/control-daemon/src/lib.rs
+++ b/control-daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod actor;
 pub mod disk;
+pub mod face;
 pub mod http;
 
 use actix::Actor;
@@ -10,18 +11,20 @@
 use daemon_parts::limits::WORKERS;
 use daemon_parts::{
     channels,
-    limits::BODY_MAX,
+    limits::CONTROL_STOP,
     logging::{self, StartFault},
     params::Params,
     stop,
 };
 use error_stack::{Report, ResultExt};
 
+use crate::face::Face;
+
 /// ms. Time for the others to hear that this daemon goes: two beats.
 const FAREWELL: u64 = 2 * coordination::limits::BEAT_EVERY;
 
 /// Runs until the process is asked to stop.
-pub async fn run(p: Params) -> Result<(), Report<StartFault>> {
+pub async fn run(p: Params, face: Face) -> Result<(), Report<StartFault>> {
     let _log = logging::start(&p.log)?;
     let names = |v: &[String]| v.iter().map(|s| s.as_str().into()).collect();
     let cp = ControlParams {
@@ -31,20 +34,24 @@
         http: p.http.as_str().into(),
         members: names(&p.members),
         seeds: names(&p.seeds),
+        regions: p.regions.clone(),
+        reader: face.reader,
     };
     let disk = disk::Disk::start(p.data.clone().unwrap_or_default(), p.data_limit);
-    let brain = actor::ControlActor::new(cp, p.platform.clone(), disk).start();
+    let brain = actor::ControlActor::new(cp, p.platform.clone(), face.replicas, disk).start();
     channels::listen(&p.bind, brain.clone().recipient()).await?;
     let b = web::Data::new(brain.clone());
-    let server = HttpServer::new(move || {
-        App::new().app_data(b.clone()).app_data(web::PayloadConfig::new(BODY_MAX)).configure(http::routes)
+    let mut server = HttpServer::new(move || {
+        let limit = web::PayloadConfig::new(face.body_max);
+        App::new().app_data(b.clone()).app_data(limit).configure(face.routes).configure(http::routes)
     })
     .workers(WORKERS)
-    .disable_signals()
-    .bind(&p.http)
-    .change_context(StartFault("bind the HTTP port"))
-    .attach_with(|| p.http.clone())?
-    .run();
+    .shutdown_timeout(CONTROL_STOP.as_secs())
+    .disable_signals();
+    for at in [&p.http, &p.directory].into_iter().filter(|a| !a.is_empty()) {
+        server = server.bind(at).change_context(StartFault("bind the HTTP port")).attach_with(|| at.clone())?;
+    }
+    let server = server.run();
     let farewell = async {
         let _ = brain.send(actor::Stopping).await;
         tokio::time::sleep(std::time::Duration::from_millis(FAREWELL)).await;
--- a/coordination/examples/embed.rs
+++ b/coordination/examples/embed.rs
@@ -50,6 +50,8 @@
         http: "".into(),
         members: vec!["one".into()],
         seeds: vec![],
+        regions: Default::default(),
+        reader: coordination::board::own_spec,
     };
     let (mut disk, mut inbox) = (Disk::default(), VecDeque::new());
     let mut brain = Control::new(p.clone(), 7, vec![], 1, 0);
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -1,6 +1,9 @@
 //! A control daemon's brain: registers, beats, members, feed, agents' polls, and the duties it holds.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use remote_calls::{
     EdgeStatus, Health as HealthAnswer, KeyStatus, KeyVersion, MemberStatus, PlatformList, ReleasePlan, ReplicaReport,
@@ -10,15 +13,19 @@
     Beat, Blob, Change, Forward, Forwarded, Genesis, Join, List, Msg, Name, News, Node, Open, Permit, Poll, Slots, SlotsAsk,
     Tally, Voter,
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     Effect, Effects, Ms, Row, WriteOutcome,
-    board::Board,
+    board::{Board, SpecReader},
     effect::{note, send},
     events,
-    limits::{BEAT_EVERY, FOLLOWER_GONE, FORWARD_LIMIT, LOOP_EVERY, LOOP_RESTS, PEER_GONE, PERMIT},
-    membership::{CONTROL, Membership},
-    register::{DUTY, MEMBERS, Registers},
+    limits::{
+        ADDRESSES, BEAT_EVERY, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LOOP_EVERY, LOOP_RESTS, PEER_GONE, PERMIT,
+    },
+    membership::{CONTROL, EDGE, Membership},
+    order::agreed,
+    register::{DUTY, Expect, MEMBERS, Registers},
     rollout::{Inputs, Loop, first_record, members},
 };
 
@@ -42,6 +49,12 @@
 /// Tokens of writes that nobody waits for.
 const NOBODY: u64 = 0;
 
+/// What a write that was passed on is compared with, as on the wire.
+const BY_VERSION: u8 = 0;
+const BY_NOTHING: u8 = 1;
+const BY_RELEASE: u8 = 2;
+const READS: u8 = 3;
+
 #[derive(Clone, Debug)]
 pub struct ControlParams {
     pub name: Name,
@@ -51,6 +64,10 @@
     /// Lasting names of all control daemons; the first voters must all be these.
     pub members: Vec<Name>,
     pub seeds: Vec<Name>,
+    /// Region of each zone; a zone that is not named is its own region.
+    pub regions: BTreeMap<String, String>,
+    /// How the operator's document is read.
+    pub reader: SpecReader,
 }
 
 #[derive(Clone, Debug)]
@@ -78,6 +95,10 @@
     pub regs: Registers,
     pub mship: Membership,
     board: Board,
+    /// The spec as last read, and the releases and digests of documents that stood.
+    spec: Option<Arc<Spec>>,
+    stood: BTreeMap<u64, u64>,
+    started: Ms,
     run: u64,
     seq: u64,
     /// The feed: each key's newest place in it. Older places are never needed again.
@@ -123,13 +144,17 @@
             beat: 0,
         };
         let mship = Membership::new(me, p.seeds.clone(), born);
-        let regs = Registers::new(p.name.clone(), rows, now);
+        let mut regs = Registers::new(p.name.clone(), rows, now);
+        regs.reader = p.reader;
         let mut c = Control {
             p,
             disk,
             regs,
             mship,
             board: Board::default(),
+            spec: None,
+            stood: BTreeMap::new(),
+            started: now,
             run: born,
             seq: 0,
             feed: BTreeMap::new(),
@@ -161,8 +186,22 @@
     pub fn board(&self) -> &Board {
         &self.board
     }
-    pub fn spec(&self) -> Option<Spec> {
-        self.board.read(SPEC)
+    pub fn spec(&self) -> Option<Arc<Spec>> {
+        self.spec.clone()
+    }
+    /// Reads the operator's document: once a change, as it may be long.
+    fn read_spec(&mut self) {
+        let Some(c) = self.board.get(SPEC).filter(|c| !c.value.0.is_empty()) else { return };
+        self.spec = (self.p.reader)(&c.value.0).map(Arc::new);
+        let release = self.spec.as_ref().map_or(0, |s| s.release);
+        self.stood.insert(release, xxh3_64(&c.value.0));
+        while self.stood.len() > DOCUMENTS {
+            self.stood.pop_first();
+        }
+    }
+    /// Whether this very document stood once, as far as this daemon saw.
+    pub fn stood(&self, release: u64, document: &[u8]) -> bool {
+        self.stood.get(&release) == Some(&xxh3_64(document))
     }
     pub fn settled(&self) -> bool {
         self.settled
@@ -183,25 +222,44 @@
     // ---- writes ----
 
     /// Writes a key; an `Answer` with the returned token follows. `expect`: only if this version stands.
-    pub fn write(&mut self, key: &str, expect: Option<u64>, value: Vec<u8>, now: Ms) -> (u64, Effects) {
+    pub fn write(&mut self, key: &str, expect: impl Into<Expect>, value: Vec<u8>, now: Ms) -> (u64, Effects) {
+        let mut out = Vec::new();
+        self.token += 1;
+        let t = self.token;
+        self.offer(t, &key.into(), Some(expect.into()), Blob(value), now, &mut out);
+        (t, self.finish(now, out))
+    }
+    /// Asks for the newest version of a key that any majority has taken; an `Answer` with the returned token tells it,
+    /// and this daemon's board has that version or soon will.
+    pub fn newest(&mut self, key: &str, now: Ms) -> (u64, Effects) {
         let mut out = Vec::new();
         self.token += 1;
         let t = self.token;
-        self.offer(t, &key.into(), expect, Blob(value), now, &mut out);
+        self.offer(t, &key.into(), None, Blob::default(), now, &mut out);
         (t, self.finish(now, out))
     }
 
-    fn offer(&mut self, token: u64, key: &Name, expect: Option<u64>, value: Blob, now: Ms, out: &mut Effects) {
+    /// Takes a write, or a reading where nothing is expected, to the key's owner.
+    fn offer(&mut self, token: u64, key: &Name, expect: Option<Expect>, value: Blob, now: Ms, out: &mut Effects) {
         let live = self.live(now);
         let Some(v) = self.regs.first(key, &live) else {
             out.push(Effect::Answer { token, outcome: WriteOutcome::NotAccepted("no voter is live") });
             return;
         };
         if v.name == self.p.name {
-            return self.regs.propose(token, key, expect, value, now, out);
+            return match expect {
+                Some(e) => self.regs.propose(token, key, e, value, now, out),
+                None => self.regs.read(token, key, now, out),
+            };
         }
         self.passed.insert(token, now + FORWARD_LIMIT);
-        let m = Forward { token, key: key.clone(), expect: expect.unwrap_or(0), any: expect.is_none().into(), value };
+        let (mode, expect) = match expect {
+            Some(Expect::Version(v)) => (BY_VERSION, v),
+            Some(Expect::Any) => (BY_NOTHING, 0),
+            Some(Expect::Release(r)) => (BY_RELEASE, r),
+            None => (READS, 0),
+        };
+        let m = Forward { token, key: key.clone(), expect, mode, value };
         out.push(send(&self.regs.addr(&v), m));
     }
 
@@ -220,7 +278,13 @@
         }
         self.token += 1;
         self.foreign.insert(self.token, (from.clone(), m.token));
-        self.regs.propose(self.token, &m.key, (m.any == 0).then_some(m.expect), m.value, now, out);
+        let e = match m.mode {
+            READS => return self.regs.read(self.token, &m.key, now, out),
+            BY_VERSION => Expect::Version(m.expect),
+            BY_RELEASE => Expect::Release(m.expect),
+            _ => Expect::Any,
+        };
+        self.regs.propose(self.token, &m.key, e, m.value, now, out);
     }
 
     /// Routes answers of this daemon's own registers to whoever asked.
@@ -266,7 +330,7 @@
             Msg::Accepted(m) => self.regs.on_accepted(from, m, now, &mut out),
             Msg::Commit(m) => self.regs.on_commit(&m.change, &mut out),
             Msg::Renew(m) => self.regs.on_renew(addr, m, now, &mut out),
-            Msg::Renewed(m) => self.regs.on_renewed(from, m),
+            Msg::Renewed(m) => self.regs.on_renewed(from, m, now, &mut out),
             Msg::Forward(m) => self.on_forward(addr, m, now, &mut out),
             Msg::Forwarded(m) => self.on_forwarded(m, &mut out),
             Msg::Genesis(m) => self.on_genesis(m, &mut out),
@@ -324,7 +388,7 @@
         let mut next = voters.clone();
         next[i] = v;
         let version = u64::from(self.regs.me) - 1;
-        self.offer(NOBODY, &MEMBERS.into(), Some(version), voters_to_bytes(&next), now, out);
+        self.offer(NOBODY, &MEMBERS.into(), Some(Expect::Version(version)), voters_to_bytes(&next), now, out);
     }
 
     fn on_slots(&mut self, from: &Name, m: Slots, out: &mut Effects) {
@@ -367,13 +431,15 @@
         let name = m.node.name.clone();
         let mut by: BTreeMap<Name, Vec<Tally>> = BTreeMap::new();
         // Services without a count yet are told too: a source is known from its first word on.
-        for s in self.spec().map_or(vec![], |s| s.services) {
-            by.insert(s.name.into(), vec![]);
+        for s in self.spec.iter().flat_map(|s| &s.services) {
+            by.insert(s.name.as_str().into(), vec![]);
         }
         m.tallies.0.into_iter().for_each(|t| by.entry(t.service.clone()).or_default().push(t));
         for (s, v) in by {
             self.loops.entry(s.to_string()).or_insert_with(|| Loop::new(now)).health.feed(&name, m.life, &v);
         }
+        // Told first hand: rumours of a large fleet take longer.
+        self.mship.hear(&m.node, now, out);
         let full = m.run != self.run;
         let after = if full { 0 } else { m.after };
         let a = Agent { node: m.node, at: now, sent: m.sent, after, opens: m.opens.0, seen: m.seen.0 };
@@ -411,7 +477,7 @@
             let share = r.target.as_deref().map_or(&[][..], |t| members(&r, remote_calls::GroupRole::Canary, t));
             // A holder that does not know the replicas yet has no ground to let a canary have anything.
             let heard = self.loops.get(s).is_some_and(|l| l.heard);
-            let share = if share.is_empty() || !heard { 0 } else { self.spec().map_or(0, |s| s.canary_percent) };
+            let share = if share.is_empty() || !heard { 0 } else { self.spec.as_ref().map_or(0, |s| s.canary_percent) };
             let ttl = (until - now).min(PERMIT) as u32;
             Some(Permit { service: s.into(), epoch, version: c.version, canary_share: share, ttl })
         });
@@ -425,9 +491,10 @@
     /// Puts what is newly committed on the board and the feed, and pushes it to the agents.
     fn publish(&mut self, now: Ms, out: &mut Effects) {
         let fresh = std::mem::take(&mut self.regs.fresh);
-        let mut new = false;
+        let (mut new, mut read) = (false, false);
         for c in fresh {
             if self.board.merge(&c) {
+                read |= &*c.key == SPEC;
                 if let Some(r) = c.key.strip_prefix(LEAVING).filter(|_| !c.value.0.is_empty()) {
                     out.push(note(events::LEAVING, r, ""));
                 }
@@ -436,6 +503,9 @@
                 new = true;
             }
         }
+        if read {
+            self.read_spec();
+        }
         if !new {
             return;
         }
@@ -476,7 +546,8 @@
     pub fn on_duty(&self, now: Ms) -> bool {
         self.board.rows().any(|c| c.key.starts_with(DUTY) && self.regs.holds(&c.key, now).is_some())
             || self
-                .spec()
+                .spec
+                .as_ref()
                 .is_some_and(|s| s.services.iter().any(|v| self.regs.holds(&format!("{DUTY}{}", v.name), now).is_some()))
     }
 
@@ -490,7 +561,7 @@
         }
         self.beat(now, &mut out);
         self.meet(now, &mut out);
-        let wanted: Vec<Name> = match self.spec() {
+        let wanted: Vec<Name> = match &self.spec {
             Some(s) => s.services.iter().map(|v| format!("{DUTY}{}", v.name).into()).collect(),
             None => vec![],
         };
@@ -517,7 +588,8 @@
     /// Raises the alert when a loop that this daemon should run has not run for long: no platform list, no
     /// permit, a kill switch left on.
     fn watch_loops(&mut self, now: Ms, live: &dyn Fn(&str) -> bool, out: &mut Effects) {
-        for s in self.spec().map_or(vec![], |s| s.services) {
+        let spec = self.spec();
+        for s in spec.iter().flat_map(|s| &s.services) {
             let mine = self.regs.first(&format!("{DUTY}{}", s.name), live).is_some_and(|v| v.name == self.p.name);
             if !mine {
                 self.ran.remove(&s.name);
@@ -675,6 +747,23 @@
 
     // ---- looking ----
 
+    /// Addresses of edges for a caller of a host in a place: near ones first, but never only one of many, as that one
+    /// may just have gone. None: this daemon does not know the fleet yet, or nobody serves.
+    pub fn edges_near(&self, host: &str, zone: &str, region: &str, now: Ms) -> Option<Vec<String>> {
+        if now.saturating_sub(self.started) < KNOWS_FLEET {
+            return None;
+        }
+        let all: Vec<&Node> = self.mship.live(EDGE).filter(|n| !n.http.is_empty()).collect();
+        let home = |n: &Node| self.p.regions.get(&*n.zone).map_or(&*n.zone, String::as_str).to_owned();
+        let near: [Vec<&Node>; 2] = [
+            all.iter().filter(|n| &*n.zone == zone).copied().collect(),
+            all.iter().filter(|n| home(n) == region).copied().collect(),
+        ];
+        let some = near.into_iter().find(|v| v.len() > 1).unwrap_or(all);
+        let some = agreed(host, some, |n| &n.name).into_iter().take(ADDRESSES).map(|n| n.http.to_string());
+        Some(some.collect()).filter(|v: &Vec<String>| !v.is_empty())
+    }
+
     pub fn status(&self, now: Ms) -> Status {
         let live = self.live(now);
         let keys = self.regs.keys().map(|s| {
@@ -701,7 +790,7 @@
             versions: a.seen.iter().map(|c| KeyVersion { key: c.key.to_string(), version: c.version }).collect(),
         });
         let rollouts = self.board.under(DUTY).filter_map(|(_, c)| serde_json::from_slice(&c.value.0).ok());
-        let zones = self.spec().map_or(vec![], |s| s.zones);
+        let zones = self.spec.as_ref().map_or(vec![], |s| s.zones.clone());
         let heard = || self.agents.values().filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE).flat_map(|a| &a.opens);
         let homes: BTreeMap<String, String> = self
             .board
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -20,6 +20,13 @@
 pub const WRITE_LIMIT: Ms = 2_000;
 /// ms. A daemon that passed a write on waits a little longer than the owner does.
 pub const FORWARD_LIMIT: Ms = 2_500;
+/// Documents of the operator whose digests are remembered: one repeated late is known to have stood.
+pub const DOCUMENTS: usize = 64;
+/// ms. A control daemon tells callers of edges only when every agent had three turns to poll it: a short list would
+/// send everybody to a few edges.
+pub const KNOWS_FLEET: Ms = 1_500;
+/// Addresses of edges in one answer to a caller.
+pub const ADDRESSES: usize = 64;
 /// Writes that may wait for one key; operators racing are a handful.
 pub const WRITES_WAITING: usize = 32;
 /// ms. Agents ask each control daemon for news this often; news is also pushed.
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -58,6 +58,11 @@
         self.known.get(name).map(|k| &k.node)
     }
 
+    /// What a node says of itself.
+    pub fn hear(&mut self, n: &Node, now: Ms, out: &mut Effects) {
+        self.take(n, now, out);
+    }
+
     fn take(&mut self, n: &Node, now: Ms, out: &mut Effects) {
         if n.name == self.me.name {
             return;
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     Effect, Effects, Ms, Row, WriteOutcome,
+    board::{SpecReader, own_spec},
     effect::{note, send},
     events,
     limits::{PERMIT, PERMIT_MARGIN, RENEW_EVERY, RESEND, WRITE_LIMIT, WRITES_WAITING},
@@ -27,11 +28,29 @@
     key.starts_with(DUTY)
 }
 
+/// What must stand for a write to count.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Expect {
+    #[default]
+    Any,
+    /// This version of the key; 0: no value yet.
+    Version(u64),
+    /// A spec of this release of the operator's; 0: none yet.
+    Release(u64),
+}
+
+impl From<Option<u64>> for Expect {
+    fn from(v: Option<u64>) -> Self {
+        v.map_or(Expect::Any, Expect::Version)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Ask {
     token: u64,
-    expect: Option<u64>,
-    value: Blob,
+    expect: Expect,
+    /// None: the newest version is asked for.
+    value: Option<Blob>,
     at: Ms,
 }
 
@@ -81,6 +100,8 @@
     outbid: bool,
     /// When each voter's latest renewal was asked for.
     renewed: BTreeMap<Name, Ms>,
+    /// When the voters were last asked whether the key is still this daemon's own.
+    asked: Ms,
 }
 
 #[derive(Clone, Debug)]
@@ -100,6 +121,9 @@
     next_renew: Ms,
     /// Values newly known to be committed, for the feed.
     pub fresh: Vec<Change>,
+    /// How the operator's document is read, and the release last read from it: its version and the release.
+    pub reader: SpecReader,
+    release: (u64, u64),
 }
 
 impl Registers {
@@ -119,6 +143,8 @@
             highest: 0,
             next_renew: 0,
             fresh: Vec::new(),
+            reader: own_spec,
+            release: (0, 0),
         };
         for row in rows {
             match row {
@@ -183,11 +209,27 @@
         let until = self.permit_until(o);
         (until > now).then_some((o.epoch, until))
     }
-    fn permit_until(&self, o: &Own) -> Ms {
+    /// When a majority of voters was last asked, that has answered since, whether the key is still owned here.
+    fn confirmed(&self, o: &Own) -> Option<Ms> {
         let mut at: Vec<Ms> = o.renewed.values().copied().collect();
         at.sort_unstable_by(|a, b| b.cmp(a));
-        // The majority-th newest asking: a majority of voters keeps others out at least until then.
-        at.get(self.majority().wrapping_sub(1)).map_or(0, |t| t + PERMIT - PERMIT_MARGIN)
+        at.get(self.majority().wrapping_sub(1)).copied()
+    }
+    fn permit_until(&self, o: &Own) -> Ms {
+        // A majority of voters keeps others out at least until then.
+        self.confirmed(o).map_or(0, |t| t + PERMIT - PERMIT_MARGIN)
+    }
+    /// The release of the standing spec.
+    fn release(&mut self, key: &Name, version: u64) -> u64 {
+        if version == 0 {
+            return 0;
+        }
+        // Documents grow long: each is read once.
+        if self.release.0 != version {
+            let s = self.slots.get(key).and_then(|s| (self.reader)(&s.value.0));
+            self.release = (version, s.map_or(0, |s| s.release));
+        }
+        self.release.1
     }
     /// The agreed first live voter for a key.
     pub fn first(&self, key: &str, live: &dyn Fn(&str) -> bool) -> Option<Voter> {
@@ -314,8 +356,8 @@
         let old = self.own.remove(key);
         let (waiting, not_before) = old.map_or((VecDeque::new(), 0), |o| (o.waiting, o.not_before));
         let phase = Phase::Asking { promises: BTreeSet::new(), best: Slot::default(), sent: now };
-        self.own
-            .insert(key.clone(), Own { epoch, phase, write: None, waiting, not_before, outbid: false, renewed: BTreeMap::new() });
+        let o = Own { epoch, phase, write: None, waiting, not_before, outbid: false, renewed: BTreeMap::new(), asked: 0 };
+        self.own.insert(key.clone(), o);
         if now >= not_before {
             self.prepare(key, epoch, out);
         }
@@ -343,7 +385,16 @@
     }
 
     /// Offers a write to a key that this daemon owns or is taking.
-    pub fn propose(&mut self, token: u64, key: &Name, expect: Option<u64>, value: Blob, now: Ms, out: &mut Effects) {
+    pub fn propose(&mut self, token: u64, key: &Name, expect: impl Into<Expect>, value: Blob, now: Ms, out: &mut Effects) {
+        self.ask(Ask { token, expect: expect.into(), value: Some(value), at: now }, key, now, out);
+    }
+    /// Asks for the newest version of a key that this daemon owns or is taking.
+    pub fn read(&mut self, token: u64, key: &Name, now: Ms, out: &mut Effects) {
+        self.ask(Ask { token, expect: Expect::Any, value: None, at: now }, key, now, out);
+    }
+
+    fn ask(&mut self, a: Ask, key: &Name, now: Ms, out: &mut Effects) {
+        let token = a.token;
         if !self.voting {
             out.push(Effect::Answer { token, outcome: WriteOutcome::NotAccepted("this daemon does not vote") });
             return;
@@ -356,28 +407,55 @@
             out.push(Effect::Answer { token, outcome: WriteOutcome::NotAccepted("too many writes wait for this key") });
             return;
         }
-        o.waiting.push_back(Ask { token, expect, value, at: now });
+        o.waiting.push_back(a);
         self.advance(key, now, out);
     }
 
-    /// Starts the next waiting write, if none is under way.
+    /// Works through what waits for a key, until a write is under way or the voters must be asked first.
     fn advance(&mut self, key: &Name, now: Ms, out: &mut Effects) {
         let me = self.me;
-        let Some(o) = self.own.get_mut(key) else { return };
-        let Phase::Holding { version } = o.phase else { return };
-        while o.write.is_none() {
-            let Some(a) = o.waiting.pop_front() else { return };
-            if a.expect.is_some_and(|e| e != version) {
-                out.push(Effect::Answer { token: a.token, outcome: WriteOutcome::Conflict(version) });
-                continue;
+        loop {
+            let Some(o) = self.own.get(key).filter(|o| o.write.is_none()) else { return };
+            let (Phase::Holding { version }, Some(a)) = (&o.phase, o.waiting.front()) else { return };
+            let (version, epoch, at, expect) = (*version, o.epoch, a.at, a.expect);
+            let fits = match expect {
+                Expect::Any => true,
+                Expect::Version(v) => v == version,
+                Expect::Release(r) => r == self.release(key, version),
+            };
+            let Some(o) = self.own.get_mut(key) else { return };
+            let reads = o.waiting.front().is_some_and(|a| a.value.is_none());
+            if fits && !reads {
+                let Some(Ask { token, value: Some(value), .. }) = o.waiting.pop_front() else { return };
+                let w = Write { version: version + 1, value, acks: BTreeSet::new(), token: Some(token), at, sent: now };
+                let m = Accept { key: key.clone(), epoch, version: w.version, value: w.value.clone(), me };
+                o.write = Some(w);
+                return self.spread(m, out);
             }
-            let w =
-                Write { version: version + 1, value: a.value, acks: BTreeSet::new(), token: Some(a.token), at: a.at, sent: now };
-            let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value: w.value.clone(), me };
-            o.write = Some(w);
-            self.spread(m, out);
+            // What stands is told only by an owner that a majority confirmed since it was asked: one that was deposed
+            // without having heard of it would tell of an older value.
+            let confirmed = self.own.get(key).and_then(|o| self.confirmed(o));
+            if confirmed.is_none_or(|t| t < at) {
+                return self.confirm(key, at, now, out);
+            }
+            let Some(a) = self.own.get_mut(key).and_then(|o| o.waiting.pop_front()) else { return };
+            // An operator that got no clear answer repeats its document: that it stands already is what it asked for.
+            let stands = self.slots.get(key).is_some_and(|s| a.value.as_ref().is_some_and(|v| *v == s.value));
+            let done = reads || (stands && matches!(expect, Expect::Release(_)));
+            let outcome = if done { WriteOutcome::Accepted(version) } else { WriteOutcome::Conflict(version) };
+            out.push(Effect::Answer { token: a.token, outcome });
+        }
+    }
+
+    /// Asks the voters whether a key is still this daemon's own.
+    fn confirm(&mut self, key: &Name, since: Ms, now: Ms, out: &mut Effects) {
+        let Some(o) = self.own.get_mut(key) else { return };
+        if o.asked >= since && now.saturating_sub(o.asked) < RESEND {
             return;
         }
+        o.asked = now;
+        let keys = List(vec![Held { key: key.clone(), epoch: o.epoch }]);
+        self.spread(Renew { keys, sent: now, me: self.me }, out);
     }
 
     pub fn on_promise(&mut self, from: &Name, m: Promise, now: Ms, out: &mut Effects) {
@@ -450,7 +528,7 @@
         self.advance(&m.key, now, out);
     }
 
-    pub fn on_renewed(&mut self, from: &Name, m: Renewed) {
+    pub fn on_renewed(&mut self, from: &Name, m: Renewed, now: Ms, out: &mut Effects) {
         if m.me != self.me || !self.voters.iter().any(|v| v.name == *from) {
             return;
         }
@@ -458,6 +536,7 @@
             let Some(o) = self.own.get_mut(&h.key).filter(|o| o.epoch == h.epoch) else { continue };
             let t = o.renewed.entry(from.clone()).or_insert(0);
             *t = (*t).max(m.sent);
+            self.advance(&h.key, now, out);
         }
     }
 
@@ -577,6 +656,9 @@
             }
             return self.prepare(key, epoch, out);
         }
+        if o.write.is_none() && !o.waiting.is_empty() {
+            return self.advance(key, now, out);
+        }
         let Some(w) = o.write.as_mut().filter(|w| now.saturating_sub(w.sent) >= RESEND) else { return };
         w.sent = now;
         let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value: w.value.clone(), me };
--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -28,6 +28,12 @@
 pub const DISK_BUFFER: usize = 1_024;
 /// ms. A failed disk is tried again this often.
 pub const DISK_AGAIN: Ms = 1_000;
+/// A daemon that asked for a key's newest version looks for it on its own board this often, so many times: two of
+/// the mendings between control daemons.
+pub const NEWS_EVERY: Duration = Duration::from_millis(25);
+pub const NEWS_TURNS: u32 = 32;
+/// Open calls are let end for so long when a control daemon stops; the longest write takes so long.
+pub const CONTROL_STOP: Duration = Duration::from_secs(3);
 /// Longest name of a version.
 pub const VERSION_MAX: usize = 64;
 /// HTTP threads of a daemon; its brain has one owner, so more would only wait for it.
--- a/wire-messages/src/lib.rs
+++ b/wire-messages/src/lib.rs
@@ -11,9 +11,9 @@
 
 /// Version of the messages. It rises with every change to one of them; processes of different versions do not
 /// read each other, so a fleet is upgraded edge by edge and voter by voter (docs/operators.md).
-pub const WIRE: u16 = 2;
-/// Largest frame a peer may send, in bytes; a spec of a whole fleet is well under a tenth of it.
-pub const MAX_FRAME: usize = 4 << 20;
+pub const WIRE: u16 = 3;
+/// Largest frame a peer may send, in bytes: the largest document that operators may send, and all other keys.
+pub const MAX_FRAME: usize = 8 << 20;
 /// Largest name, in bytes: names are machine, key and version labels.
 pub const MAX_NAME: usize = 512;
 /// Most items in one list: a frame of all keys of a fleet stays far below.
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -67,7 +67,9 @@
     6u8 Commit { change: Change }
     7u8 Renew { keys: List<Held>, sent: u64, me: u32 }
     8u8 Renewed { keys: List<Held>, sent: u64, me: u32 }
-    9u8 Forward { token: u64, key: Name, expect: u64, any: u8, value: Blob }
+    /// `mode`: what `expect` is compared with; 0 the version that stands, 1 nothing, 2 the release of the standing
+    /// spec, 3 nothing and nothing is written: the newest version is asked for.
+    9u8 Forward { token: u64, key: Name, expect: u64, mode: u8, value: Blob }
     /// `code`: 0 accepted, 1 conflict, 2 not accepted, 3 unknown.
     10u8 Forwarded { token: u64, code: u8, version: u64, why: Name }
     /// The first voters, offered once while every disk is blank.
