--- a/control-daemon/src/actor.rs
+++ b/control-daemon/src/actor.rs
@@ -214,10 +214,11 @@
             return;
         }
         (self.listing, self.next_report) = (true, next);
-        let f = call(self.client.clone(), self.platform.clone()).into_actor(self).map(|r, me, _| {
+        let now = clock::now();
+        let f = call(self.client.clone(), self.platform.clone()).into_actor(self).map(move |r, me, _| {
             me.listing = false;
             match (r, &mut me.c) {
-                (Ok(l), Some(c)) => c.on_platform(l),
+                (Ok(l), Some(c)) => c.on_platform(l, now),
                 (Err(e), _) => event(events::LIST_FAILED, &me.platform, &e.to_string()),
                 _ => {}
             }
