Let the daemons at the seeds found the system when nobody is named

Cause: members were named by flag, and a fleet whose control daemons are told neither their number nor their names had no first voters. A blank disk that is told of the first start keeps a mark with the seeds (member epoch 0) and beats as founding; the daemon at the first of the sorted seeds writes the first voters once all seeds beat so. Only the disks of those beats are named, so a founder that dies before its sync can only write the same list again; a blank disk that was not told, or one that was lost, is never among them. Ruled out: founding by the first who sees a majority, which two could do over a cut. Way by names stands as it was.

--- a/control-daemon/src/lib.rs
+++ b/control-daemon/src/lib.rs
@@ -31,6 +31,9 @@
         http: p.http.as_str().into(),
         members: names(&p.members),
         seeds: names(&p.seeds),
+        founding: p.founding,
+        regions: p.regions.iter().map(|(z, r)| (z.as_str().into(), r.as_str().into())).collect(),
+        bounds: p.bounds.clone(),
     };
     let disk = disk::Disk::start(p.data.clone().unwrap_or_default(), p.data_limit);
     let brain = actor::ControlActor::new(cp, p.platform.clone(), disk).start();
--- a/coordination/examples/embed.rs
+++ b/coordination/examples/embed.rs
@@ -50,6 +50,9 @@
         http: "".into(),
         members: vec!["one".into()],
         seeds: vec![],
+        founding: false,
+        regions: Default::default(),
+        bounds: Default::default(),
     };
     let (mut disk, mut inbox) = (Disk::default(), VecDeque::new());
     let mut brain = Control::new(p.clone(), 7, vec![], 1, 0);
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -14,6 +14,7 @@
 use crate::{
     Effect, Effects, Ms, Row, WriteOutcome,
     board::Board,
+    bounds::Bounds,
     effect::{note, send},
     events,
     limits::{BEAT_EVERY, FOLLOWER_GONE, FORWARD_LIMIT, LOOP_EVERY, LOOP_RESTS, PEER_GONE, PERMIT},
@@ -33,11 +34,13 @@
 /// Key of the kill switch.
 pub const KILL: &str = "kill-switch";
 
-/// How a beat's sender stands: it votes, has a blank disk, has not caught up, or is going.
+/// How a beat's sender stands: it votes, has a blank disk, has not caught up, is going, or has a blank disk and
+/// takes part in the founding.
 const VOTES: u8 = 0;
 const BLANK: u8 = 1;
 const BEHIND: u8 = 2;
 const GOING: u8 = 3;
+const FOUNDING: u8 = 4;
 
 /// Tokens of writes that nobody waits for.
 const NOBODY: u64 = 0;
@@ -48,9 +51,15 @@
     pub zone: Name,
     pub addr: Name,
     pub http: Name,
-    /// Lasting names of all control daemons; the first voters must all be these.
+    /// Lasting names of all control daemons; the first voters must all be these. With none named the daemons at
+    /// the seeds found the system, if they are told to.
     pub members: Vec<Name>,
     pub seeds: Vec<Name>,
+    /// The whole system starts for the first time, with empty disks.
+    pub founding: bool,
+    /// Region of each zone; a zone that is not named is its own region.
+    pub regions: BTreeMap<Name, Name>,
+    pub bounds: Bounds,
 }
 
 #[derive(Clone, Debug)]
@@ -75,6 +84,8 @@
 pub struct Control {
     p: ControlParams,
     disk: u64,
+    /// The mark of the founding is not on disk yet.
+    unkept: bool,
     pub regs: Registers,
     pub mship: Membership,
     board: Board,
@@ -123,10 +134,16 @@
             beat: 0,
         };
         let mship = Membership::new(me, p.seeds.clone(), born);
-        let regs = Registers::new(p.name.clone(), rows, now);
+        let mut regs = Registers::new(p.name.clone(), rows, now);
+        // Kept on disk: a founder that is started again is no longer told that it founds, nor with whom.
+        let marked = regs.me == 0 && regs.voters.is_empty() && p.founding && p.members.is_empty();
+        if marked {
+            regs.found_with(&p.seeds);
+        }
         let mut c = Control {
             p,
             disk,
+            unkept: marked,
             regs,
             mship,
             board: Board::default(),
@@ -288,11 +305,12 @@
         if m.blank == VOTES && m.me == self.regs.me && !behind {
             self.met.insert(from.clone());
         }
-        if behind && m.blank != BLANK {
+        let blank = m.blank == BLANK || m.blank == FOUNDING;
+        if behind && !blank {
             out.push(send(addr, SlotsAsk { me: self.regs.me }));
         }
         // The first voters are offered again to a member that was named among them but has not stored it.
-        if m.blank == BLANK && self.regs.me == 1 && self.regs.voters.iter().any(|v| v.disk == m.disk) {
+        if blank && self.regs.me == 1 && self.regs.voters.iter().any(|v| v.disk == m.disk) {
             out.push(send(addr, Genesis { voters: List(self.regs.voters.clone()) }));
         }
         self.peers.insert(from.clone(), Peer { at: now, beat: m, addr: addr.clone() });
@@ -488,6 +506,9 @@
         for n in self.mship.known(CONTROL) {
             self.regs.set_addr(&n.name, &n.addr);
         }
+        if std::mem::take(&mut self.unkept) {
+            out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
+        }
         self.beat(now, &mut out);
         self.meet(now, &mut out);
         let wanted: Vec<Name> = match self.spec() {
@@ -538,6 +559,7 @@
         self.next_beat = now + BEAT_EVERY;
         let blank = match (self.regs.me, self.regs.voting) {
             _ if self.going => GOING,
+            (0, _) if !self.regs.voters.is_empty() => FOUNDING,
             (0, _) => BLANK,
             (_, true) => VOTES,
             _ => BEHIND,
@@ -546,6 +568,10 @@
         let mut to: BTreeSet<Name> = self.mship.known(CONTROL).map(|n| n.addr.clone()).collect();
         to.extend(self.regs.voters.iter().map(|v| self.regs.addr(v)));
         to.extend(self.peers.values().map(|p| p.addr.clone()));
+        // Until it knows the voters, only its seeds lead there.
+        if self.regs.me == 0 {
+            to.extend(self.p.seeds.iter().cloned());
+        }
         to.remove(&self.p.addr);
         out.extend(to.iter().map(|a| send(a, b.clone())));
     }
@@ -568,21 +594,38 @@
             out.push(send(&p.addr, Join { voter }));
             return;
         }
-        // The very first start: every member is here and blank, and the first by name writes them down.
-        let lowest = self.p.members.iter().min() == Some(&self.p.name);
-        let blank = |n: &Name| *n == self.p.name || fresh.iter().any(|(f, p)| *f == n && p.beat.blank == BLANK);
-        if self.regs.me == 0 && lowest && self.p.members.iter().all(blank) {
-            let mut voters = vec![Voter { name: self.p.name.clone(), disk: self.disk, addr: self.p.addr.clone() }];
-            voters.extend(fresh.iter().filter(|(n, _)| self.p.members.contains(n)).map(|(n, p)| Voter {
-                name: (*n).clone(),
-                disk: p.beat.disk,
-                addr: p.addr.clone(),
-            }));
-            // Others store it when this daemon's next beats tell them, by which time it is synced here.
+        if let Some(voters) = self.founders(&fresh) {
+            // Others store it when this daemon's next beats tell them. Should it crash before it is synced here, it
+            // learns it from them, or writes the same again: it takes nothing but the same disks.
             self.begin(voters, out);
         }
     }
 
+    /// The first voters, once all of them are here with blank disks and this daemon is the one to write them down:
+    /// the first by name where names are given, else the one at the first of the seeds.
+    fn founders(&self, fresh: &[(&Name, &Peer)]) -> Option<Vec<Voter>> {
+        if self.regs.me > 0 {
+            return None;
+        }
+        let me = Voter { name: self.p.name.clone(), disk: self.disk, addr: self.p.addr.clone() };
+        let voter = |(n, p): &(&Name, &Peer)| Voter { name: (*n).clone(), disk: p.beat.disk, addr: p.addr.clone() };
+        let (own, places, state): (&Name, Vec<&Name>, u8) = match self.p.members.is_empty() {
+            false => (&self.p.name, self.p.members.iter().collect(), BLANK),
+            true => (&self.p.addr, self.regs.voters.iter().map(|v| &v.addr).collect(), FOUNDING),
+        };
+        if places.iter().min() != Some(&own) {
+            return None;
+        }
+        let named = !self.p.members.is_empty();
+        let others = places.iter().filter(|p| **p != own).map(|place| {
+            let here = fresh.iter().find(|(n, p)| p.beat.blank == state && if named { n == place } else { p.addr == **place });
+            here.map(voter)
+        });
+        let mut voters = others.collect::<Option<Vec<_>>>()?;
+        voters.insert(0, me);
+        Some(voters)
+    }
+
     /// Runs the rollout loops of the duties held here.
     pub fn loops(&mut self, now: Ms, wall: u64) -> Effects {
         if now < self.next_loop || !self.settled || self.killed() {
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -463,6 +463,15 @@
 
     // ---- members ----
 
+    /// Marks a blank disk as one of those that found the system: under member epoch 0 the voters are the places of
+    /// those who will, with disks that nobody knows yet.
+    pub fn found_with(&mut self, places: &[Name]) {
+        let mut places = places.to_vec();
+        places.sort();
+        places.dedup();
+        self.voters = places.into_iter().map(|addr| Voter { name: Name::default(), disk: 0, addr }).collect();
+    }
+
     /// Follows a member epoch. Everything owned is given up: its votes were counted over other voters.
     pub fn follow(&mut self, me: u32, voters: Vec<Voter>, out: &mut Effects) {
         if me <= self.me {
--- /dev/null
+++ b/coordination/tests/fleet/mod.rs
@@ -0,0 +1,290 @@
+//! Control daemons alone, in virtual time: a network that delays, loses and is cut, disks that sync, hang and are
+//! lost, processes that die.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coordination::{
+    Effect, Effects, Ms, Row, WriteOutcome,
+    control::{Control, ControlParams},
+    limits::TICK,
+};
+use wire_messages::{Msg, Name};
+
+pub struct Daemon {
+    pub p: ControlParams,
+    pub brain: Option<Control>,
+    pub disk: BTreeMap<String, Row>,
+    pub disk_id: u64,
+    pub life: u64,
+    /// Until when its disk ends nothing.
+    pub hung: Ms,
+    /// When its disk ends what it was last given: it works in order.
+    busy: Ms,
+    next_tick: Ms,
+    /// ms of one sync.
+    pub sync: Ms,
+    /// Notes it made, by name of the event.
+    pub notes: Vec<(Ms, &'static str)>,
+}
+
+enum Ev {
+    Deliver { to: Name, from: Name, addr: Name, msg: Msg },
+    Synced { at: usize, life: u64, rows: Vec<Row>, then: Effects },
+}
+
+/// Decides a message's fate: `false` loses it.
+type Sieve = Box<dyn Fn(&Name, &Name, &Msg) -> bool>;
+
+pub struct Fleet {
+    pub now: Ms,
+    pub all: Vec<Daemon>,
+    queue: BTreeMap<(Ms, u64), Ev>,
+    seq: u64,
+    pub rng: fastrand::Rng,
+    /// Addresses that neither send nor are reached.
+    pub cut: BTreeSet<Name>,
+    pub sieve: Sieve,
+    /// Ends of writes, by daemon and token: when, and how.
+    pub ends: BTreeMap<(usize, u64), (Ms, WriteOutcome)>,
+    /// ms of a message's way, at most.
+    pub way: Ms,
+    tokens: u64,
+    /// When a write is first confirmed at this daemon its disk is lost.
+    pub wipe_after_ack: Option<usize>,
+}
+
+fn key(r: &Row) -> String {
+    match r {
+        Row::Slot(s) => s.key.to_string(),
+        Row::Members { .. } => "\0members".into(),
+    }
+}
+
+pub fn addr(i: usize) -> Name {
+    format!("10.0.0.{}:7000", i + 1).into()
+}
+
+impl Fleet {
+    /// `seeds`: by number. Daemons are added by `add`.
+    pub fn new(seed: u64) -> Self {
+        Fleet {
+            now: 0,
+            all: vec![],
+            queue: BTreeMap::new(),
+            seq: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            cut: BTreeSet::new(),
+            sieve: Box::new(|_, _, _| true),
+            ends: BTreeMap::new(),
+            way: 40,
+            tokens: 0,
+            wipe_after_ack: None,
+        }
+    }
+
+    /// A fleet of `n` in as many zones, whose first three found it.
+    pub fn founded(seed: u64, n: usize, region: impl Fn(usize) -> String) -> Self {
+        let mut f = Fleet::new(seed);
+        let regions: BTreeMap<Name, Name> = (0..n + 4).map(|i| (Name(format!("z{i}")), Name(region(i)))).collect();
+        for i in 0..n {
+            f.add(i, &[0, 1, 2], true, &regions);
+        }
+        f
+    }
+
+    /// Adds and starts a daemon.
+    pub fn add(&mut self, i: usize, seeds: &[usize], founding: bool, regions: &BTreeMap<Name, Name>) {
+        let p = ControlParams {
+            name: format!("c{i}").into(),
+            zone: format!("z{i}").into(),
+            addr: addr(i),
+            http: format!("h{i}").into(),
+            members: vec![],
+            seeds: seeds.iter().map(|s| addr(*s)).collect(),
+            founding,
+            regions: regions.clone(),
+            bounds: Default::default(),
+        };
+        let disk_id = self.rng.u64(1..1 << 60);
+        let d = Daemon {
+            p,
+            brain: None,
+            disk: BTreeMap::new(),
+            disk_id,
+            life: 0,
+            hung: 0,
+            busy: 0,
+            next_tick: 0,
+            sync: 5,
+            notes: vec![],
+        };
+        self.all.push(d);
+        self.start(self.all.len() - 1);
+    }
+
+    pub fn start(&mut self, i: usize) {
+        let now = self.now;
+        let d = &mut self.all[i];
+        d.life += 1;
+        let rows = d.disk.values().cloned().collect();
+        d.brain = Some(Control::new(d.p.clone(), d.disk_id, rows, 1_000 + now * 10 + d.life, now));
+        d.next_tick = now + 1 + self.rng.u64(..TICK);
+    }
+    pub fn kill(&mut self, i: usize) {
+        let d = &mut self.all[i];
+        d.life += 1;
+        d.brain = None;
+        d.busy = 0;
+    }
+    /// Kills it and loses its disk; it is no founder any more.
+    pub fn wipe(&mut self, i: usize) {
+        self.kill(i);
+        let id = self.rng.u64(1..1 << 60);
+        let d = &mut self.all[i];
+        d.disk.clear();
+        d.disk_id = id;
+        d.p.founding = false;
+    }
+
+    fn at(&mut self, ms: Ms, ev: Ev) {
+        self.seq += 1;
+        self.queue.insert((self.now + ms, self.seq), ev);
+    }
+
+    pub fn carry(&mut self, i: usize, out: Effects) {
+        for e in out {
+            match e {
+                Effect::Send { to, msg } => {
+                    let (from, addr) = (self.all[i].p.name.clone(), self.all[i].p.addr.clone());
+                    let own = to == addr;
+                    if !own && (self.cut.contains(&to) || self.cut.contains(&addr) || !(self.sieve)(&addr, &to, &msg)) {
+                        continue;
+                    }
+                    let ms = if own { 0 } else { 1 + self.rng.u64(..self.way) };
+                    self.at(ms, Ev::Deliver { to, from, addr, msg });
+                }
+                Effect::Persist { rows, then } => {
+                    let now = self.now;
+                    let d = &mut self.all[i];
+                    d.busy = d.busy.max(now).max(d.hung) + d.sync;
+                    let (wait, life) = (d.busy - now, d.life);
+                    self.at(wait, Ev::Synced { at: i, life, rows, then });
+                }
+                Effect::Answer { token, outcome } => {
+                    self.ends.insert((i, token), (self.now, outcome));
+                    if self.wipe_after_ack == Some(i) && matches!(outcome, WriteOutcome::Accepted(_)) {
+                        self.wipe_after_ack = None;
+                        self.wipe(i);
+                        return;
+                    }
+                }
+                Effect::Note { event, .. } => {
+                    let now = self.now;
+                    self.all[i].notes.push((now, event.name));
+                }
+                Effect::Order { .. } => {}
+            }
+        }
+    }
+
+    fn handle(&mut self, ev: Ev) {
+        match ev {
+            Ev::Deliver { to, from, addr, msg } => {
+                let Some(i) = self.all.iter().position(|d| d.p.addr == to && d.brain.is_some()) else { return };
+                let now = self.now;
+                let Some(b) = self.all[i].brain.as_mut() else { return };
+                let out = b.on_msg(&from, &addr, msg, now);
+                self.carry(i, out);
+            }
+            Ev::Synced { at, life, rows, then } => {
+                if self.all[at].life != life {
+                    return;
+                }
+                for r in rows {
+                    self.all[at].disk.insert(key(&r), r);
+                }
+                self.carry(at, then);
+            }
+        }
+    }
+
+    pub fn run(&mut self, ms: Ms) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 1;
+            while let Some(e) = self.queue.first_entry().filter(|e| e.key().0 <= self.now) {
+                let ev = e.remove();
+                self.handle(ev);
+            }
+            for i in 0..self.all.len() {
+                let now = self.now;
+                let d = &mut self.all[i];
+                if d.next_tick > now {
+                    continue;
+                }
+                d.next_tick = now + TICK;
+                let Some(b) = d.brain.as_mut() else { continue };
+                let out = b.tick(now);
+                self.carry(i, out);
+            }
+        }
+    }
+    /// Runs until it is so; says whether it came in time, and after how long.
+    pub fn until(&mut self, most: Ms, done: impl Fn(&Fleet) -> bool) -> Option<Ms> {
+        let from = self.now;
+        while self.now < from + most {
+            if done(self) {
+                return Some(self.now - from);
+            }
+            self.run(10);
+        }
+        done(self).then_some(most)
+    }
+
+    pub fn brain(&self, i: usize) -> Option<&Control> {
+        self.all[i].brain.as_ref()
+    }
+    /// Daemons that vote.
+    pub fn voting(&self) -> Vec<usize> {
+        (0..self.all.len()).filter(|i| self.brain(*i).is_some_and(|b| b.regs.voting)).collect()
+    }
+    /// Names of the voters as the daemon knows them.
+    pub fn voters(&self, i: usize) -> BTreeSet<String> {
+        self.brain(i).map_or(BTreeSet::new(), |b| b.regs.voters.iter().map(|v| v.name.to_string()).collect())
+    }
+    pub fn held(&self, i: usize, key: &str) -> Option<(u64, Vec<u8>)> {
+        self.brain(i)?.board().get(key).map(|c| (c.version, c.value.0.clone()))
+    }
+
+    pub fn write(&mut self, i: usize, key: &str, expect: Option<u64>, value: &[u8]) -> Option<(usize, u64)> {
+        let now = self.now;
+        let (token, out) = self.all[i].brain.as_mut()?.write(key, expect, value.to_vec(), now);
+        self.carry(i, out);
+        Some((i, token))
+    }
+    /// Writes as an operator does: again and again at any daemon until it is accepted; gives how long that took.
+    pub fn put(&mut self, key: &str, value: &[u8], most: Ms) -> Option<Ms> {
+        let from = self.now;
+        while self.now < from + most {
+            self.tokens += 1;
+            let up: Vec<usize> = (0..self.all.len()).filter(|i| self.brain(*i).is_some()).collect();
+            let i = *self.rng.choice(&up)?;
+            let w = self.write(i, key, None, value)?;
+            self.until(1_000, |f| f.ends.contains_key(&w) || f.brain(i).is_none());
+            if let Some((at, WriteOutcome::Accepted(_))) = self.ends.get(&w) {
+                return Some(at - from);
+            }
+            self.run(100);
+        }
+        None
+    }
+    /// Every voter list ever stored under member epoch 1, on any disk.
+    pub fn first_voters(&self) -> BTreeSet<Vec<u64>> {
+        let lists = self.all.iter().filter_map(|d| match d.disk.get("\0members") {
+            Some(Row::Members { me: 1, voters, .. }) => Some(voters.iter().map(|v| v.disk).collect()),
+            _ => None,
+        });
+        lists.collect()
+    }
+}
--- a/daemon-parts/src/params.rs
+++ b/daemon-parts/src/params.rs
@@ -111,7 +111,9 @@
     if faults.is_empty() { Ok(p) } else { Err(faults) }
 }
 
-fn check(p: &Params, needs: &[Need]) -> Vec<String> {
+/// Every fault of the params. Needing `founders` instead of `seeds` and `members`, the daemons at the seeds found
+/// the system, and no names are given.
+pub fn check(p: &Params, needs: &[Need]) -> Vec<String> {
     let mut bad = Vec::new();
     let mut label = |n: &str, v: &str| {
         let ok = !v.is_empty() && v.len() <= 64 && v.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_".contains(&b));
@@ -131,11 +133,15 @@
     if p.bind != p.listen && p.bind.parse::<SocketAddr>().is_err() {
         bad.push(format!("bind: {:?} is no IP:port", p.bind));
     }
-    if needs.contains(&"seeds") {
-        if p.seeds.len() != 3 {
+    if needs.contains(&"seeds") || needs.contains(&"founders") {
+        // Founders stand at the seeds, and a small system has fewer than three of them.
+        if p.seeds.len() > 3 || p.seeds.is_empty() {
+            bad.push(format!("seeds: give one to three, not {}", p.seeds.len()));
+        } else if p.seeds.len() < 3 && !needs.contains(&"founders") {
             bad.push(format!("seeds: give three, not {}", p.seeds.len()));
         }
-        bad.extend(p.seeds.iter().filter_map(|s| addr("seeds", s)));
+        let no_addr = p.seeds.iter().filter(|s| !s.parse::<SocketAddr>().is_ok_and(|a| a.port() > 0));
+        bad.extend(no_addr.map(|s| format!("seeds: {s:?} is no IP:port")));
     }
     if needs.contains(&"members") {
         if p.members.len() < 3 || p.members.len().is_multiple_of(2) {
@@ -185,5 +191,19 @@
         args.extend(["--seed", "127.0.0.1:2", "--seed", "127.0.0.1:3", "--seed", "127.0.0.1:4"]);
         args.extend(["--member", "c1", "--member", "c2", "--member", "c3"]);
         expect_that!(super::read(&c().get_matches_from(args), &needs), ok(anything()));
+        // Where the seeds found the system one to three of them will do, and no names.
+        let founders = ["name", "zone", "listen", "founders", "data"];
+        let mut p = super::Params {
+            listen: "127.0.0.1:1".into(),
+            bind: "127.0.0.1:1".into(),
+            data: Some("d".into()),
+            ..Default::default()
+        };
+        (p.name, p.zone, p.seeds) = ("c1".into(), "z".into(), vec!["127.0.0.1:2".into()]);
+        expect_that!(super::check(&p, &founders), is_empty());
+        p.seeds = vec![];
+        expect_that!(super::check(&p, &founders), len(eq(1)));
+        p.seeds = vec!["nowhere".into()];
+        expect_that!(super::check(&p, &founders), len(eq(1)));
     }
 }
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -391,6 +391,9 @@
                 http: format!("h{}", i + 1).into(),
                 members: members.clone(),
                 seeds: vec!["c1".into(), "c2".into(), "c3".into()],
+                founding: false,
+                regions: BTreeMap::new(),
+                bounds: Default::default(),
             };
             let id = w.rng.u64(1..1 << 60);
             let disk = Disk { id, rows: BTreeMap::new(), slow: (0, 0), full_until: 0, buffer: vec![], working: false };
