--- a/coordination/examples/embed.rs
+++ b/coordination/examples/embed.rs
@@ -52,6 +52,8 @@
         seeds: vec![],
         regions: Default::default(),
         reader: coordination::board::own_spec,
+        founding: false,
+        bounds: Default::default(),
     };
     let (mut disk, mut inbox) = (Disk::default(), VecDeque::new());
     let mut brain = Control::new(p.clone(), 7, vec![], 1, 0);
--- a/edge-proxy/src/lib.rs
+++ b/edge-proxy/src/lib.rs
@@ -40,6 +40,7 @@
     let mut b =
         Proxy::new(p.name.as_str().into(), p.zone.as_str().into(), p.http.as_str().into(), clock::born(), fastrand::u64(..));
     b.set_reader(reader);
+    b.set_bounds(p.bounds.clone(), p.regions.clone());
     b
 }
 
@@ -78,7 +79,7 @@
 /// Requests by host and path as well.
 async fn with_lanes(p: Params, a: Addr<ProxyActor>, brain: Shared, dialect: Arc<dyn Dialect>) -> Result<(), Report<StartFault>> {
     let stopping = Arc::new(Stopping::default());
-    let f = Front { brain, dialect, stopping: stopping.clone(), ready: p.ready.clone() };
+    let f = Front { brain, dialect, stopping: stopping.clone(), ready: p.readiness.clone() };
     let b = web::Data::new(a.clone());
     let mut server = HttpServer::new(move || {
         let f = f.clone();
@@ -96,8 +97,11 @@
     .bind(&p.http)
     .change_context(StartFault("bind the HTTP port"))
     .attach_with(|| p.http.clone())?;
-    if !p.ready.is_empty() {
-        server = server.bind(&p.ready).change_context(StartFault("bind the readiness port")).attach_with(|| p.ready.clone())?;
+    if !p.readiness.is_empty() {
+        server = server
+            .bind(&p.readiness)
+            .change_context(StartFault("bind the readiness port"))
+            .attach_with(|| p.readiness.clone())?;
     }
     let server = server.run();
     let h = server.handle();
