--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -295,6 +295,8 @@
     /// Replicas to ask for their reports: id and address.
     pub fn replicas(&self) -> Vec<(String, String)> {
         let all = self.records.values().flat_map(|r| &r.2.replicas);
+        // What the record tells of a replica needs no asking.
+        let all = all.filter(|p| p.slots == 0);
         all.map(|p| (p.id.clone(), p.addr.clone())).collect()
     }
 
