--- a/coordination/examples/embed.rs
+++ b/coordination/examples/embed.rs
@@ -51,8 +51,9 @@
         members: vec!["one".into()],
         seeds: vec![],
         founding: false,
-        regions: Default::default(),
         bounds: Default::default(),
+        regions: Default::default(),
+        reader: coordination::board::own_spec,
     };
     let (mut disk, mut inbox) = (Disk::default(), VecDeque::new());
     let mut brain = Control::new(p.clone(), 7, vec![], 1, 0);
--- a/coordination/tests/fleet/mod.rs
+++ b/coordination/tests/fleet/mod.rs
@@ -86,7 +86,7 @@
     /// A fleet of `n` in as many zones, whose first three found it.
     pub fn founded(seed: u64, n: usize, region: impl Fn(usize) -> String) -> Self {
         let mut f = Fleet::new(seed);
-        let regions: BTreeMap<Name, Name> = (0..n + 4).map(|i| (Name(format!("z{i}")), Name(region(i)))).collect();
+        let regions: BTreeMap<String, String> = (0..n + 4).map(|i| (format!("z{i}"), region(i))).collect();
         for i in 0..n {
             f.add(i, &[0, 1, 2], true, &regions);
         }
@@ -94,7 +94,7 @@
     }
 
     /// Adds and starts a daemon.
-    pub fn add(&mut self, i: usize, seeds: &[usize], founding: bool, regions: &BTreeMap<Name, Name>) {
+    pub fn add(&mut self, i: usize, seeds: &[usize], founding: bool, regions: &BTreeMap<String, String>) {
         let p = ControlParams {
             name: format!("c{i}").into(),
             zone: format!("z{i}").into(),
@@ -105,6 +105,7 @@
             founding,
             regions: regions.clone(),
             bounds: Default::default(),
+            reader: coordination::board::own_spec,
         };
         let disk_id = self.rng.u64(1..1 << 60);
         let d = Daemon {
--- a/daemon-parts/src/params.rs
+++ b/daemon-parts/src/params.rs
@@ -23,6 +23,8 @@
     pub bind: String,
     /// Where HTTP callers reach it.
     pub http: String,
+    /// Proxies only: where it is asked whether they serve, if that is another address.
+    pub ready: String,
     /// Addresses of three other processes.
     pub seeds: Vec<String>,
     /// Control daemons only: names of all of them.
@@ -33,6 +35,10 @@
     pub platform: String,
     /// Proxies only: the agent's address on this machine.
     pub agent: String,
+    /// Proxies only: where a platform asks whether this proxy takes requests.
+    pub readiness: String,
+    /// Control daemons only: where callers ask for the edges' addresses.
+    pub directory: String,
     /// Control daemons only: most bytes the database may grow to; 0 sets no bound.
     pub data_limit: u64,
     pub log: String,
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -392,8 +392,9 @@
                 members: members.clone(),
                 seeds: vec!["c1".into(), "c2".into(), "c3".into()],
                 founding: false,
-                regions: BTreeMap::new(),
                 bounds: Default::default(),
+                regions: BTreeMap::new(),
+                reader: coordination::board::own_spec,
             };
             let id = w.rng.u64(1..1 << 60);
             let disk = Disk { id, rows: BTreeMap::new(), slow: (0, 0), full_until: 0, buffer: vec![], working: false };
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -47,8 +47,8 @@
     /// A digest over the keys whose hash falls into one range.
     Range { index: u16, digest: u64 }
     /// Cumulative counts since the proxy's start; `new_` ones are of its last half minute, for a daemon that
-    /// hears this proxy for the first time.
-    Tally { service: Name, version: Name, lane: Name, warm: u8, group: u8, sent: u64, ok: u64, failed: u64, slow: u64, new_ended: u64, new_failed: u64, new_slow: u64 }
+    /// hears this proxy for the first time. `firsts`: first pieces, `first_log`: the sum of their times' logarithms.
+    Tally { service: Name, version: Name, lane: Name, warm: u8, group: u8, sent: u64, ok: u64, failed: u64, slow: u64, firsts: u64, first_log: u64, new_ended: u64, new_failed: u64, new_slow: u64 }
     /// Streams a proxy still has open on a replica's version.
     Open { replica: Name, version: Name, streams: u32 }
     /// A voter: its lasting name, its disk and where it answers.
@@ -67,7 +67,9 @@
     6u8 Commit { change: Change }
     7u8 Renew { keys: List<Held>, sent: u64, me: u32 }
     8u8 Renewed { keys: List<Held>, sent: u64, me: u32 }
-    9u8 Forward { token: u64, key: Name, expect: u64, any: u8, value: Blob }
+    /// `mode`: what `expect` is compared with; 0 the version that stands, 1 nothing, 2 the release of the standing
+    /// spec, 3 nothing and nothing is written: the newest version is asked for.
+    9u8 Forward { token: u64, key: Name, expect: u64, mode: u8, value: Blob }
     /// `code`: 0 accepted, 1 conflict, 2 not accepted, 3 unknown.
     10u8 Forwarded { token: u64, code: u8, version: u64, why: Name }
     /// The first voters, offered once while every disk is blank.
