--- a/control-daemon/src/actor.rs
+++ b/control-daemon/src/actor.rs
@@ -186,7 +186,7 @@
             return;
         }
         if let Replicas::Listed { call, every } = self.replicas {
-            return self.ask_list(call, now + every.as_millis() as Ms, ctx);
+            return self.ask_list(call, now, every, ctx);
         }
         self.next_report = now + REPORT_EVERY;
         let (c, a) = (self.client.clone(), self.platform.clone());
@@ -209,12 +209,11 @@
     }
 
     /// Asks for a list that tells everything; one that fails changes nothing.
-    fn ask_list(&mut self, call: ListCall, next: Ms, ctx: &mut Context<Self>) {
+    fn ask_list(&mut self, call: ListCall, now: Ms, every: Duration, ctx: &mut Context<Self>) {
         if self.listing {
             return;
         }
-        (self.listing, self.next_report) = (true, next);
-        let now = clock::now();
+        (self.listing, self.next_report) = (true, now + every.as_millis() as Ms);
         let f = call(self.client.clone(), self.platform.clone()).into_actor(self).map(move |r, me, _| {
             me.listing = false;
             match (r, &mut me.c) {
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod register;
 pub mod request;
 pub mod rollout;
+pub mod standing;
 pub mod stream;
 
 pub use effect::{Effect, Effects, Ms, Outcome as WriteOutcome, Row, send};
