--- a/coordination/tests/fleet/mod.rs
+++ b/coordination/tests/fleet/mod.rs
@@ -106,7 +106,6 @@
             regions: regions.clone(),
             reader: coordination::board::own_spec,
             bounds: Default::default(),
-            reader: coordination::board::own_spec,
         };
         let disk_id = self.rng.u64(1..1 << 60);
         let d = Daemon {
