Test raw passing against replicas that answer byte by byte; ask no reports of placed replicas

26 tests over loopback: unchanged passing, reuse, resets before and after the head, surplus and foreign answers, cuts, streams that go on, run-once, rejections, budget, stopping. First runs failed: test ports that were freed and taken by another test (now kept taken), and the actor's own report polls to placed replicas, which are now not asked (each would be a priced probe).

--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -8,7 +8,7 @@
 
 use remote_calls::{
     Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, PathSpec, ReplicaReport, RolloutRecord, RunRequest,
-    ServiceSpec, Spec,
+    ServiceMode, ServiceSpec, Spec,
 };
 use wire_messages::{Board as BoardMsg, Lent, List, Name, Node, Open, ProxyHello, Tally};
 
@@ -294,7 +294,10 @@
 
     /// Replicas to ask for their reports: id and address.
     pub fn replicas(&self) -> Vec<(String, String)> {
-        let all = self.records.values().flat_map(|r| &r.2.replicas);
+        // What a platform places it tells by its list and its answers; to ask each replica again has its price.
+        let services = self.spec.iter().flat_map(|s| &s.services);
+        let placed: BTreeSet<&str> = services.filter(|s| s.mode == ServiceMode::Placed).map(|s| s.name.as_str()).collect();
+        let all = self.records.iter().filter(|(s, _)| !placed.contains(s.as_str())).flat_map(|(_, r)| &r.2.replicas);
         all.map(|p| (p.id.clone(), p.addr.clone())).collect()
     }
 
--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -95,3 +95,5 @@
 pub const STOP_LOOK: Duration = Duration::from_millis(20);
 /// ms. What a stopping proxy tells those who come too late: another edge takes them at once.
 pub const STOP_RETRY: Ms = 50;
+/// New connections that wait to be taken; a burst of all downstreams.
+pub const BACKLOG: i32 = 1_024;
--- a/edge-proxy/src/lib.rs
+++ b/edge-proxy/src/lib.rs
@@ -12,22 +12,29 @@
 mod upload;
 
 use std::{
+    io,
+    net::{SocketAddr, TcpListener},
     sync::{Arc, Mutex},
     time::Duration,
 };
 
 use actix::{Actor, Addr};
-use actix_web::{App, HttpServer, dev::ServerHandle, web};
+use actix_web::{
+    App, HttpServer,
+    dev::{Server, ServerHandle},
+    web,
+};
 use coordination::{board::SpecReader, events, proxy::Proxy};
 use daemon_parts::{
     channels, clock,
-    limits::{DOWNSTREAM_HEAD, DOWNSTREAM_IDLE, STOP_LAST, STOP_LIMIT, STOP_LOOK, STOP_TAKES, WORKERS},
+    limits::{BACKLOG, DOWNSTREAM_HEAD, DOWNSTREAM_IDLE, STOP_LAST, STOP_LIMIT, STOP_LOOK, STOP_TAKES, WORKERS},
     logging::{self, StartFault, event},
     look::Look,
     params::Params,
     stop,
 };
 use error_stack::{Report, ResultExt};
+use socket2::{Domain, Socket, Type};
 
 use crate::{
     actor::ProxyActor,
@@ -80,8 +87,34 @@
 async fn with_lanes(p: Params, a: Addr<ProxyActor>, brain: Shared, dialect: Arc<dyn Dialect>) -> Result<(), Report<StartFault>> {
     let stopping = Arc::new(Stopping::default());
     let f = Front { brain, dialect, stopping: stopping.clone(), ready: p.readiness.clone() };
-    let b = web::Data::new(a.clone());
-    let mut server = HttpServer::new(move || {
+    let ports = [&p.http, &p.readiness].into_iter().filter(|a| !a.is_empty());
+    let ports = ports.map(|a| listen(a).change_context(StartFault("bind an HTTP port")).attach_with(|| a.clone()));
+    let ports = ports.collect::<Result<Vec<_>, _>>()?;
+    let server = serve(f, a.clone(), ports).change_context(StartFault("serve the HTTP ports"))?;
+    let h = server.handle();
+    let served = actix_rt::spawn(server);
+    event(events::STARTED, &p.name, &format!("http {} processes {}", p.http, p.listen));
+    stop::asked(&p.name).await;
+    let _ = a.send(Look(Box::new(|a: &mut ProxyActor, now| a.stop(now)))).await;
+    wind_down(&stopping, &h, p.bounds.grace).await;
+    let _ = tokio::time::timeout(STOP_LOOK, served).await;
+    event(events::STOPPED, &p.name, "");
+    Ok(())
+}
+
+fn listen(addr: &str) -> io::Result<TcpListener> {
+    let to: SocketAddr = addr.parse().map_err(io::Error::other)?;
+    let s = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
+    s.set_reuse_address(true)?;
+    s.bind(&to.into())?;
+    s.listen(BACKLOG)?;
+    Ok(s.into())
+}
+
+/// The HTTP server of the product's own calls and of lanes, at ports that are bound already.
+pub fn serve(f: Front, a: Addr<ProxyActor>, ports: Vec<TcpListener>) -> io::Result<Server> {
+    let b = web::Data::new(a);
+    let server = HttpServer::new(move || {
         let f = f.clone();
         App::new().app_data(b.clone()).configure(|c| http::routes_and_lanes(c, f))
     })
@@ -93,31 +126,13 @@
     .h1_allow_half_closed(false)
     .keep_alive(DOWNSTREAM_IDLE)
     .client_request_timeout(DOWNSTREAM_HEAD)
-    .shutdown_timeout(1)
-    .bind(&p.http)
-    .change_context(StartFault("bind the HTTP port"))
-    .attach_with(|| p.http.clone())?;
-    if !p.readiness.is_empty() {
-        server = server
-            .bind(&p.readiness)
-            .change_context(StartFault("bind the readiness port"))
-            .attach_with(|| p.readiness.clone())?;
-    }
-    let server = server.run();
-    let h = server.handle();
-    let served = actix_rt::spawn(server);
-    event(events::STARTED, &p.name, &format!("http {} processes {}", p.http, p.listen));
-    stop::asked(&p.name).await;
-    let _ = a.send(Look(Box::new(|a: &mut ProxyActor, now| a.stop(now)))).await;
-    wind_down(&stopping, &h, p.bounds.grace).await;
-    let _ = served.await;
-    event(events::STOPPED, &p.name, "");
-    Ok(())
+    .shutdown_timeout(1);
+    Ok(ports.into_iter().try_fold(server, |s, p| s.listen(p))?.run())
 }
 
 /// Serves what comes until the grace is nearly over, for callers keep their lists for a while; then lets open
 /// requests end.
-async fn wind_down(s: &Stopping, h: &ServerHandle, grace: u64) {
+pub async fn wind_down(s: &Stopping, h: &ServerHandle, grace: u64) {
     let now = clock::now();
     let (takes, last) = (now + grace.saturating_sub(STOP_TAKES), now + grace.saturating_sub(STOP_LAST));
     s.begin(takes);
--- /dev/null
+++ b/edge-proxy/tests/pass.rs
@@ -0,0 +1,522 @@
+//! Requests by host and path, through a proxy, to replicas that answer as each test says.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use coordination::bounds::Bounds;
+use googletest::prelude::*;
+use support::*;
+use tokio::sync::Notify;
+
+fn run(f: impl Future<Output = ()>) {
+    actix_rt::System::new().block_on(f);
+}
+
+// ---- passing ----
+
+#[gtest]
+fn an_answer_returns_unchanged_and_the_request_arrives_unchanged() {
+    run(async {
+        let r = Replica::start(|_, g| {
+            let h = "Content-Length: 5\r\nX-Any: 1\r\nX-Any: 2\r\nConnection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=3\r\n";
+            vec![say(answer(g, "201 Created", h, "hello"))]
+        })
+        .await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        let q = "PATCH /p/x//y/../z%2f?q=a%20b&&c= HTTP/1.1\r\nHost: h:80\r\nRound: a1\r\nLeft: 5000\r\nAuthorization: me\r\n\
+            Connection: keep-alive, X-Mine\r\nX-Mine: 1\r\nTE: trailers\r\nContent-Length: 4\r\n\r\nbody";
+        let a = ask(&e, q).await;
+        expect_that!((a.status, a.body.as_str(), a.whole), eq((201, "hello", true)));
+        expect_that!((a.header("seal"), a.header("x-hop"), a.header("keep-alive")), eq((Some("s1"), None, None)));
+        expect_that!(a.head.to_lowercase().matches("x-any: ").count(), eq(2));
+        let g = r.got(0);
+        expect_that!(g.head, starts_with("PATCH /p/x//y/../z%2f?q=a%20b&&c= HTTP/1.1\r\n"));
+        expect_that!(g.body, eq(b"body"));
+        expect_that!(
+            (g.header("host"), g.header("authorization"), g.header("round")),
+            eq((Some("h:80"), Some("me"), Some("a1")))
+        );
+        expect_that!((g.header("x-mine"), g.header("te"), g.header("replica")), eq((None, None, Some("r0"))));
+        expect_that!(g.header("left").unwrap().parse::<u64>().unwrap(), all!(gt(0), le(5_000)));
+        expect_that!((e.open(), e.tallies()), eq((0, (1, 1, 0))));
+    });
+}
+
+#[gtest]
+fn connections_are_reused_on_both_sides() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        let mut d = Downstream::to(e.addr).await;
+        for i in 0..5 {
+            d.send(request(&format!("a{i}"), "q")).await;
+            expect_that!(d.answer().await.status, eq(200));
+        }
+        expect_that!(r.seen.lock().unwrap().iter().map(|g| g.connection).collect::<Vec<_>>(), eq(&[0; 5]));
+    });
+}
+
+#[gtest]
+fn bodies_in_chunks_and_large_ones_arrive_whole() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane::of("repeatable", 2), &[r.addr]).await;
+        let head = "POST /p/x HTTP/1.1\r\nHost: h\r\nRound: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+        expect_that!(ask(&e, format!("{head}{}{}0\r\n\r\n", chunk("ab"), chunk("c"))).await.status, eq(200));
+        expect_that!(r.got(0).body, eq(b"abc"));
+        for length in [daemon_parts::limits::UPLOAD_KEPT, 3 << 20] {
+            let n = r.count();
+            let big = "y".repeat(length);
+            expect_that!(ask(&e, request("b", &big)).await.status, eq(200));
+            expect_true!(r.got(n).body == big.as_bytes());
+            expect_that!(ask(&e, format!("{head}{}0\r\n\r\n", chunk(&big))).await.status, eq(200));
+            expect_true!(r.got(n + 1).body == big.as_bytes());
+        }
+    });
+}
+
+#[gtest]
+fn events_pass_as_they_come() {
+    run(async {
+        let go = Arc::new(Notify::new());
+        let n = go.clone();
+        let r = Replica::start(move |_, g| {
+            let first = format!("{}{}", stream(g), chunk(&events(1..=1)));
+            vec![say(first), Act::Wait(n.clone()), say(chunk(&events(2..=2)) + "0\r\n\r\n")]
+        })
+        .await;
+        let e = Edge::start(Lane::of("stream", 1), &[r.addr]).await;
+        let mut d = Downstream::to(e.addr).await;
+        d.send(request("a", "")).await;
+        // The second event is not made before the first has arrived.
+        d.until("piece 1\n\n").await;
+        go.notify_one();
+        let a = d.answer().await;
+        expect_that!((a.status, a.body, a.whole), eq(&(200, events(1..=2), true)));
+        expect_that!(e.tallies(), eq((1, 1, 0)));
+    });
+}
+
+#[gtest]
+fn a_replicas_own_failure_returns_as_it_is_and_runs_once() {
+    run(async {
+        let r = Replica::start(|_, g| vec![say(answer(g, "500 Internal Server Error", "Content-Length: 3\r\n", "bad"))]).await;
+        let e = Edge::start(Lane::of("repeatable", 3), &[r.addr, r.addr]).await;
+        let a = ask(&e, request("a", "q")).await;
+        expect_that!((a.status, a.body.as_str(), r.count()), eq((500, "bad", 1)));
+        expect_that!(e.tallies(), eq((1, 0, 1)));
+    });
+}
+
+#[gtest]
+fn an_empty_answer_and_an_answer_to_head_are_whole() {
+    run(async {
+        let r = Replica::start(|_, g| vec![say(answer(g, "200 OK", "Content-Length: 0\r\n", ""))]).await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        for _ in 0..2 {
+            let a = ask(&e, request("a", "q")).await;
+            expect_that!((a.status, a.body.as_str(), a.whole), eq((200, "", true)));
+        }
+        expect_that!((e.open(), e.tallies(), r.got(1).connection), eq((0, (2, 2, 0), 0)));
+    });
+}
+
+// ---- nothing but our own answer ----
+
+#[gtest]
+fn paths_that_no_lane_has_are_not_found_and_leave_the_connection_usable() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        let mut d = Downstream::to(e.addr).await;
+        for (host, path) in [("other", "/p/x"), ("h", "/p"), ("h", "/q/p/")] {
+            d.send(format!("POST {path} HTTP/1.1\r\nHost: {host}\r\nRound: a\r\nContent-Length: 2\r\n\r\nxy")).await;
+            let a = d.answer().await;
+            expect_that!((a.status, a.body.contains("not_found")), eq((404, true)));
+        }
+        d.send(request("a", "q")).await;
+        expect_that!((d.answer().await.status, r.count()), eq((200, 1)));
+    });
+}
+
+#[gtest]
+fn without_a_reachable_replica_it_is_rejected_at_once_with_a_time_to_come_back() {
+    run(async {
+        let e = Edge::start(Lane::of("once", 1), &[nowhere(), nowhere()]).await;
+        let a = ask(&e, request("a", "q")).await;
+        expect_that!((a.status, a.body.contains("not_run")), eq((503, true)));
+        let after: f64 = a.header("retry-after").unwrap().parse().unwrap();
+        expect_that!(after, all!(gt(0.0), lt(10.0)));
+        expect_that!((e.open(), e.tallies().1), eq((0, 0)));
+    });
+}
+
+#[gtest]
+fn a_replica_out_of_reach_costs_no_round() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane::of("once", 1), &[nowhere(), r.addr, nowhere()]).await;
+        for i in 0..6 {
+            expect_that!(ask(&e, request(&format!("a{i}"), "q")).await.status, eq(200));
+        }
+        expect_that!((r.count(), e.open()), eq((6, 0)));
+    });
+}
+
+#[gtest]
+fn what_a_replica_did_not_run_goes_to_another_within_rounds_and_budget() {
+    run(async {
+        let full = |_: usize, g: &Got| {
+            vec![say(answer(g, "429 Too Many", "Not-Run: 1\r\nRetry-After: 0.7\r\nContent-Length: 0\r\n", ""))]
+        };
+        let other = |_: usize, g: &Got| vec![say(answer(g, "421 Misdirected", "Content-Length: 0\r\n", ""))];
+        for kind in ["once", "stream"] {
+            let (f, o) = (Replica::start(full).await, Replica::start(other).await);
+            let r = Replica::plain("x").await;
+            let e = Edge::start(Lane::of(kind, 3), &[f.addr, o.addr, r.addr]).await;
+            let a = ask(&e, request("a", "body")).await;
+            expect_that!((a.status, a.body.as_str()), eq((200, "x")), "{kind}");
+            expect_that!((r.got(0).body, r.count()), eq(&(b"body".to_vec(), 1)));
+            // With one round it comes back to the downstream, with the replica's own word.
+            let e = Edge::start(Lane::of(kind, 1), &[f.addr]).await;
+            let a = ask(&e, request("a", "body")).await;
+            expect_that!((a.status, a.header("retry-after")), eq((429, Some("0.700"))), "{kind}");
+            expect_that!(e.open(), eq(0));
+        }
+    });
+}
+
+#[gtest]
+fn further_rounds_end_with_the_budget() {
+    run(async {
+        let full = |_: usize, g: &Got| vec![say(answer(g, "503 Full", "Not-Run: 1\r\nContent-Length: 0\r\n", ""))];
+        let (a, b) = (Replica::start(full).await, Replica::start(full).await);
+        let bounds = Bounds { retry_share: 0.2, retry_slack: 5.0, ..Bounds::default() };
+        let e = Edge::within(bounds.clone(), Lane::of("repeatable", 2), &[a.addr, b.addr]).await;
+        const ALL: usize = 60;
+        for i in 0..ALL {
+            expect_that!(ask(&e, request(&format!("a{i}"), "q")).await.status, eq(503));
+        }
+        // The bounds' share of first rounds and their slack.
+        let most = ALL as f64 * (1.0 + bounds.retry_share) + bounds.retry_slack;
+        expect_that!((a.count() + b.count()) as f64, all!(gt(ALL as f64), le(most)));
+    });
+}
+
+#[gtest]
+fn a_503_without_the_replicas_word_is_an_answer_and_no_rejection() {
+    run(async {
+        let r = Replica::start(|_, g| vec![say(answer(g, "503 Busy", "Content-Length: 1\r\n", "?"))]).await;
+        let e = Edge::start(Lane::of("once", 3), &[r.addr, r.addr]).await;
+        let a = ask(&e, request("a", "q")).await;
+        expect_that!((a.status, a.body.as_str(), a.header("seal"), r.count()), eq((503, "?", Some("s1"), 1)));
+    });
+}
+
+// ---- loss ----
+
+#[gtest]
+fn what_may_run_once_is_never_sent_again_after_a_byte_may_have_left() {
+    run(async {
+        let ends: [fn() -> Vec<Act>; 5] = [
+            || vec![Act::Reset],
+            || vec![Act::Close],
+            || vec![say("HTTP/1.1 200 OK\r\nRou"), Act::Reset],
+            || vec![say("no answer at all\r\n\r\n"), Act::Close],
+            || vec![say("HTTP/1.1 200 OK\r\nRound: another\r\nContent-Length: 1\r\n\r\nx")],
+        ];
+        for kind in ["once", "stream"] {
+            for end in ends {
+                let (a, b) = (Replica::start(move |_, _| end()).await, Replica::start(move |_, _| end()).await);
+                let e = Edge::start(Lane::of(kind, 3), &[a.addr, b.addr]).await;
+                let got = ask(&e, request("a", "q")).await;
+                expect_that!((got.status, got.header("retry-after")), eq((502, None)), "{kind}");
+                expect_that!(a.count() + b.count(), eq(1), "{kind}");
+                expect_that!((e.open(), e.tallies()), eq((0, (1, 0, 1))));
+            }
+        }
+    });
+}
+
+#[gtest]
+fn what_is_repeatable_goes_to_another_replica_after_a_loss() {
+    run(async {
+        let ends: [fn(&Got) -> Vec<Act>; 3] = [
+            |_| vec![Act::Reset],
+            |_| vec![say("garbage")],
+            |_| vec![say("HTTP/1.1 200 OK\r\nRound: another\r\nContent-Length: 1\r\n\r\nx")],
+        ];
+        for (i, end) in ends.into_iter().enumerate() {
+            let end = move |_: usize, g: &Got| {
+                let mut v = end(g);
+                v.push(Act::Close);
+                v
+            };
+            let (lost, r) = (Replica::start(end).await, Replica::plain("x").await);
+            let e = Edge::start(Lane::of("repeatable", 2), &[lost.addr, r.addr]).await;
+            // Whichever is tried first, all are answered, and the lost one was tried by some.
+            for n in 0..4 {
+                expect_that!(ask(&e, request(&format!("a{n}"), "body")).await.status, eq(200), "end {i}");
+            }
+            expect_that!((r.count(), e.open()), eq((4, 0)));
+            expect_that!(r.got(0).body, eq(b"body"));
+        }
+    });
+}
+
+#[gtest]
+fn an_answer_that_is_cut_does_not_look_complete() {
+    run(async {
+        let cuts: [fn(&Got) -> Vec<Act>; 5] = [
+            |g| vec![say(answer(g, "200 OK", "Content-Length: 9\r\n", "half")), Act::Close],
+            |g| vec![say(answer(g, "200 OK", "Content-Length: 9\r\n", "half")), Act::Reset],
+            |g| vec![say(stream(g) + &chunk("half")), Act::Close],
+            |g| vec![say(stream(g) + &chunk("half")), Act::Reset],
+            // Nothing tells this end from a cut.
+            |g| vec![say(answer(g, "200 OK", "", "half")), Act::Close],
+        ];
+        for (i, cut) in cuts.into_iter().enumerate() {
+            let r = Replica::start(move |_, g| cut(g)).await;
+            for kind in ["once", "repeatable", "stream"] {
+                let e = Edge::start(Lane::of(kind, 3), &[r.addr]).await;
+                let a = ask(&e, request("a", "q")).await;
+                expect_that!((a.status, a.whole), eq((200, false)), "cut {i} {kind}");
+                expect_that!((e.open(), e.tallies()), eq((0, (1, 0, 1))), "cut {i} {kind}");
+            }
+        }
+    });
+}
+
+#[gtest]
+fn bytes_behind_a_whole_answer_reach_nobody() {
+    run(async {
+        // A surplus answer follows each answer, at once or after the next request.
+        for late in [false, true] {
+            let r = Replica::start(move |n, g| {
+                let surplus = whole(g, "surplus");
+                match (late, n % 2) {
+                    (true, 0) => vec![say(whole(g, "mine")), say(surplus)],
+                    (true, _) => vec![say(whole(g, "mine"))],
+                    (false, _) => vec![say(whole(g, "mine") + &surplus)],
+                }
+            })
+            .await;
+            let e = Edge::start(Lane::of("repeatable", 2), &[r.addr, r.addr]).await;
+            let mut d = Downstream::to(e.addr).await;
+            for n in 0..8 {
+                d.send(request(&format!("a{n}"), "q")).await;
+                let a = d.answer().await;
+                expect_that!((a.status, a.body.as_str()), eq((200, "mine")), "late: {late}");
+            }
+        }
+    });
+}
+
+#[gtest]
+fn a_channel_that_its_replica_closed_costs_no_answer() {
+    run(async {
+        // It says that it closes, or just does.
+        let ways: [fn(&Got) -> Vec<Act>; 2] = [
+            |g| vec![say(answer(g, "200 OK", "Content-Length: 1\r\nConnection: close\r\n", "x")), Act::Close],
+            |g| vec![say(whole(g, "x")), Act::Close],
+        ];
+        for way in ways {
+            let r = Replica::start(move |_, g| way(g)).await;
+            let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+            for i in 0..5 {
+                expect_that!(ask(&e, request(&format!("a{i}"), "q")).await.status, eq(200));
+                // The close arrives before the next request is sent.
+                tokio::time::sleep(Duration::from_millis(3)).await;
+            }
+            expect_that!(r.seen.lock().unwrap().iter().map(|g| g.connection).collect::<Vec<_>>(), eq(&[0, 1, 2, 3, 4]));
+        }
+    });
+}
+
+#[gtest]
+fn a_channel_is_not_kept_for_longer_than_its_replica_says() {
+    run(async {
+        let r =
+            Replica::start(|_, g| vec![say(answer(g, "200 OK", "Content-Length: 1\r\nKeep-Alive: timeout=0\r\n", "x"))]).await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        for i in 0..3 {
+            expect_that!(ask(&e, request(&format!("a{i}"), "q")).await.status, eq(200));
+        }
+        expect_that!(r.seen.lock().unwrap().iter().map(|g| g.connection).collect::<Vec<_>>(), eq(&[0, 1, 2]));
+    });
+}
+
+// ---- time ----
+
+#[gtest]
+fn without_an_answer_its_time_ends_it_and_not_sooner() {
+    run(async {
+        let left = Arc::new(Notify::new());
+        let n = left.clone();
+        let r = Replica::start(move |_, _| vec![Act::UntilLeft(n.clone())]).await;
+        let lane = Lane { time_limit: 40, ..Lane::of("repeatable", 3) };
+        let e = Edge::start(lane, &[r.addr, r.addr]).await;
+        let a = ask(&e, request("a", "q")).await;
+        expect_that!((a.status, r.count()), eq((504, 1)));
+        // The replica's channel was closed, so that it stops work.
+        left.notified().await;
+        expect_that!((e.open(), e.tallies()), eq((0, (1, 0, 1))));
+    });
+}
+
+#[gtest]
+fn when_the_downstream_leaves_its_replica_is_left_too() {
+    run(async {
+        for began in [false, true] {
+            let left = Arc::new(Notify::new());
+            let n = left.clone();
+            let r = Replica::start(move |_, g| {
+                let head = say(stream(g) + &chunk(&events(1..=1)));
+                let end = Act::UntilLeft(n.clone());
+                if began { vec![head, end] } else { vec![end] }
+            })
+            .await;
+            let e = Edge::start(Lane::of("stream_resumable", 3), &[r.addr, r.addr]).await;
+            let mut d = Downstream::to(e.addr).await;
+            d.send(request("a", "q")).await;
+            match began {
+                true => d.until("piece 1\n\n").await,
+                false => e.until(|_| r.count() == 1).await,
+            }
+            drop(d);
+            left.notified().await;
+            e.until(|e| e.open() == 0).await;
+            expect_that!((r.count(), e.tallies()), eq((1, (1, 0, 0))));
+        }
+    });
+}
+
+// ---- streams that go on ----
+
+#[gtest]
+fn a_stream_goes_on_at_another_replica_behind_its_last_whole_event() {
+    run(async {
+        let torn = "id: 4\nda";
+        let cuts: [fn(String) -> Vec<Act>; 3] =
+            [|b| vec![say(b), Act::Reset], |b| vec![say(b), Act::Close], |b| vec![say(b + "zz\r\nno chunk"), Act::Close]];
+        for (i, cut) in cuts.into_iter().enumerate() {
+            let answers = move |_: usize, g: &Got| match g.header("last-event-id") {
+                None => cut(stream(g) + &chunk(&events(1..=3)) + &chunk(torn)),
+                Some(id) => {
+                    let from = id.parse::<u32>().unwrap() + 1;
+                    vec![say(stream(g) + &chunk(&events(from..=6)) + "0\r\n\r\n")]
+                }
+            };
+            let (a, b) = (Replica::start(answers).await, Replica::start(answers).await);
+            let e = Edge::start(Lane::of("stream_resumable", 2), &[a.addr, b.addr]).await;
+            let got = ask(&e, request("a", "body")).await;
+            expect_that!((got.status, got.body, got.whole), eq(&(200, events(1..=6), true)), "cut {i}");
+            expect_that!((a.count(), b.count()), eq((1, 1)), "each ran it once");
+            let second = if a.got(0).header("last-event-id").is_some() { a.got(0) } else { b.got(0) };
+            expect_that!((second.header("last-event-id"), second.body.as_slice()), eq((Some("3"), b"body".as_slice())));
+            expect_that!((e.open(), e.tallies()), eq((0, (2, 1, 1))));
+        }
+    });
+}
+
+#[gtest]
+fn a_stream_that_cannot_go_on_does_not_look_complete() {
+    run(async {
+        let cut = |_: usize, g: &Got| vec![say(stream(g) + &chunk(&events(1..=2)) + &chunk("id: 3\n")), Act::Reset];
+        // No second round is allowed; the other is out of reach; the other cuts too; the other fails.
+        let failing = |_: usize, g: &Got| match g.header("last-event-id") {
+            None => vec![say(stream(g) + &chunk(&events(1..=2)) + &chunk("id: 3\n")), Act::Reset],
+            Some(_) => vec![say(answer(g, "500 Bad", "Content-Length: 0\r\n", ""))],
+        };
+        for (rounds, both) in [(1, true), (2, false), (2, true)] {
+            let (a, b) = (Replica::start(cut).await, Replica::start(cut).await);
+            let second = if both { b.addr } else { nowhere() };
+            let e = Edge::start(Lane::of("stream_resumable", rounds), &[a.addr, second]).await;
+            let got = ask(&e, request("a", "q")).await;
+            expect_that!((got.status, got.whole), eq((200, false)), "{rounds} rounds");
+            expect_that!(events(1..=2), starts_with(got.body.as_str()), "nothing torn, nothing twice");
+            expect_that!(e.open(), eq(0));
+        }
+        let (a, b) = (Replica::start(failing).await, Replica::start(failing).await);
+        let e = Edge::start(Lane::of("stream_resumable", 2), &[a.addr, b.addr]).await;
+        let got = ask(&e, request("a", "q")).await;
+        expect_that!((got.body, got.whole), eq(&(events(1..=2), false)));
+    });
+}
+
+#[gtest]
+fn a_stream_that_may_run_once_does_not_go_on() {
+    run(async {
+        let cut = |_: usize, g: &Got| vec![say(stream(g) + &chunk(&events(1..=2))), Act::Close];
+        let (a, b) = (Replica::start(cut).await, Replica::start(cut).await);
+        let e = Edge::start(Lane::of("stream", 3), &[a.addr, b.addr]).await;
+        let got = ask(&e, request("a", "q")).await;
+        expect_that!((got.whole, a.count() + b.count()), eq((false, 1)));
+    });
+}
+
+#[gtest]
+fn the_downstreams_own_place_in_a_stream_goes_along() {
+    run(async {
+        let r = Replica::start(|_, g| vec![say(stream(g) + &chunk(&events(8..=9)) + "0\r\n\r\n")]).await;
+        let e = Edge::start(Lane::of("stream_resumable", 2), &[r.addr]).await;
+        let q = "POST /p/x HTTP/1.1\r\nHost: h\r\nRound: a\r\nLast-Event-Id: 7\r\nContent-Length: 0\r\n\r\n";
+        expect_that!(ask(&e, q).await.body, eq(&events(8..=9)));
+        expect_that!(r.got(0).header("last-event-id"), some(eq("7")));
+    });
+}
+
+// ---- stopping ----
+
+#[gtest]
+fn a_stopping_edge_serves_on_says_so_and_ends_with_its_last_answer() {
+    run(async {
+        let go = Arc::new(Notify::new());
+        let n = go.clone();
+        let r = Replica::start(move |n_th, g| match n_th {
+            0 => vec![say(stream(g) + &chunk(&events(1..=1))), Act::Wait(n.clone()), say(chunk(&events(2..=2)) + "0\r\n\r\n")],
+            _ => vec![say(whole(g, "x"))],
+        })
+        .await;
+        let e = Edge::start(Lane::of("stream", 1), &[r.addr]).await;
+        let ready = async |e: &Edge| {
+            let mut d = Downstream::to(e.ready).await;
+            d.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").await;
+            d.answer().await.status
+        };
+        expect_that!(ready(&e).await, eq(200));
+        let mut open = Downstream::to(e.addr).await;
+        open.send(request("a", "q")).await;
+        open.until("piece 1\n\n").await;
+        e.stopping.begin(u64::MAX);
+        expect_that!(ready(&e).await, eq(503));
+        // What comes is still served, and told to come on another connection next time.
+        let a = ask(&e, request("b", "q")).await;
+        expect_that!((a.status, a.header("connection")), eq((200, Some("close"))));
+        // Close to the end nothing new is taken; what is open goes on.
+        e.stopping.begin(0);
+        let a = ask(&e, request("c", "q")).await;
+        expect_that!((a.status, a.header("connection"), a.header("retry-after")), eq((503, Some("close"), Some("0.050"))));
+        let (stopping, handle) = (e.stopping.clone(), e.handle.clone());
+        let ended = actix_rt::spawn(async move { edge_proxy::wind_down(&stopping, &handle, 2_500).await });
+        go.notify_one();
+        let a = open.answer().await;
+        expect_that!((a.body, a.whole), eq(&(events(1..=2), true)));
+        ended.await.unwrap();
+        expect_that!((e.stopping.open(), r.count()), eq((0, 2)));
+    });
+}
+
+#[gtest]
+fn the_products_own_calls_stand_beside_lanes_and_give_way_to_them() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        let get = |path: &str| format!("GET {path} HTTP/1.1\r\nHost: h\r\nRound: a\r\n\r\n");
+        expect_that!(ask(&e, get("/v1/health")).await.body, contains_substring("edge-1"));
+        expect_that!(ask(&e, get("/v1/counters")).await.status, eq(200));
+        expect_that!(ask(&e, get("/ready")).await.status, eq(404));
+        expect_that!(r.count(), eq(0));
+    });
+}
