Move shares and withdraw replicas where the platform places versions

Cause: a plan for a service in mode placed was never taken up. Canary and baseline start in one record, the share moves only to what reports its version loaded and is warm, old replicas are withdrawn by steps behind the share, each waits for its streams by what edges tell, and the flag stands before a rollout is completed. What a version on trial may have is counted from the order to the plan's time. Bad ends are judged against all other versions, by chance and outside one burst, as a crash is one. Ruled out: shifting at once on good evidence, as a version that turns bad later would be over the bound. Run: cargo test -p coordination. The clauses have no tests of their own yet.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -1,13 +1,14 @@
 //! A control daemon's brain: registers, beats, members, feed, agents' polls, and the duties it holds.
 
 use std::{
+    cell::OnceCell,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
 
 use remote_calls::{
-    EdgeStatus, Health as HealthAnswer, KeyStatus, KeyVersion, MemberStatus, PlatformList, ReleasePlan, ReplicaReport,
-    RolloutRecord, Spec, Status, ZoneState, ZoneStreams,
+    EdgeStatus, GroupRecord, GroupRole, Health as HealthAnswer, KeyStatus, KeyVersion, MemberStatus, PlatformList, ReleasePlan,
+    ReplicaReport, RolloutRecord, ServiceMode, Spec, Status, ZoneState, ZoneStreams,
 };
 use wire_messages::{
     Beat, Blob, Change, Forward, Forwarded, Genesis, Join, List, Msg, Name, News, Node, Open, Permit, Poll, Slots, SlotsAsk,
@@ -27,7 +28,7 @@
     membership::{CONTROL, EDGE, Membership},
     order::agreed,
     register::{DUTY, Expect, MEMBERS, Registers},
-    rollout::{Inputs, Loop, first_record, members},
+    rollout::{Inputs, Loop, first_record},
 };
 
 /// Key of the operator's spec.
@@ -125,6 +126,9 @@
     met: BTreeSet<Name>,
     caught: BTreeSet<Name>,
     loops: BTreeMap<String, Loop>,
+    /// Records and plans on the board, by service; plans with their versions.
+    records: BTreeMap<String, Arc<RolloutRecord>>,
+    plans: BTreeMap<String, (u64, ReleasePlan)>,
     platform: Option<PlatformList>,
     /// When the platform was asked for the list that stands.
     listed: Ms,
@@ -184,6 +188,8 @@
             met: BTreeSet::new(),
             caught: BTreeSet::new(),
             loops: BTreeMap::new(),
+            records: BTreeMap::new(),
+            plans: BTreeMap::new(),
             platform: None,
             listed: 0,
             reports: BTreeMap::new(),
@@ -492,11 +498,13 @@
         }
         let rows = self.board.under(DUTY).filter_map(|(s, c)| {
             let (epoch, until) = self.regs.holds(&c.key, now)?;
-            let r: RolloutRecord = serde_json::from_slice(&c.value.0).ok()?;
-            let share = r.target.as_deref().map_or(&[][..], |t| members(&r, remote_calls::GroupRole::Canary, t));
+            let r = self.records.get(s)?;
+            let canary = |g: &&GroupRecord| g.role == GroupRole::Canary && Some(&g.version) == r.target.as_ref();
+            let group = r.groups.iter().find(canary).filter(|g| !g.replicas.is_empty());
             // A holder that does not know the replicas yet has no ground to let a canary have anything.
             let heard = self.loops.get(s).is_some_and(|l| l.heard);
-            let share = if share.is_empty() || !heard { 0 } else { self.spec.as_ref().map_or(0, |s| s.canary_percent) };
+            let most = self.spec.as_ref().map_or(0, |s| s.canary_percent);
+            let share = group.filter(|_| heard).map_or(0, |g| g.share_percent.min(most));
             let ttl = (until - now).min(PERMIT) as u32;
             Some(Permit { service: s.into(), epoch, version: c.version, canary_share: share, ttl })
         });
@@ -507,6 +515,17 @@
         self.board.read::<bool>(KILL).unwrap_or(false)
     }
 
+    /// Reads records and plans once a change: they are looked at for every agent and every pass.
+    fn read_rollout(&mut self, c: &Change) {
+        if let Some(s) = c.key.strip_prefix(DUTY) {
+            self.records.remove(s);
+            self.records.extend(serde_json::from_slice(&c.value.0).ok().map(|r| (s.to_string(), Arc::new(r))));
+        } else if let Some(s) = c.key.strip_prefix(PLAN) {
+            self.plans.remove(s);
+            self.plans.extend(serde_json::from_slice(&c.value.0).ok().map(|p| (s.to_string(), (c.version, p))));
+        }
+    }
+
     /// Puts what is newly committed on the board and the feed, and pushes it to the agents.
     fn publish(&mut self, now: Ms, out: &mut Effects) {
         let fresh = std::mem::take(&mut self.regs.fresh);
@@ -514,6 +533,7 @@
         for c in fresh {
             if self.board.merge(&c) {
                 read |= &*c.key == SPEC;
+                self.read_rollout(&c);
                 if let Some(r) = c.key.strip_prefix(LEAVING).filter(|_| !c.value.0.is_empty()) {
                     out.push(note(events::LEAVING, r, ""));
                 }
@@ -719,6 +739,10 @@
         let mut out = Vec::new();
         for s in &spec.services {
             let key = format!("{DUTY}{}", s.name);
+            let plan = self.plans.get(&s.name).map(|(n, p)| (*n, p));
+            if s.mode == ServiceMode::Placed {
+                self.loops.entry(s.name.clone()).or_insert_with(|| Loop::new(now)).heed(plan, now, wall);
+            }
             let Some((epoch, until)) = self.regs.holds(&key, now) else {
                 // Timings of a duty that is not held are worth nothing when it comes back.
                 if let Some(l) = self.loops.get_mut(&s.name) {
@@ -730,21 +754,44 @@
             if self.writing.values().any(|w| *w == s.name) {
                 continue;
             }
-            let old: RolloutRecord = self.board.read(&key).unwrap_or_else(|| first_record(s));
-            let plan_row = self.board.get(&format!("{PLAN}{}", s.name)).filter(|c| !c.value.0.is_empty());
-            let plan: Option<(u64, ReleasePlan)> =
-                plan_row.and_then(|c| Some((c.version, serde_json::from_slice(&c.value.0).ok()?)));
+            let old = self.records.get(&s.name).cloned().unwrap_or_else(|| Arc::new(first_record(s)));
             let mut l = self.loops.remove(&s.name).unwrap_or_else(|| Loop::new(now));
-            let agents = &self.agents;
+            let live = || self.agents.values().filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE);
+            let summed = OnceCell::new();
             let open = |id: &str, v: &str| -> u64 {
-                let live = agents.values().filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE);
-                live.flat_map(|a| &a.opens).filter(|o| &*o.replica == id && &*o.version == v).map(|o| u64::from(o.streams)).sum()
+                let all: &BTreeMap<(&str, &str), u64> = summed.get_or_init(|| {
+                    let mut all = BTreeMap::new();
+                    for o in live().flat_map(|a| &a.opens) {
+                        // By version, and over all versions of the replica.
+                        *all.entry((&*o.replica, &*o.version)).or_default() += u64::from(o.streams);
+                        if !o.version.is_empty() {
+                            *all.entry((&*o.replica, "")).or_default() += u64::from(o.streams);
+                        }
+                    }
+                    all
+                });
+                all.get(&(id, v)).copied().unwrap_or(0)
             };
-            let plan = plan.as_ref().map(|(n, p)| (*n, p));
+            let stands = self.board.get(&key).map_or(0, |c| c.version);
+            let has = |a: &Agent| a.seen.iter().find(|c| *c.key == *key).map_or(0, |c| c.version);
+            let seen = || live().map(has).min().unwrap_or(stands);
             let (platform, reports) = (&platform.replicas, &self.reports);
             let listed = self.listed;
-            let i =
-                Inputs { spec: &spec, service: s, plan, platform, reports, leaving: &leaving, listed, open: &open, now, wall };
+            let i = Inputs {
+                spec: &spec,
+                service: s,
+                plan,
+                platform,
+                reports,
+                leaving: &leaving,
+                listed,
+                open: &open,
+                stands,
+                seen: &seen,
+                bounds: &self.p.bounds,
+                now,
+                wall,
+            };
             let (next, orders) = l.step(&old, &i);
             self.ran.insert(s.name.clone(), now);
             self.resting.remove(&s.name);
@@ -765,13 +812,12 @@
                 };
                 out.push(note(e, &s.name, a.clone()));
             }
-            let changed = next != old || self.board.get(&key).is_none();
+            let changed = next != *old || self.board.get(&key).is_none();
             if changed && let Ok(v) = serde_json::to_vec(&next) {
                 self.token += 1;
                 let t = self.token;
                 self.writing.insert(t, s.name.clone());
                 // Compared with the version it was computed from: another holder's record is never overwritten.
-                let stands = self.board.get(&key).map_or(0, |c| c.version);
                 self.regs.propose(t, &key.as_str().into(), Some(stands), Blob(v), now, &mut out);
             }
             // Unloads go only under a flag that already stands on a majority of disks.
--- a/coordination/src/health.rs
+++ b/coordination/src/health.rs
@@ -10,6 +10,8 @@
     limits::{BAD_ALONE, BAD_FAILURES, BAD_MARGIN, HEALTH_SPACING, HEALTH_WINDOWS, LOG_UNIT},
 };
 
+mod beside;
+
 /// Version, lane, warm.
 type Cell = (Name, Name, bool);
 /// Makes a set of counts that are added and taken away field by field.
@@ -39,9 +41,6 @@
     first_log,
 }
 
-/// Stands for every version but the one that is judged.
-pub const OTHERS: &str = "";
-
 /// A time as its logarithm, in sixteenths of a doubling. Sums of these compare versions by geometric means, which
 /// a few long prompts hardly move.
 pub fn log_ms(ms: Ms) -> u64 {
@@ -131,6 +130,10 @@
     pub fn ended(&self, version: &str, now: Ms) -> u64 {
         self.within(now, LONG_WINDOW, |c| &*c.0 == version).ended
     }
+    /// Those of the last `w` ms.
+    pub fn ended_in(&self, version: &str, w: Ms, now: Ms) -> u64 {
+        self.within(now, w, |c| &*c.0 == version).ended
+    }
     pub fn failed(&self, version: &str, now: Ms) -> u64 {
         self.within(now, EVER, |c| &*c.0 == version).failed
     }
@@ -158,7 +161,7 @@
         self.lanes(new).into_iter().any(|l| {
             let of = |v: &str| self.within(now, EVER, |c| &*c.0 == v && c.1 == *l);
             let (n, o) = (of(new), of(old));
-            n.failed > 0 && higher(n.failures(), o.failures())
+            n.failed > 0 && higher(n.failures(), o.failures(), BAD_MARGIN)
         })
     }
     /// Judges `new` against `old`, lane by lane. Failures are compared over all caches, as a cold cache
@@ -199,10 +202,10 @@
 
 /// Whether `n`'s rate of bad ends exceeds `o`'s by the margin, on enough of them.
 fn worse(n: (u64, u64), o: (u64, u64)) -> bool {
-    n.1 >= BAD_FAILURES && higher(n, o)
+    n.1 >= BAD_FAILURES && higher(n, o, BAD_MARGIN)
 }
-fn higher(n: (u64, u64), o: (u64, u64)) -> bool {
-    n.1 * 100 * o.0.max(1) > (o.1 * 100 + BAD_MARGIN * o.0.max(1)) * n.0
+fn higher(n: (u64, u64), o: (u64, u64), margin: u64) -> bool {
+    n.1 * 100 * o.0.max(1) > (o.1 * 100 + margin * o.0.max(1)) * n.0
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/coordination/src/health/beside.rs
@@ -0,0 +1,107 @@
+//! The verdict on a version that runs beside others for a short time: the sooner it falls the fewer meet it,
+//! and yet a replica that crashes, or a cut, is no version's fault.
+
+use super::{Cell, EVER, Health, LONG_WINDOW, Verdict, higher};
+use crate::{
+    Ms,
+    limits::{BAD_APART, BAD_BURST, BAD_SIGMA, BESIDE_MARGIN, HEALTH_WINDOWS, SLOW_DOUBLINGS, SLOW_FIRSTS},
+};
+
+/// Ended and bad of them.
+type Rate = (u64, u64);
+
+/// Whether `n`'s bad ends are more than chance makes of `o`'s rate.
+fn unlike(n: Rate, o: Rate) -> bool {
+    let p = o.1 as f64 / o.0.max(1) as f64;
+    let all = n.0 as f64;
+    // The one in the root lets no single end decide where nothing ever failed.
+    (n.1 as f64 - all * p) / (all * p * (1.0 - p) + 1.0).sqrt() >= BAD_SIGMA && higher(n, o, BESIDE_MARGIN)
+}
+
+impl Health {
+    /// Bad ends within the last `w` ms that lie outside the worst burst of them: a crash is one burst.
+    fn apart(&self, now: Ms, w: Ms, f: impl Fn(&Cell) -> bool) -> u64 {
+        let failed = |m: &std::collections::BTreeMap<Cell, super::Counts>| -> u64 {
+            m.iter().filter(|(c, _)| f(c)).map(|(_, v)| v.failed).sum()
+        };
+        let inside = self.past.iter().filter(|(t, _)| now.saturating_sub(*t) <= w);
+        let mut sums: Vec<(Ms, u64)> = inside.map(|(t, m)| (*t, failed(m))).collect();
+        sums.push((now, failed(&self.sums)));
+        let all = sums[sums.len() - 1].1 - sums[0].1;
+        let burst = sums.iter().enumerate().map(|(i, (t, n))| {
+            let end = sums[i..].iter().take_while(|(u, _)| u - t <= BAD_BURST).last().map_or(*n, |l| l.1);
+            end - n
+        });
+        all - burst.max().unwrap_or(0)
+    }
+
+    /// Judges `new` against all other versions, over all lanes and on each. `even`: since when its replicas are
+    /// as warm as the others'; times before that say nothing.
+    pub fn judge_beside(&self, new: &str, even: Option<Ms>, now: Ms) -> Verdict {
+        let cells = std::iter::once(None).chain(self.lanes(new).into_iter().map(Some));
+        for l in cells {
+            let on = |c: &Cell, mine: bool| (&*c.0 == new) == mine && l.is_none_or(|l| c.1 == *l);
+            let long = self.within(now, LONG_WINDOW, |c| on(c, false)).failures();
+            for w in HEALTH_WINDOWS.into_iter().chain([EVER]) {
+                let n = self.within(now, w, |c| on(c, true)).failures();
+                if n.1 == 0 {
+                    continue;
+                }
+                let o = self.within(now, w, |c| on(c, false)).failures();
+                // What befalls both in one window is no fault of the new one, nor is what the others always have.
+                let worse = unlike(n, o) && unlike(n, long);
+                if worse && self.apart(now, w, |c| on(c, true)) >= BAD_APART {
+                    return Verdict::Bad;
+                }
+            }
+            let Some(w) = even.map(|t| now.saturating_sub(t).min(LONG_WINDOW)) else { continue };
+            for warm in [true, false] {
+                let of = |mine| self.within(now, w, |c| on(c, mine) && c.2 == warm);
+                let (n, o) = (of(true), of(false));
+                // Without a like cache on the other side nothing can be said about slowness.
+                let known = n.firsts.min(o.firsts) >= SLOW_FIRSTS;
+                let mean = |c: super::Counts| c.first_log as f64 / c.firsts as f64;
+                let late = known && mean(n) - mean(o) >= SLOW_DOUBLINGS;
+                if late || o.ended >= SLOW_FIRSTS && unlike((n.ended, n.slow), (o.ended, o.slow)) {
+                    return Verdict::Bad;
+                }
+            }
+        }
+        Verdict::Fine
+    }
+
+    /// Whether too little of `new` has failed to condemn it and too much to trust it.
+    pub fn doubtful_beside(&self, new: &str, now: Ms) -> bool {
+        self.lanes(new).into_iter().any(|l| {
+            let of = |mine: bool| self.within(now, EVER, |c| (&*c.0 == new) == mine && c.1 == *l).failures();
+            let (n, o) = (of(true), of(false));
+            n.1 > 0 && higher(n, o, BESIDE_MARGIN)
+        })
+    }
+
+    /// Requests sent since this daemon counts, of all versions and of one.
+    pub fn sent(&self, version: &str) -> (u64, u64) {
+        let of = |mine: bool| -> u64 { self.sums.iter().filter(|(c, _)| !mine || &*c.0 == version).map(|(_, v)| v.sent).sum() };
+        (of(false), of(true))
+    }
+
+    /// Requests a second that were lately sent to all versions.
+    pub fn pace(&self, w: Ms, now: Ms) -> f64 {
+        let seen = self.past.front().map_or(0, |(t, _)| now.saturating_sub(*t)).min(w);
+        if seen == 0 {
+            return 0.0;
+        }
+        self.within(now, w, |_| true).sent as f64 * 1_000.0 / seen as f64
+    }
+
+    /// Whether `new` ended enough on each lane that others met since the last restart.
+    pub fn met_lanes(&self, new: &str, enough: u64, now: Ms) -> bool {
+        let mut lanes: Vec<_> = self.sums.keys().map(|c| &c.1).collect();
+        lanes.sort_unstable();
+        lanes.dedup();
+        lanes.into_iter().all(|l| {
+            let of = |mine: bool| self.within(now, EVER, |c| (&*c.0 == new) == mine && c.1 == *l).ended;
+            of(true) >= enough || of(false) == 0
+        })
+    }
+}
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -98,6 +98,46 @@
 /// ms. Windows that failure rates are taken over: short ones show a version that has just turned, long ones
 /// a quiet service's.
 pub const HEALTH_WINDOWS: [Ms; 6] = [1_000, 2_000, 4_000, 8_000, 16_000, 30_000];
+/// Standard deviations by which bad ends must exceed the others' rate: at fifty looks a rollout, chance alone makes
+/// one false alarm in some hundred.
+pub const BAD_SIGMA: f64 = 3.5;
+/// Percent besides by which that rate must be exceeded, on however many requests.
+pub const BESIDE_MARGIN: u64 = 3;
+/// ms. Bad ends so close together may be one crash: streams end at once, edges tell of it within this.
+pub const BAD_BURST: Ms = 800;
+/// Bad ends that a bad version must have outside its worst burst.
+pub const BAD_APART: u64 = 2;
+/// Doublings of the mean time to a first piece that make a version slow: 2.2 times, where bad ones take several.
+pub const SLOW_DOUBLINGS: f64 = 1.125 * LOG_UNIT;
+/// First pieces on both sides before times are compared: a mean of so many is within a third of a doubling.
+pub const SLOW_FIRSTS: u64 = 12;
+/// Part of the exposure bound that is used; the rest is for what edges do until they hear of a cut.
+pub const EXPOSURE_KEPT: f64 = 0.8;
+/// ms. Window over which the pace of requests is taken, and part of it that is counted on to go on.
+pub const PACE_WINDOW: Ms = 4_000;
+pub const PACE_WORST: f64 = 0.7;
+/// ms. A plan's time is told in whole seconds and held against another clock.
+pub const TERM_LATE: Ms = 1_000;
+/// Percent of a service that a canary may take at most where its time is short.
+pub const CANARY_MOST: u32 = 8;
+/// Part of what may still be exposed that is spent while a good canary waits for its time to shift.
+pub const HOLD_PART: f64 = 0.25;
+/// ms. One step of shifting where the platform places versions, before any was seen: a write, edges' polls and
+/// a second of streams.
+pub const SHIFT_GUESS: Ms = 2_000;
+/// ms. A step's share must have been in force so long, and ended so many requests, before the next.
+pub const STEP_HOLDS: Ms = 900;
+pub const STEP_ENDED: u64 = 6;
+/// ms. A step waits so long for requests that do not come.
+pub const STEP_QUIET: Ms = 5_000;
+/// ms. A withdrawn replica has ended when no edge had a stream there for so long: a poll, a hello and the way.
+pub const DRY: Ms = 700;
+/// ms. Least time that a step waits for streams that do not end, however late the plan.
+pub const STREAMS_LEAST: Ms = 3_000;
+/// Percent of its places that a side of a rollout may have taken before it is to carry no more.
+pub const SIDE_FULL: u64 = 70;
+/// ms. A version that is ordered again waits so long for its former replicas to leave the list.
+pub const REUSE: Ms = 10_000;
 /// Parts of a doubling in a time's logarithm: a twentieth of a time is more than any comparison needs.
 pub const LOG_UNIT: f64 = 16.0;
 /// ms. One step of loading, warming and retiring, where none has been seen yet: half of what either deployment
--- a/coordination/src/rollout.rs
+++ b/coordination/src/rollout.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     Ms,
+    bounds::Bounds,
     health::{Health, Verdict},
     limits::{
         CANARY_LANE, CANARY_MIN, CANARY_QUIET, CANARY_RARE, CANARY_REQUESTS, DRAIN_EXTRA, FORECAST_MOVES, HEAR_ALL, LOAD_LATE,
@@ -17,6 +18,7 @@
     },
 };
 
+mod exposure;
 mod placed;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -36,8 +38,12 @@
     pub leaving: &'a BTreeSet<String>,
     /// When the platform was asked for the list.
     pub listed: Ms,
-    /// Streams that proxies still have open on a replica's version.
+    /// Streams that proxies still have open on a replica's version; without one, on all of its versions.
     pub open: &'a dyn Fn(&str, &str) -> u64,
+    /// Version of the record that stands, and the newest that all edges which are heard have seen.
+    pub stands: u64,
+    pub seen: &'a dyn Fn() -> u64,
+    pub bounds: &'a Bounds,
     pub now: Ms,
     /// Seconds since 1970, to hold completion times against.
     pub wall: u64,
@@ -152,7 +158,9 @@
 
     /// The duty is not held here: all timing is forgotten, the evidence is kept.
     pub fn rest(&mut self, now: Ms) {
-        *self = Loop { health: std::mem::take(&mut self.health), held_at: now, phase_at: now, moved_at: now, ..Loop::default() };
+        let placed = self.placed.without_duty();
+        let health = std::mem::take(&mut self.health);
+        *self = Loop { health, placed, held_at: now, phase_at: now, moved_at: now, ..Loop::default() };
     }
 
     fn enter(&mut self, r: &mut RolloutRecord, p: RolloutPhase, now: Ms) {
@@ -603,6 +611,9 @@
                     leaving: &leaving,
                     listed: self.now,
                     open: &open,
+                    stands: 0,
+                    seen: &|| 0,
+                    bounds: &Bounds::default(),
                     now: self.now,
                     wall: self.now / 1_000,
                 };
--- /dev/null
+++ b/coordination/src/rollout/exposure.rs
@@ -0,0 +1,47 @@
+//! How much of a service a version on trial may get while nobody knows whether it is bad: a part of all
+//! requests between the order and its time, and some besides, whenever it turns.
+
+use remote_calls::ReleasePlan;
+
+use crate::{
+    Ms,
+    bounds::Bounds,
+    health::Health,
+    limits::{EXPOSURE_KEPT, PACE_WINDOW, PACE_WORST, TERM_LATE},
+};
+
+/// An order as this daemon came to know it. Every daemon notes it, whoever holds the duty.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Taken {
+    pub plan: u64,
+    pub target: String,
+    /// By this daemon's own clock: the wall's may step.
+    pub at: Ms,
+    pub term: Ms,
+    /// Counts at that time: sent to all versions and to the target.
+    base: (u64, u64),
+}
+
+impl Taken {
+    pub fn new(plan: u64, p: &ReleasePlan, h: &Health, now: Ms, wall: u64) -> Self {
+        let term = now + p.complete_by.saturating_sub(wall) * 1_000;
+        Taken { plan, target: p.target.clone(), at: now, term, base: h.sent(&p.target) }
+    }
+
+    /// Percent of the requests that the target may have from now to its time, so that the whole stays inside the
+    /// bound even if it was bad all along. Once its time is over nothing is counted any more.
+    pub fn cap(&self, b: &Bounds, h: &Health, now: Ms) -> u32 {
+        // The time comes in whole seconds, and another clock ends it.
+        let left = (self.term + TERM_LATE).saturating_sub(now) as f64 / 1_000.0;
+        let pace = h.pace(PACE_WINDOW, now);
+        let to_come = pace * left;
+        if left <= 0.0 || to_come < 1.0 {
+            return 100;
+        }
+        let (all, new) = h.sent(&self.target);
+        let (all, new) = (all.saturating_sub(self.base.0) as f64, new.saturating_sub(self.base.1) as f64);
+        // Traffic may ebb: only a part of what is to come is counted on.
+        let may = EXPOSURE_KEPT * (b.canary_share * (all + PACE_WORST * to_come) + b.canary_slack);
+        ((may - new) * 100.0 / to_come).clamp(0.0, 100.0) as u32
+    }
+}
