--- a/control-daemon/src/actor.rs
+++ b/control-daemon/src/actor.rs
@@ -1,7 +1,10 @@
 //! The one owner of a control daemon's brain: works through its mailbox and carries effects out.
 
 use daemon_parts::limits::DISK_AGAIN;
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use actix::prelude::*;
 use awc::Client;
@@ -10,7 +13,7 @@
     control::{Control, ControlParams},
     effect::note,
     events,
-    limits::{REPORT_EVERY, TICK},
+    limits::{REPORT_EVERY, SYNC_LATE, TICK},
     register::Expect,
     rollout::Order,
 };
@@ -47,6 +50,11 @@
     next_open: Ms,
     opening: bool,
     stopping: bool,
+    /// When each sync that has not ended began, and how many there were.
+    syncing: BTreeMap<u64, Ms>,
+    syncs: u64,
+    /// Counts the brains: each opening of the disk begins another.
+    life: u64,
 }
 
 /// Writes a key.
@@ -68,7 +76,25 @@
         let client = Client::builder().disable_timeout().finish();
         let (waiting, c, ch) = (HashMap::new(), None, None);
         let (next_report, listing, next_open, opening, stopping) = (0, false, 0, false, false);
-        ControlActor { p, platform, replicas, disk, ch, c, waiting, client, next_report, listing, next_open, opening, stopping }
+        let (syncing, syncs, life) = (BTreeMap::new(), 0, 0);
+        ControlActor {
+            p,
+            platform,
+            replicas,
+            disk,
+            ch,
+            c,
+            waiting,
+            client,
+            next_report,
+            listing,
+            next_open,
+            opening,
+            stopping,
+            syncing,
+            syncs,
+            life,
+        }
     }
 
     /// Carries out what was asked for and awaits its answer.
@@ -100,10 +126,17 @@
     }
 
     fn persist(&mut self, rows: Vec<coordination::Row>, then: Effects, ctx: &mut Context<Self>) {
-        let d = self.disk.clone();
-        let f = async move { d.sync(rows).await }.into_actor(self).map(move |r, me, ctx| match r {
-            Ok(()) => me.carry(then, ctx),
-            Err(e) => me.disk_failed(&format!("{e:?}")),
+        self.syncs += 1;
+        let (n, life) = (self.syncs, self.life);
+        self.syncing.insert(n, clock::now());
+        let f = self.disk.sync(rows).into_actor(self).map(move |r, me, ctx| {
+            me.syncing.remove(&n);
+            match r {
+                // What an earlier life waited for is not this one's to say.
+                Ok(()) if me.life == life => me.carry(then, ctx),
+                Ok(()) => {}
+                Err(e) => me.disk_failed(&format!("{e:?}")),
+            }
         });
         ctx.spawn(f);
     }
@@ -125,8 +158,7 @@
             return;
         }
         self.opening = true;
-        let d = self.disk.clone();
-        let f = async move { d.open().await }.into_actor(self).map(|r, me, _| {
+        let f = self.disk.open().into_actor(self).map(|r, me, _| {
             me.opening = false;
             match r {
                 Ok(held) => me.begin(held),
@@ -145,6 +177,7 @@
         } else {
             event(events::DISK_BACK, &self.p.name, &format!("{} rows", rows.len()));
         }
+        self.life += 1;
         self.c = Some(Control::new(self.p.clone(), id, rows, clock::born(), clock::now()));
     }
 
@@ -230,6 +263,13 @@
         let now = clock::now();
         let Some(c) = &mut self.c else { return self.reopen(ctx) };
         c.going = self.stopping;
+        // A disk that hangs says nothing; others must not wait for it, and take over what is owned here.
+        let ok = self.syncing.values().next().is_none_or(|t| now.saturating_sub(*t) <= SYNC_LATE);
+        if c.disk_ok != ok {
+            c.disk_ok = ok;
+            let e = if ok { events::DISK_BACK } else { events::DISK_FAILED };
+            event(e, &self.p.name, if ok { "it syncs again" } else { "a sync takes too long" });
+        }
         let mut out = c.tick(now);
         out.extend(c.loops(now, clock::wall_s()));
         self.carry(out, ctx);
--- a/control-daemon/src/disk.rs
+++ b/control-daemon/src/disk.rs
@@ -4,17 +4,17 @@
 use daemon_parts::limits::DISK_BUFFER;
 use std::{path::PathBuf, sync::mpsc, thread};
 
-use coordination::Row;
+use coordination::{Row, members};
 use error_stack::{Report, ResultExt};
 use rusqlite::{Connection, OptionalExtension, params};
 use tokio::sync::oneshot;
-use wire_messages::{Blob, Slot, Voter};
+use wire_messages::{Blob, Slot};
 
 /// The file under the data folder.
 const FILE: &str = "control.sqlite";
 /// Version of the database's layout. Layout 1 was written without a number and is the same; a newer one is not
 /// touched, as a daemon that guesses could lose what it confirmed.
-const LAYOUT: i64 = 2;
+const LAYOUT: i64 = 3;
 
 /// A step of the disk that failed.
 #[derive(Debug)]
@@ -46,20 +46,24 @@
         thread::spawn(move || work(folder, limit, r));
         Disk(s)
     }
-    pub async fn sync(&self, rows: Vec<Row>) -> Done<()> {
-        self.ask(|s| Command::Sync(rows, s)).await
+    pub fn sync(&self, rows: Vec<Row>) -> impl Future<Output = Done<()>> + use<> {
+        self.ask(|s| Command::Sync(rows, s))
     }
     /// Opens the database, anew if it was open, and reads everything.
-    pub async fn open(&self) -> Done<Held> {
-        self.ask(Command::Open).await
+    pub fn open(&self) -> impl Future<Output = Done<Held>> + use<> {
+        self.ask(Command::Open)
     }
-    async fn ask<T>(&self, c: impl FnOnce(oneshot::Sender<Done<T>>) -> Command) -> Done<T> {
+    fn ask<T, C: FnOnce(oneshot::Sender<Done<T>>) -> Command>(&self, c: C) -> impl Future<Output = Done<T>> + use<T, C> {
         let (s, r) = oneshot::channel();
+        // Given to the disk here and not when first awaited: a newer row of a key must not go before an older one.
         // A full buffer is a disk that does not keep up: the same as one that fails.
-        if self.0.try_send(c(s)).is_err() {
-            return Err(Report::new(DiskFault("take another command")));
+        let taken = self.0.try_send(c(s)).is_ok();
+        async move {
+            if !taken {
+                return Err(Report::new(DiskFault("take another command")));
+            }
+            r.await.change_context(DiskFault("end a command"))?
         }
-        r.await.change_context(DiskFault("end a command"))?
     }
 }
 
@@ -112,12 +116,21 @@
         let m = format!("it has layout {found}, this daemon writes {LAYOUT}");
         return Err(Report::new(DiskFault("take over the data folder")).attach(m));
     }
-    let setup = "PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL; PRAGMA wal_autocheckpoint=64;
+    // Exclusive before the journal is named: the log's index then stays in this process and is no shared memory.
+    let setup = "PRAGMA locking_mode=EXCLUSIVE; PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL;
+        PRAGMA wal_autocheckpoint=256; PRAGMA cache_size=-256; PRAGMA temp_store=MEMORY;
         CREATE TABLE IF NOT EXISTS disk (id INTEGER NOT NULL);
-        CREATE TABLE IF NOT EXISTS members (one INTEGER PRIMARY KEY CHECK (one = 1), me INTEGER NOT NULL, voters TEXT NOT NULL, voting INTEGER NOT NULL);
+        CREATE TABLE IF NOT EXISTS members (one INTEGER PRIMARY KEY CHECK (one = 1), me INTEGER NOT NULL, voters TEXT NOT NULL, voting INTEGER NOT NULL,
+            before INTEGER NOT NULL DEFAULT 0);
         CREATE TABLE IF NOT EXISTS slots (key TEXT PRIMARY KEY, promised INTEGER NOT NULL, epoch INTEGER NOT NULL,
             version INTEGER NOT NULL, committed INTEGER NOT NULL, value BLOB NOT NULL) WITHOUT ROWID;";
     c.execute_batch(setup).change_context_lazy(step("set the database up"))?;
+    let has_before = "SELECT count(*) FROM pragma_table_info('members') WHERE name = 'before'";
+    let has_before: i64 = c.query_row(has_before, [], |r| r.get(0)).change_context_lazy(step("read the layout"))?;
+    if has_before == 0 {
+        c.execute_batch("ALTER TABLE members ADD COLUMN before INTEGER NOT NULL DEFAULT 0")
+            .change_context_lazy(step("take over the members"))?;
+    }
     c.pragma_update(None, "user_version", LAYOUT).change_context_lazy(step("write the layout"))?;
     let sound: String = c.query_row("PRAGMA quick_check", [], |r| r.get(0)).change_context_lazy(step("check the database"))?;
     if sound != "ok" {
@@ -135,23 +148,21 @@
     // Written at every opening: a disk that takes no writes is found out here.
     c.execute_batch(&format!("BEGIN; DELETE FROM disk; INSERT INTO disk VALUES ({id}); COMMIT"))
         .change_context_lazy(step("write the disk's number"))?;
-    if blank {
-        let dir = std::fs::File::open(folder).and_then(|d| d.sync_all());
-        dir.change_context(DiskFault("sync the data folder"))?;
-    }
+    // The log is made anew at each opening: its name must last as long as what is written to it.
+    let dir = std::fs::File::open(folder).and_then(|d| d.sync_all());
+    dir.change_context(DiskFault("sync the data folder"))?;
     let rows = read(&c).change_context(DiskFault("read the state"))?;
     Ok((c, (id, blank, rows)))
 }
 
 fn read(c: &Connection) -> rusqlite::Result<Vec<Row>> {
     let mut rows = Vec::new();
-    let members = c.query_row("SELECT me, voters, voting FROM members", [], |r| {
-        Ok((r.get::<_, u32>(0)?, r.get::<_, String>(1)?, r.get::<_, bool>(2)?))
+    let members = c.query_row("SELECT me, voters, voting, before FROM members", [], |r| {
+        Ok((r.get::<_, u32>(0)?, r.get::<_, String>(1)?, r.get::<_, bool>(2)?, r.get::<_, u32>(3)?))
     });
-    if let Some((me, voters, voting)) = members.optional()? {
-        let v: Vec<(String, u64, String)> = serde_json::from_str(&voters).unwrap_or_default();
-        let voters = v.into_iter().map(|(n, disk, a)| Voter { name: n.into(), disk, addr: a.into() }).collect();
-        rows.push(Row::Members { me, voters, voting });
+    if let Some((me, voters, voting, before)) = members.optional()? {
+        let (_, voters) = members::of_bytes(voters.as_bytes()).unwrap_or_default();
+        rows.push(Row::Members { me, before, voters, voting });
     }
     let mut q = c.prepare("SELECT key, promised, epoch, version, committed, value FROM slots")?;
     let slots = q.query_map([], |r| {
@@ -178,10 +189,10 @@
                 let sql = "INSERT OR REPLACE INTO slots VALUES (?1, ?2, ?3, ?4, ?5, ?6)";
                 t.prepare_cached(sql)?.execute(params![s.key.0, s.promised, s.epoch, s.version, s.committed, s.value.0])?;
             }
-            Row::Members { me, voters, voting } => {
-                let v: Vec<(&str, u64, &str)> = voters.iter().map(|v| (&*v.name, v.disk, &*v.addr)).collect();
-                let v = serde_json::to_string(&v).unwrap_or_default();
-                t.execute("INSERT OR REPLACE INTO members VALUES (1, ?1, ?2, ?3)", params![me, v, voting])?;
+            Row::Members { me, before, voters, voting } => {
+                let v = String::from_utf8(members::to_bytes(*before, voters).0).unwrap_or_default();
+                let sql = "INSERT OR REPLACE INTO members (one, me, voters, voting, before) VALUES (1, ?1, ?2, ?3, ?4)";
+                t.execute(sql, params![me, v, voting, before])?;
             }
         }
     }
--- a/coordination/src/bounds.rs
+++ b/coordination/src/bounds.rs
@@ -3,7 +3,10 @@
 
 use serde::Deserialize;
 
-use crate::Ms;
+use crate::{
+    Ms,
+    limits::{PERMIT, PERMITS_IN_CONTACT},
+};
 
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -42,6 +45,13 @@
     pub lost_regions: u32,
 }
 
+impl Bounds {
+    /// ms. Life of a permit.
+    pub fn permit(&self) -> Ms {
+        PERMIT.min(self.contact / PERMITS_IN_CONTACT)
+    }
+}
+
 impl Default for Bounds {
     /// The brief's own bounds.
     fn default() -> Self {
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -10,8 +10,8 @@
     RolloutRecord, Spec, Status, ZoneState, ZoneStreams,
 };
 use wire_messages::{
-    Beat, Blob, Change, Forward, Forwarded, Genesis, Join, List, Msg, Name, News, Node, Open, Permit, Poll, Slots, SlotsAsk,
-    Tally, Voter,
+    Beat, Blob, Change, Forward, Forwarded, Genesis, List, Msg, Name, News, Node, Open, Permit, Poll, Slots, SlotsAsk, Tally,
+    Voter,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -22,8 +22,10 @@
     effect::{note, send},
     events,
     limits::{
-        ADDRESSES, BEAT_EVERY, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LOOP_EVERY, LOOP_RESTS, PEER_GONE, PERMIT,
+        ADDRESSES, BEAT_EVERY, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LOOP_EVERY, LOOP_RESTS, NODE_FORGOTTEN,
+        NODE_GONE, PEER_GONE, READING,
     },
+    members as seats,
     membership::{CONTROL, EDGE, Membership},
     order::agreed,
     register::{DUTY, Expect, MEMBERS, Registers},
@@ -52,6 +54,8 @@
 /// Tokens of writes that nobody waits for.
 const NOBODY: u64 = 0;
 
+/// A write was passed on to a daemon that does not come first for its key, as on the wire.
+const NOT_OWNER: u8 = 4;
 /// What a write that was passed on is compared with, as on the wire.
 const BY_VERSION: u8 = 0;
 const BY_NOTHING: u8 = 1;
@@ -95,6 +99,20 @@
     seen: Vec<Change>,
 }
 
+/// A write or a reading that went to the key's owner.
+#[derive(Clone, Debug)]
+struct Passed {
+    /// Under which token its answer is awaited here.
+    token: u64,
+    key: Name,
+    expect: Option<Expect>,
+    value: Blob,
+    to: Name,
+    until: Ms,
+    /// The owner said that it is not the owner; it goes out again then.
+    again: Option<Ms>,
+}
+
 #[derive(Clone, Debug)]
 pub struct Control {
     p: ControlParams,
@@ -114,8 +132,10 @@
     feed: BTreeMap<Name, u64>,
     peers: BTreeMap<Name, Peer>,
     agents: BTreeMap<Name, Agent>,
-    /// Writes passed on: until when an answer is awaited.
-    passed: BTreeMap<u64, Ms>,
+    /// Writes passed on, by the token they went under.
+    passed: BTreeMap<u64, Passed>,
+    /// Writes that an owner may have taken before they went to another.
+    doubtful: BTreeSet<u64>,
     /// Writes taken for another daemon: where the answer goes, under which token.
     foreign: BTreeMap<u64, (Name, u64)>,
     /// Writes that others passed on, and when: one that comes twice is taken once.
@@ -123,6 +143,10 @@
     token: u64,
     /// Whom this daemon has compared its slots with since its start.
     met: BTreeSet<Name>,
+    /// When each disk was last heard of.
+    heard: BTreeMap<u64, Ms>,
+    /// By peer: its digest and this daemon's own, as they last differed. News on its way differs once only.
+    differed: BTreeMap<Name, (u64, u64)>,
     caught: BTreeSet<Name>,
     loops: BTreeMap<String, Loop>,
     platform: Option<PlatformList>,
@@ -134,7 +158,12 @@
     settled: bool,
     next_beat: Ms,
     next_loop: Ms,
-    next_join: Ms,
+    next_meet: Ms,
+    /// The time of the last tick, and when the voters last changed.
+    clock: Ms,
+    changed: Ms,
+    next_ask: Ms,
+    next_seats: Ms,
     /// When this daemon last ran each service's loop, or first was the one to run it; and which alerts stand.
     ran: BTreeMap<String, Ms>,
     resting: BTreeSet<String>,
@@ -155,7 +184,8 @@
             beat: 0,
         };
         let mship = Membership::new(me, p.seeds.clone(), born);
-        let mut regs = Registers::new(p.name.clone(), rows, now);
+        let mut regs = Registers::new(p.name.clone(), rows, p.bounds.permit(), now);
+        regs.set_addr(&p.name, &p.addr);
         regs.reader = p.reader;
         // Kept on disk: a founder that is started again is no longer told that it founds, nor with whom.
         let marked = regs.me == 0 && regs.voters.is_empty() && p.founding && p.members.is_empty();
@@ -178,10 +208,13 @@
             peers: BTreeMap::new(),
             agents: BTreeMap::new(),
             passed: BTreeMap::new(),
+            doubtful: BTreeSet::new(),
             foreign: BTreeMap::new(),
             taken: BTreeMap::new(),
             token: born << 20,
             met: BTreeSet::new(),
+            heard: BTreeMap::new(),
+            differed: BTreeMap::new(),
             caught: BTreeSet::new(),
             loops: BTreeMap::new(),
             platform: None,
@@ -192,7 +225,11 @@
             settled: false,
             next_beat: 0,
             next_loop: 0,
-            next_join: 0,
+            next_meet: 0,
+            clock: now,
+            changed: now,
+            next_ask: 0,
+            next_seats: 0,
             ran: BTreeMap::new(),
             resting: BTreeSet::new(),
             writing: BTreeMap::new(),
@@ -231,7 +268,7 @@
             .filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE && p.beat.blank == VOTES && p.beat.me == self.regs.me)
             .map(|(n, _)| n.clone())
             .collect();
-        if !self.going {
+        if !self.going && self.disk_ok {
             names.insert(self.p.name.clone());
         }
         move |n| names.contains(n)
@@ -259,26 +296,59 @@
 
     /// Takes a write, or a reading where nothing is expected, to the key's owner.
     fn offer(&mut self, token: u64, key: &Name, expect: Option<Expect>, value: Blob, now: Ms, out: &mut Effects) {
+        let p = Passed { token, key: key.clone(), expect, value, to: Name::default(), until: now + FORWARD_LIMIT, again: None };
+        self.pass(p, now, out);
+    }
+    fn pass(&mut self, mut p: Passed, now: Ms, out: &mut Effects) {
         let live = self.live(now);
-        let Some(v) = self.regs.first(key, &live) else {
-            out.push(Effect::Answer { token, outcome: WriteOutcome::NotAccepted("no voter is live") });
+        let Some(v) = self.regs.first(&p.key, &live) else {
+            out.push(Effect::Answer { token: p.token, outcome: WriteOutcome::NotAccepted("no voter is live") });
             return;
         };
         if v.name == self.p.name {
-            return match expect {
-                Some(e) => self.regs.propose(token, key, e, value, now, out),
-                None => self.regs.read(token, key, now, out),
+            return match p.expect {
+                Some(e) => self.regs.propose(p.token, &p.key, e, p.value, now, out),
+                None => self.regs.read(p.token, &p.key, now, out),
             };
         }
-        self.passed.insert(token, now + FORWARD_LIMIT);
-        let (mode, expect) = match expect {
+        let (mode, expect) = match p.expect {
             Some(Expect::Version(v)) => (BY_VERSION, v),
             Some(Expect::Any) => (BY_NOTHING, 0),
             Some(Expect::Release(r)) => (BY_RELEASE, r),
             None => (READS, 0),
         };
-        let m = Forward { token, key: key.clone(), expect, mode, value };
-        out.push(send(&self.regs.addr(&v), m));
+        // Each going has its own token, as an owner takes none twice.
+        self.token += 1;
+        let m = Forward { token: self.token, key: p.key.clone(), expect, mode, value: p.value.clone() };
+        out.push(send(&self.regs.addr(v), m));
+        p.to = v.name.clone();
+        self.passed.insert(self.token, p);
+    }
+
+    /// Passes writes on again whose owner has died, or was none; and gives up on those that took too long.
+    fn pass_again(&mut self, now: Ms, out: &mut Effects) {
+        if self.passed.is_empty() {
+            return;
+        }
+        let live = self.live(now);
+        let due: Vec<u64> = self
+            .passed
+            .iter()
+            .filter(|(_, p)| p.until <= now || p.again.map_or(!live(&p.to), |t| t <= now))
+            .map(|(t, _)| *t)
+            .collect();
+        for t in due {
+            let Some(mut p) = self.passed.remove(&t) else { continue };
+            // What a former owner took may stand, or come to stand.
+            if p.again.take().is_none() && p.expect.is_some() {
+                self.doubtful.insert(p.token);
+            }
+            if p.until <= now {
+                out.push(Effect::Answer { token: p.token, outcome: WriteOutcome::Unknown });
+                continue;
+            }
+            self.pass(p, now, out);
+        }
     }
 
     fn on_forward(&mut self, from: &Name, m: Forward, now: Ms, out: &mut Effects) {
@@ -291,7 +361,7 @@
         // Passing on a second time could go in circles; the asker looks again instead.
         if !mine {
             let why = "the daemon asked does not come first for this key".into();
-            out.push(send(from, Forwarded { token: m.token, code: 2, version: 0, why }));
+            out.push(send(from, Forwarded { token: m.token, code: NOT_OWNER, version: 0, why }));
             return;
         }
         self.token += 1;
@@ -311,6 +381,8 @@
         if token == NOBODY {
             return None;
         }
+        let no = matches!(outcome, WriteOutcome::Conflict(_) | WriteOutcome::NotAccepted(_));
+        let outcome = if self.doubtful.remove(&token) && no { WriteOutcome::Unknown } else { outcome };
         let Some((to, theirs)) = self.foreign.remove(&token) else {
             return Some(Effect::Answer { token, outcome });
         };
@@ -323,17 +395,21 @@
         Some(send(&to, Forwarded { token: theirs, code, version, why: why.into() }))
     }
 
-    fn on_forwarded(&mut self, m: Forwarded, out: &mut Effects) {
-        if self.passed.remove(&m.token).is_none() {
+    fn on_forwarded(&mut self, m: Forwarded, now: Ms, out: &mut Effects) {
+        let Some(mut p) = self.passed.remove(&m.token) else { return };
+        // The two daemons do not see the same ones live yet.
+        if m.code == NOT_OWNER && now + BEAT_EVERY < p.until {
+            p.again = Some(now + BEAT_EVERY);
+            self.passed.insert(m.token, p);
             return;
         }
         let outcome = match m.code {
             0 => WriteOutcome::Accepted(m.version),
             1 => WriteOutcome::Conflict(m.version),
-            2 => WriteOutcome::NotAccepted("the key's owner did not take it; ask again"),
+            2 | NOT_OWNER => WriteOutcome::NotAccepted("the key's owner did not take it; ask again"),
             _ => WriteOutcome::Unknown,
         };
-        out.push(Effect::Answer { token: m.token, outcome });
+        out.push(Effect::Answer { token: p.token, outcome });
     }
 
     // ---- events ----
@@ -350,13 +426,11 @@
             Msg::Renew(m) => self.regs.on_renew(addr, m, now, &mut out),
             Msg::Renewed(m) => self.regs.on_renewed(from, m, now, &mut out),
             Msg::Forward(m) => self.on_forward(addr, m, now, &mut out),
-            Msg::Forwarded(m) => self.on_forwarded(m, &mut out),
+            Msg::Forwarded(m) => self.on_forwarded(m, now, &mut out),
+            Msg::Release(m) => self.regs.on_release(addr, m),
             Msg::Genesis(m) => self.on_genesis(m, &mut out),
-            Msg::Join(m) => self.on_join(m.voter, now, &mut out),
-            Msg::SlotsAsk(_) => {
-                out.push(send(addr, Slots { me: self.regs.me, slots: self.regs.slots() }));
-            }
-            Msg::Slots(m) => self.on_slots(from, m, &mut out),
+            Msg::SlotsAsk(m) => self.on_slots_ask(addr, m, &mut out),
+            Msg::Slots(m) => self.on_slots(from, m, now, &mut out),
             Msg::Poll(m) => self.on_poll(addr, m, now, &mut out),
             Msg::Shuffle(m) => self.mship.on_shuffle(addr, m, now, &mut out),
             _ => {}
@@ -366,21 +440,40 @@
 
     fn on_beat(&mut self, from: &Name, addr: &Name, m: Beat, now: Ms, out: &mut Effects) {
         self.regs.set_addr(from, addr);
-        let behind = m.me > self.regs.me || (m.blank == VOTES && m.digest != self.regs.digest());
-        if m.blank == VOTES && m.me == self.regs.me && !behind {
+        self.heard.insert(m.disk, now);
+        let blank = m.blank == BLANK || m.blank == FOUNDING;
+        let same = m.digest == self.regs.digest();
+        if m.blank == VOTES && m.me == self.regs.me && same {
             self.met.insert(from.clone());
         }
-        let blank = m.blank == BLANK || m.blank == FOUNDING;
-        if behind && !blank {
-            out.push(send(addr, SlotsAsk { me: self.regs.me }));
+        let pair = (m.digest, self.regs.digest());
+        // What is on its way to either differs in one beat; what was missed differs in the next one too.
+        let missed = !same && (!self.met.contains(from) || self.differed.insert(from.clone(), pair) == Some(pair));
+        let behind = m.me > self.regs.me || (m.blank == VOTES && missed);
+        if behind && !blank && now >= self.next_ask {
+            self.next_ask = now + BEAT_EVERY / 4;
+            out.push(send(addr, SlotsAsk { me: self.regs.me, have: self.regs.have() }));
         }
         // The first voters are offered again to a member that was named among them but has not stored it.
         if blank && self.regs.me == 1 && self.regs.voters.iter().any(|v| v.disk == m.disk) {
             out.push(send(addr, Genesis { voters: List(self.regs.voters.clone()) }));
         }
+        // Who is new, or was gone, learns of this daemon at once.
+        if self.peers.get(from).is_none_or(|p| now.saturating_sub(p.at) > PEER_GONE || p.beat.disk != m.disk) {
+            self.next_beat = now;
+        }
         self.peers.insert(from.clone(), Peer { at: now, beat: m, addr: addr.clone() });
     }
 
+    /// Tells its slots, once all that it has voted is on its disk: an earlier member epoch must not come back here
+    /// after a newcomer has counted on it to be over.
+    fn on_slots_ask(&mut self, addr: &Name, m: SlotsAsk, out: &mut Effects) {
+        let r = &self.regs;
+        let slots = r.slots_beyond(&m.have);
+        let m = Slots { me: r.me, voting: r.voting.into(), before: r.before, voters: List(r.voters.clone()), slots };
+        out.push(Effect::Persist { rows: vec![], then: vec![send(addr, m)] });
+    }
+
     fn on_genesis(&mut self, m: Genesis, out: &mut Effects) {
         // Only a disk that is blank and named takes it; a later blank disk has another number.
         if self.regs.me == 0 && m.voters.iter().any(|v| v.disk == self.disk) {
@@ -388,7 +481,7 @@
         }
     }
     fn begin(&mut self, voters: Vec<Voter>, out: &mut Effects) {
-        self.regs.follow(1, voters, out);
+        self.regs.follow(1, 0, voters, out);
         // Nobody ever voted before: there is no permit to wait out.
         self.regs.no_permits_before();
         self.regs.voting = true;
@@ -396,56 +489,111 @@
         out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
     }
 
-    fn on_join(&mut self, v: Voter, now: Ms, out: &mut Effects) {
-        let voters = &self.regs.voters;
-        // Only the namesake's place is taken, and not while a daemon with the old disk still beats.
-        let Some(i) = voters.iter().position(|o| o.name == v.name) else { return };
-        let alive = |p: &Peer| p.beat.disk == voters[i].disk && now.saturating_sub(p.at) <= PEER_GONE;
-        if voters.iter().any(|o| o.disk == v.disk) || v.name == self.p.name || self.peers.get(&v.name).is_some_and(alive) {
-            return;
-        }
-        let mut next = voters.clone();
-        next[i] = v;
-        let version = u64::from(self.regs.me) - 1;
-        self.offer(NOBODY, &MEMBERS.into(), Some(Expect::Version(version)), voters_to_bytes(&next), now, out);
-    }
-
-    fn on_slots(&mut self, from: &Name, m: Slots, out: &mut Effects) {
+    fn on_slots(&mut self, from: &Name, m: Slots, now: Ms, out: &mut Effects) {
         self.regs.mend(&m.slots, out);
         self.follow_members(out);
+        // The first voters stand under no key.
+        if self.regs.me == 0 && m.me == 1 && m.voters.iter().any(|v| v.disk == self.disk) {
+            self.begin(m.voters.0, out);
+        } else if m.me > self.regs.me {
+            self.follow(m.me, m.before, m.voters.0, out);
+        }
         if m.me != self.regs.me {
             return;
         }
-        self.met.insert(from.clone());
+        if m.voting != 0 {
+            self.met.insert(from.clone());
+        }
         let named = self.regs.voters.iter().any(|v| v.disk == self.disk);
-        if self.regs.voting || !named || !self.regs.voters.iter().any(|v| v.name == *from) {
+        if self.regs.voting || !named || m.voting == 0 || !self.regs.voters.iter().any(|v| v.name == *from) {
             return;
         }
         let mut rows = self.regs.catch_up(&m.slots);
         self.caught.insert(from.clone());
-        // A majority may have stood on any of the others' disks together with the lost one: all must be read.
-        self.regs.voting = self.regs.voters.iter().all(|v| v.name == self.p.name || self.caught.contains(&v.name));
+        if self.caught.len() >= self.to_read() {
+            self.regs.vote(now);
+            out.push(note(events::VOTING, &self.p.name, format!("member epoch {}", self.regs.me)));
+        }
         rows.push(self.regs.members_row());
         out.push(Effect::Persist { rows, then: vec![] });
-        if self.regs.voting {
-            out.push(note(events::VOTING, &self.p.name, format!("member epoch {}", self.regs.me)));
+    }
+
+    /// How many voters that have closed the member epoch before must be read: a majority of its voters, so that nothing
+    /// more can be taken under it, and whatever was taken stands with one of those. Who voted in it or has itself read
+    /// so many counts. Where their number is not known, all others.
+    fn to_read(&self) -> usize {
+        match self.regs.before {
+            0 => self.regs.voters.len() - 1,
+            n => n as usize / 2 + 1,
         }
     }
 
     /// Adopts voters that were committed under the members' key.
     fn follow_members(&mut self, out: &mut Effects) {
         let Some(c) = self.regs.fresh.iter().filter(|c| &*c.key == MEMBERS).max_by_key(|c| c.version).cloned() else { return };
-        let (Some(voters), me) = (voters_of(&c.value), c.version as u32 + 1) else { return };
+        let (Some((before, voters)), me) = (seats::of_bytes(&c.value.0), c.version as u32 + 1) else { return };
+        self.follow(me, before, voters, out);
+    }
+
+    fn follow(&mut self, me: u32, before: u32, voters: Vec<Voter>, out: &mut Effects) {
         if me <= self.regs.me {
             return;
         }
-        let named = voters.iter().any(|v| v.disk == self.disk);
-        self.regs.follow(me, voters, out);
-        self.regs.voting &= named;
+        // Whoever lost its place and was given one again may lack what was taken in between.
+        let kept = voters.iter().any(|v| v.disk == self.disk && v.since <= self.regs.me);
+        self.regs.follow(me, before, voters, out);
+        self.regs.voting &= kept;
         self.caught.clear();
+        (self.next_meet, self.changed) = (0, self.clock);
         out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
     }
 
+    /// Gives lost voters' places to others, and adds voters where there are too few, if this daemon is the one to.
+    fn mend_seats(&mut self, now: Ms, live: &dyn Fn(&str) -> bool, out: &mut Effects) {
+        if now < self.next_seats || !self.regs.voting {
+            return;
+        }
+        self.next_seats = now + 2 * BEAT_EVERY;
+        self.heard.retain(|_, t| now.saturating_sub(*t) < NODE_FORGOTTEN);
+        let mine = self.regs.first(MEMBERS, live).is_some_and(|v| v.name == self.p.name);
+        // One that has just started has not heard the others yet.
+        if !mine || now.saturating_sub(self.started) < 2 * PEER_GONE || self.regs.busy(MEMBERS) {
+            return;
+        }
+        let fresh = || self.peers.iter().filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE);
+        let votes = |v: &Voter| v.name == self.p.name || live(&v.name);
+        let me = self.regs.me;
+        // A newcomer is still reading: another change would have it begin anew.
+        let reads = |p: &Peer| p.beat.blank == BEHIND && self.regs.voters.iter().any(|v| v.disk == p.beat.disk && v.since == me);
+        if now.saturating_sub(self.changed) < READING && fresh().any(|(_, p)| reads(p)) {
+            return;
+        }
+        let free = |p: &Peer| {
+            matches!(p.beat.blank, BLANK | FOUNDING | BEHIND) && !self.regs.voters.iter().any(|v| v.disk == p.beat.disk)
+        };
+        let candidates = fresh().filter(|(_, p)| free(p)).map(|(n, p)| {
+            let v = Voter { name: n.clone(), disk: p.beat.disk, addr: p.addr.clone(), zone: p.beat.zone.clone(), since: me + 1 };
+            (v, p.beat.blank != BEHIND)
+        });
+        let silent = |v: &Voter| match v.disk == self.disk {
+            true => 0,
+            false => now.saturating_sub(self.heard.get(&v.disk).copied().unwrap_or(self.started)),
+        };
+        let s = seats::Seats {
+            voters: &self.regs.voters,
+            silent: &silent,
+            candidates: candidates.collect(),
+            regions: &self.p.regions,
+            bounds: &self.p.bounds,
+            calm: self.regs.voters.iter().all(votes),
+        };
+        let Some(next) = seats::next(&s) else { return };
+        let names: Vec<&str> = next.iter().map(|v| &*v.name).collect();
+        out.push(note(events::PLACE_GIVEN, &self.p.name, names.join(" ")));
+        let value = seats::to_bytes(self.regs.voters.len() as u32, &next);
+        self.regs.propose(NOBODY, &MEMBERS.into(), Expect::Version(u64::from(me) - 1), value, now, out);
+    }
+
     fn on_poll(&mut self, addr: &Name, m: Poll, now: Ms, out: &mut Effects) {
         let name = m.node.name.clone();
         let mut by: BTreeMap<Name, Vec<Tally>> = BTreeMap::new();
@@ -497,7 +645,7 @@
             // A holder that does not know the replicas yet has no ground to let a canary have anything.
             let heard = self.loops.get(s).is_some_and(|l| l.heard);
             let share = if share.is_empty() || !heard { 0 } else { self.spec.as_ref().map_or(0, |s| s.canary_percent) };
-            let ttl = (until - now).min(PERMIT) as u32;
+            let ttl = (until - now).min(self.p.bounds.permit()) as u32;
             Some(Permit { service: s.into(), epoch, version: c.version, canary_share: share, ttl })
         });
         rows.collect()
@@ -579,6 +727,7 @@
 
     pub fn tick(&mut self, now: Ms) -> Effects {
         let mut out = Vec::new();
+        self.clock = now;
         self.mship.tick(now, &mut out);
         for n in self.mship.known(CONTROL) {
             self.regs.set_addr(&n.name, &n.addr);
@@ -594,13 +743,10 @@
         };
         let live = self.live(now);
         self.regs.tick(now, &live, &wanted, &mut out);
+        self.mend_seats(now, &live, &mut out);
         self.watch_loops(now, &live, &mut out);
         self.taken.retain(|_, t| now.saturating_sub(*t) < 2 * FORWARD_LIMIT);
-        let late: Vec<u64> = self.passed.iter().filter(|(_, t)| **t <= now).map(|(k, _)| *k).collect();
-        for token in late {
-            self.passed.remove(&token);
-            out.push(Effect::Answer { token, outcome: WriteOutcome::Unknown });
-        }
+        self.pass_again(now, &mut out);
         let need = self.regs.voters.len() / 2;
         let was = self.settled;
         self.settled = self.regs.voting && self.met.len() >= need && self.regs.all_committed();
@@ -639,39 +785,41 @@
             _ if self.going => GOING,
             (0, _) if !self.regs.voters.is_empty() => FOUNDING,
             (0, _) => BLANK,
-            (_, true) => VOTES,
+            (_, true) if self.disk_ok => VOTES,
             _ => BEHIND,
         };
-        let b = Beat { me: self.regs.me, disk: self.disk, blank, digest: self.regs.digest() };
-        let mut to: BTreeSet<Name> = self.mship.known(CONTROL).map(|n| n.addr.clone()).collect();
-        to.extend(self.regs.voters.iter().map(|v| self.regs.addr(v)));
-        to.extend(self.peers.values().map(|p| p.addr.clone()));
+        let zone = self.p.zone.clone();
+        let b = Beat { me: self.regs.me, disk: self.disk, zone, blank, digest: self.regs.digest() };
+        let fresh = || self.peers.iter().filter(|(_, p)| now.saturating_sub(p.at) <= NODE_GONE);
+        let votes = |n: &Name| self.regs.voters.iter().any(|v| v.name == *n);
+        let mut to: BTreeSet<Name> = self.regs.voters.iter().map(|v| self.regs.addr(v)).collect();
+        // Daemons that stand by have nothing to tell each other.
+        if self.regs.voting || self.regs.me == 0 {
+            to.extend(self.mship.live(CONTROL).map(|n| n.addr.clone()));
+            to.extend(fresh().map(|(_, p)| p.addr.clone()));
+        }
         // Until it knows the voters, only its seeds lead there.
         if self.regs.me == 0 {
             to.extend(self.p.seeds.iter().cloned());
         }
         to.remove(&self.p.addr);
         out.extend(to.iter().map(|a| send(a, b.clone())));
+        self.regs.followers = fresh().filter(|(n, _)| !votes(n)).map(|(_, p)| p.addr.clone()).collect();
     }
 
     /// What a daemon that does not vote yet does about it.
     fn meet(&mut self, now: Ms, out: &mut Effects) {
-        if self.regs.voting || now < self.next_join {
+        if self.regs.voting || now < self.next_meet {
             return;
         }
-        self.next_join = now + 2 * BEAT_EVERY;
-        let fresh: Vec<(&Name, &Peer)> = self.peers.iter().filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE).collect();
+        self.next_meet = now + BEAT_EVERY;
         if self.regs.voters.iter().any(|v| v.disk == self.disk) {
-            let others = self.regs.voters.iter().filter(|v| v.name != self.p.name);
-            out.extend(others.map(|v| send(&self.regs.addr(v), SlotsAsk { me: self.regs.me })));
-            return;
-        }
-        if let Some((_, p)) = fresh.iter().find(|(_, p)| p.beat.blank == VOTES) {
-            out.push(note(events::JOIN_ASKED, &p.addr, ""));
-            let voter = Voter { name: self.p.name.clone(), disk: self.disk, addr: self.p.addr.clone() };
-            out.push(send(&p.addr, Join { voter }));
+            let ask = SlotsAsk { me: self.regs.me, have: self.regs.have() };
+            let others = self.regs.voters.iter().filter(|v| v.name != self.p.name && !self.caught.contains(&v.name));
+            out.extend(others.map(|v| send(&self.regs.addr(v), ask.clone())));
             return;
         }
+        let fresh: Vec<(&Name, &Peer)> = self.peers.iter().filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE).collect();
         if let Some(voters) = self.founders(&fresh) {
             // Others store it when this daemon's next beats tell them. Should it crash before it is synced here, it
             // learns it from them, or writes the same again: it takes nothing but the same disks.
@@ -685,8 +833,15 @@
         if self.regs.me > 0 {
             return None;
         }
-        let me = Voter { name: self.p.name.clone(), disk: self.disk, addr: self.p.addr.clone() };
-        let voter = |(n, p): &(&Name, &Peer)| Voter { name: (*n).clone(), disk: p.beat.disk, addr: p.addr.clone() };
+        let (name, addr, zone) = (self.p.name.clone(), self.p.addr.clone(), self.p.zone.clone());
+        let me = Voter { name, disk: self.disk, addr, zone, since: 1 };
+        let voter = |(n, p): &(&Name, &Peer)| Voter {
+            name: (*n).clone(),
+            disk: p.beat.disk,
+            addr: p.addr.clone(),
+            zone: p.beat.zone.clone(),
+            since: 1,
+        };
         let (own, places, state): (&Name, Vec<&Name>, u8) = match self.p.members.is_empty() {
             false => (&self.p.name, self.p.members.iter().collect(), BLANK),
             true => (&self.p.addr, self.regs.voters.iter().map(|v| &v.addr).collect(), FOUNDING),
@@ -874,13 +1029,16 @@
         }
     }
     pub fn health(&self) -> HealthAnswer {
+        let named = self.regs.voters.iter().any(|v| v.disk == self.disk);
+        let stands_by = self.regs.me > 0 && !named;
         let detail = match (self.disk_ok, self.regs.voting, self.settled) {
             (false, ..) => "the disk does not take writes",
+            _ if stands_by => "stands by without a vote",
             (_, false, _) => "does not vote yet",
             (.., false) => "has not settled yet",
             _ => "serves",
         };
-        HealthAnswer { ok: self.settled && self.disk_ok, process: self.p.name.to_string(), detail: detail.into() }
+        HealthAnswer { ok: (self.settled || stands_by) && self.disk_ok, process: self.p.name.to_string(), detail: detail.into() }
     }
     /// Whether the platform has this replica, as far as this daemon or the records tell.
     pub fn knows_replica(&self, id: &str) -> bool {
@@ -903,12 +1061,3 @@
 pub fn evacuated(b: &Board, zone: &str) -> bool {
     b.read::<ZoneState>(&format!("{ZONE}{zone}")).is_some_and(|z| z.evacuated)
 }
-
-fn voters_to_bytes(v: &[Voter]) -> Blob {
-    let rows: Vec<(&str, u64, &str)> = v.iter().map(|v| (&*v.name, v.disk, &*v.addr)).collect();
-    Blob(serde_json::to_vec(&rows).unwrap_or_default())
-}
-fn voters_of(b: &Blob) -> Option<Vec<Voter>> {
-    let rows: Vec<(Name, u64, Name)> = serde_json::from_slice(&b.0).ok()?;
-    Some(rows.into_iter().map(|(name, disk, addr)| Voter { name, disk, addr }).collect())
-}
--- a/coordination/src/effect.rs
+++ b/coordination/src/effect.rs
@@ -12,9 +12,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Row {
     Slot(Slot),
-    /// Member epoch, voters, and whether this disk has caught up and votes.
+    /// Member epoch, voters, how many there were before, and whether this disk has caught up and votes.
     Members {
         me: u32,
+        before: u32,
         voters: Vec<Voter>,
         voting: bool,
     },
--- a/coordination/src/events.rs
+++ b/coordination/src/events.rs
@@ -38,7 +38,7 @@
     203 GENESIS Warn "All disks were blank; the first voters were written."
     204 MEMBERS Info "A new member epoch is followed."
     205 VOTING Info "This daemon has caught up from all other voters and votes."
-    206 JOIN_ASKED Info "A blank disk asks for its namesake's place."
+    206 PLACE_GIVEN Warn "Daemons without a vote are given places of voters; the new voters are named."
     210 OWNER Info "This daemon owns a key under a new epoch."
     211 DEPOSED Info "Another daemon owns the key under a higher epoch."
     212 PERMIT_LAPSED Warn "A duty's permit had run out when an order was to go; the order was dropped."
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod events;
 pub mod health;
 pub mod limits;
+pub mod members;
 pub mod membership;
 pub mod order;
 pub mod pass;
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -8,8 +8,22 @@
 pub const BEAT_EVERY: Ms = 200;
 /// ms. Silence after which a control daemon counts as gone; above five beats, so that one slow disk sync is no death.
 pub const PEER_GONE: Ms = 1_100;
-/// ms. Life of a permit: the brief's evacuation and canary bounds are 5 s, so a lapse leaves 2 s to act.
+/// ms. Life of a permit at most: the brief's evacuation and canary bounds are 5 s, so a lapse leaves 2 s to act.
 pub const PERMIT: Ms = 3_000;
+/// Permits in a contact bound: a duty whose holder died is taken over, one permit later, well within it.
+pub const PERMITS_IN_CONTACT: Ms = 2;
+/// Voters at least, where there are so many daemons: one of them may be lost.
+pub const VOTERS_LEAST: usize = 3;
+/// Voters where there are enough daemons, unless the losses to be borne ask for more: a zone and a disk may be lost.
+pub const VOTERS: usize = 5;
+/// ms. A daemon that stands by takes the place of a voter that was silent for so long; a restart takes less.
+pub const STEP_IN: Ms = 3_000;
+/// ms. After so long even a daemon in a place that has its share of voters does.
+pub const REPLACE_ANYWHERE: Ms = 10_000;
+/// ms. A newcomer among the voters reads the others' disks in this time; longer, and it is given up as one.
+pub const READING: Ms = 3_000;
+/// ms. A sync that takes longer is a disk that does not work: others take over what this daemon owns.
+pub const SYNC_LATE: Ms = 1_000;
 /// ms. Duty holders renew three times within a permit's life.
 pub const RENEW_EVERY: Ms = 700;
 /// ms. A holder stops this long before voters do, covering clock rates that differ by up to 5%.
--- /dev/null
+++ b/coordination/src/members.rs
@@ -0,0 +1,151 @@
+//! Who votes: the first voters, and whom the voters give a lost one's place, a new place, or a better one.
+
+use std::collections::BTreeMap;
+
+use wire_messages::{Blob, Name, Voter};
+
+use crate::{
+    Ms,
+    bounds::Bounds,
+    limits::{BEAT_EVERY, PEER_GONE, REPLACE_ANYWHERE, STEP_IN, VOTERS, VOTERS_LEAST},
+};
+
+/// A daemon that could vote: as a voter, and whether its disk was blank when it started.
+pub type Candidate = (Voter, bool);
+
+/// What a change of voters is decided from.
+pub struct Seats<'a> {
+    pub voters: &'a [Voter],
+    /// How long nothing was heard of a voter's disk.
+    pub silent: &'a dyn Fn(&Voter) -> Ms,
+    pub candidates: Vec<Candidate>,
+    pub regions: &'a BTreeMap<String, String>,
+    pub bounds: &'a Bounds,
+    /// All voters have been heard lately and vote.
+    pub calm: bool,
+}
+
+/// Places that a loss of the worst zone or region would take beyond what leaves a majority.
+fn excess(voters: &[Voter], regions: &BTreeMap<String, String>) -> usize {
+    let spare = voters.len() - (voters.len() / 2 + 1).min(voters.len());
+    let most = |group: &dyn Fn(&Voter) -> String| {
+        let mut n: BTreeMap<String, usize> = BTreeMap::new();
+        voters.iter().for_each(|v| *n.entry(group(v)).or_default() += 1);
+        n.values().map(|n| n.saturating_sub(spare)).sum::<usize>()
+    };
+    most(&|v| v.zone.to_string()) + most(&|v| region(v, regions))
+}
+
+fn region(v: &Voter, regions: &BTreeMap<String, String>) -> String {
+    regions.get(&*v.zone).cloned().unwrap_or_else(|| v.zone.to_string())
+}
+
+/// How crowded a place is: voters in its region, and in its zone.
+fn crowd(v: &Voter, voters: &[Voter], regions: &BTreeMap<String, String>) -> (usize, usize) {
+    let there = region(v, regions);
+    (voters.iter().filter(|o| region(o, regions) == there).count(), voters.iter().filter(|o| o.zone == v.zone).count())
+}
+
+/// The next voters, if the present ones are to change. A change keeps at least as many voters, so that a majority of
+/// the next that is made of former ones is a majority of the former.
+pub fn next(s: &Seats) -> Option<Vec<Voter>> {
+    let mut voters = s.voters.to_vec();
+    let mut free = s.candidates.clone();
+    // A lost disk's place goes to whoever has its name or address: the process with the old disk is no more.
+    for v in &mut voters {
+        let i = free.iter().position(|(c, _)| c.name == v.name || c.addr == v.addr);
+        if let Some(i) = i.filter(|_| (s.silent)(v) > 2 * BEAT_EVERY) {
+            *v = free.remove(i).0;
+        }
+    }
+    step_in(s, &mut voters, &mut free);
+    grow(s, &mut voters, &mut free);
+    if s.calm {
+        even_out(s, &mut voters, &mut free);
+    }
+    (voters != s.voters).then_some(voters)
+}
+
+/// Gives places of voters that are silent for long to others: an empty machine comes in a lost one's stead, while a
+/// daemon that stands by waits longer, as the voter may be restarting.
+fn step_in(s: &Seats, voters: &mut [Voter], free: &mut Vec<Candidate>) {
+    for i in 0..voters.len() {
+        let silent = (s.silent)(&voters[i]);
+        let ready = |c: &Candidate| silent > if c.1 { PEER_GONE } else { STEP_IN };
+        let with = |c: &Candidate| {
+            let mut next = voters.to_vec();
+            next[i] = c.0.clone();
+            next
+        };
+        // After long enough a worse spread is better than a place that nobody fills.
+        let most = if silent > REPLACE_ANYWHERE { usize::MAX } else { excess(voters, s.regions) };
+        let fits = (0..free.len()).filter(|n| ready(&free[*n]) && excess(&with(&free[*n]), s.regions) <= most);
+        let best = fits.min_by_key(|n| {
+            let (c, _) = &free[*n];
+            let (far, out) = (region(c, s.regions) != region(&voters[i], s.regions), c.zone != voters[i].zone);
+            (excess(&with(&free[*n]), s.regions), out, far, crowd(c, voters, s.regions), c.name.clone())
+        });
+        if let Some(n) = best {
+            voters[i] = free.remove(n).0;
+        }
+    }
+}
+
+/// Adds voters: two at a time, as an even number bears no more losses than one less; one at a time below what the
+/// losses to be borne need, where one more disk still keeps what a single loss would take.
+fn grow(s: &Seats, voters: &mut Vec<Voter>, free: &mut Vec<Candidate>) {
+    let least = VOTERS_LEAST.max(2 * s.bounds.lost_disks as usize + 1);
+    while voters.len() < least.max(VOTERS) && !free.is_empty() {
+        let mut next = voters.clone();
+        let mut left = free.clone();
+        let odd = voters.len() % 2 == 1;
+        let step = if odd && (voters.len() >= VOTERS_LEAST || left.len() >= 2) { 2 } else { 1 };
+        if left.len() < step {
+            return;
+        }
+        for _ in 0..step {
+            let best = (0..left.len()).min_by_key(|n| (crowd(&left[*n].0, &next, s.regions), left[*n].0.name.clone()));
+            next.extend(best.map(|n| left.remove(n).0));
+        }
+        if voters.len() >= least && excess(&next, s.regions) > excess(voters, s.regions) {
+            return;
+        }
+        (*voters, *free) = (next, left);
+    }
+}
+
+/// Swaps one voter for a daemon that stands by where that spreads the voters better.
+fn even_out(s: &Seats, voters: &mut [Voter], free: &mut Vec<Candidate>) {
+    let now = excess(voters, s.regions);
+    if now == 0 {
+        return;
+    }
+    let swaps = (0..voters.len()).flat_map(|i| (0..free.len()).map(move |n| (i, n)));
+    let after = |(i, n): &(usize, usize)| {
+        let mut next = voters.to_vec();
+        next[*i] = free[*n].0.clone();
+        excess(&next, s.regions)
+    };
+    let Some(best) = swaps.min_by_key(after).filter(|b| after(b) < now) else { return };
+    voters[best.0] = free.remove(best.1).0;
+}
+
+/// What stands under the members' key: how many voters there were before, and each voter.
+type Stored = (u32, Vec<(Name, u64, Name, Name, u32)>);
+
+pub fn to_bytes(before: u32, v: &[Voter]) -> Blob {
+    let rows = v.iter().map(|v| (v.name.clone(), v.disk, v.addr.clone(), v.zone.clone(), v.since)).collect();
+    let stored: Stored = (before, rows);
+    Blob(serde_json::to_vec(&stored).unwrap_or_default())
+}
+
+/// Reads what stands under the members' key; also as it was written before voters had zones.
+pub fn of_bytes(b: &[u8]) -> Option<(u32, Vec<Voter>)> {
+    if let Ok((before, rows)) = serde_json::from_slice::<Stored>(b) {
+        let voter = |(name, disk, addr, zone, since)| Voter { name, disk, addr, zone, since };
+        return Some((before, rows.into_iter().map(voter).collect()));
+    }
+    let rows: Vec<(Name, u64, Name)> = serde_json::from_slice(b).ok()?;
+    let voter = |(name, disk, addr)| Voter { name, disk, addr, ..Voter::default() };
+    Some((0, rows.into_iter().map(voter).collect()))
+}
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -4,7 +4,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use wire_messages::{Accept, Accepted, Blob, Change, Commit, Held, List, Name, Prepare, Promise, Renew, Renewed, Slot, Voter};
+use wire_messages::{
+    Accept, Accepted, Blob, Change, Commit, Held, List, Name, Prepare, Promise, Release, Renew, Renewed, Slot, Voter,
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -12,8 +14,8 @@
     board::{SpecReader, own_spec},
     effect::{note, send},
     events,
-    limits::{PERMIT, PERMIT_MARGIN, RENEW_EVERY, RESEND, WRITE_LIMIT, WRITES_WAITING},
-    order::agreed,
+    limits::{BEAT_EVERY, PERMIT_MARGIN, RENEW_EVERY, RESEND, WRITE_LIMIT, WRITES_WAITING},
+    order::weight,
 };
 
 /// Keys of duties begin with this; their owner runs the rollout of the service named behind it.
@@ -109,16 +111,23 @@
     name: Name,
     pub me: u32,
     pub voters: Vec<Voter>,
+    /// How many voters the member epoch before had; 0: not known.
+    pub before: u32,
     pub voting: bool,
+    /// Control daemons that do not vote: they are told what is committed.
+    pub followers: Vec<Name>,
+    /// ms. Life of a permit.
+    permit: Ms,
     addrs: BTreeMap<Name, Name>,
     slots: BTreeMap<Name, Slot>,
     own: BTreeMap<Name, Own>,
     limbo: Vec<Limbo>,
-    /// Who may keep a duty, as this voter let it: epoch, member epoch, until.
-    grants: BTreeMap<Name, (u64, u32, Ms)>,
+    /// Who may keep a duty, as this voter let it: the holder's address, its epoch, until.
+    grants: BTreeMap<Name, (Name, u64, Ms)>,
     abstain_until: Ms,
     highest: u64,
     next_renew: Ms,
+    next_look: Ms,
     /// Values newly known to be committed, for the feed.
     pub fresh: Vec<Change>,
     /// How the operator's document is read, and the release last read from it: its version and the release.
@@ -127,28 +136,35 @@
 }
 
 impl Registers {
-    pub fn new(name: Name, rows: Vec<Row>, now: Ms) -> Self {
+    /// `permit`: the life of one, in ms.
+    pub fn new(name: Name, rows: Vec<Row>, permit: Ms, now: Ms) -> Self {
         let mut r = Registers {
             name,
             me: 0,
             voters: Vec::new(),
+            before: 0,
             voting: false,
+            followers: Vec::new(),
+            permit,
             addrs: BTreeMap::new(),
             slots: BTreeMap::new(),
             own: BTreeMap::new(),
             limbo: Vec::new(),
             grants: BTreeMap::new(),
             // A voter that has just started has forgotten whom it let keep a duty; it waits those permits out.
-            abstain_until: now + PERMIT,
+            abstain_until: now + permit,
             highest: 0,
             next_renew: 0,
+            next_look: 0,
             fresh: Vec::new(),
             reader: own_spec,
             release: (0, 0),
         };
         for row in rows {
             match row {
-                Row::Members { me, voters, voting } => (r.me, r.voters, r.voting) = (me, voters, voting),
+                Row::Members { me, before, voters, voting } => {
+                    (r.me, r.before, r.voters, r.voting) = (me, before, voters, voting);
+                }
                 Row::Slot(s) if &*s.key == EPOCHS => r.highest = r.highest.max(s.promised),
                 Row::Slot(s) => {
                     r.highest = r.highest.max(s.promised);
@@ -162,6 +178,11 @@
         r
     }
 
+    /// Votes from now on. It does not know whom others let keep a duty before they told it what they have.
+    pub fn vote(&mut self, now: Ms) {
+        self.voting = true;
+        self.abstain_until = self.abstain_until.max(now + self.permit);
+    }
     /// No voter has let anybody keep a duty in any life.
     pub fn no_permits_before(&mut self) {
         self.abstain_until = 0;
@@ -180,15 +201,24 @@
         v.sort();
         v.iter().position(|n| **n == self.name).unwrap_or(255) as u64
     }
+    /// Above all known ones, and no other daemon's: under each member epoch a rank is one voter's alone.
     fn next_epoch(&mut self) -> u64 {
-        self.highest = (((self.highest >> 8) + 1) << 8) | self.rank();
+        self.highest = (((self.highest >> 24) + 1) << 24) | u64::from(self.me & 0xffff) << 8 | self.rank();
         self.highest
     }
     pub fn keys(&self) -> impl Iterator<Item = &Slot> {
         self.slots.values()
     }
-    pub fn slots(&self) -> List<Slot> {
-        self.slots.values().cloned().collect()
+    /// What is had of each key, without the values.
+    pub fn have(&self) -> List<Slot> {
+        let bare = |s: &Slot| Slot { key: s.key.clone(), value: Blob::default(), ..*s };
+        self.slots.values().map(bare).collect()
+    }
+    /// Slots in which this daemon differs from one that has `have`.
+    pub fn slots_beyond(&self, have: &[Slot]) -> List<Slot> {
+        let stamp = |s: &Slot| (s.promised, s.epoch, s.version, s.committed);
+        let had: BTreeMap<&str, _> = have.iter().map(|s| (&*s.key, stamp(s))).collect();
+        self.slots.values().filter(|s| had.get(&*s.key) != Some(&stamp(s))).cloned().collect()
     }
     /// Whether nothing here waits to be known as committed.
     pub fn all_committed(&self) -> bool {
@@ -217,7 +247,7 @@
     }
     fn permit_until(&self, o: &Own) -> Ms {
         // A majority of voters keeps others out at least until then.
-        self.confirmed(o).map_or(0, |t| t + PERMIT - PERMIT_MARGIN)
+        self.confirmed(o).map_or(0, |t| t + self.permit - PERMIT_MARGIN)
     }
     /// The release of the standing spec.
     fn release(&mut self, key: &Name, version: u64) -> u64 {
@@ -232,8 +262,12 @@
         self.release.1
     }
     /// The agreed first live voter for a key.
-    pub fn first(&self, key: &str, live: &dyn Fn(&str) -> bool) -> Option<Voter> {
-        agreed(key, self.voters.clone(), |v| &v.name).into_iter().find(|v| live(&v.name))
+    pub fn first(&self, key: &str, live: &dyn Fn(&str) -> bool) -> Option<&Voter> {
+        self.voters.iter().filter(|v| live(&v.name)).max_by_key(|v| weight(key, &v.name))
+    }
+    /// Whether a write to the key is under way or waits here.
+    pub fn busy(&self, key: &str) -> bool {
+        self.own.get(key).is_some_and(|o| o.write.is_some() || !o.waiting.is_empty())
     }
 
     fn slot(&mut self, key: &Name) -> &mut Slot {
@@ -255,7 +289,7 @@
         let wait = if !leased(&m.key) {
             0
         } else {
-            let granted = self.grants.get(&m.key).filter(|g| (g.0 & 255, g.1) != (m.epoch & 255, me)).map_or(0, |g| g.2);
+            let granted = self.grants.get(&m.key).filter(|g| g.0 != *to).map_or(0, |g| g.2);
             granted.max(self.abstain_until).saturating_sub(now)
         };
         let s = self.slot(&m.key);
@@ -336,13 +370,23 @@
                 continue;
             }
             if promised == h.epoch {
-                self.grants.insert(h.key.clone(), (h.epoch, self.me, now + PERMIT));
+                self.grants.insert(h.key.clone(), (to.clone(), h.epoch, now + self.permit));
                 keys.0.push(h);
             }
         }
         out.push(send(to, Renewed { keys, sent: m.sent, me: self.me }));
     }
 
+    /// A holder has given its duties up: nobody need wait its permits out.
+    pub fn on_release(&mut self, from: &Name, m: Release) {
+        for h in m.keys {
+            // A renewal of a later ownership stands.
+            if self.grants.get(&h.key).is_some_and(|g| g.0 == *from && g.1 <= h.epoch) {
+                self.grants.remove(&h.key);
+            }
+        }
+    }
+
     // ---- as an owner ----
 
     fn spread(&self, m: impl Into<wire_messages::Msg>, out: &mut Effects) {
@@ -380,6 +424,9 @@
         {
             self.limbo.push(Limbo { token, key: key.clone(), version: w.version, value: w.value, at: w.at });
         }
+        if let (Phase::Holding { .. }, true) = (&o.phase, leased(key)) {
+            self.spread(Release { keys: List(vec![Held { key: key.clone(), epoch: o.epoch }]) }, out);
+        }
         let no = WriteOutcome::NotAccepted(why);
         out.extend(o.waiting.into_iter().map(|a| Effect::Answer { token: a.token, outcome: no }));
     }
@@ -473,7 +520,8 @@
             return;
         }
         promises.insert(from.clone());
-        if (m.slot.epoch, m.slot.version) > (best.epoch, best.version) {
+        let rank = |s: &Slot| (s.epoch, s.version, s.committed);
+        if rank(&m.slot) > rank(best) {
             *best = m.slot;
         }
         if promises.len() < need {
@@ -482,7 +530,11 @@
         let best = best.clone();
         o.phase = Phase::Holding { version: best.version };
         out.push(note(events::OWNER, &self.name, format!("{key} epoch {} version {}", o.epoch, best.version)));
-        if best.version == 0 {
+        // What is known to be committed stands on a majority already; each later owner meets it there.
+        if best.committed == best.version {
+            if best.version > 0 {
+                self.on_commit(&change(&best), out);
+            }
             self.advance(&key, now, out);
             return;
         }
@@ -525,6 +577,7 @@
         for v in self.voters.iter().filter(|v| v.name != self.name) {
             out.push(send(&self.addr(v), Commit { change: c.clone() }));
         }
+        out.extend(self.followers.iter().map(|a| send(a, Commit { change: c.clone() })));
         self.advance(&m.key, now, out);
     }
 
@@ -548,21 +601,21 @@
         let mut places = places.to_vec();
         places.sort();
         places.dedup();
-        self.voters = places.into_iter().map(|addr| Voter { name: Name::default(), disk: 0, addr }).collect();
+        self.voters = places.into_iter().map(|addr| Voter { addr, ..Voter::default() }).collect();
     }
 
     /// Follows a member epoch. Everything owned is given up: its votes were counted over other voters.
-    pub fn follow(&mut self, me: u32, voters: Vec<Voter>, out: &mut Effects) {
+    pub fn follow(&mut self, me: u32, before: u32, voters: Vec<Voter>, out: &mut Effects) {
         if me <= self.me {
             return;
         }
         let keys: Vec<Name> = self.own.keys().cloned().collect();
         keys.iter().for_each(|k| self.give_up(k, "the voters changed", out));
-        (self.me, self.voters) = (me, voters);
+        (self.me, self.before, self.voters) = (me, before, voters);
         out.push(note(events::MEMBERS, &self.name, format!("epoch {me}")));
     }
     pub fn members_row(&self) -> Row {
-        Row::Members { me: self.me, voters: self.voters.clone(), voting: self.voting }
+        Row::Members { me: self.me, before: self.before, voters: self.voters.clone(), voting: self.voting }
     }
     /// Takes over another voter's slots: the newest accepted value and the highest promise of each key.
     pub fn catch_up(&mut self, slots: &[Slot]) -> Vec<Row> {
@@ -602,7 +655,15 @@
         if !self.voting {
             return;
         }
-        let keys: BTreeSet<Name> = self.slots.keys().chain(wanted).chain(self.own.keys()).cloned().collect();
+        // Whose a key is changes with the voters that live, which beats tell; what is owned here is seen to each time.
+        let look = now >= self.next_look;
+        let keys: BTreeSet<Name> = if look {
+            self.next_look = now + BEAT_EVERY / 2;
+            self.slots.keys().chain(wanted).chain(self.own.keys()).cloned().collect()
+        } else {
+            let at_work = |o: &Own| o.write.is_some() || !o.waiting.is_empty() || matches!(o.phase, Phase::Asking { .. });
+            self.own.iter().filter(|(k, o)| leased(k) || at_work(o)).map(|(k, _)| k.clone()).collect()
+        };
         let mut renew = List::default();
         for key in keys {
             let mine = self.first(&key, live).is_some_and(|v| v.name == self.name);
@@ -685,6 +746,7 @@
     use wire_messages::Msg;
 
     use super::*;
+    use crate::limits::PERMIT;
 
     const NODES: usize = 3;
 
@@ -718,8 +780,9 @@
 
     impl Bench {
         fn new(seed: u64) -> Self {
-            let voters: Vec<Voter> = (0..NODES).map(|i| Voter { name: name(i), disk: i as u64 + 1, addr: name(i) }).collect();
-            let row = Row::Members { me: 1, voters, voting: true };
+            let voters: Vec<Voter> =
+                (0..NODES).map(|i| Voter { name: name(i), disk: i as u64 + 1, addr: name(i), ..Voter::default() }).collect();
+            let row = Row::Members { me: 1, before: 0, voters, voting: true };
             let mut b = Bench {
                 now: 0,
                 rng: fastrand::Rng::with_seed(seed),
@@ -742,7 +805,7 @@
         fn start(&mut self, i: usize) {
             self.lives[i] += 1;
             let rows = self.disks[i].values().cloned().collect();
-            self.nodes[i] = Some(Registers::new(name(i), rows, self.now));
+            self.nodes[i] = Some(Registers::new(name(i), rows, PERMIT, self.now));
         }
         fn crash(&mut self, i: usize) {
             self.nodes[i] = None;
@@ -862,10 +925,11 @@
     /// not pass for its first, or a value that was accepted could lose against one that never was.
     #[gtest]
     fn an_owner_that_crashed_never_takes_the_same_epoch_again() {
-        let voters: Vec<Voter> = (0..NODES).map(|i| Voter { name: name(i), disk: i as u64 + 1, addr: name(i) }).collect();
-        let first = vec![Row::Members { me: 1, voters, voting: true }];
+        let voters: Vec<Voter> =
+            (0..NODES).map(|i| Voter { name: name(i), disk: i as u64 + 1, addr: name(i), ..Voter::default() }).collect();
+        let first = vec![Row::Members { me: 1, before: 0, voters, voting: true }];
         let mut disks = vec![first; NODES];
-        let mut n: Vec<Registers> = (0..NODES).map(|i| Registers::new(name(i), disks[i].clone(), 0)).collect();
+        let mut n: Vec<Registers> = (0..NODES).map(|i| Registers::new(name(i), disks[i].clone(), PERMIT, 0)).collect();
         let key: Name = "k".into();
         // One message to one node, and what it sends once that is synced.
         let give = |n: &mut Vec<Registers>, disks: &mut Vec<Vec<Row>>, to: usize, from: usize, msg: &Msg| {
@@ -896,7 +960,7 @@
             }
         };
         write(&mut n, &mut disks, 0, "never", [1, 2], &[1]);
-        n[0] = Registers::new(name(0), disks[0].clone(), 1);
+        n[0] = Registers::new(name(0), disks[0].clone(), PERMIT, 1);
         write(&mut n, &mut disks, 0, "accepted", [0, 2], &[0, 2]);
         expect_that!(n[0].slots[&key].committed, eq(1));
         // The third takes over with the second's vote, which comes first, and its own.
--- /dev/null
+++ b/coordination/tests/replacing.rs
@@ -0,0 +1,245 @@
+//! Lost disks, lost machines and new ones: who votes, how soon, and that nothing that was accepted goes.
+
+mod fleet;
+
+use std::collections::BTreeMap;
+
+use coordination::{Ms, WriteOutcome};
+use fleet::Fleet;
+use googletest::prelude::*;
+use wire_messages::Msg;
+
+/// ms. A daemon that came back with a lost disk counts as whole after so long (`Bounds::sync`).
+const SYNC: Ms = 4_000;
+
+fn three(seed: u64) -> Fleet {
+    let mut f = Fleet::founded(seed, 3, |i| format!("r{i}"));
+    f.until(4_000, |f| f.voting().len() == 3).unwrap();
+    f
+}
+
+/// Six daemons in as many zones of three regions.
+fn six(seed: u64) -> Fleet {
+    let mut f = Fleet::founded(seed, 6, |i| format!("r{}", i / 2));
+    f.until(10_000, |f| f.voting().len() == 5).unwrap();
+    f.run(1_000);
+    f
+}
+
+fn regions(n: usize, of: usize) -> BTreeMap<String, String> {
+    (0..n).map(|i| (format!("z{i}"), format!("r{}", i / of))).collect()
+}
+
+/// Whoever answers reads at least what was accepted.
+fn holds(f: &Fleet, key: &str, value: &[u8]) -> Vec<usize> {
+    (0..f.all.len()).filter(|i| f.held(*i, key).is_some_and(|h| h.1 == value)).collect()
+}
+
+#[gtest]
+fn a_lost_disk_votes_again_well_inside_its_time() {
+    for seed in 0..30 {
+        let mut f = three(seed);
+        expect_that!(f.put("spec", b"one", 5_000), some(anything()));
+        let i = seed as usize % 3;
+        f.wipe(i);
+        f.run(600);
+        f.start(i);
+        let took = f.until(SYNC, |f| f.voting().len() == 3);
+        expect_that!(took, some(le(2_500)), "seed {seed}");
+        expect_that!(holds(&f, "spec", b"one"), len(eq(3)), "seed {seed}");
+        // It votes for duties too before its time is over: with another gone a duty is taken.
+        f.put("rollout/s", b"duty", 5_000);
+        f.kill((i + 1) % 3);
+        let left = SYNC - took.unwrap_or(0);
+        let held = |f: &Fleet| (0..3).any(|j| f.brain(j).is_some_and(|b| b.regs.holds("rollout/s", f.now).is_some()));
+        expect_that!(f.until(left + 1_000, held), some(anything()), "seed {seed}");
+    }
+}
+
+/// A machine is gone for good, an empty one of another name comes at another address; then another machine goes.
+#[gtest]
+fn an_empty_machine_takes_a_lost_ones_place_and_bears_the_next_loss() {
+    for seed in 0..30 {
+        let mut f = three(seed);
+        expect_that!(f.put("spec", b"one", 5_000), some(anything()));
+        let gone = seed as usize % 3;
+        f.wipe(gone);
+        f.run(seed * 100);
+        let stand: Vec<usize> = (0..3).filter(|i| *i != gone).collect();
+        f.add(3, &stand, false, &regions(8, 1));
+        expect_that!(f.until(SYNC, |f| f.voting().contains(&3)), some(le(3_000)), "seed {seed}");
+        expect_that!(f.voters(3).contains(&format!("c{gone}")), eq(false));
+        f.run(SYNC);
+        let next = stand[seed as usize % 2];
+        f.wipe(next);
+        expect_that!(f.put("spec", b"two", 6_000), some(anything()), "seed {seed}");
+        expect_that!(holds(&f, "spec", b"two").len(), ge(1));
+        // All machines are replaced in the end.
+        for n in 4..6 {
+            f.add(n, &[3], false, &regions(8, 1));
+            f.run(SYNC);
+            let old = (0..3).find(|i| f.brain(*i).is_some());
+            old.into_iter().for_each(|o| f.wipe(o));
+            f.run(500);
+        }
+        expect_that!(f.put("spec", b"three", 6_000), some(anything()), "seed {seed}");
+    }
+}
+
+/// A daemon confirms and loses its disk in the same instant, while all others lose power.
+#[gtest]
+fn what_was_accepted_outlives_the_disk_that_confirmed_it() {
+    for seed in 0..40 {
+        let mut f = three(seed);
+        f.put("spec", b"one", 5_000);
+        let at = seed as usize % 3;
+        f.wipe_after_ack = Some(at);
+        let w = f.write(at, "spec", Some(1), b"two").unwrap();
+        f.until(5_000, |f| f.ends.contains_key(&w));
+        expect_that!(f.ends[&w].1, eq(WriteOutcome::Accepted(2)), "seed {seed}");
+        (0..3).filter(|i| *i != at).for_each(|i| f.kill(i));
+        f.run(500);
+        // The blank one is first up and knows nothing; it must not settle anything alone.
+        f.start(at);
+        f.run(300);
+        (0..3).filter(|i| *i != at).for_each(|i| f.start(i));
+        expect_that!(f.until(SYNC + 2_000, |f| f.voting().len() == 3), some(anything()), "seed {seed}");
+        f.run(1_000);
+        expect_that!(holds(&f, "spec", b"two"), len(eq(3)), "seed {seed}");
+        expect_that!(f.put("spec", b"three", 5_000), some(anything()), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn all_killed_at_once_take_writes_again_in_time() {
+    for seed in 0..30 {
+        for mut f in [three(seed), six(seed)] {
+            f.put("rollout/s", b"duty", 5_000);
+            f.put("spec", b"one", 5_000);
+            let n = f.all.len();
+            (0..n).for_each(|i| f.kill(i));
+            for i in 0..n {
+                f.run(1_000 / n as Ms);
+                f.start(i);
+            }
+            let took = f.put("spec", b"two", 12_000);
+            expect_that!(took, some(le(4_000)), "seed {seed}, {n} daemons");
+            let held = |f: &Fleet| (0..n).any(|j| f.brain(j).is_some_and(|b| b.regs.holds("rollout/s", f.now).is_some()));
+            expect_that!(f.until(5_000, held), some(anything()), "seed {seed}, {n} daemons");
+        }
+    }
+}
+
+#[gtest]
+fn six_daemons_have_five_voters_spread_over_the_regions_and_one_that_follows() {
+    for seed in 0..10 {
+        let mut f = six(seed);
+        let mut by: BTreeMap<usize, usize> = BTreeMap::new();
+        f.voting().iter().for_each(|i| *by.entry(i / 2).or_default() += 1);
+        expect_true!(by.values().all(|n| *n <= 2), "seed {seed}: {by:?}");
+        // The one that stands by learns what is accepted at once, and takes writes for the others.
+        let spare = (0..6).find(|i| !f.voting().contains(i)).unwrap();
+        let w = f.write(spare, "spec", None, b"one").unwrap();
+        f.until(2_000, |f| f.ends.contains_key(&w));
+        expect_that!(f.ends[&w].1, eq(WriteOutcome::Accepted(1)), "seed {seed}");
+        expect_that!(f.until(200, |f| holds(f, "spec", b"one").len() == 6), some(anything()), "seed {seed}");
+        expect_true!(f.brain(spare).is_some_and(|b| b.health().ok && b.regs.holds("spec", f.now).is_none()));
+        // Two lost for good at once, also a whole region: it steps in and the next loss is borne again.
+        let region = seed as usize % 3;
+        (2 * region..2 * region + 2).for_each(|i| f.wipe(i));
+        expect_that!(f.put("spec", b"two", 6_000), some(anything()), "seed {seed}");
+        f.run(2 * SYNC);
+        let next = f.voting()[0];
+        f.wipe(next);
+        expect_that!(f.put("spec", b"three", 6_000), some(anything()), "seed {seed}");
+    }
+}
+
+/// The duty of a daemon that dies is taken over well before the contact bound; one that goes hands it over at once.
+#[gtest]
+fn a_duty_moves_well_inside_the_contact_bound() {
+    for seed in 0..20 {
+        for goes in [false, true] {
+            let mut f = three(seed);
+            f.put("rollout/s", b"duty", 5_000);
+            let holder = |f: &Fleet| (0..3).find(|j| f.brain(*j).is_some_and(|b| b.regs.holds("rollout/s", f.now).is_some()));
+            f.until(5_000, |f| holder(f).is_some());
+            // The voters have waited out the permits of lives before this one.
+            f.run(4_000);
+            let old = holder(&f).unwrap();
+            if goes {
+                f.all[old].brain.as_mut().unwrap().going = true;
+            } else {
+                f.kill(old);
+            }
+            let took = f.until(5_000, |f| holder(f).is_some_and(|h| h != old));
+            expect_that!(took, some(le(if goes { 600 } else { 3_200 })), "seed {seed}, goes: {goes}");
+        }
+    }
+}
+
+/// A write whose owner dies with it ends well within the answer bound, and the same write again is no conflict.
+#[gtest]
+fn a_write_passed_on_to_an_owner_that_dies_finds_the_next_one() {
+    for seed in 0..30 {
+        let mut f = three(seed);
+        f.put("spec", b"one", 5_000);
+        let owner = (0..3).find(|i| f.brain(*i).is_some_and(|b| b.regs.holds("spec", f.now).is_some())).unwrap();
+        let at = (owner + 1) % 3;
+        f.run(seed * 10);
+        let w = f.write(at, "spec", Some(1), b"two").unwrap();
+        f.run(seed % 60);
+        f.kill(owner);
+        let took = f.until(5_000, |f| f.ends.contains_key(&w));
+        expect_that!(took, some(le(3_000)), "seed {seed}");
+        expect_that!(f.ends.get(&w).map(|e| e.1), some(any!(eq(WriteOutcome::Accepted(2)), eq(WriteOutcome::Unknown))));
+    }
+}
+
+/// A disk that hangs: others take over, nothing is confirmed there, and it takes part again when it works.
+#[gtest]
+fn a_hung_disk_confirms_nothing_and_holds_nobody_up() {
+    for seed in 0..20 {
+        let mut f = three(seed);
+        f.put("spec", b"one", 5_000);
+        let i = (0..3).find(|i| f.brain(*i).is_some_and(|b| b.regs.holds("spec", f.now).is_some())).unwrap();
+        f.all[i].hung = f.now + 8_000;
+        expect_that!(f.put("spec", b"two", 4_000), some(anything()), "seed {seed}");
+        f.run(8_000);
+        expect_that!(f.put("spec", b"three", 4_000), some(anything()), "seed {seed}");
+        f.run(1_000);
+        expect_that!(holds(&f, "spec", b"three"), len(eq(3)), "seed {seed}");
+    }
+}
+
+/// A change of voters goes wrong in the middle: its messages are lost for a while, and another voter dies.
+#[gtest]
+fn a_change_of_voters_that_is_cut_short_loses_nothing() {
+    for seed in 0..60 {
+        let mut f = three(seed);
+        f.put("spec", b"one", 5_000);
+        let gone = seed as usize % 3;
+        // The last write reaches only one of the others, besides the one that goes.
+        let kept = fleet::addr((gone + 1) % 3);
+        let lag = fleet::addr((gone + 2) % 3);
+        let l = lag.clone();
+        f.sieve = Box::new(move |_, to, m| *to != l || !matches!(m, Msg::Accept(_) | Msg::Commit(_) | Msg::Slots(_)));
+        let w = f.write((gone + 1) % 3, "spec", Some(1), b"two").unwrap();
+        f.until(3_000, |f| f.ends.contains_key(&w));
+        let accepted = f.ends.get(&w).is_some_and(|e| e.1 == WriteOutcome::Accepted(2));
+        f.wipe(gone);
+        f.sieve = Box::new(|_, _, _| true);
+        f.start(gone);
+        f.run(seed * 50);
+        let k = f.all.iter().position(|d| d.p.addr == kept).unwrap();
+        f.kill(k);
+        f.run(1_500);
+        f.start(k);
+        f.until(3 * SYNC, |f| f.voting().len() == 3);
+        f.run(1_000);
+        if accepted {
+            expect_that!(holds(&f, "spec", b"two"), len(eq(3)), "seed {seed}");
+        }
+        expect_that!(f.put("spec", b"three", 6_000), some(anything()), "seed {seed}");
+    }
+}
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -51,15 +51,15 @@
     Tally { service: Name, version: Name, lane: Name, warm: u8, group: u8, sent: u64, ok: u64, failed: u64, slow: u64, firsts: u64, first_log: u64, new_ended: u64, new_failed: u64, new_slow: u64 }
     /// Streams a proxy still has open on a replica's version.
     Open { replica: Name, version: Name, streams: u32 }
-    /// A voter: its lasting name, its disk and where it answers.
-    Voter { name: Name, disk: u64, addr: Name }
+    /// A voter: its name, its disk, where it answers and stands, and the member epoch since which it has its place.
+    Voter { name: Name, disk: u64, addr: Name, zone: Name, since: u32 }
     /// A key that a duty holder keeps, or a voter lets it keep.
     Held { key: Name, epoch: u64 }
 }
 
 messages! {
     /// Liveness between control daemons; also what each has committed, so that a missed commit is mended.
-    1u8 Beat { me: u32, disk: u64, blank: u8, digest: u64 }
+    1u8 Beat { me: u32, disk: u64, zone: Name, blank: u8, digest: u64 }
     2u8 Prepare { key: Name, epoch: u64, me: u32 }
     3u8 Promise { epoch: u64, me: u32, ok: u8, wait: u32, slot: Slot }
     4u8 Accept { key: Name, epoch: u64, version: u64, value: Blob, me: u32 }
@@ -70,15 +70,17 @@
     /// `mode`: what `expect` is compared with; 0 the version that stands, 1 nothing, 2 the release of the standing
     /// spec, 3 nothing and nothing is written: the newest version is asked for.
     9u8 Forward { token: u64, key: Name, expect: u64, mode: u8, value: Blob }
-    /// `code`: 0 accepted, 1 conflict, 2 not accepted, 3 unknown.
+    /// `code`: 0 accepted, 1 conflict, 2 not accepted, 3 unknown, 4 not accepted as the daemon is not the key's owner.
     10u8 Forwarded { token: u64, code: u8, version: u64, why: Name }
     /// The first voters, offered once while every disk is blank.
     11u8 Genesis { voters: List<Voter> }
-    /// A blank disk asks a voter to let it take its namesake's place.
-    13u8 Join { voter: Voter }
-    /// A starter or newcomer asks for all slots a voter has, once the voter follows member epoch `me`.
-    14u8 SlotsAsk { me: u32 }
-    15u8 Slots { me: u32, slots: List<Slot> }
+    /// A starter or newcomer asks for the slots in which a voter differs from what it has, without their values.
+    14u8 SlotsAsk { me: u32, have: List<Slot> }
+    /// `voting`: the sender votes under member epoch `me`, whose voters these are; `before`: how many there were
+    /// under the one before.
+    15u8 Slots { me: u32, voting: u8, before: u32, voters: List<Voter>, slots: List<Slot> }
+    /// A holder gives up its duties: voters need not wait its permits out.
+    16u8 Release { keys: List<Held> }
     /// An agent asks for news. `life`: of the proxy whose tallies it brings. `sent` comes back so that permits count from the asking.
     20u8 Poll { node: Node, life: u64, sent: u64, run: u64, after: u64, tallies: List<Tally>, opens: List<Open>, seen: List<Change> }
     /// `full`: a frame of all keys, not a piece of the feed.
