--- a/edge-proxy/src/answer.rs
+++ b/edge-proxy/src/answer.rs
@@ -46,8 +46,6 @@
     length: Length,
     events: Option<Events>,
     time: Pin<Box<Sleep>>,
-    /// What remains to be passed on behind the answer's last whole event.
-    rest: Option<Bytes>,
     over: bool,
     _open: Open,
 }
@@ -64,7 +62,7 @@
 }
 
 /// The answer as the downstream gets it.
-pub fn pass_on(passage: Passage, b: Begun, open: Open, close: bool) -> HttpResponse {
+pub fn pass_on(mut passage: Passage, b: Begun, open: Open, close: bool) -> HttpResponse {
     let Begun { flight, channel, head, body } = b;
     let status = actix_web::http::StatusCode::from_u16(head.status.as_u16()).unwrap_or_default();
     let mut r = HttpResponse::build(status);
@@ -79,6 +77,11 @@
     }
     let length = length(&head.headers, &body);
     let resumes = passage.lane.kind == PathKind::StreamResumable && head.status == StatusCode::OK && is_stream(&head.headers);
+    let events = (resumes && length == Length::Chunks).then(Events::default);
+    if events.is_none() {
+        // Nothing can follow this round: what it was sent need not be kept while it streams.
+        passage.upload = None;
+    }
     let left = passage.until.saturating_sub(clock::now()) + LATE_SLACK;
     let mut f = Flow {
         passage,
@@ -87,16 +90,16 @@
         body,
         status: head.status,
         length,
-        events: (resumes && length == Length::Chunks).then(Events::default),
+        events,
         time: Box::pin(tokio::time::sleep(Duration::from_millis(left))),
-        rest: None,
         over: false,
         _open: open,
     };
     if length == Length::Bytes(0) {
-        // Nothing of it would ever be asked for.
+        // Nothing of it would ever be asked for. An answer to HEAD tells a length and has no body.
         f.whole();
-        return r.body(SizedStream::new(0, futures_util::stream::empty::<Piece>()));
+        let told = head.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+        return r.body(SizedStream::new(told.unwrap_or(0), futures_util::stream::empty::<Piece>()));
     }
     match length {
         Length::Bytes(n) => r.body(SizedStream::new(n, f.pieces())),
@@ -110,9 +113,6 @@
     }
 
     async fn next(&mut self) -> Option<Piece> {
-        if let Some(b) = self.rest.take() {
-            return Some(Ok(b));
-        }
         while !self.over {
             let got = tokio::select! {
                 biased;
--- a/edge-proxy/src/front.rs
+++ b/edge-proxy/src/front.rs
@@ -167,6 +167,7 @@
         upload: Some(upload),
         tried: vec![],
         rounds: 0,
+        drawn: false,
         unreached: 0,
         perhaps: false,
         service: String::new(),
--- a/edge-proxy/src/pass.rs
+++ b/edge-proxy/src/pass.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     dialect::Dialect,
-    pool::{Channel, Pool, Unsent},
+    pool::{Channel, Pool, Unopened, Unsent},
     shared::{Flight, Shared, hold},
     upload::Upload,
 };
@@ -58,6 +58,8 @@
     pub tried: Vec<String>,
     /// Rounds that a byte of may have left.
     pub rounds: u32,
+    /// The next round has been drawn on the budget.
+    pub drawn: bool,
     pub unreached: u32,
     /// A round may have run.
     pub perhaps: bool,
@@ -81,7 +83,7 @@
     /// Sends it to replicas until the answer of one begins, or it ends without.
     pub async fn begin(&mut self) -> Result<Begun, Ending> {
         loop {
-            if self.rounds > 0 {
+            if self.rounds > 0 && !self.drawn {
                 self.draw()?;
             }
             match self.round().await {
@@ -102,6 +104,7 @@
             return Err(self.give_up("the budget for further rounds is spent"));
         }
         event(events::SECOND_ROUND, "caller", &self.ask.round);
+        self.drawn = true;
         Ok(())
     }
 
@@ -122,12 +125,13 @@
                 Some(c) => c,
                 None => match self.open(&flight).await {
                     Ok(c) => c,
-                    Err(why) => return self.unreached(flight, &why),
+                    Err(why) => return self.unreached(flight, why),
                 },
             };
             let now = clock::now();
             // The process slept since: what the place was chosen by may have lapsed.
             if flight.placed.stale(now) {
+                self.pool.rest(channel, now);
                 flight.end(PassEnd::Dropped);
                 return Round::Again;
             }
@@ -141,11 +145,11 @@
                 // The channel had ended unnoticed: the same replica by another one, as if nothing had been.
                 self.upload = Some(q.into_body());
                 if first {
-                    return self.unreached(flight, "the channel ended at once");
+                    return self.unreached(flight, Unopened::Lost("the channel ended at once".into()));
                 }
                 continue;
             }
-            self.rounds += 1;
+            (self.rounds, self.drawn) = (self.rounds + 1, false);
             return match sent {
                 Ok(Ok(a)) => self.heard(flight, channel, a),
                 Ok(Err(Unsent::Perhaps(why))) => self.lost(flight, &why),
@@ -154,7 +158,7 @@
         }
     }
 
-    async fn open(&self, f: &Flight) -> Result<Channel, String> {
+    async fn open(&self, f: &Flight) -> Result<Channel, Unopened> {
         let p = &f.placed;
         let most = hold(&self.brain).channels(&p.service);
         let left = self.until.saturating_sub(clock::now());
@@ -175,9 +179,15 @@
     }
 
     /// Nothing was sent: another replica may have it, and no budget is drawn on.
-    fn unreached(&mut self, mut f: Flight, why: &str) -> Round {
-        event(events::ROUND_FAILED, &f.placed.replica, why);
-        f.end(PassEnd::Unreachable);
+    fn unreached(&mut self, mut f: Flight, why: Unopened) -> Round {
+        match why {
+            // That is our own bound: the replica is none the worse for it.
+            Unopened::Full => f.end(PassEnd::Full),
+            Unopened::Lost(why) => {
+                event(events::ROUND_FAILED, &f.placed.replica, &why);
+                f.end(PassEnd::Unreachable);
+            }
+        }
         self.tried.push(f.placed.replica.clone());
         self.unreached += 1;
         if self.unreached > UNREACHED_MOST {
--- a/edge-proxy/src/pool.rs
+++ b/edge-proxy/src/pool.rs
@@ -32,6 +32,13 @@
     Perhaps(String),
 }
 
+/// Why no channel was opened.
+pub enum Unopened {
+    /// As many as this proxy may hold are open.
+    Full,
+    Lost(String),
+}
+
 /// One connection to a replica.
 pub struct Channel {
     send: SendRequest<Upload>,
@@ -89,6 +96,12 @@
     }
     /// Heeds what the replica says of how long an idle channel stays.
     pub fn heed(&mut self, h: &http::HeaderMap) {
+        let closes =
+            |v: &http::HeaderValue| v.to_str().is_ok_and(|v| v.split(',').any(|x| x.trim().eq_ignore_ascii_case("close")));
+        if h.get_all(http::header::CONNECTION).iter().any(closes) {
+            self.keep = 0;
+            return;
+        }
         let told = h.get("keep-alive").and_then(|v| v.to_str().ok());
         let told =
             told.and_then(|v| v.split([',', ';']).find_map(|x| x.trim().strip_prefix("timeout=")?.trim().parse::<u64>().ok()));
@@ -131,7 +144,7 @@
     }
 
     /// Opens a channel, unless `most` are open already.
-    pub async fn open(&self, addr: &str, most: usize, left: Ms) -> Result<(Channel, Ms), String> {
+    pub async fn open(&self, addr: &str, most: usize, left: Ms) -> Result<(Channel, Ms), Unopened> {
         let peer = self.peer(addr);
         if peer.open.get() >= most {
             // Those that rest too long for this request make room.
@@ -140,11 +153,12 @@
                 (!idle.is_empty()).then(|| idle.remove(0))
             };
             if oldest.is_none() {
-                return Err(format!("{most} channels are open"));
+                return Err(Unopened::Full);
             }
         }
-        let to: SocketAddr = addr.parse().map_err(|_| format!("{addr} is no address"))?;
-        let s = TcpSocket::new_v4().map_err(|e| e.to_string())?;
+        let lost = |e: &dyn std::fmt::Display| Unopened::Lost(format!("opening a channel to {addr}: {e}"));
+        let to: SocketAddr = addr.parse().map_err(|e| lost(&e))?;
+        let s = TcpSocket::new_v4().map_err(|e| lost(&e))?;
         let _ = s.set_nodelay(true);
         let raw = SockRef::from(&s);
         let _ = raw.set_tcp_user_timeout(Some(SENT_LIMIT));
@@ -154,13 +168,13 @@
         let counted = Counted::new(peer.clone());
         let s = match timeout(Duration::from_millis(limit), s.connect(to)).await {
             Ok(Ok(s)) => s,
-            Ok(Err(e)) => return Err(e.to_string()),
-            Err(_) => return Err(format!("no connection after {limit} ms")),
+            Ok(Err(e)) => return Err(lost(&e)),
+            Err(_) => return Err(lost(&format!("nothing after {limit} ms"))),
         };
         let took = clock::now().saturating_sub(at);
         peer.took.set((peer.took.get() * (100 - OPEN_WEIGHT) + took * OPEN_WEIGHT) / 100);
         let made = Builder::new().max_buf_size(CHANNEL_BYTES).handshake(TokioIo::new(s)).await;
-        let (send, io) = made.map_err(|e| e.to_string())?;
+        let (send, io) = made.map_err(|e| lost(&e))?;
         let io = actix_rt::spawn(async move {
             // What goes wrong shows at the request that it goes wrong for.
             let _ = io.await;
@@ -173,6 +187,7 @@
         if c.send.is_closed() || c.keep == 0 {
             return;
         }
+        // One that has carried nothing yet may wait just as long.
         c.rested = now;
         let peer = c.counted.0.clone();
         peer.idle.borrow_mut().push(c);
--- a/edge-proxy/tests/pass.rs
+++ b/edge-proxy/tests/pass.rs
@@ -119,6 +119,14 @@
             expect_that!((a.status, a.body.as_str(), a.whole), eq((200, "", true)));
         }
         expect_that!((e.open(), e.tallies(), r.got(1).connection), eq((0, (2, 2, 0), 0)));
+        let r = Replica::start(|_, g| vec![say(answer(g, "200 OK", "Content-Length: 7\r\n", ""))]).await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        let mut d = Downstream::to(e.addr).await;
+        for _ in 0..2 {
+            d.send("HEAD /p/x HTTP/1.1\r\nHost: h\r\nRound: a\r\n\r\n").await;
+            expect_that!(d.head().await.to_lowercase(), contains_substring("content-length: 7\r\n"));
+        }
+        expect_that!((e.open(), r.got(1).connection), eq((0, 0)));
     });
 }
 
@@ -347,6 +355,32 @@
     });
 }
 
+#[gtest]
+fn no_more_channels_are_opened_than_a_replica_lets_this_edge_have() {
+    run(async {
+        let go = Arc::new(Notify::new());
+        let n = go.clone();
+        let r = Replica::start(move |_, g| vec![Act::Wait(n.clone()), say(whole(g, "x"))]).await;
+        let e = Edge::start(Lane { channels: 3, ..Lane::of("once", 1) }, &[r.addr]).await;
+        let mut open = vec![];
+        for i in 0..2 {
+            let mut d = Downstream::to(e.addr).await;
+            d.send(request(&format!("a{i}"), "q")).await;
+            open.push(d);
+        }
+        e.until(|_| r.count() == 2).await;
+        let a = ask(&e, request("b", "q")).await;
+        expect_that!((a.status, r.count()), eq((503, 2)));
+        for mut d in open {
+            go.notify_one();
+            expect_that!(d.answer().await.status, eq(200));
+        }
+        // None is held against the replica: it takes the next at once.
+        go.notify_one();
+        expect_that!((ask(&e, request("c", "q")).await.status, e.tallies().2), eq((200, 0)));
+    });
+}
+
 // ---- time ----
 
 #[gtest]
--- a/edge-proxy/tests/support/mod.rs
+++ b/edge-proxy/tests/support/mod.rs
@@ -245,10 +245,12 @@
     pub kind: &'static str,
     pub rounds: u32,
     pub time_limit: Ms,
+    /// Channels that a replica accepts; 0: not told.
+    pub channels: u32,
 }
 impl Lane {
     pub fn of(kind: &'static str, rounds: u32) -> Self {
-        Lane { kind, rounds, time_limit: 15_000 }
+        Lane { kind, rounds, time_limit: 15_000, channels: 0 }
     }
 }
 
@@ -285,7 +287,7 @@
             "groups": [{"role": "stable", "version": "v1", "share_percent": 100, "replicas": ids, "allow_unload": false}]});
         let spec = json!({"zones": [{"name": "z"}], "tiers": [], "canary_percent": 10, "bake_ms": 1, "release": 1,
             "services": [{"name": "s", "version": "v1", "mode": "placed", "lanes": [], "zones": [],
-                "engine": {"slots": 8}}],
+                "engine": {"slots": 8, "channels": lane.channels}}],
             "paths": [{"lane": "l", "host": "h", "prefix": "/p/", "kind": lane.kind, "time_limit_ms": lane.time_limit,
                 "expected_ms": 1_000, "rounds": lane.rounds, "split": [{"service": "s", "weight": 1}]}]});
         let m = Board {
@@ -367,6 +369,10 @@
         };
         tokio::time::timeout(HANG, read).await.expect("it came");
     }
+    pub async fn head(&mut self) -> String {
+        let head = tokio::time::timeout(HANG, read_head(&mut self.s, &mut self.b)).await;
+        head.expect("the head did not hang").expect("an answer's head")
+    }
     pub async fn answer(&mut self) -> Answer {
         let read = async {
             let head = read_head(&mut self.s, &mut self.b).await.expect("an answer's head");
