--- a/control-daemon/src/lib.rs
+++ b/control-daemon/src/lib.rs
@@ -34,10 +34,10 @@
         http: p.http.as_str().into(),
         members: names(&p.members),
         seeds: names(&p.seeds),
-        founding: p.founding,
-        bounds: p.bounds.clone(),
         regions: p.regions.clone(),
         reader: face.reader,
+        founding: p.founding,
+        bounds: p.bounds.clone(),
     };
     let disk = disk::Disk::start(p.data.clone().unwrap_or_default(), p.data_limit);
     let brain = actor::ControlActor::new(cp, p.platform.clone(), face.replicas, disk).start();
--- a/coordination/examples/embed.rs
+++ b/coordination/examples/embed.rs
@@ -50,10 +50,10 @@
         http: "".into(),
         members: vec!["one".into()],
         seeds: vec![],
-        founding: false,
-        bounds: Default::default(),
         regions: Default::default(),
         reader: coordination::board::own_spec,
+        founding: false,
+        bounds: Default::default(),
     };
     let (mut disk, mut inbox) = (Disk::default(), VecDeque::new());
     let mut brain = Control::new(p.clone(), 7, vec![], 1, 0);
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -63,13 +63,13 @@
 
     // ---- what is known ----
 
-    pub fn set_edges(&mut self, names: Vec<String>, now: Ms) {
+    pub fn set_edges(&mut self, names: Vec<String>, me: &str, now: Ms) {
         let n = names.len().max(1);
         // A smaller count would give each a larger part while those that were counted may still draw theirs.
         if n >= self.most.0 || now.saturating_sub(self.most.1) > EDGES_FALL {
             self.most = (n, now);
         }
-        self.edges = names;
+        (self.edges, self.me) = (names, me.into());
     }
     pub fn edges(&self) -> usize {
         self.most.0.max(1)
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -210,8 +210,10 @@
 
     pub fn on_board(&mut self, m: BoardMsg, now: Ms) {
         (self.rule, self.until, self.nodes) = (m.rule, m.until, m.nodes.0);
-        let edges = self.nodes.iter().filter(|n| !n.http.is_empty()).map(|n| n.name.to_string()).collect();
-        self.placement.set_edges(edges, now);
+        let edges = self.nodes.iter().filter(|n| !n.http.is_empty());
+        // An edge goes by its agent's name: a proxy knows its own by where it answers callers.
+        let me = edges.clone().find(|n| n.http == self.http).map_or(&self.name, |n| &n.name);
+        self.placement.set_edges(edges.map(|n| n.name.to_string()).collect(), me, now);
         self.whole |= m.full != 0;
         let mut new = false;
         for c in &m.changes.0 {
@@ -293,6 +295,8 @@
     /// Replicas to ask for their reports: id and address.
     pub fn replicas(&self) -> Vec<(String, String)> {
         let all = self.records.values().flat_map(|r| &r.2.replicas);
+        // What the record tells of a replica needs no asking.
+        let all = all.filter(|p| p.slots == 0);
         all.map(|p| (p.id.clone(), p.addr.clone())).collect()
     }
 
--- a/coordination/tests/fleet/mod.rs
+++ b/coordination/tests/fleet/mod.rs
@@ -107,8 +107,8 @@
             seeds: seeds.iter().map(|s| addr(*s)).collect(),
             founding,
             regions: regions.clone(),
-            bounds: Default::default(),
             reader: coordination::board::own_spec,
+            bounds: Default::default(),
         };
         let disk_id = self.rng.u64(1..1 << 60);
         let d = Daemon {
