--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -18,10 +18,12 @@
 use crate::{
     Effect, Effects, Ms, Row, WriteOutcome,
     board::{Board, SpecReader},
+    bounds::Bounds,
     effect::{note, send},
     events,
     limits::{
         ADDRESSES, BEAT_EVERY, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LOOP_EVERY, LOOP_RESTS, PEER_GONE, PERMIT,
+        WRITE_LIMIT,
     },
     membership::{CONTROL, EDGE, Membership},
     order::agreed,
@@ -40,11 +42,13 @@
 /// Key of the kill switch.
 pub const KILL: &str = "kill-switch";
 
-/// How a beat's sender stands: it votes, has a blank disk, has not caught up, or is going.
+/// How a beat's sender stands: it votes, has a blank disk, has not caught up, is going, or has a blank disk and
+/// takes part in the founding.
 const VOTES: u8 = 0;
 const BLANK: u8 = 1;
 const BEHIND: u8 = 2;
 const GOING: u8 = 3;
+const FOUNDING: u8 = 4;
 
 /// Tokens of writes that nobody waits for.
 const NOBODY: u64 = 0;
@@ -61,13 +65,17 @@
     pub zone: Name,
     pub addr: Name,
     pub http: Name,
-    /// Lasting names of all control daemons; the first voters must all be these.
+    /// Lasting names of all control daemons; the first voters must all be these. With none named the daemons at
+    /// the seeds found the system, if they are told to.
     pub members: Vec<Name>,
     pub seeds: Vec<Name>,
     /// Region of each zone; a zone that is not named is its own region.
     pub regions: BTreeMap<String, String>,
     /// How the operator's document is read.
     pub reader: SpecReader,
+    /// The whole system starts for the first time, with empty disks.
+    pub founding: bool,
+    pub bounds: Bounds,
 }
 
 #[derive(Clone, Debug)]
@@ -77,6 +85,17 @@
     addr: Name,
 }
 
+/// A write, or a reading where nothing is expected, that was asked for here.
+#[derive(Clone, Debug)]
+struct Asked {
+    /// The token that the asker knows.
+    told: u64,
+    key: Name,
+    expect: Option<Expect>,
+    value: Blob,
+    until: Ms,
+}
+
 /// What an agent last said.
 #[derive(Clone, Debug)]
 struct Agent {
@@ -92,6 +111,8 @@
 pub struct Control {
     p: ControlParams,
     disk: u64,
+    /// The mark of the founding is not on disk yet.
+    unkept: bool,
     pub regs: Registers,
     pub mship: Membership,
     board: Board,
@@ -105,8 +126,11 @@
     feed: BTreeMap<Name, u64>,
     peers: BTreeMap<Name, Peer>,
     agents: BTreeMap<Name, Agent>,
-    /// Writes passed on: until when an answer is awaited.
-    passed: BTreeMap<u64, Ms>,
+    /// Writes and readings asked for here, by their newest token, and those that are to be asked for again.
+    asked: BTreeMap<u64, Asked>,
+    again: Vec<Asked>,
+    /// Of them those passed on: until when an answer is awaited, and from whom.
+    passed: BTreeMap<u64, (Ms, Name)>,
     /// Writes taken for another daemon: where the answer goes, under which token.
     foreign: BTreeMap<u64, (Name, u64)>,
     /// Writes that others passed on, and when: one that comes twice is taken once.
@@ -148,9 +172,15 @@
         let mship = Membership::new(me, p.seeds.clone(), born);
         let mut regs = Registers::new(p.name.clone(), rows, now);
         regs.reader = p.reader;
+        // Kept on disk: a founder that is started again is no longer told that it founds, nor with whom.
+        let marked = regs.me == 0 && regs.voters.is_empty() && p.founding && p.members.is_empty();
+        if marked {
+            regs.found_with(&p.seeds);
+        }
         let mut c = Control {
             p,
             disk,
+            unkept: marked,
             regs,
             mship,
             board: Board::default(),
@@ -162,6 +192,8 @@
             feed: BTreeMap::new(),
             peers: BTreeMap::new(),
             agents: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            again: Vec::new(),
             passed: BTreeMap::new(),
             foreign: BTreeMap::new(),
             taken: BTreeMap::new(),
@@ -226,20 +258,45 @@
 
     /// Writes a key; an `Answer` with the returned token follows. `expect`: only if this version stands.
     pub fn write(&mut self, key: &str, expect: impl Into<Expect>, value: Vec<u8>, now: Ms) -> (u64, Effects) {
-        let mut out = Vec::new();
-        self.token += 1;
-        let t = self.token;
-        self.offer(t, &key.into(), Some(expect.into()), Blob(value), now, &mut out);
-        (t, self.finish(now, out))
+        self.begin_ask(key.into(), Some(expect.into()), Blob(value), now)
     }
     /// Asks for the newest version of a key that any majority has taken; an `Answer` with the returned token tells it,
     /// and this daemon's board has that version or soon will.
     pub fn newest(&mut self, key: &str, now: Ms) -> (u64, Effects) {
+        self.begin_ask(key.into(), None, Blob::default(), now)
+    }
+
+    fn begin_ask(&mut self, key: Name, expect: Option<Expect>, value: Blob, now: Ms) -> (u64, Effects) {
         let mut out = Vec::new();
+        let told = self.token + 1;
+        self.ask(Asked { told, key, expect, value, until: now + WRITE_LIMIT }, now, &mut out);
+        (told, self.finish(now, out))
+    }
+
+    /// Each time under a new token: a late copy of an earlier time must not pass for this one.
+    fn ask(&mut self, a: Asked, now: Ms, out: &mut Effects) {
         self.token += 1;
         let t = self.token;
-        self.offer(t, &key.into(), None, Blob::default(), now, &mut out);
-        (t, self.finish(now, out))
+        self.offer(t, &a.key, a.expect, a.value.clone(), now, out);
+        self.asked.insert(t, a);
+    }
+
+    /// Takes what was not accepted to the key's owner again, and what may come twice to a new owner.
+    fn ask_again(&mut self, now: Ms, out: &mut Effects) {
+        let live = self.live(now);
+        let moved = |t: &u64, a: &Asked| {
+            let twice = matches!(a.expect, None | Some(Expect::Release(_)));
+            let (Some((_, to)), true) = (self.passed.get(t), twice && now < a.until) else { return false };
+            self.regs.first(&a.key, &live).is_some_and(|v| v.name != *to)
+        };
+        let moved: Vec<u64> = self.asked.iter().filter(|(t, a)| moved(t, a)).map(|(t, _)| *t).collect();
+        for t in moved {
+            self.passed.remove(&t);
+            self.again.extend(self.asked.remove(&t));
+        }
+        for a in std::mem::take(&mut self.again) {
+            self.ask(a, now, out);
+        }
     }
 
     /// Takes a write, or a reading where nothing is expected, to the key's owner.
@@ -255,7 +312,7 @@
                 None => self.regs.read(token, key, now, out),
             };
         }
-        self.passed.insert(token, now + FORWARD_LIMIT);
+        self.passed.insert(token, (now + FORWARD_LIMIT, v.name.clone()));
         let (mode, expect) = match expect {
             Some(Expect::Version(v)) => (BY_VERSION, v),
             Some(Expect::Any) => (BY_NOTHING, 0),
@@ -291,13 +348,19 @@
     }
 
     /// Routes answers of this daemon's own registers to whoever asked.
-    fn route(&mut self, token: u64, outcome: WriteOutcome) -> Option<Effect> {
+    fn route(&mut self, token: u64, outcome: WriteOutcome, now: Ms) -> Option<Effect> {
         self.writing.remove(&token);
         if token == NOBODY {
             return None;
         }
         let Some((to, theirs)) = self.foreign.remove(&token) else {
-            return Some(Effect::Answer { token, outcome });
+            let Some(a) = self.asked.remove(&token) else { return Some(Effect::Answer { token, outcome }) };
+            // Owners change hands in moments; the operator need not ask anew for that.
+            if matches!(outcome, WriteOutcome::NotAccepted(_)) && now < a.until {
+                self.again.push(a);
+                return None;
+            }
+            return Some(Effect::Answer { token: a.told, outcome });
         };
         let (code, version, why) = match outcome {
             WriteOutcome::Accepted(v) => (0, v, ""),
@@ -355,11 +418,12 @@
         if m.blank == VOTES && m.me == self.regs.me && !behind {
             self.met.insert(from.clone());
         }
-        if behind && m.blank != BLANK {
+        let blank = m.blank == BLANK || m.blank == FOUNDING;
+        if behind && !blank {
             out.push(send(addr, SlotsAsk { me: self.regs.me }));
         }
         // The first voters are offered again to a member that was named among them but has not stored it.
-        if m.blank == BLANK && self.regs.me == 1 && self.regs.voters.iter().any(|v| v.disk == m.disk) {
+        if blank && self.regs.me == 1 && self.regs.voters.iter().any(|v| v.disk == m.disk) {
             out.push(send(addr, Genesis { voters: List(self.regs.voters.clone()) }));
         }
         self.peers.insert(from.clone(), Peer { at: now, beat: m, addr: addr.clone() });
@@ -525,7 +589,7 @@
         self.follow_members(&mut out);
         self.publish(now, &mut out);
         let routed = out.into_iter().filter_map(|e| match e {
-            Effect::Answer { token, outcome } => self.route(token, outcome),
+            Effect::Answer { token, outcome } => self.route(token, outcome, now),
             e => Some(e),
         });
         routed.collect()
@@ -567,6 +631,9 @@
         for n in self.mship.known(CONTROL) {
             self.regs.set_addr(&n.name, &n.addr);
         }
+        if std::mem::take(&mut self.unkept) {
+            out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
+        }
         self.beat(now, &mut out);
         self.meet(now, &mut out);
         let wanted: Vec<Name> = match &self.spec {
@@ -577,7 +644,8 @@
         self.regs.tick(now, &live, &wanted, &mut out);
         self.watch_loops(now, &live, &mut out);
         self.taken.retain(|_, t| now.saturating_sub(*t) < 2 * FORWARD_LIMIT);
-        let late: Vec<u64> = self.passed.iter().filter(|(_, t)| **t <= now).map(|(k, _)| *k).collect();
+        self.ask_again(now, &mut out);
+        let late: Vec<u64> = self.passed.iter().filter(|(_, p)| p.0 <= now).map(|(k, _)| *k).collect();
         for token in late {
             self.passed.remove(&token);
             out.push(Effect::Answer { token, outcome: WriteOutcome::Unknown });
@@ -618,6 +686,7 @@
         self.next_beat = now + BEAT_EVERY;
         let blank = match (self.regs.me, self.regs.voting) {
             _ if self.going => GOING,
+            (0, _) if !self.regs.voters.is_empty() => FOUNDING,
             (0, _) => BLANK,
             (_, true) => VOTES,
             _ => BEHIND,
@@ -626,6 +695,10 @@
         let mut to: BTreeSet<Name> = self.mship.known(CONTROL).map(|n| n.addr.clone()).collect();
         to.extend(self.regs.voters.iter().map(|v| self.regs.addr(v)));
         to.extend(self.peers.values().map(|p| p.addr.clone()));
+        // Until it knows the voters, only its seeds lead there.
+        if self.regs.me == 0 {
+            to.extend(self.p.seeds.iter().cloned());
+        }
         to.remove(&self.p.addr);
         out.extend(to.iter().map(|a| send(a, b.clone())));
     }
@@ -648,21 +721,38 @@
             out.push(send(&p.addr, Join { voter }));
             return;
         }
-        // The very first start: every member is here and blank, and the first by name writes them down.
-        let lowest = self.p.members.iter().min() == Some(&self.p.name);
-        let blank = |n: &Name| *n == self.p.name || fresh.iter().any(|(f, p)| *f == n && p.beat.blank == BLANK);
-        if self.regs.me == 0 && lowest && self.p.members.iter().all(blank) {
-            let mut voters = vec![Voter { name: self.p.name.clone(), disk: self.disk, addr: self.p.addr.clone() }];
-            voters.extend(fresh.iter().filter(|(n, _)| self.p.members.contains(n)).map(|(n, p)| Voter {
-                name: (*n).clone(),
-                disk: p.beat.disk,
-                addr: p.addr.clone(),
-            }));
-            // Others store it when this daemon's next beats tell them, by which time it is synced here.
+        if let Some(voters) = self.founders(&fresh) {
+            // Others store it when this daemon's next beats tell them. Should it crash before it is synced here, it
+            // learns it from them, or writes the same again: it takes nothing but the same disks.
             self.begin(voters, out);
         }
     }
 
+    /// The first voters, once all of them are here with blank disks and this daemon is the one to write them down:
+    /// the first by name where names are given, else the one at the first of the seeds.
+    fn founders(&self, fresh: &[(&Name, &Peer)]) -> Option<Vec<Voter>> {
+        if self.regs.me > 0 {
+            return None;
+        }
+        let me = Voter { name: self.p.name.clone(), disk: self.disk, addr: self.p.addr.clone() };
+        let voter = |(n, p): &(&Name, &Peer)| Voter { name: (*n).clone(), disk: p.beat.disk, addr: p.addr.clone() };
+        let (own, places, state): (&Name, Vec<&Name>, u8) = match self.p.members.is_empty() {
+            false => (&self.p.name, self.p.members.iter().collect(), BLANK),
+            true => (&self.p.addr, self.regs.voters.iter().map(|v| &v.addr).collect(), FOUNDING),
+        };
+        if places.iter().min() != Some(&own) {
+            return None;
+        }
+        let named = !self.p.members.is_empty();
+        let others = places.iter().filter(|p| **p != own).map(|place| {
+            let here = fresh.iter().find(|(n, p)| p.beat.blank == state && if named { n == place } else { p.addr == **place });
+            here.map(voter)
+        });
+        let mut voters = others.collect::<Option<Vec<_>>>()?;
+        voters.insert(0, me);
+        Some(voters)
+    }
+
     /// Runs the rollout loops of the duties held here.
     pub fn loops(&mut self, now: Ms, wall: u64) -> Effects {
         if now < self.next_loop || !self.settled || self.killed() {
--- /dev/null
+++ b/coordination/tests/expect.rs
@@ -0,0 +1,138 @@
+//! Writes that compare the operator's release, and readings by a majority.
+
+mod fleet;
+
+use coordination::{Ms, WriteOutcome, control::SPEC, register::Expect};
+use fleet::{Fleet, addr};
+use googletest::prelude::*;
+
+/// A document of a release, in the product's own spelling; `mark` tells two of one release apart.
+fn document(release: u64, mark: u64) -> Vec<u8> {
+    let s = serde_json::json!({"zones": [{"name": "z0"}], "tiers": [], "services": [], "canary_percent": 10, "bake_ms": mark,
+        "release": release});
+    serde_json::to_vec(&s).unwrap()
+}
+
+fn settled(seed: u64) -> Fleet {
+    let mut f = Fleet::founded(seed, 3, |i| format!("r{i}"));
+    f.until(10_000, |f| (0..3).all(|i| f.brain(i).is_some_and(|b| b.settled()))).expect("the fleet settles");
+    f
+}
+
+/// Takes a write to a daemon; the end is looked for later.
+fn send(f: &mut Fleet, i: usize, e: Expect, v: &[u8]) -> (usize, u64) {
+    let now = f.now;
+    let (t, out) = f.all[i].brain.as_mut().unwrap().write(SPEC, e, v.to_vec(), now);
+    f.carry(i, out);
+    (i, t)
+}
+fn end(f: &mut Fleet, w: (usize, u64)) -> Option<WriteOutcome> {
+    f.until(4_000, |f| f.ends.contains_key(&w));
+    f.ends.get(&w).map(|e| e.1)
+}
+fn put(f: &mut Fleet, i: usize, e: Expect, v: &[u8]) -> Option<WriteOutcome> {
+    let w = send(f, i, e, v);
+    end(f, w)
+}
+fn newest(f: &mut Fleet, i: usize) -> Option<WriteOutcome> {
+    let now = f.now;
+    let (t, out) = f.all[i].brain.as_mut().unwrap().newest(SPEC, now);
+    f.carry(i, out);
+    end(f, (i, t))
+}
+
+#[gtest]
+fn a_release_builds_on_the_one_that_stands_and_its_repeat_is_accepted() {
+    let f = &mut settled(1);
+    expect_that!(newest(f, 1), some(eq(WriteOutcome::Accepted(0))));
+    expect_that!(put(f, 0, Expect::Release(0), &document(3, 1)), some(eq(WriteOutcome::Accepted(1))));
+    // The same document again, at any daemon: nothing is written anew.
+    for i in 0..3 {
+        expect_that!(put(f, i, Expect::Release(0), &document(3, 1)), some(eq(WriteOutcome::Accepted(1))));
+    }
+    // Another one on top of the same release lost.
+    expect_that!(put(f, 1, Expect::Release(0), &document(3, 2)), some(eq(WriteOutcome::Conflict(1))));
+    expect_that!(put(f, 2, Expect::Release(2), &document(8, 1)), some(eq(WriteOutcome::Conflict(1))));
+    expect_that!(put(f, 2, Expect::Release(3), &document(8, 1)), some(eq(WriteOutcome::Accepted(2))));
+    for i in 0..3 {
+        expect_that!(newest(f, i), some(eq(WriteOutcome::Accepted(2))));
+    }
+    f.run(1_000);
+    for i in 0..3 {
+        expect_that!(f.brain(i).unwrap().spec().map(|s| s.release), some(eq(8)));
+        // A repeat that comes after its successor is known to have stood.
+        expect_true!(f.brain(i).unwrap().stood(3, &document(3, 1)));
+        expect_false!(f.brain(i).unwrap().stood(3, &document(3, 2)));
+    }
+}
+
+#[gtest]
+fn of_two_that_build_on_one_release_one_wins() {
+    for seed in 0..40 {
+        let f = &mut settled(seed);
+        expect_that!(put(f, 0, Expect::Release(0), &document(1, 0)), some(eq(WriteOutcome::Accepted(1))));
+        let (a, b) = (f.rng.usize(..3), f.rng.usize(..3));
+        let one = send(f, a, Expect::Release(1), &document(5, 1));
+        let wait = f.rng.u64(..60);
+        f.run(wait);
+        let two = send(f, b, Expect::Release(1), &document(6, 2));
+        let mut ends = [end(f, one), end(f, two)];
+        ends.sort_by_key(|e| matches!(e, Some(WriteOutcome::Conflict(_))));
+        expect_that!(ends, eq([Some(WriteOutcome::Accepted(2)), Some(WriteOutcome::Conflict(2))]), "seed {seed}");
+    }
+}
+
+/// Who owned the key is cut off and another takes it: the first may neither call a right write a conflict nor tell
+/// the older version as the newest.
+#[gtest]
+fn an_owner_that_was_deposed_without_hearing_of_it_tells_nothing_older() {
+    for seed in 0..20 {
+        let f = &mut settled(seed);
+        expect_that!(put(f, 0, Expect::Release(0), &document(1, 0)), some(eq(WriteOutcome::Accepted(1))));
+        let owner = (0..3).find(|i| f.brain(*i).unwrap().regs.holds(SPEC, f.now).is_some()).expect("an owner");
+        let other = (owner + 1) % 3;
+        f.cut.insert(addr(owner));
+        // Until the others gave it up for dead they keep asking it, and are told that it is not known.
+        let mut done = None;
+        for _ in 0..8 {
+            done = put(f, other, Expect::Release(1), &document(2, 0));
+            if done == Some(WriteOutcome::Accepted(2)) {
+                break;
+            }
+            f.run(300);
+        }
+        expect_that!(done, some(eq(WriteOutcome::Accepted(2))), "seed {seed}");
+        // It still holds the key in its own eyes, and is asked while it hears nobody.
+        let told = [put(f, owner, Expect::Release(2), &document(3, 0)), newest(f, owner)];
+        for t in told {
+            let clear = matches!(t, Some(WriteOutcome::Conflict(_) | WriteOutcome::Accepted(_)));
+            expect_false!(clear, "seed {seed}: {t:?}");
+        }
+        f.cut.clear();
+        let back: Option<Ms> = f.until(6_000, |f| f.held(owner, SPEC).is_some_and(|h| h.0 == 2));
+        expect_that!(back, some(anything()), "seed {seed}");
+        expect_that!(newest(f, owner), some(eq(WriteOutcome::Accepted(2))), "seed {seed}");
+    }
+}
+
+/// All processes are killed right after a release was accepted: what is read then is never older.
+#[gtest]
+fn after_a_total_kill_no_older_release_is_read() {
+    for seed in 0..20 {
+        let f = &mut settled(seed);
+        expect_that!(put(f, 0, Expect::Release(0), &document(1, 0)), some(eq(WriteOutcome::Accepted(1))));
+        expect_that!(put(f, 1, Expect::Release(1), &document(2, 0)), some(eq(WriteOutcome::Accepted(2))));
+        (0..3).for_each(|i| f.kill(i));
+        f.run(300);
+        (0..3).for_each(|i| f.start(i));
+        let mut told = vec![];
+        for _ in 0..30 {
+            let i = f.rng.usize(..3);
+            told.extend(newest(f, i));
+            f.run(50);
+        }
+        let clear: Vec<_> = told.iter().filter(|t| matches!(t, WriteOutcome::Accepted(_))).collect();
+        expect_that!(clear, not(is_empty()), "seed {seed}");
+        expect_that!(clear, each(eq(&&WriteOutcome::Accepted(2))), "seed {seed}");
+    }
+}
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -29,7 +29,7 @@
     let names: Vec<String> = (0..n).map(|i| format!("e{i}")).collect();
     let one = |i: usize| {
         let mut p = Placement::new(&names[i], ["a", "b", "c"][i % 3], regions(), Bounds::default());
-        p.set_edges(names.clone(), 0);
+        p.set_edges(names.clone(), &names[i], 0);
         p.set_engine("s", &engine());
         p.set_service("s", all, &BTreeSet::new(), 0);
         p
