--- a/coordination/src/standing.rs
+++ b/coordination/src/standing.rs
@@ -4,16 +4,25 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
+    /// Nothing was ordered, or what was is under way.
     InService,
+    /// The target carries everything; the old replicas may be stopped at once.
     Completed,
+    /// The target carries nothing; its replicas may go.
     Reverted,
 }
 
-/// `plan`: its version and itself.
-pub fn standing(record: Option<&RolloutRecord>, (version, plan): (u64, &ReleasePlan)) -> Standing {
-    let Some(r) = record.filter(|r| r.phase == RolloutPhase::Steady) else { return Standing::InService };
-    if r.failed_plan == version {
-        return Standing::Reverted;
-    }
-    if r.stable == plan.target { Standing::Completed } else { Standing::InService }
+/// `plan`: its version and itself. Gives the version asked for too.
+pub fn standing(record: Option<&RolloutRecord>, plan: Option<(u64, &ReleasePlan)>) -> (Standing, String) {
+    let Some((version, plan)) = plan else { return (Standing::InService, String::new()) };
+    let at = |s: Standing| (s, plan.target.clone());
+    // A record that is older or newer than the plan proves nothing of it: replicas are stopped on this word.
+    let Some(r) = record.filter(|r| r.plan_version == version) else { return at(Standing::InService) };
+    let rests = matches!(r.phase, RolloutPhase::Steady | RolloutPhase::Unloading);
+    let flagged = r.groups.iter().any(|g| g.version == plan.target && g.allow_unload);
+    at(match r.failed_plan == version {
+        true if rests || flagged => Standing::Reverted,
+        false if rests => Standing::Completed,
+        _ => Standing::InService,
+    })
 }
