--- a/coordination/src/health/beside.rs
+++ b/coordination/src/health/beside.rs
@@ -4,35 +4,38 @@
 use super::{Cell, EVER, Health, LONG_WINDOW, Verdict, higher};
 use crate::{
     Ms,
-    limits::{BAD_APART, BAD_BURST, BAD_SIGMA, BESIDE_MARGIN, HEALTH_WINDOWS, SLOW_DOUBLINGS, SLOW_FIRSTS},
+    limits::{BAD_BURST, BAD_FAILURES, BAD_SIGMA, BESIDE_MARGIN, DOUBT_SIGMA, HEALTH_WINDOWS, SLOW_DOUBLINGS, SLOW_FIRSTS},
 };
 
 /// Ended and bad of them.
 type Rate = (u64, u64);
 
-/// Whether `n`'s bad ends are more than chance makes of `o`'s rate.
-fn unlike(n: Rate, o: Rate) -> bool {
+/// Whether `n`'s bad ends are more than chance makes of `o`'s rate, by so many standard deviations.
+fn over(n: Rate, o: Rate, sigma: f64) -> bool {
     let p = o.1 as f64 / o.0.max(1) as f64;
     let all = n.0 as f64;
     // The one in the root lets no single end decide where nothing ever failed.
-    (n.1 as f64 - all * p) / (all * p * (1.0 - p) + 1.0).sqrt() >= BAD_SIGMA && higher(n, o, BESIDE_MARGIN)
+    (n.1 as f64 - all * p) / (all * p * (1.0 - p) + 1.0).sqrt() >= sigma && higher(n, o, BESIDE_MARGIN)
+}
+fn unlike(n: Rate, o: Rate) -> bool {
+    over(n, o, BAD_SIGMA)
 }
 
 impl Health {
-    /// Bad ends within the last `w` ms that lie outside the worst burst of them: a crash is one burst.
-    fn apart(&self, now: Ms, w: Ms, f: impl Fn(&Cell) -> bool) -> u64 {
+    /// Bad ends in the worst burst of the last `w` ms: a crash is one burst.
+    fn burst(&self, now: Ms, w: Ms, f: impl Fn(&Cell) -> bool) -> u64 {
         let failed = |m: &std::collections::BTreeMap<Cell, super::Counts>| -> u64 {
             m.iter().filter(|(c, _)| f(c)).map(|(_, v)| v.failed).sum()
         };
-        let inside = self.past.iter().filter(|(t, _)| now.saturating_sub(*t) <= w);
-        let mut sums: Vec<(Ms, u64)> = inside.map(|(t, m)| (*t, failed(m))).collect();
+        // From where the window's counts begin, which is its last snapshot before it.
+        let from = self.past.iter().rposition(|(t, _)| now.saturating_sub(*t) >= w).unwrap_or(0);
+        let mut sums: Vec<(Ms, u64)> = self.past.iter().skip(from).map(|(t, m)| (*t, failed(m))).collect();
         sums.push((now, failed(&self.sums)));
-        let all = sums[sums.len() - 1].1 - sums[0].1;
-        let burst = sums.iter().enumerate().map(|(i, (t, n))| {
+        let bursts = sums.iter().enumerate().map(|(i, (t, n))| {
             let end = sums[i..].iter().take_while(|(u, _)| u - t <= BAD_BURST).last().map_or(*n, |l| l.1);
             end - n
         });
-        all - burst.max().unwrap_or(0)
+        bursts.max().unwrap_or(0)
     }
 
     /// Judges `new` against all other versions, over all lanes and on each. `even`: since when its replicas are
@@ -49,8 +52,13 @@
                 }
                 let o = self.within(now, w, |c| on(c, false)).failures();
                 // What befalls both in one window is no fault of the new one, nor is what the others always have.
-                let worse = unlike(n, o) && unlike(n, long);
-                if worse && self.apart(now, w, |c| on(c, true)) >= BAD_APART {
+                if !(unlike(n, o) && unlike(n, long)) {
+                    continue;
+                }
+                // Nor is one crash, which ends all of a replica's streams together: the rest alone must tell.
+                let crash = self.burst(now, w, |c| on(c, true));
+                let rest = (n.0 - crash, n.1 - crash);
+                if unlike(rest, o) && unlike(rest, long) {
                     return Verdict::Bad;
                 }
             }
@@ -73,9 +81,11 @@
     /// Whether too little of `new` has failed to condemn it and too much to trust it.
     pub fn doubtful_beside(&self, new: &str, now: Ms) -> bool {
         self.lanes(new).into_iter().any(|l| {
-            let of = |mine: bool| self.within(now, EVER, |c| (&*c.0 == new) == mine && c.1 == *l).failures();
-            let (n, o) = (of(true), of(false));
-            n.1 > 0 && higher(n, o, BESIDE_MARGIN)
+            let on = |c: &Cell, mine: bool| (&*c.0 == new) == mine && c.1 == *l;
+            let (n, o) =
+                (self.within(now, EVER, |c| on(c, true)).failures(), self.within(now, EVER, |c| on(c, false)).failures());
+            let crash = if n.1 > 0 { self.burst(now, EVER, |c| on(c, true)).min(n.1) } else { 0 };
+            over((n.0 - crash, n.1 - crash), o, DOUBT_SIGMA) || n.1 > 0 && n.1 < BAD_FAILURES && over(n, o, DOUBT_SIGMA / 2.0)
         })
     }
 
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -101,12 +101,12 @@
 /// Standard deviations by which bad ends must exceed the others' rate: at fifty looks a rollout, chance alone makes
 /// one false alarm in some hundred.
 pub const BAD_SIGMA: f64 = 3.5;
+/// Standard deviations from which on a version is doubted: it may stay and gets no more.
+pub const DOUBT_SIGMA: f64 = 1.0;
 /// Percent besides by which that rate must be exceeded, on however many requests.
 pub const BESIDE_MARGIN: u64 = 3;
 /// ms. Bad ends so close together may be one crash: streams end at once, edges tell of it within this.
 pub const BAD_BURST: Ms = 800;
-/// Bad ends that a bad version must have outside its worst burst.
-pub const BAD_APART: u64 = 2;
 /// Doublings of the mean time to a first piece that make a version slow: 2.2 times, where bad ones take several.
 pub const SLOW_DOUBLINGS: f64 = 1.125 * LOG_UNIT;
 /// First pieces on both sides before times are compared: a mean of so many is within a third of a doubling.
@@ -125,6 +125,8 @@
 /// ms. One step of shifting where the platform places versions, before any was seen: a write, edges' polls and
 /// a second of streams.
 pub const SHIFT_GUESS: Ms = 2_000;
+/// Requests that a canary must have ended where all that is to come stays inside the exposure bound.
+pub const CANARY_LIGHT: u64 = 3;
 /// ms. A step's share must have been in force so long, and ended so many requests, before the next.
 pub const STEP_HOLDS: Ms = 900;
 pub const STEP_ENDED: u64 = 6;
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -8,7 +8,7 @@
 
 use remote_calls::{
     Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, PathSpec, ReplicaReport, RolloutRecord, RunRequest,
-    ServiceSpec, Spec,
+    ServiceMode, ServiceSpec, Spec,
 };
 use wire_messages::{Board as BoardMsg, Lent, List, Name, Node, Open, ProxyHello, Tally};
 
@@ -19,7 +19,7 @@
     bounds::Bounds,
     claims,
     control::{LEAVING, SPEC, evacuated},
-    health::{Health, Verdict},
+    health::{Health, Verdict, log_ms},
     limits::{
         AFFINITY_BUSY, COLD_PLACES, KV_FULL, PLACE_OLD, PREFIX_KEPT, PREFIXES, PRESS_EBB, PRESS_MOST, PRESS_STEP, REPORT_OLD,
         RETRY_AFTER, SECOND_ROUNDS, SECOND_ROUNDS_FREE, SLOW_FACTOR, SUSPECT_FOR, WAIT_MAX, WAIT_PERCENT, WAITING, WARM_UP,
@@ -110,6 +110,9 @@
 /// A request's service and prefixes.
 type What<'a> = (&'a str, &'a [String]);
 
+/// Role, version and replicas of a group.
+type Group = (GroupRole, String, Vec<String>);
+
 pub struct Proxy {
     name: Name,
     zone: Name,
@@ -128,7 +131,7 @@
     nodes: Vec<Node>,
     seen: BTreeMap<String, Seen>,
     open: BTreeMap<(String, String), u32>,
-    tallies: BTreeMap<(String, String, String, bool, u8), [u64; 4]>,
+    tallies: BTreeMap<(String, String, String, bool, u8), [u64; 6]>,
     /// What a service's canary may take next, in hundredths of a request.
     shares: BTreeMap<String, u32>,
     /// Versions whose failures show here, and until when they are capped.
@@ -152,6 +155,19 @@
     flight: u64,
 }
 
+/// Groups of one version as one pool: a baseline is told apart for counting, and a prompt that lies in its cache
+/// is not to be read again elsewhere for it.
+fn pools(groups: Vec<Group>) -> Vec<Group> {
+    let mut all: Vec<Group> = vec![];
+    for g in groups {
+        match all.iter_mut().find(|a| a.1 == g.1) {
+            Some(a) => a.2.extend(g.2),
+            None => all.push(g),
+        }
+    }
+    all
+}
+
 impl Proxy {
     /// `seed` is random from outside: two proxies of one fleet must never mint the same ids.
     pub fn new(name: Name, zone: Name, http: Name, born: u64, seed: u64) -> Self {
@@ -279,7 +295,8 @@
                 new_ended: new.0,
                 new_failed: new.1,
                 new_slow: new.2,
-                ..Tally::default()
+                firsts: n[4],
+                first_log: n[5],
             }
         });
         let opens = self.open.iter().filter(|(_, n)| **n > 0).map(|((r, v), n)| Open {
@@ -503,7 +520,7 @@
     }
 
     /// Groups in the order they are tried: by share, within permits.
-    fn groups(&mut self, service: &str, now: Ms) -> Vec<(GroupRole, String, Vec<String>)> {
+    fn groups(&mut self, service: &str, now: Ms) -> Vec<Group> {
         let Some((epoch, version, r)) = self.records.get(service) else { return vec![] };
         let permit = self.permits.get(service).filter(|p| p.until > now && self.rule == RULE_ALL);
         // The canary's permit must be for this very record or a later one of the same holder.
@@ -706,8 +723,11 @@
     }
 
     fn tally(&mut self, p: &Placed, i: usize) {
+        self.add(p, i, 1);
+    }
+    fn add(&mut self, p: &Placed, i: usize, n: u64) {
         let k = (p.service.clone(), p.version.clone(), p.lane.clone(), p.warm, p.role as u8);
-        self.tallies.entry(k).or_default()[i] += 1;
+        self.tallies.entry(k).or_default()[i] += n;
     }
 
     /// A round ended. Gives the version that this proxy begins to cap, if it does.
@@ -741,7 +761,14 @@
         });
         h.feed(&self.name, self.born, &rows);
         h.tick(now);
-        if p.version == stable || h.judge(&p.version, &stable, now) == Verdict::Fine {
+        if p.version == stable {
+            return None;
+        }
+        // Where the platform places versions few replicas have the new one: one that crashes is no version's fault.
+        let placed = |s: &ServiceSpec| s.name == p.service && s.mode == ServiceMode::Placed;
+        let beside = self.spec.as_ref().is_some_and(|s| s.services.iter().any(placed));
+        let verdict = if beside { h.judge_beside(&p.version, None, now) } else { h.judge(&p.version, &stable, now) };
+        if verdict == Verdict::Fine {
             return None;
         }
         let old = self.suspects.insert(p.version.clone(), now + SUSPECT_FOR);
@@ -771,7 +798,7 @@
             if tried.is_empty() {
                 self.budgets.entry(service.clone()).or_default().first(&self.placement.bounds, now);
             }
-            for (role, version, ids) in self.groups(&service, now) {
+            for (role, version, ids) in pools(self.groups(&service, now)) {
                 let evacuated = std::mem::take(&mut self.evacuated);
                 let leaving = &self.leaving;
                 let open = ids.iter().filter(|id| !leaving.contains(*id));
@@ -861,7 +888,10 @@
         let Some(read) = f.read_ms.take() else { return };
         let took = now.saturating_sub(f.at) as f64;
         f.slow = took > f.slow_ms;
+        let took_ms = now.saturating_sub(f.at);
         self.placement.first_piece(&p.replica, read, (took - f.expected).max(0.0), now);
+        self.tally(p, 4);
+        self.add(p, 5, log_ms(took_ms));
     }
     /// A round ended; said once for each. Gives the version that this proxy begins to cap, if it does.
     pub fn passed(&mut self, p: &Placed, e: PassEnd, now: Ms) -> Option<String> {
--- a/coordination/src/rollout/placed.rs
+++ b/coordination/src/rollout/placed.rs
@@ -3,7 +3,8 @@
 
 use super::{exposure::Taken, *};
 use crate::limits::{
-    CANARY_MOST, DRY, HOLD_PART, PACE_WINDOW, REUSE, SHIFT_GUESS, SIDE_FULL, STEP_ENDED, STEP_HOLDS, STEP_QUIET, STREAMS_LEAST,
+    CANARY_LIGHT, CANARY_MOST, DRY, HOLD_PART, PACE_WINDOW, REUSE, SHIFT_GUESS, SIDE_FULL, STEP_ENDED, STEP_HOLDS, STEP_QUIET,
+    STREAMS_LEAST,
 };
 
 /// What the loop remembers of the platform's replicas, lost with its duty.
@@ -366,7 +367,7 @@
         }
         let enough = h.ended(t, now) >= CANARY_REQUESTS && lanes;
         // Where all that is to come stays inside the bound, or the plan's time is over, less will do.
-        let light = cap == 100 && (h.ended(t, now) >= CANARY_LANE || h.pace(PACE_WINDOW, now) < 1.0);
+        let light = cap == 100 && (h.ended(t, now) >= CANARY_LIGHT || h.pace(PACE_WINDOW, now) < 1.0);
         enough || h.failed(t, now) == 0 && (light || age >= CANARY_QUIET && lanes || age >= CANARY_RARE)
     }
 
