--- a/coordination/tests/rollout_placed.rs
+++ b/coordination/tests/rollout_placed.rs
@@ -359,7 +359,8 @@
         if !fresh.is_empty() && old.retiring.iter().any(|id| waits(&id)) {
             broken.push("a step before the last one's streams have ended".into());
         }
-        let share: u32 = old.groups.iter().filter(|g| g.version == "v2").map(|g| g.share_percent).sum();
+        let wanted = self.plan.as_ref().map_or("", |p| p.1.target.as_str());
+        let share: u32 = old.groups.iter().filter(|g| g.version == wanted).map(|g| g.share_percent).sum();
         if !fresh.is_empty() && r.retiring.len() * 100 > share as usize * self.b.list.iter().filter(|p| p.version == "v1").count()
         {
             broken.push("withdrawn before the share moved".into());
@@ -576,3 +577,73 @@
         expect_false!(f.over());
     }
 }
+
+#[gtest]
+fn an_order_for_another_version_takes_the_first_back_before_it_begins() {
+    for at in [10_900, 13_000, 18_600, 23_400, 27_000] {
+        let mut f = fleet(18, 200.0, 12, None, 1);
+        f.run(at);
+        // The platform starts replicas of the third version beside all others.
+        let more: Vec<_> = f.b.list.iter().filter(|p| p.version == "v1").cloned().collect();
+        let third = |p: PlatformReplica| PlatformReplica { id: format!("{}-third", p.id), version: "v3".into(), ..p };
+        f.b.list.extend(more.into_iter().map(third));
+        f.plan = Some((2, ReleasePlan { service: "s".into(), target: "v3".into(), complete_by: 60 }));
+        let mut had_third = false;
+        while f.now() < 150_000 && f.done.is_none() {
+            f.tick();
+            let share = |v: &str| -> u32 { f.b.r.groups.iter().filter(|g| g.version == v).map(|g| g.share_percent).sum() };
+            had_third |= share("v3") > 0;
+            if f.now() > at + 3 * PASS {
+                expect_that!(share("v2"), eq(0), "{at}: {}", told(&f));
+            }
+        }
+        expect_true!(had_third, "{at}");
+        expect_that!(f.done.map(|d| d.1), some(eq(Standing::Completed)), "{at}: {}", told(&f));
+        expect_that!(f.b.r.stable, eq("v3"));
+        expect_that!(f.broken, is_empty(), "{at}: {}", told(&f));
+    }
+}
+
+#[gtest]
+fn what_was_withdrawn_comes_back_when_the_new_side_is_lost_or_bad() {
+    let mut f = fleet(18, 200.0, 12, None, 1);
+    f.run(28_000);
+    expect_that!(f.b.r.retiring.len(), ge(6));
+    f.b.list.retain(|p| p.version == "v1");
+    f.tick();
+    f.run(28_800);
+    let serving = f.b.r.groups.iter().find(|g| g.share_percent == 100).unwrap();
+    expect_that!((serving.version.as_str(), serving.replicas.len(), f.b.r.retiring.len()), eq(("v1", 18, 0)));
+    // A part of the new side is lost: its share falls to what the rest carries.
+    let mut f = fleet(18, 200.0, 12, None, 1);
+    f.b.list.iter_mut().for_each(|p| p.slots = 5);
+    f.run(28_000);
+    let share = |f: &Fleet| -> u32 { f.b.r.groups.iter().filter(|g| g.version == "v2").map(|g| g.share_percent).sum() };
+    let (had, mut n) = (share(&f), 0);
+    f.b.list.retain(|p| {
+        n += usize::from(p.version == "v2");
+        p.version == "v1" || n % 3 == 0
+    });
+    f.run(28_800);
+    expect_that!(share(&f), lt(had));
+    expect_that!(f.b.r.retiring.len() * 100, le(18 * share(&f) as usize));
+}
+
+#[gtest]
+fn nothing_is_told_of_an_order_by_a_record_of_another() {
+    let mut f = fleet(9, 100.0, 12, Some(FAILS), 1);
+    f.run(60_000);
+    let plan = f.plan.clone().unwrap().1;
+    let of = |n: u64| standing(Some(&f.b.r), Some((n, &plan))).0;
+    expect_that!((of(1), of(2)), eq((Standing::Reverted, Standing::InService)));
+    expect_that!(standing(None, Some((1, &plan))).0, eq(Standing::InService));
+    // A failed version stays out, whatever starts it.
+    f.b.list.push(replica("a-late", "v2"));
+    f.b.pass(Some((1, &plan)));
+    expect_false!(f.b.r.replicas.iter().any(|p| p.id == "a-late"));
+    // An order for what serves already is completed at once.
+    let same = ReleasePlan { target: "v1".into(), ..plan.clone() };
+    f.b.list.retain(|p| p.version == "v1");
+    f.b.pass(Some((2, &same)));
+    expect_that!(standing(Some(&f.b.r), Some((2, &same))).0, eq(Standing::Completed));
+}
