Check the spec's paths, engines and placed mode like all its parts

Cause: the check's types did not know the fields the schema got, so every spec of the product's own interface was rejected as unreadable and real fleets waited for one for ever (remote-calls' own test was red). Measured: cargo test -p remote-calls passes, with paths' faults named by field.

--- a/remote-calls/src/spec_check.rs
+++ b/remote-calls/src/spec_check.rs
@@ -37,8 +37,16 @@
     if ok { Ok(()) } else { Err(ValidateError::new(format!("must be 1 to {TIME_LIMIT_MS_MAX}"))) }
 }
 fn mode<P, C>(v: &str, _: &P, _: &C, _: bool) -> Check {
-    let ok = ["ignore", "read_only", "reconcile"].contains(&v);
-    if ok { Ok(()) } else { Err(ValidateError::new("must be ignore, read_only or reconcile")) }
+    let ok = ["ignore", "read_only", "reconcile", "placed"].contains(&v);
+    if ok { Ok(()) } else { Err(ValidateError::new("must be ignore, read_only, reconcile or placed")) }
+}
+fn kind<P, C>(v: &str, _: &P, _: &C, _: bool) -> Check {
+    let ok = ["once", "repeatable", "stream", "stream_resumable"].contains(&v);
+    if ok { Ok(()) } else { Err(ValidateError::new("must be once, repeatable, stream or stream_resumable")) }
+}
+fn prefix<P, C>(v: &str, _: &P, _: &C, _: bool) -> Check {
+    let ok = v.starts_with('/') && v.ends_with('/');
+    if ok { Ok(()) } else { Err(ValidateError::new("must begin and end with a slash")) }
 }
 fn count<P, C>(v: &u32, _: &P, _: &C, _: bool) -> Check {
     if *v <= REPLICAS_MAX { Ok(()) } else { Err(ValidateError::new(format!("must be at most {REPLICAS_MAX}"))) }
@@ -76,6 +84,41 @@
     floor: u32,
 }
 #[derive(Config)]
+struct EngineFile {
+    slots: u32,
+    cache_tokens: u64,
+    channels: u32,
+    health_path: String,
+    cold_ms: u64,
+    cold_rate: f64,
+}
+#[derive(Config)]
+struct ShareFile {
+    #[setting(validate = label)]
+    service: String,
+    weight: u32,
+}
+#[derive(Config)]
+struct PathFile {
+    #[setting(validate = label)]
+    lane: String,
+    host: String,
+    #[setting(validate = prefix)]
+    prefix: String,
+    #[setting(validate = kind)]
+    kind: String,
+    #[setting(validate = limit)]
+    time_limit_ms: u64,
+    expected_ms: u64,
+    gap_ms: u64,
+    rank: u32,
+    rounds: u32,
+    affinity: bool,
+    homes: Vec<String>,
+    #[setting(nested, validate = some)]
+    split: Vec<ShareFile>,
+}
+#[derive(Config)]
 struct ServiceFile {
     #[setting(validate = label)]
     name: String,
@@ -87,6 +130,8 @@
     lanes: Vec<LaneFile>,
     #[setting(nested, validate = some)]
     zones: Vec<CountFile>,
+    #[setting(nested)]
+    engine: Option<EngineFile>,
 }
 #[derive(Config)]
 struct SpecFile {
@@ -100,6 +145,9 @@
     canary_percent: u32,
     #[setting(validate = limit)]
     bake_ms: u64,
+    release: u64,
+    #[setting(nested)]
+    paths: Vec<PathFile>,
 }
 
 fn fault(field: impl Into<String>, message: impl Into<String>) -> Fault {
@@ -140,6 +188,25 @@
             }
         }
     }
+    paths(s)
+}
+
+/// Paths that cannot be told apart, lead nowhere, or name a service that the spec does not have.
+fn paths(s: &SpecFile) -> Result<(), Fault> {
+    let mut places = HashSet::new();
+    for (i, p) in s.paths.iter().enumerate() {
+        if !places.insert((p.host.to_ascii_lowercase(), p.prefix.as_str())) {
+            return Err(fault(format!("paths[{i}].prefix"), "stands twice for its host"));
+        }
+        if p.split.iter().all(|x| x.weight == 0) {
+            return Err(fault(format!("paths[{i}].split"), "its weights sum to 0"));
+        }
+        for (j, x) in p.split.iter().enumerate() {
+            if !s.services.iter().any(|v| v.name == x.service) {
+                return Err(fault(format!("paths[{i}].split[{j}].service"), format!("no service {}", x.service)));
+            }
+        }
+    }
     Ok(())
 }
 
@@ -187,6 +254,22 @@
             ("/services/0/lanes/0/expected_ms", 26000.into(), "services[0].lanes[0].expected_ms"),
             ("/tiers", serde_json::json!([]), "tiers"),
         ];
+        // Lanes that are reached by host and path are checked with the same care.
+        let path = |edit: fn(&mut serde_json::Value)| {
+            let mut p = serde_json::json!({"lane": "chat", "host": "h", "prefix": "/p/", "kind": "stream", "time_limit_ms": 5000,
+                "expected_ms": 600, "split": [{"service": "desk", "weight": 1}]});
+            edit(&mut p);
+            check(&spec(|s| s["paths"] = serde_json::json!([p])))
+        };
+        expect_that!(path(|_| ()), ok(anything()));
+        for (at, f) in [
+            ("paths[0].prefix", (|p| p["prefix"] = "p/".into()) as fn(&mut serde_json::Value)),
+            ("paths[0].time_limit_ms", |p| p["time_limit_ms"] = 0.into()),
+            ("paths[0].split", |p| p["split"][0]["weight"] = 0.into()),
+            ("paths[0].split[0].service", |p| p["split"][0]["service"] = "other".into()),
+        ] {
+            expect_that!(path(f).unwrap_err().field.as_deref(), eq(Some(at)));
+        }
         for (p, v, field) in cases {
             let e = check(&spec(|s| *s.pointer_mut(p).unwrap() = v)).unwrap_err();
             expect_that!(e.field.as_deref(), eq(Some(field)));
