Take a replica's load for the mean as its word ages, and let places cost more as they fill

Cause: on the grown deployment a proxy hears a replica every ten seconds or so and went on by its old word, or took one open round of its own times all edges for the load; a replica of 12 places was only dear when all were taken. Ruled out: capacity (reading 57% of the replicas left by the region's loss), queues at the edges. Agents that stop end a second before their grace: 6 of 12 were killed at its end, since they look every 0.4 s.

--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -233,6 +233,10 @@
 pub const LOAD_MS: f64 = 4.0;
 /// ms. What a full replica costs: more than any way.
 pub const FULL_MS: f64 = 600.0;
+/// ms. What the last place of a replica costs; half of its places cost a sixteenth of it.
+pub const FILLING_MS: f64 = 300.0;
+/// Weight of one replica's word in the mean of all: some twenty of the last count.
+pub const MEAN_WEIGHT: f64 = 0.05;
 /// ms. What it costs to exceed the rate that the replica would bear if it turned cold now.
 pub const RATE_MS: f64 = 60.0;
 /// ms. A step down a prompt's agreed order of replicas, so that all proxies overflow to the same one.
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -9,7 +9,10 @@
 use crate::{
     Ms,
     bounds::Bounds,
-    limits::{COLD_BURST_PART, COLD_PART, DOWN_COLD, EDGES_FALL, FULL_MS, KEPT_TOKENS, LOAD_MS, ORDER_MS, RATE_MS},
+    limits::{
+        COLD_BURST_PART, COLD_PART, DOWN_COLD, EDGES_FALL, FILLING_MS, FULL_MS, KEPT_TOKENS, LOAD_MS, MEAN_WEIGHT, ORDER_MS,
+        RATE_MS,
+    },
     order::{weight, weight_of},
     pass::{Ask, Told},
 };
@@ -50,6 +53,8 @@
     pub travel: Travel,
     pub bounds: Bounds,
     engines: BTreeMap<String, EngineSpec>,
+    /// Requests that a replica runs and waits for, over what they lately told.
+    mean: f64,
     /// Names of edges, mine among them, and the most there were lately.
     edges: Vec<String>,
     me: String,
@@ -159,7 +164,8 @@
         let bears = self.engines.get(service).and_then(|e| e.cold_rate).unwrap_or(0.0) * self.bounds.cold_over / edges as f64;
         for (step, (_, i)) in order.into_iter().enumerate() {
             let s = &self.rows[all[i].0].site;
-            let mut c = self.travel.ms(&s.zone) + s.lag + s.reading + s.load(edges) * LOAD_MS;
+            let load = s.load(self.mean, now);
+            let mut c = self.travel.ms(&s.zone) + s.lag + s.reading + load * LOAD_MS;
             if self.travel.far(&s.zone) {
                 c += carry;
             }
@@ -170,9 +176,9 @@
                     c += again;
                 }
             }
-            if s.full(edges) {
-                c += FULL_MS * s.load(edges) / f64::from(s.slots.max(1));
-            }
+            // Waiting for a place begins well before all are taken: requests come in clumps, and batches slow down.
+            let taken = load / f64::from(s.slots.max(1));
+            c += if taken > 1.0 { FULL_MS * taken } else { FILLING_MS * taken.powi(4) };
             // Any replica may turn cold unseen: what it would then bear is not exceeded while others can take it.
             if bears > 0.0 && s.rate_now(now) + 1.0 > bears {
                 c += RATE_MS * (s.rate_now(now) + 1.0) / bears;
@@ -213,6 +219,9 @@
         let cold_ms = self.engines.get(service).map_or(0, |e| e.cold_ms);
         let Some(r) = self.rows.get_mut(id) else { return };
         r.site.heard(t, now);
+        if let Some((running, waiting, _)) = t.load {
+            self.mean += (f64::from(running + waiting) - self.mean) * MEAN_WEIGHT;
+        }
         if let Some(ms) = t.cold.filter(|m| *m > 0) {
             r.site.set_cold(now + ms);
         }
--- a/coordination/src/placement/site.rs
+++ b/coordination/src/placement/site.rs
@@ -128,17 +128,14 @@
     pub fn rate_now(&self, now: Ms) -> f64 {
         self.rate * (-(now.saturating_sub(self.rate_at) as f64) / 1_000.0).exp()
     }
-    /// Requests that run or wait there, as far as can be told.
-    pub fn load(&self, edges: usize) -> f64 {
+    /// Requests that run or wait there, as far as can be told. `mean`: what replicas lately told on the whole;
+    /// the older this one's own word is, the more it is taken to be like the others.
+    pub fn load(&self, mean: f64, now: Ms) -> f64 {
         let mine = f64::from(self.open);
-        let Some((running, waiting, open, _)) = self.told else { return mine * edges as f64 };
-        (f64::from(running + waiting) + mine - f64::from(open)).max(mine)
-    }
-    pub fn load_old(&self, now: Ms) -> bool {
-        self.told.is_none_or(|t| now.saturating_sub(t.3) > LOAD_OLD)
-    }
-    pub fn full(&self, edges: usize) -> bool {
-        self.slots > 0 && self.load(edges) >= f64::from(self.slots)
+        let Some((running, waiting, open, at)) = self.told else { return mean + mine };
+        let fresh = (-(now.saturating_sub(at) as f64) / LOAD_OLD as f64).exp();
+        let told = f64::from(running + waiting);
+        (told * fresh + mean * (1.0 - fresh) + mine - f64::from(open)).max(mine)
     }
 
     // ---- cold ----
--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -54,8 +54,8 @@
 pub const EDGE_HEARD: u64 = 3_000;
 /// An agent that was asked to stop hears by then that its proxy was too: two of the proxy's hellos.
 pub const FAREWELL: Duration = Duration::from_millis(2 * HELLO_EVERY);
-/// ms. An agent ends so long before its grace does.
-pub const AGENT_LAST: Ms = 300;
+/// ms. An agent ends so long before its grace does: it looks every farewell whether its proxy still speaks.
+pub const AGENT_LAST: Ms = 1_000;
 /// Bytes of a request's body that are kept so that a further round can send them again.
 pub const UPLOAD_KEPT: usize = 256 << 10;
 /// ms. A channel to a replica that was idle for longer is not used for what may run only once: it could have been
