--- a/edge-proxy/src/pool.rs
+++ b/edge-proxy/src/pool.rs
@@ -27,7 +27,7 @@
 /// Why a request got no answer's head.
 pub enum Unsent {
     /// Not a byte of it was written; here it is again.
-    Not(Request<Upload>),
+    Not(Box<Request<Upload>>),
     /// It may have reached the replica.
     Perhaps(String),
 }
@@ -89,7 +89,7 @@
         match self.send.try_send_request(q).await {
             Ok(a) => Ok(a),
             Err(mut e) => Err(match e.take_message() {
-                Some(q) => Unsent::Not(q),
+                Some(q) => Unsent::Not(Box::new(q)),
                 None => Unsent::Perhaps(e.into_error().to_string()),
             }),
         }
