Tell only counts that have changed, from proxy to agent to control

Cause: every hello and every poll carried the tallies of each lane that ever had a request and all open streams; with 1,500 busy lanes an agent sent 310 KB/s after half a minute and more each minute, each ended request had its proxy go over all tallies, and a control daemon kept 120 copies of all sums. Now a proxy numbers its changes and tells what its agent lacks; agents number hellos, and each control daemon says in its news up to which count it has them. One that does not answer is only asked. Health keeps what was added in each quarter second, and looks for failing lanes in one go. An agent that starts again no longer has its proxy's counts taken twice, and what a former run of a control daemon was told is not taken for known by its next: a rollout there waited for edges to tell places that they had.

--- a/coordination/examples/slopes/world.rs
+++ b/coordination/examples/slopes/world.rs
@@ -362,7 +362,7 @@
             (Role::Proxy, Ev::Tick) => {
                 if now >= self.next_hello[me.1] {
                     self.next_hello[me.1] = now + HELLO_EVERY;
-                    let hello = self.proxies[me.1].brain.as_ref().map(|p| p.hello(now));
+                    let hello = self.proxies[me.1].brain.as_ref().map(|p| p.news(now));
                     let agent = self.agents[me.1].addr.clone();
                     hello.into_iter().for_each(|h| self.post(me, &agent, h.into()));
                 }
--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -14,7 +14,10 @@
     claims::{self, Claimer, Holding},
     effect::{note, send},
     events,
-    limits::{KNOWS_EDGES, MET, MISSED, NODE_GONE, PERMIT, POLL_EVERY, REPAIR_EVERY, RULE_LIFE, STABLE_BOUND, TICK},
+    limits::{
+        COUNTS_KEPT, HEALTH_WINDOWS, KNOWS_EDGES, MET, MISSED, NODE_GONE, PERMIT, POLL_EVERY, REPAIR_EVERY, RULE_LIFE,
+        STABLE_BOUND, TICK,
+    },
     membership::{CONTROL, EDGE, Membership},
 };
 
@@ -45,19 +48,65 @@
     /// Digest of the places that it was last told, when, and of those that it answered to.
     told: (Ms, u64),
     knows: Option<u64>,
+    /// Up to which count it has this agent's counts, by its own word; and to what it last answered.
+    has: u64,
+    answered: Ms,
 }
 
+/// Service, version, lane, warm, group.
+type TallyKey = (Name, Name, Name, u8, u8);
+
 #[derive(Clone, Debug, Default)]
 struct Proxy {
     addr: Name,
     life: u64,
     at: Ms,
-    tallies: Vec<Tally>,
-    opens: Vec<Open>,
+    /// Up to which of its changes this agent has its counts, and those, each with its place among the agent's own
+    /// changes and when it came.
+    heard: u64,
+    tallies: BTreeMap<TallyKey, (Tally, u64, Ms)>,
+    opens: BTreeMap<(Name, Name), (Open, u64, Ms)>,
     /// Whether it has had a full board.
     full: bool,
 }
 
+impl Proxy {
+    /// Takes its counts, whole or what changed. A gap is not taken: the proxy tells all again when it hears that
+    /// nothing was.
+    fn count(&mut self, m: ProxyHello, change: u64, now: Ms) {
+        // One that comes late is told again in what came since.
+        if m.upto < self.heard {
+            return;
+        }
+        if m.after > self.heard {
+            return self.heard = 0;
+        }
+        if m.after == 0 {
+            // What is not told any more has ended.
+            self.opens.values_mut().filter(|o| o.0.streams > 0).for_each(|o| (o.0.streams, o.1, o.2) = (0, change, now));
+        }
+        self.heard = m.upto;
+        for t in m.tallies.0 {
+            let k = (t.service.clone(), t.version.clone(), t.lane.clone(), t.warm, t.group);
+            self.tallies.insert(k, (t, change, now));
+        }
+        for o in m.opens.0 {
+            self.opens.insert((o.replica.clone(), o.version.clone()), (o, change, now));
+        }
+    }
+    /// Counts after an own change; all of them after none, without those that have ended.
+    fn since(&self, change: u64, now: Ms) -> (List<Tally>, List<Open>) {
+        let old = |at: Ms| now.saturating_sub(at) > HEALTH_WINDOWS[HEALTH_WINDOWS.len() - 1];
+        let tallies = self.tallies.values().filter(|t| t.1 > change).map(|(t, _, at)| match old(*at) {
+            // What was recent when it came is so no more.
+            true => Tally { new_ended: 0, new_failed: 0, new_slow: 0, ..t.clone() },
+            false => t.clone(),
+        });
+        let opens = self.opens.values().filter(|o| o.1 > change && (change > 0 || o.0.streams > 0)).map(|o| o.0.clone());
+        (tallies.collect(), opens.collect())
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Agent {
     pub mship: Membership,
@@ -66,6 +115,9 @@
     voters: usize,
     permits: BTreeMap<Name, (Permit, Ms)>,
     proxy: Option<Proxy>,
+    /// Counts the hellos; and the last count that brought an end which is forgotten here.
+    change: u64,
+    forgot: u64,
     holding: Holding,
     began: Ms,
     claimer: Claimer,
@@ -93,6 +145,8 @@
             voters: 0,
             permits: BTreeMap::new(),
             proxy: None,
+            change: 0,
+            forgot: 0,
             holding: Holding::new(now),
             began: now,
             claimer: Claimer::default(),
@@ -177,8 +231,24 @@
         self.mship.set_http(&m.http);
         // Another life of the proxy has nothing, however soon it came back.
         let same = |p: &Proxy| p.addr == *addr && p.life == m.born && now.saturating_sub(p.at) < RULE_LIFE;
-        let full = self.proxy.as_ref().is_some_and(|p| p.full && same(p));
-        self.proxy = Some(Proxy { addr: addr.clone(), life: m.born, at: now, tallies: m.tallies.0, opens: m.opens.0, full });
+        let mut p = match self.proxy.take() {
+            Some(p) if p.addr == *addr && p.life == m.born => Proxy { full: p.full && same(&p), ..p },
+            // Its former life's streams have ended, which whoever knew of them is told.
+            old => {
+                Proxy { addr: addr.clone(), life: m.born, opens: old.map_or_else(BTreeMap::new, |p| p.opens), ..Proxy::default() }
+            }
+        };
+        p.at = now;
+        self.change += 1;
+        p.count(m, self.change, now);
+        // Whoever did not hear in time that these streams have ended is told everything again.
+        let forgot = &mut self.forgot;
+        p.opens.retain(|_, o| {
+            let keep = o.0.streams > 0 || now.saturating_sub(o.2) < COUNTS_KEPT;
+            *forgot = (*forgot).max(if keep { 0 } else { o.1 });
+            keep
+        });
+        self.proxy = Some(p);
     }
 
     fn on_news(&mut self, from: &Name, m: News, now: Ms, out: &mut Effects) {
@@ -192,12 +262,16 @@
             if m.full == 0 {
                 return;
             }
-            (s.run, s.upto, s.knows) = (m.run, 0, None);
+            // What was told to its former run is nothing to this one, whichever of them the question reached.
+            *s = Source { run: m.run, told: (Ms::MAX, 0), sent: s.sent, framed: s.framed, ..Source::default() };
         }
         s.upto = s.upto.max(m.upto);
         if m.sent >= s.told.0 {
             s.knows = Some(s.told.1);
         }
+        if m.sent >= s.answered {
+            (s.answered, s.has) = (m.sent, m.count);
+        }
         // Only a settled voter counts as heard: others may lack what a majority has accepted.
         if m.settled != 0 {
             (s.sent, s.framed) = (s.sent.max(m.sent), true);
@@ -313,7 +387,8 @@
         p.full = true;
         let changes = if full { self.board.rows().cloned().collect() } else { List(fresh) };
         self.next_board = now + RULE_LIFE / 5;
-        out.push(send(&p.addr, BoardMsg { rule: self.rule, until, full: full.into(), changes, permits, nodes }));
+        let (life, heard) = (p.life, p.heard);
+        out.push(send(&p.addr, BoardMsg { life, heard, rule: self.rule, until, full: full.into(), changes, permits, nodes }));
     }
 
     pub fn tick(&mut self, now: Ms) -> Effects {
@@ -356,10 +431,6 @@
     }
 
     fn poll(&mut self, now: Ms, out: &mut Effects) {
-        let (life, tallies, opens) = match &self.proxy {
-            Some(p) => (p.life, p.tallies.clone(), p.opens.clone()),
-            None => (0, vec![], vec![]),
-        };
         let seen: List<Change> = self.board.rows().cloned().map(bare).collect();
         let digest = self.board.digest();
         let names: BTreeSet<Name> = self.mship.known(CONTROL).map(|n| n.name.clone()).collect();
@@ -371,14 +442,22 @@
             if news {
                 s.told = (now, digest);
             }
+            // Of the counts it gets what it does not have. One that does not answer would be told more each time: it is
+            // only asked, until it does.
+            let since = if s.has < self.forgot { 0 } else { s.has };
+            let told = self.proxy.as_ref().filter(|_| now.saturating_sub(s.answered) <= RULE_LIFE);
+            let none = || (0, since, Default::default());
+            let (life, count, (tallies, opens)) = told.map_or_else(none, |p| (p.life, self.change, p.since(since, now)));
             let m = Poll {
                 node: self.mship.me().clone(),
                 life,
                 sent: now,
                 run: s.run,
                 after: s.upto,
-                tallies: List(tallies.clone()),
-                opens: List(opens.clone()),
+                since,
+                count,
+                tallies,
+                opens,
                 news: news.into(),
                 seen: if news { seen.clone() } else { List::default() },
             };
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -11,8 +11,7 @@
     ReplicaReport, RolloutRecord, ServiceMode, Spec, Status, ZoneState, ZoneStreams,
 };
 use wire_messages::{
-    Beat, Blob, Change, Forward, Forwarded, Genesis, List, Msg, Name, News, Node, Open, Permit, Poll, Slots, SlotsAsk, Tally,
-    Voter,
+    Beat, Blob, Change, Forward, Forwarded, Genesis, List, Msg, Name, News, Node, Permit, Poll, Slots, SlotsAsk, Tally, Voter,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -99,10 +98,15 @@
     at: Ms,
     sent: u64,
     after: u64,
-    opens: Vec<Open>,
+    /// Its counts are here up to this one.
+    count: u64,
+    opens: Opens,
     seen: Vec<Change>,
 }
 
+/// Streams by replica and version.
+type Opens = BTreeMap<(Name, Name), u32>;
+
 /// A write or a reading that went to the key's owner.
 #[derive(Clone, Debug)]
 struct Passed {
@@ -639,28 +643,53 @@
 
     fn on_poll(&mut self, addr: &Name, m: Poll, now: Ms, out: &mut Effects) {
         let name = m.node.name.clone();
-        let mut by: BTreeMap<Name, Vec<Tally>> = BTreeMap::new();
-        // Services without a count yet are told too: a source is known from its first word on.
-        for s in self.spec.iter().flat_map(|s| &s.services) {
-            by.insert(s.name.as_str().into(), vec![]);
-        }
-        m.tallies.0.into_iter().for_each(|t| by.entry(t.service.clone()).or_default().push(t));
-        for (s, v) in by {
-            self.loops.entry(s.to_string()).or_insert_with(|| Loop::new(now)).health.feed(&name, m.life, &v);
+        let old = self.agents.remove(&name);
+        let same = old.as_ref().filter(|a| a.node.born == m.node.born);
+        let count = same.map_or(0, |a| a.count);
+        // What changed since a count that an earlier life of this daemon had is not enough to know anything by; nor is
+        // an agent's word before its proxy has spoken.
+        let tells = m.life > 0 && m.since <= count && count <= m.count;
+        let mut opens = old.as_ref().map_or_else(Opens::new, |a| a.opens.clone());
+        if tells {
+            self.count(&name, m.life, m.tallies, now);
+            if m.since == 0 {
+                opens.clear();
+            }
+            for o in m.opens.0 {
+                let at = (o.replica, o.version);
+                if o.streams > 0 {
+                    opens.insert(at, o.streams)
+                } else {
+                    opens.remove(&at)
+                };
+            }
         }
         // Told first hand: rumours of a large fleet take longer.
         self.mship.hear(&m.node, now, out);
         let full = m.run != self.run;
         let after = if full { 0 } else { m.after };
-        let seen = match self.agents.remove(&name) {
+        let count = if tells { m.count } else { count };
+        let seen = match old {
             Some(a) if m.news == 0 && a.node.born == m.node.born => a.seen,
             _ => m.seen.0,
         };
-        let a = Agent { node: m.node, at: now, sent: m.sent, after, opens: m.opens.0, seen };
+        let a = Agent { node: m.node, at: now, sent: m.sent, after, count, opens, seen };
         out.push(self.news(addr, &a, full, now));
         self.agents.insert(name, a);
     }
 
+    fn count(&mut self, source: &Name, life: u64, tallies: List<Tally>, now: Ms) {
+        let mut by: BTreeMap<Name, Vec<Tally>> = BTreeMap::new();
+        // Services without a count yet are told too: a source is known from its first word on.
+        for s in self.spec.iter().flat_map(|s| &s.services) {
+            by.insert(s.name.as_str().into(), vec![]);
+        }
+        tallies.0.into_iter().for_each(|t| by.entry(t.service.clone()).or_default().push(t));
+        for (s, v) in by {
+            self.loops.entry(s.to_string()).or_insert_with(|| Loop::new(now)).health.feed(source, life, &v);
+        }
+    }
+
     fn news(&self, to: &Name, a: &Agent, full: bool, now: Ms) -> Effect {
         let new = self.feed.iter().filter(|(_, s)| **s > a.after);
         // What it has by other ways is not sent again.
@@ -672,6 +701,7 @@
                 sent: a.sent,
                 run: self.run,
                 upto: self.seq,
+                count: a.count,
                 full: full.into(),
                 settled: self.settled.into(),
                 voters: self.regs.voters.len() as u32,
@@ -979,11 +1009,11 @@
             let open = |id: &str, v: &str| -> u64 {
                 let all: &BTreeMap<(&str, &str), u64> = summed.get_or_init(|| {
                     let mut all = BTreeMap::new();
-                    for o in live().flat_map(|a| &a.opens) {
+                    for ((replica, version), streams) in live().flat_map(|a| &a.opens) {
                         // By version, and over all versions of the replica.
-                        *all.entry((&*o.replica, &*o.version)).or_default() += u64::from(o.streams);
-                        if !o.version.is_empty() {
-                            *all.entry((&*o.replica, "")).or_default() += u64::from(o.streams);
+                        *all.entry((&**replica, &**version)).or_default() += u64::from(*streams);
+                        if !version.is_empty() {
+                            *all.entry((&**replica, "")).or_default() += u64::from(*streams);
                         }
                     }
                     all
@@ -1119,7 +1149,7 @@
             .collect();
         let streams = zones.iter().map(|z| ZoneStreams {
             zone: z.name.clone(),
-            streams: heard().filter(|o| homes.get(&*o.replica) == Some(&z.name)).map(|o| u64::from(o.streams)).sum(),
+            streams: heard().filter(|((r, _), _)| homes.get(&**r) == Some(&z.name)).map(|(_, n)| u64::from(*n)).sum(),
         });
         let streams = streams.collect();
         let zones = zones.into_iter().map(|z| ZoneState { evacuated: evacuated(&self.board, &z.name), zone: z.name });
@@ -1154,6 +1184,10 @@
         let mut rows = self.board.under(DUTY).filter_map(|(_, c)| serde_json::from_slice::<RolloutRecord>(&c.value.0).ok());
         listed || rows.any(|r| r.replicas.iter().any(|p| p.id == id))
     }
+    /// Requests sent that this daemon has counted: of a service, and of one of its versions.
+    pub fn counted(&self, service: &str, version: &str) -> (u64, u64) {
+        self.loops.get(service).map_or((0, 0), |l| l.health.sent(version))
+    }
     pub fn counters(&self) -> Vec<(&'static str, u64)> {
         vec![
             ("feed_place", self.seq),
--- a/coordination/src/health.rs
+++ b/coordination/src/health.rs
@@ -58,16 +58,31 @@
     Bad,
 }
 
+/// A cell by its number, and what it counted.
+type Row = (u32, Counts);
+
+/// What one edge told last.
+#[derive(Clone, Debug, Default)]
+struct Source {
+    life: u64,
+    /// Cumulative counts, by cell and group.
+    last: BTreeMap<(u32, u8), Counts>,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    /// Last cumulative counts of each source's cell.
-    last: BTreeMap<(Name, Cell, u8), Counts>,
-    /// Each source's life.
-    sources: BTreeMap<Name, u64>,
-    sums: BTreeMap<Cell, Counts>,
-    past: VecDeque<(Ms, BTreeMap<Cell, Counts>)>,
+    /// Cells are many and their names long: all tables below name them by number.
+    cells: BTreeMap<Cell, u32>,
+    /// Sums over all sources, by the cell's number.
+    sums: Vec<Counts>,
+    sources: BTreeMap<Name, Source>,
+    /// What was added in each spell, and when the spell ended. Nothing is kept of a cell that nothing was added to:
+    /// most lanes rest most of the time.
+    past: VecDeque<(Ms, Vec<Row>)>,
+    /// Added since.
+    fresh: BTreeMap<u32, Counts>,
     /// Sums at the last restart: nothing before it counts.
-    floor: BTreeMap<Cell, Counts>,
+    floor: Vec<Counts>,
 }
 
 impl Counts {
@@ -77,53 +92,97 @@
 }
 
 impl Health {
-    /// Adds a source's cumulative tallies of one service.
+    fn number(&mut self, cell: Cell) -> u32 {
+        let next = self.sums.len() as u32;
+        let n = *self.cells.entry(cell).or_insert(next);
+        if n == next {
+            self.sums.push(Counts::default());
+        }
+        n
+    }
+
+    /// Adds a source's cumulative tallies of one service: of all its cells, or of those that have changed.
     pub fn feed(&mut self, source: &Name, life: u64, tallies: &[Tally]) {
         // Of what a source counted before it was first heard only its last half minute is evidence; a later
         // life of it counts from nought.
-        let old = self.sources.insert(source.clone(), life);
-        let first = old.is_none();
-        if old.is_some_and(|o| o != life) {
-            self.last.retain(|(s, ..), _| s != source);
-        }
+        let first = !self.sources.contains_key(source);
+        let mut old = self.sources.remove(source).filter(|o| o.life == life).unwrap_or_default();
+        old.life = life;
         for t in tallies {
-            let cell = (t.version.clone(), t.lane.clone(), t.warm != 0);
+            let n = self.number((t.version.clone(), t.lane.clone(), t.warm != 0));
             let ended = t.ok + t.failed;
             let (failed, slow, firsts, first_log) = (t.failed, t.slow, t.firsts, t.first_log);
             let c = Counts { sent: t.sent, ended, failed, slow, firsts, first_log };
-            let old = self.last.insert((source.clone(), cell.clone(), t.group), c).unwrap_or_default();
+            let before = old.last.get(&(n, t.group)).copied().unwrap_or_default();
+            // Counts only rise in a life: lower ones are late.
+            if c.sent + c.ended < before.sent + before.ended {
+                continue;
+            }
+            old.last.insert((n, t.group), c);
             let (ended, failed, slow) = (t.new_ended, t.new_failed, t.new_slow);
             let recent = Counts { sent: ended, ended, failed, slow, ..Counts::default() };
-            let d = if first { recent } else { c.minus(old) };
-            let s = self.sums.entry(cell).or_default();
-            *s = s.plus(d);
+            let d = if first { recent } else { c.minus(before) };
+            if d != Counts::default() {
+                let (s, f) = (&mut self.sums[n as usize], self.fresh.entry(n).or_default());
+                (*s, *f) = (s.plus(d), f.plus(d));
+            }
         }
+        self.sources.insert(source.clone(), old);
     }
     pub fn tick(&mut self, now: Ms) {
         if self.past.back().is_some_and(|(t, _)| now.saturating_sub(*t) < HEALTH_SPACING) {
             return;
         }
-        self.past.push_back((now, self.sums.clone()));
+        self.close(now);
         // One that is older than the longest window stays: it is that window's beginning.
         while self.past.get(1).is_some_and(|(t, _)| now.saturating_sub(*t) > LONG_WINDOW) {
             self.past.pop_front();
         }
     }
+    fn close(&mut self, now: Ms) {
+        let fresh = std::mem::take(&mut self.fresh).into_iter().collect();
+        self.past.push_back((now, fresh));
+    }
     /// Forgets the past, so that a new phase is judged by what happens in it.
     pub fn restart(&mut self, now: Ms) {
         self.past.clear();
-        self.past.push_back((now, self.sums.clone()));
+        self.close(now);
         self.floor = self.sums.clone();
     }
     /// Counts within the last `w` ms, of cells that `f` picks.
     fn within(&self, now: Ms, w: Ms, f: impl Fn(&Cell) -> bool) -> Counts {
-        let base = self.past.iter().rev().find(|(t, _)| now.saturating_sub(*t) >= w).map_or(&self.floor, |(_, m)| m);
-        let cells = self.sums.iter().filter(|(c, _)| f(c));
-        cells.fold(Counts::default(), |sum, (c, v)| sum.plus(v.minus(base.get(c).copied().unwrap_or_default())))
+        let mut picked = vec![false; self.sums.len()];
+        self.cells.iter().for_each(|(c, n)| picked[*n as usize] = f(c));
+        let mut sum = Counts::default();
+        self.rows(now, w, |n, c| {
+            if picked[n as usize] {
+                sum = sum.plus(c);
+            }
+        });
+        sum
+    }
+    /// Gives all that was counted within the last `w` ms.
+    fn rows(&self, now: Ms, w: Ms, mut take: impl FnMut(u32, Counts)) {
+        // The last spell that had ended when the window began: what came after it lies in the window.
+        if let Some(i) = self.past.iter().rposition(|(t, _)| now.saturating_sub(*t) >= w) {
+            self.past.iter().skip(i + 1).flat_map(|(_, rows)| rows).for_each(|(n, c)| take(*n, *c));
+            return self.fresh.iter().for_each(|(n, c)| take(*n, *c));
+        }
+        let floor = |n: usize| self.floor.get(n).copied().unwrap_or_default();
+        self.sums.iter().enumerate().for_each(|(n, v)| take(n as u32, v.minus(floor(n))));
     }
     /// What one cell counted in the longest window: ended, failed, slow.
     pub fn recent(&self, version: &str, lane: &str, warm: bool, now: Ms) -> (u64, u64, u64) {
-        let c = self.within(now, LONG_WINDOW, |c| &*c.0 == version && &*c.1 == lane && c.2 == warm);
+        let cell = (Name::from(version), Name::from(lane), warm);
+        let Some(n) = self.cells.get(&cell).copied() else { return (0, 0, 0) };
+        let c = match self.past.iter().rposition(|(t, _)| now.saturating_sub(*t) >= LONG_WINDOW) {
+            Some(i) => {
+                let at = |rows: &Vec<Row>| rows.binary_search_by_key(&n, |r| r.0).map_or(Counts::default(), |i| rows[i].1);
+                let all = self.past.iter().skip(i + 1).map(|(_, rows)| at(rows));
+                all.chain(self.fresh.get(&n).copied()).fold(Counts::default(), Counts::plus)
+            }
+            None => self.sums[n as usize].minus(self.floor.get(n as usize).copied().unwrap_or_default()),
+        };
         (c.ended, c.failed, c.slow)
     }
     /// Requests of a version that ended since the last restart, within the long window.
@@ -142,18 +201,29 @@
         self.within(now, EVER, |c| &*c.0 == version && &*c.1 == lane).ended
     }
     fn lanes(&self, version: &str) -> Vec<&Name> {
-        let mut v: Vec<&Name> = self.sums.keys().filter(|c| &*c.0 == version).map(|c| &c.1).collect();
+        let mut v: Vec<&Name> = self.cells.keys().filter(|c| &*c.0 == version).map(|c| &c.1).collect();
         v.dedup();
         v
     }
+    /// What a version counted on each lane within the last `w` ms, in one go over all that was counted: lanes are many.
+    fn by_lane(&self, now: Ms, w: Ms, version: &str) -> BTreeMap<&Name, Counts> {
+        let mut lane: Vec<Option<&Name>> = vec![None; self.sums.len()];
+        self.cells.iter().filter(|(c, _)| &*c.0 == version).for_each(|(c, n)| lane[*n as usize] = Some(&c.1));
+        let mut all: BTreeMap<&Name, Counts> = BTreeMap::new();
+        self.rows(now, w, |n, c| {
+            if let Some(l) = lane[n as usize] {
+                let s = all.entry(l).or_default();
+                *s = s.plus(c);
+            }
+        });
+        all
+    }
     /// Whether a version fails by itself, over all lanes or on one, with nothing to hold it against.
     pub fn fails(&self, version: &str, now: Ms) -> bool {
-        let cells = std::iter::once(None).chain(self.lanes(version).into_iter().map(Some));
-        cells.into_iter().any(|l| {
-            HEALTH_WINDOWS.iter().any(|w| {
-                let n = self.within(now, *w, |c| &*c.0 == version && l.is_none_or(|l| c.1 == *l));
-                n.failed >= BAD_FAILURES && n.failed * 100 >= n.ended * BAD_ALONE
-            })
+        let bad = |n: &Counts| n.failed >= BAD_FAILURES && n.failed * 100 >= n.ended * BAD_ALONE;
+        HEALTH_WINDOWS.iter().any(|w| {
+            let lanes = self.by_lane(now, *w, version);
+            bad(&lanes.values().fold(Counts::default(), |sum, c| sum.plus(*c))) || lanes.values().any(bad)
         })
     }
     /// Whether what failed of `new` since the last restart is too little to judge it by and too much to trust it.
--- a/coordination/src/health/beside.rs
+++ b/coordination/src/health/beside.rs
@@ -24,13 +24,20 @@
 impl Health {
     /// Bad ends in the worst burst of the last `w` ms: a crash is one burst.
     fn burst(&self, now: Ms, w: Ms, f: impl Fn(&Cell) -> bool) -> u64 {
-        let failed = |m: &std::collections::BTreeMap<Cell, super::Counts>| -> u64 {
-            m.iter().filter(|(c, _)| f(c)).map(|(_, v)| v.failed).sum()
+        let picked: std::collections::BTreeSet<u32> = self.cells.iter().filter(|(c, _)| f(c)).map(|(_, n)| *n).collect();
+        let failed = |rows: &mut dyn Iterator<Item = (&u32, &super::Counts)>| -> u64 {
+            rows.filter(|(n, _)| picked.contains(n)).map(|(_, c)| c.failed).sum()
         };
-        // From where the window's counts begin, which is its last snapshot before it.
+        // From where the window's counts begin, which is the last spell that ended before it.
         let from = self.past.iter().rposition(|(t, _)| now.saturating_sub(*t) >= w).unwrap_or(0);
-        let mut sums: Vec<(Ms, u64)> = self.past.iter().skip(from).map(|(t, m)| (*t, failed(m))).collect();
-        sums.push((now, failed(&self.sums)));
+        let mut sum = 0;
+        let mut sums: Vec<(Ms, u64)> = vec![];
+        for (t, rows) in self.past.iter().skip(from) {
+            // What the first spell brought lies before all that is compared.
+            sum += if sums.is_empty() { 0 } else { failed(&mut rows.iter().map(|(n, c)| (n, c))) };
+            sums.push((*t, sum));
+        }
+        sums.push((now, sum + failed(&mut self.fresh.iter())));
         let bursts = sums.iter().enumerate().map(|(i, (t, n))| {
             let end = sums[i..].iter().take_while(|(u, _)| u - t <= BAD_BURST).last().map_or(*n, |l| l.1);
             end - n
@@ -91,7 +98,10 @@
 
     /// Requests sent since this daemon counts, of all versions and of one.
     pub fn sent(&self, version: &str) -> (u64, u64) {
-        let of = |mine: bool| -> u64 { self.sums.iter().filter(|(c, _)| !mine || &*c.0 == version).map(|(_, v)| v.sent).sum() };
+        let of = |mine: bool| -> u64 {
+            let cells = self.cells.iter().filter(|(c, _)| !mine || &*c.0 == version);
+            cells.map(|(_, n)| self.sums[*n as usize].sent).sum()
+        };
         (of(false), of(true))
     }
 
@@ -106,7 +116,7 @@
 
     /// Whether `new` ended enough on each lane that others met since the last restart.
     pub fn met_lanes(&self, new: &str, enough: u64, now: Ms) -> bool {
-        let mut lanes: Vec<_> = self.sums.keys().map(|c| &c.1).collect();
+        let mut lanes: Vec<_> = self.cells.keys().map(|c| &c.1).collect();
         lanes.sort_unstable();
         lanes.dedup();
         lanes.into_iter().all(|l| {
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -47,6 +47,8 @@
 pub const WRITES_WAITING: usize = 32;
 /// ms. Agents ask each control daemon for news this often; news is also pushed.
 pub const POLL_EVERY: Ms = 400;
+/// ms. An agent remembers streams that have ended for so long: control daemons are back sooner, after most cuts.
+pub const COUNTS_KEPT: Ms = 60_000;
 /// ms. Agents that polled within this are pushed to.
 pub const FOLLOWER_GONE: Ms = 3_000;
 /// ms. Shuffle between neighbours.
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -110,6 +110,9 @@
 /// A request's service and prefixes.
 type What<'a> = (&'a str, &'a [String]);
 
+/// Service, version, lane, whether the cache was warm, group.
+type TallyKey = (String, String, String, bool, u8);
+
 /// Role, version and replicas of a group.
 type Group = (GroupRole, String, Vec<String>);
 
@@ -131,7 +134,14 @@
     nodes: Vec<Node>,
     seen: BTreeMap<String, Seen>,
     open: BTreeMap<(String, String), u32>,
-    tallies: BTreeMap<(String, String, String, bool, u8), [u64; 6]>,
+    tallies: BTreeMap<TallyKey, [u64; 6]>,
+    /// Counts changes of tallies and opens; the newest change that the agent has of them; and what changed since.
+    change: u64,
+    heard: u64,
+    changed: BTreeMap<TallyKey, u64>,
+    moved: BTreeMap<(String, String), u64>,
+    /// Tallies that changed since this proxy last judged by them.
+    unjudged: BTreeMap<String, BTreeSet<TallyKey>>,
     /// What a service's canary may take next, in hundredths of a request.
     shares: BTreeMap<String, u32>,
     /// Versions whose failures show here, and until when they are capped.
@@ -191,6 +201,11 @@
             seen: BTreeMap::new(),
             open: BTreeMap::new(),
             tallies: BTreeMap::new(),
+            change: 1,
+            heard: 0,
+            changed: BTreeMap::new(),
+            moved: BTreeMap::new(),
+            unjudged: BTreeMap::new(),
             shares: BTreeMap::new(),
             suspects: BTreeMap::new(),
             health: BTreeMap::new(),
@@ -226,6 +241,10 @@
 
     pub fn on_board(&mut self, m: BoardMsg, now: Ms) {
         (self.rule, self.until, self.nodes) = (m.rule, m.until, m.nodes.0);
+        self.heard = if m.life == self.born { m.heard.min(self.change) } else { 0 };
+        let heard = self.heard;
+        self.changed.retain(|_, n| *n > heard);
+        self.moved.retain(|_, n| *n > heard);
         let edges = self.nodes.iter().filter(|n| !n.http.is_empty());
         // An edge goes by its agent's name: a proxy knows its own by where it answers callers.
         let me = edges.clone().find(|n| n.http == self.http).map_or(&self.name, |n| &n.name);
@@ -275,9 +294,9 @@
         self.evacuated = zones.iter().filter(|z| evacuated(&self.board, &z.name)).map(|z| z.name.clone()).collect();
     }
 
-    pub fn hello(&self, now: Ms) -> ProxyHello {
+    fn told<'a>(&self, keys: impl Iterator<Item = &'a TallyKey>, now: Ms) -> List<Tally> {
         let mut told = BTreeSet::new();
-        let tallies = self.tallies.iter().map(|((s, v, l, warm, g), n)| {
+        let tallies = keys.filter_map(|k| Some((k, self.tallies.get(k)?))).map(|((s, v, l, warm, g), n)| {
             // Recent counts are kept over all groups, so they go with the first of a cell's groups only.
             let first = told.insert((s, v, l, *warm));
             let h = self.health.get(s).filter(|_| first);
@@ -299,12 +318,42 @@
                 first_log: n[5],
             }
         });
+        tallies.collect()
+    }
+    /// Everything counted and open.
+    pub fn hello(&self, now: Ms) -> ProxyHello {
         let opens = self.open.iter().filter(|(_, n)| **n > 0).map(|((r, v), n)| Open {
             replica: r.as_str().into(),
             version: v.as_str().into(),
             streams: *n,
         });
-        ProxyHello { born: self.born, http: self.http.clone(), tallies: tallies.collect(), opens: opens.collect::<List<Open>>() }
+        ProxyHello {
+            born: self.born,
+            http: self.http.clone(),
+            after: 0,
+            upto: self.change,
+            tallies: self.told(self.tallies.keys(), now),
+            opens: opens.collect::<List<Open>>(),
+        }
+    }
+    /// What the agent does not have yet: lanes are many, and most rest.
+    pub fn news(&self, now: Ms) -> ProxyHello {
+        if self.heard == 0 {
+            return self.hello(now);
+        }
+        let opens = self.moved.keys().map(|k| Open {
+            replica: k.0.as_str().into(),
+            version: k.1.as_str().into(),
+            streams: self.open.get(k).copied().unwrap_or(0),
+        });
+        ProxyHello {
+            born: self.born,
+            http: self.http.clone(),
+            after: self.heard,
+            upto: self.change,
+            tallies: self.told(self.changed.keys(), now),
+            opens: opens.collect(),
+        }
     }
 
     // ---- what replicas say ----
@@ -698,7 +747,7 @@
         if let Some(s) = self.seen.get_mut(&replica) {
             s.since += 1;
         }
-        *self.open.entry((replica.clone(), version.clone())).or_default() += 1;
+        self.opens((replica.clone(), version.clone()));
         self.share_out(&q.service, role);
         let p =
             Placed { service: q.service.clone(), lane: q.lane.clone(), version, replica, addr, role, warm, at: now, flight: 0 };
@@ -706,6 +755,12 @@
         p
     }
 
+    fn opens(&mut self, at: (String, String)) {
+        self.change += 1;
+        self.moved.insert(at.clone(), self.change);
+        *self.open.entry(at).or_default() += 1;
+    }
+
     /// Counts a round of a service towards its canary's share, or out of it.
     fn share_out(&mut self, service: &str, role: GroupRole) {
         let canary = |r: &RolloutRecord| r.groups.iter().any(|g| g.role == GroupRole::Canary);
@@ -727,6 +782,9 @@
     }
     fn add(&mut self, p: &Placed, i: usize, n: u64) {
         let k = (p.service.clone(), p.version.clone(), p.lane.clone(), p.warm, p.role as u8);
+        self.change += 1;
+        self.changed.insert(k.clone(), self.change);
+        self.unjudged.entry(p.service.clone()).or_default().insert(k.clone());
         self.tallies.entry(k).or_default()[i] += n;
     }
 
@@ -735,8 +793,12 @@
         let k = (p.replica.clone(), p.version.clone());
         if let Some(n) = self.open.get_mut(&k) {
             *n = n.saturating_sub(1);
+            if *n == 0 {
+                self.open.remove(&k);
+            }
         }
-        self.open.retain(|_, n| *n > 0);
+        self.change += 1;
+        self.moved.insert(k, self.change);
         if let Some(s) = self.seen.get_mut(&p.replica) {
             s.since = s.since.saturating_sub(1);
         }
@@ -751,8 +813,8 @@
         }
         // This proxy caps a version as soon as its own counts show failures; the control plane's cut follows.
         let stable = self.records.get(&p.service).map(|r| r.2.stable.clone())?;
-        let rows = self.hello(now).tallies.0;
-        let rows: Vec<Tally> = rows.into_iter().filter(|t| *t.service == *p.service).collect();
+        let unjudged = self.unjudged.remove(&p.service).unwrap_or_default();
+        let rows = self.told(unjudged.iter(), now).0;
         let h = self.health.entry(p.service.clone()).or_insert_with(|| {
             // This proxy has counted everything itself: nothing came before.
             let mut h = Health::default();
@@ -856,7 +918,7 @@
             at: now,
             flight: self.flight,
         };
-        *self.open.entry((p.replica.clone(), p.version.clone())).or_default() += 1;
+        self.opens((p.replica.clone(), p.version.clone()));
         self.share_out(&p.service, role);
         self.tally(&p, 0);
         p
--- a/edge-proxy/src/actor.rs
+++ b/edge-proxy/src/actor.rs
@@ -125,7 +125,7 @@
             return;
         }
         self.next_hello = now + HELLO_EVERY;
-        let mut m = hold(&self.brain).hello(now);
+        let mut m = hold(&self.brain).news(now);
         // A proxy that stops is no longer nominated.
         if self.stopping {
             m.http = Name::default();
--- a/fleet-simulator/src/world/daemons.rs
+++ b/fleet-simulator/src/world/daemons.rs
@@ -76,7 +76,7 @@
             }
             To::Proxy(i) => {
                 let Some(p) = self.edges[i].proxy.as_ref() else { return };
-                let (hello, replicas) = (p.hello(now), p.replicas());
+                let (hello, replicas) = (p.news(now), p.replicas());
                 if now >= self.edges[i].next_hello {
                     self.edges[i].next_hello = now + HELLO_EVERY;
                     self.post_agent(i, hello.into());
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -82,10 +82,11 @@
     /// A holder gives up its duties: voters need not wait its permits out.
     16u8 Release { keys: List<Held> }
     /// An agent asks for news. `life`: of the proxy whose tallies it brings. `sent` comes back so that permits count from the asking.
-    /// `news`: `seen` is new, else it is as the daemon last heard it.
-    20u8 Poll { node: Node, life: u64, sent: u64, run: u64, after: u64, tallies: List<Tally>, opens: List<Open>, news: u8, seen: List<Change> }
-    /// `full`: a frame of all keys, not a piece of the feed.
-    21u8 News { sent: u64, run: u64, upto: u64, full: u8, settled: u8, voters: u32, changes: List<Change>, permits: List<Permit> }
+    /// `news`: `seen` is new, else it is as the daemon last heard it. Tallies and opens are those that
+    /// changed after the agent's `since`th count, up to its `count`th; all of them after none.
+    20u8 Poll { node: Node, life: u64, sent: u64, run: u64, after: u64, since: u64, count: u64, tallies: List<Tally>, opens: List<Open>, news: u8, seen: List<Change> }
+    /// `full`: a frame of all keys, not a piece of the feed. `count`: up to which of the agent's counts the sender has them.
+    21u8 News { sent: u64, run: u64, upto: u64, count: u64, full: u8, settled: u8, voters: u32, changes: List<Change>, permits: List<Permit> }
     30u8 Shuffle { nodes: List<Node>, answer: u8 }
     /// `sent` comes back in the answer: an agent that hears no control daemon counts who answers it.
     31u8 Digests { sent: u64, ranges: List<Range> }
@@ -96,9 +97,11 @@
     33u8 Claim { token: u64, request: Name, round: u64, void: u8, age: u64 }
     /// `state`: 0 granted, 1 another round's, 2 voided, 3 abstains.
     34u8 Claimed { token: u64, state: u8 }
-    40u8 ProxyHello { born: u64, http: Name, tallies: List<Tally>, opens: List<Open> }
-    /// Agent to its proxy. `rule`: 0 reject all, 1 stable only, 2 all.
-    41u8 Board { rule: u8, until: u64, full: u8, changes: List<Change>, permits: List<Lent>, nodes: List<Node> }
+    /// Tallies and opens that changed after the proxy's `after`th change, up to its `upto`th; all of them after none.
+    40u8 ProxyHello { born: u64, http: Name, after: u64, upto: u64, tallies: List<Tally>, opens: List<Open> }
+    /// Agent to its proxy. `rule`: 0 reject all, 1 stable only, 2 all. `heard`: the agent has the tallies and opens of
+    /// the proxy's life up to this change of them.
+    41u8 Board { life: u64, heard: u64, rule: u8, until: u64, full: u8, changes: List<Change>, permits: List<Lent>, nodes: List<Node> }
     42u8 ClaimAsk { token: u64, request: Name, round: u64, void: u8, age: u64 }
     /// `state`: 0 granted, 1 another round's, 2 voided, 3 no majority.
     43u8 ClaimTold { token: u64, state: u8 }
