Tell all proxies which long prompts were sent where

An answer's load comes too late to tell. Ruled out: slow replicas (late ones lie on all speeds), cold caches of the chats themselves. One message for each batch and edge, spaced so that an agent's part does not grow with its fleet.

--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -5,7 +5,7 @@
 
 use wire_messages::{
     Board as BoardMsg, Change, ClaimAsk, ClaimTold, Digests, Lent, List, Mend, Msg, Name, News, Node, Open, Permit, Poll,
-    ProxyHello, Tally,
+    ProxyHello, Readings, Tally,
 };
 
 use crate::{
@@ -150,6 +150,7 @@
             }
             Msg::ProxyHello(m) => self.on_hello(addr, m, now),
             Msg::ClaimAsk(m) => self.on_claim_ask(addr, m, now, &mut out),
+            Msg::Readings(m) => self.on_readings(addr, m, &mut out),
             _ => {}
         }
         // News goes to the proxy as it comes, not at the next tick.
@@ -173,6 +174,16 @@
         self.claimer.ask(proxy, &m, &edges, now, out);
     }
 
+    /// What its proxy lately sent goes to all edges, what others sent to its proxy.
+    fn on_readings(&self, from: &Name, m: Readings, out: &mut Effects) {
+        let Some(p) = &self.proxy else { return };
+        if p.addr != *from {
+            return out.push(send(&p.addr, m));
+        }
+        let me = &self.mship.me().name;
+        out.extend(self.mship.live(EDGE).filter(|n| n.name != *me).map(|n| send(&n.addr, m.clone())));
+    }
+
     fn on_hello(&mut self, addr: &Name, m: ProxyHello, now: Ms) {
         self.mship.set_http(&m.http);
         // Another life of the proxy has nothing, however soon it came back.
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -265,3 +265,11 @@
 pub const KEPT_TOKENS: u32 = 200;
 /// Bytes of one event of a stream that may be resumed; the largest seen are a hundredth of it.
 pub const EVENT_MAX: usize = 64 << 10;
+/// ms. Other proxies are told of prompts that take so long to read: a shorter one makes nobody late.
+pub const READING_TOLD: f64 = 30.0;
+/// ms for each edge between two tellings of what was sent: each agent then passes on the same, however large its fleet.
+pub const READINGS_EVERY: Ms = 8;
+/// Prompts in one telling; a second of a proxy's share of long ones is a tenth of it.
+pub const READINGS_MOST: usize = 64;
+/// ms. Most that prompts of other proxies count for: beyond it they have most likely gone elsewhere or failed.
+pub const OTHERS_MOST: f64 = 4_000.0;
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -3,13 +3,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use remote_calls::{EngineSpec, PathSpec, PlacedReplica};
+use wire_messages::{List, Reading};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Kept, Site, Travel, again_ms, carry_ms, chain, read_ms, shared, tokens};
 use crate::{
     Ms,
     bounds::Bounds,
-    limits::{COLD_BURST_PART, COLD_PART, DOWN_COLD, EDGES_FALL, FULL_MS, KEPT_TOKENS, LOAD_MS, ORDER_MS, RATE_MS},
+    limits::{
+        COLD_BURST_PART, COLD_PART, DOWN_COLD, EDGES_FALL, FULL_MS, KEPT_TOKENS, LOAD_MS, ORDER_MS, RATE_MS, READING_TOLD,
+        READINGS_EVERY, READINGS_MOST,
+    },
     order::{weight, weight_of},
     pass::{Ask, Told},
 };
@@ -54,6 +58,11 @@
     edges: Vec<String>,
     me: String,
     most: (usize, Ms),
+    /// Long prompts that went out and that others have not been told of, and when they were last told.
+    untold: Vec<Reading>,
+    told_at: Ms,
+    /// Ids of replicas by the numbers of their lives.
+    ids: BTreeMap<u64, String>,
 }
 
 impl Placement {
@@ -82,9 +91,7 @@
         let cold_ms = self.engines.get(service).map_or(0, |e| e.cold_ms);
         let listed: BTreeSet<&String> = all.iter().map(|r| &r.id).collect();
         for id in old.iter().filter(|id| !listed.contains(id)) {
-            if let Some(r) = self.rows.remove(id) {
-                self.kept.forget(r.site.number);
-            }
+            self.forget(id);
         }
         for r in all {
             let number = xxh3_64(r.id.as_bytes());
@@ -94,11 +101,18 @@
                 site: Site::new(number, &r.zone, r.slots),
             });
             (row.addr, row.version) = (r.addr.clone(), r.version.clone());
+            self.ids.insert(number, r.id.clone());
             if r.cold {
                 row.site.set_cold(now + cold_ms.max(1));
             }
         }
     }
+    fn forget(&mut self, id: &str) {
+        if let Some(r) = self.rows.remove(id) {
+            self.kept.forget(r.site.number);
+            self.ids.remove(&r.site.number);
+        }
+    }
     pub fn zone(&self, id: &str) -> Option<&str> {
         self.rows.get(id).map(|r| r.site.zone.as_str())
     }
@@ -159,7 +173,7 @@
         let bears = self.engines.get(service).and_then(|e| e.cold_rate).unwrap_or(0.0) * self.bounds.cold_over / edges as f64;
         for (step, (_, i)) in order.into_iter().enumerate() {
             let s = &self.rows[all[i].0].site;
-            let mut c = self.travel.ms(&s.zone) + s.lag + s.reading + s.load(edges) * LOAD_MS;
+            let mut c = self.travel.ms(&s.zone) + s.lag + s.reads(now) + s.load(edges) * LOAD_MS;
             if self.travel.far(&s.zone) {
                 c += carry;
             }
@@ -190,7 +204,7 @@
         let r = &self.rows[id];
         let warm = self.keeps(r.site.number, shared(&ask.parts), now);
         let read = read_ms(ask.tokens.0.saturating_sub(if warm { tokens(shared(&ask.parts)) } else { 0 }));
-        let expected = self.travel.ms(&r.site.zone) + r.site.reading + read;
+        let expected = self.travel.ms(&r.site.zone) + r.site.reads(now) + read;
         Nominee { id: id.into(), addr: r.addr.clone(), version: r.version.clone(), warm, read_ms: read, expected }
     }
 
@@ -200,10 +214,28 @@
         let Some(r) = self.rows.get_mut(&n.id) else { return };
         r.site.send(n.read_ms, now);
         r.site.warm_one(now);
-        for p in shared(&ask.parts).iter().filter(|p| p.1 >= KEPT_TOKENS) {
-            self.kept.put(r.site.number, p.0, now);
+        let number = r.site.number;
+        let parts: Vec<u64> = shared(&ask.parts).iter().filter(|p| p.1 >= KEPT_TOKENS).map(|p| p.0).collect();
+        parts.iter().for_each(|p| self.kept.put(number, *p, now));
+        // What is read in no time delays nobody, and its parts are sent again soon or do not matter.
+        if n.read_ms >= READING_TOLD && self.untold.len() < READINGS_MOST {
+            self.untold.push(Reading { replica: number, ms: n.read_ms as u32, parts: List(parts) });
         }
     }
+    /// What others are to be told, not more often than the fleet can bear.
+    pub fn readings(&mut self, now: Ms) -> Vec<Reading> {
+        if now < self.told_at + READINGS_EVERY * self.edges() as Ms {
+            return vec![];
+        }
+        self.told_at = now;
+        std::mem::take(&mut self.untold)
+    }
+    /// A long prompt that another proxy sent.
+    pub fn on_reading(&mut self, m: &Reading, now: Ms) {
+        let Some(r) = self.ids.get(&m.replica).and_then(|id| self.rows.get_mut(id)) else { return };
+        r.site.others_read(f64::from(m.ms), now);
+        m.parts.iter().for_each(|p| self.kept.put(m.replica, *p, now));
+    }
     pub fn opened(&mut self, id: &str, took: Ms) {
         let Some(r) = self.rows.get(id) else { return };
         let zone = r.site.zone.clone();
@@ -239,8 +271,6 @@
     }
     /// Another life stands at the address: the replica is gone, whatever the record still says.
     pub fn gone(&mut self, id: &str) {
-        if let Some(r) = self.rows.remove(id) {
-            self.kept.forget(r.site.number);
-        }
+        self.forget(id);
     }
 }
--- a/coordination/src/placement/site.rs
+++ b/coordination/src/placement/site.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Ms,
-    limits::{DOWN_FIRST, DOWN_MOST, LAG_MOST, LAG_WEIGHT, LOAD_OLD, QUIET},
+    limits::{DOWN_FIRST, DOWN_MOST, LAG_MOST, LAG_WEIGHT, LOAD_OLD, OTHERS_MOST, QUIET},
     pass::Told,
     placement::Bucket,
 };
@@ -18,6 +18,8 @@
     pub unheard: u32,
     /// ms of reading that our unheard rounds still need there.
     pub reading: f64,
+    /// Until when prompts that other proxies sent are read there, in ms with their parts.
+    others: f64,
     /// What an answer last told: running, waiting; how many of ours were open then; when.
     told: Option<(u32, u32, u32, Ms)>,
     /// Recent rounds of ours, decaying over a second.
@@ -46,6 +48,7 @@
             open: 0,
             unheard: 0,
             reading: 0.0,
+            others: 0.0,
             told: None,
             rate: 0.0,
             rate_at: 0,
@@ -70,6 +73,16 @@
         self.rate_at = now;
         self.waits_since.get_or_insert(now);
     }
+    /// Another proxy sent a prompt that takes so long to read.
+    pub fn others_read(&mut self, ms: f64, now: Ms) {
+        // One is read after the other, and no news is worth more than the longest that any can take.
+        let now = now as f64;
+        self.others = (self.others.max(now) + ms).min(now + OTHERS_MOST);
+    }
+    /// ms of reading that are still to be done there, as far as is known.
+    pub fn reads(&self, now: Ms) -> f64 {
+        self.reading + (self.others - now as f64).max(0.0)
+    }
     pub fn first_piece(&mut self, read_ms: f64, late_ms: f64, now: Ms) {
         self.unheard = self.unheard.saturating_sub(1);
         self.reading = (self.reading - read_ms).max(0.0);
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -10,7 +10,7 @@
     Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, PathSpec, ReplicaReport, RolloutRecord, RunRequest,
     ServiceMode, ServiceSpec, Spec,
 };
-use wire_messages::{Board as BoardMsg, Lent, List, Name, Node, Open, ProxyHello, Tally};
+use wire_messages::{Board as BoardMsg, Lent, List, Name, Node, Open, ProxyHello, Readings, Tally};
 
 use crate::{
     Ms,
@@ -307,6 +307,16 @@
         ProxyHello { born: self.born, http: self.http.clone(), tallies: tallies.collect(), opens: opens.collect::<List<Open>>() }
     }
 
+    /// Long prompts that went out since this was last asked, for all other proxies.
+    pub fn readings(&mut self, now: Ms) -> Option<Readings> {
+        let all = self.placement.readings(now);
+        (!all.is_empty()).then_some(Readings { all: List(all) })
+    }
+    /// Long prompts that another proxy sent.
+    pub fn on_readings(&mut self, m: Readings, now: Ms) {
+        m.all.iter().for_each(|r| self.placement.on_reading(r, now));
+    }
+
     // ---- what replicas say ----
 
     /// Replicas to ask for their reports: id and address.
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -4,7 +4,7 @@
     Effect,
     agent::Agent,
     limits::{MISSED, TICK},
-    wire::{Blob, Change, Digests, List, Msg, Name, News, Node, Poll, Shuffle},
+    wire::{Blob, Change, Digests, List, Msg, Name, News, Node, Poll, ProxyHello, Reading, Readings, Shuffle},
 };
 use googletest::prelude::*;
 
@@ -95,3 +95,17 @@
     a.on_msg(&"c1".into(), &"c1".into(), news(vec![change("spec", 2, 10)], last), 2_610);
     expect_true!(polls(&mut a, 2_620, 3_600).iter().any(|p| p.news == 1 && p.seen.len() == 1));
 }
+
+#[gtest]
+fn what_a_proxy_sent_comes_to_all_other_proxies_once() {
+    let mut a = agent("a", vec![change("spec", 1, 10)]);
+    let m = || Msg::from(Readings { all: List(vec![Reading { replica: 7, ms: 400, parts: List(vec![1, 2]) }]) });
+    let nodes: List<Node> = ["e1", "e2", "c1"].map(|n| node(n, if n == "c1" { 1 } else { 2 })).into_iter().collect();
+    a.on_msg(&"e1".into(), &"e1".into(), Shuffle { nodes, answer: 1 }.into(), 10);
+    expect_that!(sends(a.on_msg(&"e1".into(), &"e1".into(), m(), 20)), is_empty(), "there is no proxy yet");
+    let hello = ProxyHello { born: 1, http: "h".into(), ..ProxyHello::default() };
+    a.on_msg(&"p".into(), &"p".into(), hello.into(), 30);
+    let to = |out: Vec<Effect>| sends(out).into_iter().filter(|(_, o)| *o == m()).map(|(n, _)| n.to_string()).collect::<Vec<_>>();
+    expect_that!(to(a.on_msg(&"p".into(), &"p".into(), m(), 40)), unordered_elements_are![eq("e1"), eq("e2")]);
+    expect_that!(to(a.on_msg(&"e1".into(), &"e1".into(), m(), 50)), elements_are![eq("p")]);
+}
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -6,6 +6,7 @@
     bounds::Bounds,
     pass::{Ask, Told},
     placement::{Budget, Placement, Want},
+    wire::Reading,
 };
 use googletest::prelude::*;
 use remote_calls::{EngineSpec, PathSpec, PlacedReplica};
@@ -143,3 +144,42 @@
         (0..200).filter_map(|i| go(&mut p, &ids, &l, &a, i > 150, 1_600 + i)).filter(|id| *id == bad).collect();
     expect_that!(tries.len(), le(1));
 }
+
+#[gtest]
+fn short_prompts_keep_clear_of_replicas_that_read_a_long_one_for_another_proxy() {
+    let all: Vec<PlacedReplica> = (0..3).map(|i| replica(&format!("r{i}"), "a", false)).collect();
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let l = lane(&[]);
+    let mut fleet = fleet(6, &all);
+    let long = ask(&[(7, 40_000), (8, 4_000)]);
+    let reads = go(&mut fleet[0], &ids, &l, &long, false, 1_000).unwrap();
+    let told = fleet[0].readings(1_050);
+    expect_that!(told, len(eq(1)));
+    expect_that!(fleet[0].readings(1_500), is_empty());
+    let p = &mut fleet[3];
+    told.iter().for_each(|r| p.on_reading(r, 1_060));
+    // A news of a replica that is not known here is no news.
+    p.on_reading(&Reading { replica: 1, ms: 9, ..told[0].clone() }, 1_060);
+    // Prompts of every kind that are at home there by themselves too.
+    for k in 0..40u64 {
+        expect_that!(go(p, &ids, &l, &ask(&[(k, 55), (9, 200)]), true, 1_100 + k), some(not(eq(&reads))));
+    }
+    let later: BTreeSet<_> = (0..40u64).filter_map(|k| go(p, &ids, &l, &ask(&[(k, 55), (9, 200)]), true, 2_500 + k)).collect();
+    expect_that!(later, contains(eq(&reads)), "it has been read by then");
+}
+
+#[gtest]
+fn each_agent_passes_on_as_much_however_large_its_fleet() {
+    let all = [replica("r", "a", false)];
+    let (ids, l) = (vec!["r".to_string()], lane(&[]));
+    for n in [6, 40, 360] {
+        let p = &mut fleet(n, &all)[0];
+        let mut tellings = 0;
+        for now in (0..60_000u64).step_by(50) {
+            go(p, &ids, &l, &ask(&[(now, 9_000), (now + 1, 3_000)]), true, now);
+            tellings += usize::from(!p.readings(now).is_empty());
+        }
+        expect_that!(tellings * n, le(60 * 130), "{n} edges");
+        expect_that!(tellings, ge(15), "{n} edges");
+    }
+}
--- a/edge-proxy/src/actor.rs
+++ b/edge-proxy/src/actor.rs
@@ -136,6 +136,16 @@
     }
 }
 
+impl ProxyActor {
+    /// Tells other proxies, by way of the agents, which long prompts went where.
+    fn tell_readings(&mut self, now: Ms) {
+        let Some(m) = hold(&self.brain).readings(now) else { return };
+        if let Some(ch) = &mut self.ch {
+            ch.send(&self.agent, m.into());
+        }
+    }
+}
+
 impl Actor for ProxyActor {
     type Context = Context<Self>;
     fn started(&mut self, ctx: &mut Self::Context) {
@@ -144,6 +154,7 @@
         ctx.run_interval(Duration::from_millis(TICK), |me, ctx| {
             let now = clock::now();
             me.say_hello(now);
+            me.tell_readings(now);
             me.ask_replicas(now, ctx);
             me.wake();
         });
@@ -158,6 +169,7 @@
             return event(coordination::events::CHANNEL_BAD_FRAME, &m.0.addr, "is not this proxy's agent");
         }
         match m.0.msg {
+            Msg::Readings(r) => hold(&self.brain).on_readings(r, clock::now()),
             Msg::Board(b) => hold(&self.brain).on_board(b, clock::now()),
             Msg::ClaimTold(t) => {
                 if let Some(s) = self.claims.remove(&t.token) {
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -53,6 +53,9 @@
     Open { replica: Name, version: Name, streams: u32 }
     /// A voter: its name, its disk, where it answers and stands, and the member epoch since which it has its place.
     Voter { name: Name, disk: u64, addr: Name, zone: Name, since: u32 }
+    /// A long prompt that a proxy sent to a replica: the number of the replica's life, ms that reading it takes there,
+    /// and the prompt's shared parts.
+    Reading { replica: u64, ms: u32, parts: List<u64> }
     /// A key that a duty holder keeps, or a voter lets it keep.
     Held { key: Name, epoch: u64 }
 }
@@ -102,6 +105,8 @@
     42u8 ClaimAsk { token: u64, request: Name, round: u64, void: u8, age: u64 }
     /// `state`: 0 granted, 1 another round's, 2 voided, 3 no majority.
     43u8 ClaimTold { token: u64, state: u8 }
+    /// From a proxy to its agent, from there to all other agents, and from each to its proxy.
+    44u8 Readings { all: List<Reading> }
 }
 
 /// What travels: the sender, where it listens, and one message.
