Let a replica that is known to keep a prompt go before the first in its order

Cause: the first in a prompt's order never paid for reading shared parts again, even where another replica was known to keep them, so what once overflowed was read a third time. Ruled out: dropping the order; a proxy that has just started knows of nobody.

--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -169,6 +169,8 @@
         };
         let mut order: Vec<((bool, u64), usize)> = all.iter().enumerate().map(|(i, (id, _))| (place(id), i)).collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
+        let keeps: Vec<bool> = all.iter().map(|(id, _)| self.keeps(self.rows[*id].site.number, parts, now)).collect();
+        let kept = keeps.contains(&true);
         let edges = self.edges();
         let bears = self.engines.get(service).and_then(|e| e.cold_rate).unwrap_or(0.0) * self.bounds.cold_over / edges as f64;
         for (step, (_, i)) in order.into_iter().enumerate() {
@@ -179,8 +181,9 @@
             }
             if key.is_some() {
                 c += step.min(8) as f64 * ORDER_MS;
-                // The first in order is taken to keep the parts: somebody has read them there or will.
-                if step > 0 && !self.keeps(s.number, parts, now) {
+                // Where nobody is known to keep the parts, the first in order is taken to: somebody has read them
+                // there or will.
+                if !keeps[i] && (kept || step > 0) {
                     c += again;
                 }
             }
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -183,3 +183,19 @@
         expect_that!(tellings, ge(15), "{n} edges");
     }
 }
+
+#[gtest]
+fn a_replica_that_another_proxy_filled_goes_before_the_first_in_order() {
+    let all: Vec<PlacedReplica> = (0..18).map(|i| replica(&format!("r{i}"), ["a", "b", "c"][i % 3], false)).collect();
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let (l, long) = (lane(&[]), ask(&[(7, 13_000), (8, 3_000)]));
+    let mut fleet = fleet(6, &all);
+    let first = go(&mut fleet[1], &ids, &l, &long, true, 10).unwrap();
+    // The first in order is not to be had at one proxy: another keeps the parts from then on.
+    let others: Vec<String> = ids.iter().filter(|id| **id != first).cloned().collect();
+    let kept = go(&mut fleet[0], &others, &l, &long, true, 20).unwrap();
+    fleet[0].readings(1_000).iter().for_each(|r| fleet[2].on_reading(r, 1_010));
+    expect_that!(go(&mut fleet[2], &ids, &l, &long, true, 5_000), some(eq(&kept)));
+    // Who has heard nothing follows the order.
+    expect_that!(go(&mut fleet[3], &ids, &l, &long, true, 5_000), some(eq(&first)));
+}
