--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -19,7 +19,7 @@
 }
 fn news(changes: Vec<Change>, sent: u64) -> Msg {
     let (run, upto, voters) = (1, 9, 3);
-    News { sent, run, upto, full: 1, settled: 1, voters, changes: List(changes), permits: List::default() }.into()
+    News { sent, run, upto, full: 1, settled: 1, voters, count: 0, changes: List(changes), permits: List::default() }.into()
 }
 fn agent(name: &str, changes: Vec<Change>) -> Agent {
     let mut a = Agent::new(node(name, 2), vec!["c1".into()], 7, 0);
