Tell which replicas of a version fail, and let the simulator's platform place versions

Cause: with two requests a second on the canary a bad version was never condemned: its few failures came in one burst, were taken for a crash, and the proxies' own caps then ended the evidence. Tallies now carry a bit for each replica that failed; several that fail beside each other are no crash, unless chance makes as many.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -7,8 +7,8 @@
 };
 
 use remote_calls::{
-    EdgeStatus, GroupRecord, GroupRole, Health as HealthAnswer, KeyStatus, KeyVersion, MemberStatus, PlatformList, ReleasePlan,
-    ReplicaReport, RolloutRecord, ServiceMode, Spec, Status, ZoneState, ZoneStreams,
+    EdgeStatus, GroupRecord, GroupRole, Health as HealthAnswer, KeyStatus, KeyVersion, MemberStatus, PlatformList,
+    PlatformReplica, ReleasePlan, ReplicaReport, RolloutRecord, ServiceMode, Spec, Status, ZoneState, ZoneStreams,
 };
 use wire_messages::{
     Beat, Blob, Change, Forward, Forwarded, Genesis, List, Msg, Name, News, Node, Open, Permit, Poll, Slots, SlotsAsk, Tally,
@@ -732,7 +732,12 @@
     /// Replicas to ask for their reports: id and address.
     pub fn replicas(&self) -> Vec<(String, String)> {
         let Some(l) = &self.platform else { return vec![] };
-        l.replicas.iter().map(|r| (r.id.clone(), r.addr.clone())).collect()
+        let placed = |r: &PlatformReplica| {
+            let services = self.spec.iter().flat_map(|s| &s.services);
+            services.into_iter().any(|s| s.name == r.service && s.mode == ServiceMode::Placed)
+        };
+        // The list tells all of a replica that the platform placed.
+        l.replicas.iter().filter(|r| !placed(r)).map(|r| (r.id.clone(), r.addr.clone())).collect()
     }
     /// Whether any duty is held here, so that back ends need asking.
     pub fn on_duty(&self, now: Ms) -> bool {
--- a/coordination/src/health.rs
+++ b/coordination/src/health.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use wire_messages::{Name, Tally};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     Ms,
@@ -19,13 +20,17 @@
     ($($(#[$d:meta])* $f:ident),* $(,)?) => {
         /// What was counted of a cell.
         #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-        pub struct Counts { $($(#[$d])* pub $f: u64),* }
+        pub struct Counts {
+            $($(#[$d])* pub $f: u64,)*
+            /// Replicas that failed, one or a few to a bit: `failing`.
+            pub failed_on: u64,
+        }
         impl Counts {
             fn minus(self, o: Counts) -> Counts {
-                Counts { $($f: self.$f.saturating_sub(o.$f)),* }
+                Counts { $($f: self.$f.saturating_sub(o.$f),)* failed_on: self.failed_on & !o.failed_on }
             }
             fn plus(self, o: Counts) -> Counts {
-                Counts { $($f: self.$f + o.$f),* }
+                Counts { $($f: self.$f + o.$f,)* failed_on: self.failed_on | o.failed_on }
             }
         }
     };
@@ -41,6 +46,12 @@
     first_log,
 }
 
+/// The bit of a replica that failed. Replicas are told apart only as far as it takes to see whether there is
+/// more than one.
+pub fn failing(replica: &str) -> u64 {
+    1 << (xxh3_64(replica.as_bytes()) % 64)
+}
+
 /// A time as its logarithm, in sixteenths of a doubling. Sums of these compare versions by geometric means, which
 /// a few long prompts hardly move.
 pub fn log_ms(ms: Ms) -> u64 {
@@ -90,7 +101,7 @@
             let cell = (t.version.clone(), t.lane.clone(), t.warm != 0);
             let ended = t.ok + t.failed;
             let (failed, slow, firsts, first_log) = (t.failed, t.slow, t.firsts, t.first_log);
-            let c = Counts { sent: t.sent, ended, failed, slow, firsts, first_log };
+            let c = Counts { sent: t.sent, ended, failed, slow, firsts, first_log, failed_on: t.failed_on };
             let old = self.last.insert((source.clone(), cell.clone(), t.group), c).unwrap_or_default();
             let (ended, failed, slow) = (t.new_ended, t.new_failed, t.new_slow);
             let recent = Counts { sent: ended, ended, failed, slow, ..Counts::default() };
--- a/coordination/src/health/beside.rs
+++ b/coordination/src/health/beside.rs
@@ -4,7 +4,9 @@
 use super::{Cell, EVER, Health, LONG_WINDOW, Verdict, higher};
 use crate::{
     Ms,
-    limits::{BAD_BURST, BAD_FAILURES, BAD_SIGMA, BESIDE_MARGIN, DOUBT_SIGMA, HEALTH_WINDOWS, SLOW_DOUBLINGS, SLOW_FIRSTS},
+    limits::{
+        BAD_BURST, BAD_SIGMA, BESIDE_MARGIN, BURST_LEAST, DOUBT_SIGMA, HEALTH_WINDOWS, SELDOM, SLOW_DOUBLINGS, SLOW_FIRSTS,
+    },
 };
 
 /// Ended and bad of them.
@@ -18,7 +20,12 @@
     (n.1 as f64 - all * p) / (all * p * (1.0 - p) + 1.0).sqrt() >= sigma && higher(n, o, BESIDE_MARGIN)
 }
 fn unlike(n: Rate, o: Rate) -> bool {
-    over(n, o, BAD_SIGMA)
+    // Where some fail always, chance has more ways and is looked at more often.
+    over(n, o, BAD_SIGMA + chance(n, o).min(1.0))
+}
+/// Bad ends that `o`'s rate alone makes among `n`.
+fn chance(n: Rate, o: Rate) -> f64 {
+    n.0 as f64 * o.1 as f64 / o.0.max(1) as f64
 }
 
 impl Health {
@@ -35,7 +42,7 @@
             let end = sums[i..].iter().take_while(|(u, _)| u - t <= BAD_BURST).last().map_or(*n, |l| l.1);
             end - n
         });
-        bursts.max().unwrap_or(0)
+        bursts.max().filter(|n| *n >= BURST_LEAST).unwrap_or(0)
     }
 
     /// Judges `new` against all other versions, over all lanes and on each. `even`: since when its replicas are
@@ -45,8 +52,9 @@
         for l in cells {
             let on = |c: &Cell, mine: bool| (&*c.0 == new) == mine && l.is_none_or(|l| c.1 == *l);
             let long = self.within(now, LONG_WINDOW, |c| on(c, false)).failures();
-            for w in HEALTH_WINDOWS.into_iter().chain([EVER]) {
-                let n = self.within(now, w, |c| on(c, true)).failures();
+            for w in HEALTH_WINDOWS {
+                let all = self.within(now, w, |c| on(c, true));
+                let n = all.failures();
                 if n.1 == 0 {
                     continue;
                 }
@@ -55,8 +63,14 @@
                 if !(unlike(n, o) && unlike(n, long)) {
                     continue;
                 }
-                // Nor is one crash, which ends all of a replica's streams together: the rest alone must tell.
-                let crash = self.burst(now, w, |c| on(c, true));
+                // Nor is one crash, which ends all of a replica's streams together. Others that fail beside it tell,
+                // or what failed at other times.
+                let few = chance(n, long).max(chance(n, o));
+                let more = if few > SELDOM { few + 2.0 * few.sqrt() + 2.0 } else { 0.0 };
+                if f64::from(all.failed_on.count_ones()) - 1.0 > more {
+                    return Verdict::Bad;
+                }
+                let crash = self.burst(now, w, |c| on(c, true)).min(n.1);
                 let rest = (n.0 - crash, n.1 - crash);
                 if unlike(rest, o) && unlike(rest, long) {
                     return Verdict::Bad;
@@ -82,10 +96,10 @@
     pub fn doubtful_beside(&self, new: &str, now: Ms) -> bool {
         self.lanes(new).into_iter().any(|l| {
             let on = |c: &Cell, mine: bool| (&*c.0 == new) == mine && c.1 == *l;
-            let (n, o) =
-                (self.within(now, EVER, |c| on(c, true)).failures(), self.within(now, EVER, |c| on(c, false)).failures());
-            let crash = if n.1 > 0 { self.burst(now, EVER, |c| on(c, true)).min(n.1) } else { 0 };
-            over((n.0 - crash, n.1 - crash), o, DOUBT_SIGMA) || n.1 > 0 && n.1 < BAD_FAILURES && over(n, o, DOUBT_SIGMA / 2.0)
+            let of = |mine: bool| self.within(now, LONG_WINDOW, |c| on(c, mine)).failures();
+            let (n, o) = (of(true), of(false));
+            let crash = if n.1 > 0 { self.burst(now, LONG_WINDOW, |c| on(c, true)).min(n.1) } else { 0 };
+            over((n.0 - crash, n.1 - crash), o, DOUBT_SIGMA)
         })
     }
 
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -112,15 +112,18 @@
 /// ms. Windows that failure rates are taken over: short ones show a version that has just turned, long ones
 /// a quiet service's.
 pub const HEALTH_WINDOWS: [Ms; 6] = [1_000, 2_000, 4_000, 8_000, 16_000, 30_000];
-/// Standard deviations by which bad ends must exceed the others' rate: at fifty looks a rollout, chance alone makes
-/// one false alarm in some hundred.
-pub const BAD_SIGMA: f64 = 3.5;
+/// Standard deviations by which bad ends must exceed the others' rate: three where the others have none at all.
+pub const BAD_SIGMA: f64 = 3.0;
 /// Standard deviations from which on a version is doubted: it may stay and gets no more.
 pub const DOUBT_SIGMA: f64 = 1.0;
 /// Percent besides by which that rate must be exceeded, on however many requests.
 pub const BESIDE_MARGIN: u64 = 3;
 /// ms. Bad ends so close together may be one crash: streams end at once, edges tell of it within this.
 pub const BAD_BURST: Ms = 800;
+/// Bad ends by chance from which on some are expected beside a crash.
+pub const SELDOM: f64 = 0.05;
+/// Fewer bad ends than these are no burst: so few streams of one replica would not condemn a version either.
+pub const BURST_LEAST: u64 = 3;
 /// Doublings of the mean time to a first piece that make a version slow: 2.2 times, where bad ones take several.
 pub const SLOW_DOUBLINGS: f64 = 1.125 * LOG_UNIT;
 /// First pieces on both sides before times are compared: a mean of so many is within a third of a doubling.
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -19,7 +19,7 @@
     bounds::Bounds,
     claims,
     control::{LEAVING, SPEC, evacuated},
-    health::{Health, Verdict, log_ms},
+    health::{Health, Verdict, failing, log_ms},
     limits::{
         AFFINITY_BUSY, COLD_PLACES, KV_FULL, PLACE_OLD, PREFIX_KEPT, PREFIXES, PRESS_EBB, PRESS_MOST, PRESS_STEP, REPORT_OLD,
         RETRY_AFTER, SECOND_ROUNDS, SECOND_ROUNDS_FREE, SLOW_FACTOR, SUSPECT_FOR, WAIT_MAX, WAIT_PERCENT, WAITING, WARM_UP,
@@ -131,7 +131,7 @@
     nodes: Vec<Node>,
     seen: BTreeMap<String, Seen>,
     open: BTreeMap<(String, String), u32>,
-    tallies: BTreeMap<(String, String, String, bool, u8), [u64; 6]>,
+    tallies: BTreeMap<(String, String, String, bool, u8), [u64; 7]>,
     /// What a service's canary may take next, in hundredths of a request.
     shares: BTreeMap<String, u32>,
     /// Versions whose failures show here, and until when they are capped.
@@ -297,6 +297,7 @@
                 new_slow: new.2,
                 firsts: n[4],
                 first_log: n[5],
+                failed_on: n[6],
             }
         });
         let opens = self.open.iter().filter(|(_, n)| **n > 0).map(|((r, v), n)| Open {
@@ -746,7 +747,11 @@
                 self.tally(p, 1);
                 self.tally(p, 3);
             }
-            Ended::Failed => self.tally(p, 2),
+            Ended::Failed => {
+                self.tally(p, 2);
+                let k = (p.service.clone(), p.version.clone(), p.lane.clone(), p.warm, p.role as u8);
+                self.tallies.entry(k).or_default()[6] |= failing(&p.replica);
+            }
             Ended::Dropped | Ended::Busy => {}
         }
         // This proxy caps a version as soon as its own counts show failures; the control plane's cut follows.
--- a/coordination/src/rollout/placed.rs
+++ b/coordination/src/rollout/placed.rs
@@ -394,7 +394,9 @@
         // Streams of what was withdrawn: each step waits for them, as long as the plan's time and the lanes' allow.
         let left = (n - r.retiring.len()).div_ceil(step).max(1) as Ms;
         let limit = s.drain_limit();
-        let each = (self.term().saturating_sub(now) / left).clamp(STREAMS_LEAST.min(limit), limit);
+        let spare = self.term().saturating_sub(now);
+        // A plan that is late already is not hurried: nothing is to be won by it.
+        let each = if spare == 0 { limit } else { (spare / left).clamp(STREAMS_LEAST.min(limit), limit) };
         let mut waits = false;
         for id in &r.retiring {
             let at = *self.retire_at.entry(id.clone()).or_insert(now);
@@ -537,7 +539,7 @@
         if now.saturating_sub(self.moved_at) > STUCK_AFTER {
             r.alerts.push("stuck".into());
         }
-        let steps = (s.old.len() - r.retiring.len()).div_ceil(s.step()) as Ms;
+        let steps = s.old.len().saturating_sub(r.retiring.len()).div_ceil(s.step()) as Ms;
         let end = now + steps * SHIFT_GUESS;
         let at = if at_work(r.phase) { s.i.wall + (end - now) / 1_000 } else { 0 };
         if at == 0 || at.abs_diff(r.forecast) > FORECAST_MOVES {
--- /dev/null
+++ b/fleet-simulator/src/checkers/placing.rs
@@ -0,0 +1,75 @@
+//! The checkers of rollouts where the platform places versions: how much a bad one gets, and what becomes of the
+//! replicas that the platform stops at its word.
+
+use super::Found;
+use crate::history::{History, Ms};
+
+/// The platform's own bounds: a part of the requests between an order and its time, and some besides; and ms
+/// after so many bad answers.
+const SHARE: f64 = 0.1;
+const SLACK: f64 = 50.0;
+const ANSWERS: usize = 50;
+const CUT: Ms = 5_000;
+
+pub fn exposure(h: &History) -> Found {
+    let mut f = vec![];
+    for (at, term, version) in h.orders.iter().filter(|o| h.bad.iter().any(|b| b.version == o.2)) {
+        let mine = |r: &&crate::history::Run| r.version == *version;
+        let during = || h.runs.iter().filter(|r| r.at_ms >= *at && r.at_ms < *term);
+        let (bad, all) = (during().filter(mine).count(), during().count());
+        if bad as f64 > SHARE * all as f64 + SLACK {
+            f.push(format!("bad {version} got {bad} of {all} between its order and its time"));
+        }
+        // One that turns bad when the platform has stopped the old replicas has nothing beside it to turn to.
+        let turned = h.bad.iter().filter(|b| b.version == *version).map(|b| b.at).min();
+        if h.standings.iter().any(|s| s.1 && s.0 >= *at && turned.is_some_and(|t| t >= s.0)) {
+            continue;
+        }
+        let mut ends: Vec<Ms> = h.runs.iter().filter(mine).filter(|r| r.failed || r.slow).map(|r| r.end_ms).collect();
+        ends.sort_unstable();
+        let Some(t) = ends.get(ANSWERS - 1) else { continue };
+        let late = h.runs.iter().filter(mine).find(|r| r.at_ms > t + CUT);
+        f.extend(late.map(|r| format!("{version} had {ANSWERS} bad answers at {t} and got {} at {}", r.run, r.at_ms)));
+    }
+    f
+}
+
+pub fn placing(h: &History) -> Found {
+    let mut f: Found = h.stopped.iter().map(|(t, id)| format!("{id} was stopped at {t} while callers read from it")).collect();
+    if h.misplaced > 0 {
+        f.push(format!("{} orders to replicas that only the platform may place", h.misplaced));
+    }
+    f
+}
+
+#[cfg(test)]
+mod tests {
+    use googletest::prelude::*;
+
+    use crate::{checkers::planted::caught, history::Bad};
+
+    #[gtest]
+    fn what_a_bad_version_gets_beyond_its_bounds_is_caught() {
+        let plant = |at: u64, n: u64, failed: bool| {
+            move |h: &mut crate::history::History| {
+                h.orders.push((2_000, 14_000, "b".into()));
+                h.bad.push(Bad { at: 30_000, version: "b".into(), lane: None, zone: None });
+                for i in 0..n {
+                    let mut r = h.runs[0].clone();
+                    let t = if i + 1 == n { at } else { 3_000 + i };
+                    (r.run, r.request, r.version) = (format!("b{i}"), format!("b{i}"), "b".into());
+                    (r.at_ms, r.end_ms, r.failed, r.done) = (t, t + 5, failed, !failed);
+                    h.runs.push(r);
+                }
+            }
+        };
+        caught("exposure", plant(9_000, 70, false));
+        caught("exposure", plant(9_000, 51, true));
+    }
+
+    #[gtest]
+    fn replicas_stopped_under_readers_and_orders_past_the_platform_are_caught() {
+        caught("placing", |h| h.stopped.push((1, "r".into())));
+        caught("placing", |h| h.misplaced = 1);
+    }
+}
--- a/fleet-simulator/src/faults.rs
+++ b/fleet-simulator/src/faults.rs
@@ -194,6 +194,14 @@
     Plan {
         target: String,
     },
+    /// From the start of the day the platform places versions: at an order it starts new replicas beside the old
+    /// ones, stops the old ones at once when it is completed, and takes the new ones away when it is reverted.
+    Places,
+    /// One replica is replaced by a new one of another release, which starts first.
+    Release {
+        nth: usize,
+        version: String,
+    },
     /// A version is bad from now on, on one lane or all, in one zone or all.
     Bad {
         version: String,
@@ -244,6 +252,7 @@
             Fault::ReplicaLeaves { gone_in, .. } => *gone_in,
             Fault::When { then, .. } => return then.disturbs(),
             Fault::LoadSlow { load, ms } => load + ms,
+            Fault::Release { .. } => AFTER,
             Fault::Bad { .. } | Fault::Plan { .. } | Fault::RacePlans { .. } => return Some(Ms::MAX),
             _ => return None,
         };
--- a/fleet-simulator/src/history.rs
+++ b/fleet-simulator/src/history.rs
@@ -147,6 +147,18 @@
     /// A serving edge was first seen to hold another version of a key: when, edge, key, version.
     pub held: Vec<(Ms, String, String, u64)>,
     pub bad: Vec<Bad>,
+    /// An order where the platform places versions: when, its time, its version.
+    #[serde(default)]
+    pub orders: Vec<(Ms, Ms, String)>,
+    /// What a platform that places versions was told of an order: when, and whether it was completed.
+    #[serde(default)]
+    pub standings: Vec<(Ms, bool)>,
+    /// Replicas that it stopped at once while callers were reading from them.
+    #[serde(default)]
+    pub stopped: Vec<(Ms, String)>,
+    /// Orders to load, start or drain that came though the platform places versions.
+    #[serde(default)]
+    pub misplaced: u64,
     /// From then on one version alone was loaded anywhere.
     pub only: Vec<(Ms, String)>,
     /// More than one daemon said that it held a service's duty: when, who.
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -18,8 +18,8 @@
 };
 use remote_calls::{
     Fault as CallFault, LoadedWeights, NominateRequest, Nomination, OrderAction, Outcome, PlatformList, PlatformReplica,
-    PlatformReplicaState, ReleasePlan, ReplicaReport, ResumePoint, RunRequest, Spec, StreamEnd, StreamLine, StreamStart,
-    ZoneState,
+    PlatformReplicaState, ReleasePlan, ReplicaReport, ResumePoint, RunRequest, ServiceMode, Spec, StreamEnd, StreamLine,
+    StreamStart, ZoneState,
 };
 use wire_messages::{ClaimAsk, Msg, Name, Node};
 
@@ -28,6 +28,7 @@
 mod faults;
 mod network;
 mod operators;
+mod placing;
 mod replicas;
 
 use crate::{
@@ -41,6 +42,14 @@
 const HELLO_EVERY: Ms = 200;
 /// ms. A connection that nobody answers is given up.
 const OPEN_LIMIT: Ms = 300;
+/// s. The time that an order has where the platform places versions.
+const PLACED_IN: u64 = 30;
+/// ms. It starts new replicas so long after an order, asks so often, and takes bad ones away so long after that.
+const PLACED_AFTER: Ms = 700;
+const ASKED_EVERY: Ms = 500;
+const TAKEN_AWAY: Ms = 3_000;
+/// ms. A released replica drains so long.
+const RELEASED: Ms = 9_000;
 /// ms. Loading a version.
 const LOAD: Ms = 1_500;
 /// Places of a replica.
@@ -89,33 +98,110 @@
 
 enum Ev {
     Tick(To),
-    Deliver { to: Name, from: Name, addr: Name, msg: Msg },
-    DiskDone { at: usize, life: u64, rows: Vec<Row>, then: Vec<Effects> },
-    Reopen { at: usize },
+    Deliver {
+        to: Name,
+        from: Name,
+        addr: Name,
+        msg: Msg,
+    },
+    DiskDone {
+        at: usize,
+        life: u64,
+        rows: Vec<Row>,
+        then: Vec<Effects>,
+    },
+    Reopen {
+        at: usize,
+    },
     Start(To),
-    Report { to: To, replica: String, addr: String, asked: Ms },
-    List { at: usize },
-    Order { from: usize, service: String, epoch: u64, order: Order },
-    ReplicaBack { id: String },
-    ReplicaReady { id: String, born: u64 },
-    ReplicaGone { id: String },
+    Report {
+        to: To,
+        replica: String,
+        addr: String,
+        asked: Ms,
+    },
+    List {
+        at: usize,
+    },
+    Order {
+        from: usize,
+        service: String,
+        epoch: u64,
+        order: Order,
+    },
+    ReplicaBack {
+        id: String,
+    },
+    ReplicaReady {
+        id: String,
+        born: u64,
+    },
+    ReplicaGone {
+        id: String,
+    },
     Arrive,
-    Nominate { flow: u64 },
-    Run { flow: u64, edge: usize },
-    Call { flow: u64, life: u64, p: Placed },
-    Begun { flow: u64, life: u64, got: Result<(), NotBegun> },
-    Produce { id: String, born: u64, run: usize },
-    Line { flow: u64, life: u64, line: StreamLine },
-    ClaimLate { flow: u64, token: u64 },
-    TimeUp { flow: u64 },
+    Nominate {
+        flow: u64,
+    },
+    Run {
+        flow: u64,
+        edge: usize,
+    },
+    Call {
+        flow: u64,
+        life: u64,
+        p: Placed,
+    },
+    Begun {
+        flow: u64,
+        life: u64,
+        got: Result<(), NotBegun>,
+    },
+    Produce {
+        id: String,
+        born: u64,
+        run: usize,
+    },
+    Line {
+        flow: u64,
+        life: u64,
+        line: StreamLine,
+    },
+    ClaimLate {
+        flow: u64,
+        token: u64,
+    },
+    TimeUp {
+        flow: u64,
+    },
     Fault(Fault),
     FirstSpec,
-    Read { mark: u64 },
-    Warn { id: String },
-    Reply { flow: u64, fault: CallFault },
-    RegionBack { zone: String },
-    Loaded { id: String, born: u64, version: String },
+    Read {
+        mark: u64,
+    },
+    Warn {
+        id: String,
+    },
+    Reply {
+        flow: u64,
+        fault: CallFault,
+    },
+    RegionBack {
+        zone: String,
+    },
+    Loaded {
+        id: String,
+        born: u64,
+        version: String,
+    },
     Sample,
+    /// The platform starts an order's replicas, and asks where it stands.
+    StartPlaced {
+        order: usize,
+    },
+    AskStanding {
+        order: usize,
+    },
 }
 
 struct Disk {
@@ -207,6 +293,8 @@
     Zone(usize),
     /// The platform goes on warning until it is heard.
     Warned(String),
+    /// An order: its target and time.
+    Plan(String, Ms),
     Other,
 }
 
@@ -278,6 +366,10 @@
     back: Ms,
     moved: Option<(usize, usize, Ms)>,
     mark: u64,
+    /// The platform places versions.
+    places: bool,
+    /// Versions that its orders were accepted as.
+    orders_taken: Vec<u64>,
     end: Ms,
     /// Switches a guard off, so that a test sees its failure happen.
     pub off: Option<Guard>,
@@ -343,6 +435,11 @@
 impl World {
     pub fn new(d: Deployment, seed: u64, end: Ms, schedule: Vec<(Ms, Fault)>) -> World {
         let rng = fastrand::Rng::with_seed(seed);
+        let mut d = d;
+        let places = schedule.iter().any(|s| s.1 == Fault::Places);
+        if places {
+            d.spec.services.iter_mut().for_each(|s| s.mode = ServiceMode::Placed);
+        }
         let mut w = World {
             now: 0,
             h: History { end_ms: end, ..History::default() },
@@ -378,6 +475,8 @@
             back: 0,
             moved: None,
             mark: 0,
+            places,
+            orders_taken: vec![],
             end,
             off: None,
             d,
@@ -530,6 +629,8 @@
             Ev::RegionBack { zone } => self.region_back(&zone),
             Ev::Loaded { id, born, version } => self.version_loaded(&id, born, version),
             Ev::Sample => self.sample(),
+            Ev::StartPlaced { order } => self.start_placed(order),
+            Ev::AskStanding { order } => self.ask_standing(order),
         }
     }
 
--- a/fleet-simulator/src/world/faults.rs
+++ b/fleet-simulator/src/world/faults.rs
@@ -183,7 +183,7 @@
                 }
             }
             Fault::PlatformSilent { ms } => self.silent = now + ms,
-            Fault::PlatformStale { ms } => self.stale = (now + ms, self.reps.values().map(|r| r.r.clone()).collect()),
+            Fault::PlatformStale { ms } => self.stale = (now + ms, self.listed()),
             Fault::Orders { lost, late, ms } => self.orders = (lost, late, now + ms),
             Fault::LoadSlow { load, ms } => self.load = (load, now + ms),
             Fault::Shrink { zone, by } => {
@@ -223,6 +223,8 @@
             Fault::RaceSpecs => {
                 (0..self.ctl.len()).for_each(|i| self.put_spec(i));
             }
+            Fault::Places => {}
+            Fault::Release { nth, version } => self.release(nth, &version),
             Fault::Plan { target } => {
                 if let Some(i) = self.any() {
                     self.plan(i, target);
--- a/fleet-simulator/src/world/replicas.rs
+++ b/fleet-simulator/src/world/replicas.rs
@@ -50,7 +50,8 @@
     pub(super) fn replica_ready(&mut self, id: &str, born: u64) {
         let now = self.now;
         let Some(r) = self.reps.get_mut(id).filter(|r| r.born == born && r.up) else { return };
-        r.r.state = PlatformReplicaState::Running;
+        // One that drains goes on draining, whatever befell it.
+        r.r.state = if self.places && r.leaving { PlatformReplicaState::Draining } else { PlatformReplicaState::Running };
         self.h.cold.push(Cold { at: now, replica: id.into(), version: None, places: SLOTS });
     }
 
@@ -100,6 +101,10 @@
     pub(super) fn take_order(&mut self, from: usize, service: &str, epoch: u64, order: Order) {
         let (now, load) = (self.now, self.loading());
         let m = self.machine(To::Control(from));
+        if self.places {
+            self.h.misplaced += 1;
+            return;
+        }
         match order {
             Order::Replica { id, action, version, addr } => {
                 let Some(r) = self.reps.get(&id) else { return };
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -47,8 +47,9 @@
     /// A digest over the keys whose hash falls into one range.
     Range { index: u16, digest: u64 }
     /// Cumulative counts since the proxy's start; `new_` ones are of its last half minute, for a daemon that
-    /// hears this proxy for the first time. `firsts`: first pieces, `first_log`: the sum of their times' logarithms.
-    Tally { service: Name, version: Name, lane: Name, warm: u8, group: u8, sent: u64, ok: u64, failed: u64, slow: u64, firsts: u64, first_log: u64, new_ended: u64, new_failed: u64, new_slow: u64 }
+    /// hears this proxy for the first time. `firsts`: first pieces, `first_log`: the sum of their times' logarithms;
+    /// `failed_on`: bits of the replicas that failed.
+    Tally { service: Name, version: Name, lane: Name, warm: u8, group: u8, sent: u64, ok: u64, failed: u64, slow: u64, firsts: u64, first_log: u64, failed_on: u64, new_ended: u64, new_failed: u64, new_slow: u64 }
     /// Streams a proxy still has open on a replica's version.
     Open { replica: Name, version: Name, streams: u32 }
     /// A voter: its name, its disk, where it answers and stands, and the member epoch since which it has its place.
