--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -19,7 +19,7 @@
     bounds::Bounds,
     claims,
     control::{LEAVING, SPEC, evacuated},
-    health::{Health, Verdict, log_ms},
+    health::{Health, Verdict, failing, log_ms},
     limits::{
         AFFINITY_BUSY, COLD_PLACES, KV_FULL, PLACE_OLD, PREFIX_KEPT, PREFIXES, PRESS_EBB, PRESS_MOST, PRESS_STEP, REPORT_OLD,
         RETRY_AFTER, SECOND_ROUNDS, SECOND_ROUNDS_FREE, SLOW_FACTOR, SUSPECT_FOR, WAIT_MAX, WAIT_PERCENT, WAITING, WARM_UP,
@@ -134,7 +134,7 @@
     nodes: Vec<Node>,
     seen: BTreeMap<String, Seen>,
     open: BTreeMap<(String, String), u32>,
-    tallies: BTreeMap<TallyKey, [u64; 6]>,
+    tallies: BTreeMap<TallyKey, [u64; 7]>,
     /// Counts changes of tallies and opens; the newest change that the agent has of them; and what changed since.
     change: u64,
     heard: u64,
@@ -316,6 +316,7 @@
                 new_slow: new.2,
                 firsts: n[4],
                 first_log: n[5],
+                failed_on: n[6],
             }
         });
         tallies.collect()
@@ -818,7 +819,11 @@
                 self.tally(p, 1);
                 self.tally(p, 3);
             }
-            Ended::Failed => self.tally(p, 2),
+            Ended::Failed => {
+                self.tally(p, 2);
+                let k = (p.service.clone(), p.version.clone(), p.lane.clone(), p.warm, p.role as u8);
+                self.tallies.entry(k).or_default()[6] |= failing(&p.replica);
+            }
             Ended::Dropped | Ended::Busy => {}
         }
         // This proxy caps a version as soon as its own counts show failures; the control plane's cut follows.
