--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -342,6 +342,10 @@
             (s.promised, s.epoch, s.version, s.value) = (m.epoch, m.epoch, m.version, m.value);
         }
         let slot = s.clone();
+        // This version was known to be committed before something newer, which no majority took, stood in its place.
+        if slot.committed == slot.version && slot.epoch == m.epoch {
+            self.fresh.push(change(&slot));
+        }
         out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then: vec![send(to, a)] });
     }
 
--- a/coordination/tests/chaos.rs
+++ b/coordination/tests/chaos.rs
@@ -195,7 +195,7 @@
 
 #[gtest]
 fn three_voters_of_which_one_disk_is_lost_at_a_time() {
-    sweep(0..150, &[1_467], 3, 1);
+    sweep(0..150, &[1_467, 1_828, 2_808], 3, 1);
 }
 
 #[gtest]
