--- a/fleet-simulator/src/deployment.rs
+++ b/fleet-simulator/src/deployment.rs
@@ -42,6 +42,14 @@
         self
     }
 
+    /// The deployment as a schedule wants it.
+    pub fn under(mut self, schedule: &str) -> Self {
+        if schedule == "five_voters" {
+            self.control.extend(self.control.clone());
+        }
+        self
+    }
+
     /// One of the two deployments, by name.
     pub fn named(n: &str) -> Option<Self> {
         let text = match n {
--- a/fleet-simulator/src/main.rs
+++ b/fleet-simulator/src/main.rs
@@ -142,6 +142,7 @@
 
 /// One run.
 fn one((d, name, seed): &Case, l: &Looks) -> Ran {
+    let d = &(*d).clone().under(name);
     let mut out = String::new();
     let Some(s) = l.given.clone().or_else(|| schedule::named(name, *seed, d)) else { return Default::default() };
     let c = shrink::Case { d, seed: *seed, length: schedule::length(name), off: None };
--- a/fleet-simulator/src/schedule.rs
+++ b/fleet-simulator/src/schedule.rs
@@ -24,6 +24,8 @@
 /// Every schedule by name, and what it brings about.
 pub const NAMES: &[(&str, &str)] = &[
     ("quiet", "nothing fails"),
+    ("founding", "the control daemons that found the system are killed in the middle of it"),
+    ("five_voters", "six control daemons, of which two lose their disks at once, and others are killed later"),
     ("kill_one", "one control daemon is killed and comes back"),
     ("kill_many", "two of three control daemons are killed together"),
     ("kill_edges", "agents and proxies are killed"),
@@ -170,6 +172,25 @@
     let c = r.usize(..controls);
     match name {
         "quiet" => {}
+        "founding" => {
+            s.push((r.u64(20..900), Fault::KillControl { at: c, down: r.u64(100..900) }));
+            s.push((r.u64(20..900), Fault::KillControl { at: r.usize(..controls), down: r.u64(100..900) }));
+            s.extend((1..6).map(|i| (at(r) + i * 900, Fault::PutSpec)));
+        }
+        "five_voters" => {
+            let t = at(r);
+            s.extend((0..6).map(|i| (t - 600 + i * 200, Fault::PutSpec)));
+            let other = (c + r.usize(1..controls)) % controls;
+            for at in [c, other] {
+                let down = r.u64(200..3_000);
+                s.push((t, if r.bool() { Fault::WipeControl { at, down } } else { Fault::ReplaceControl { at, down } }));
+            }
+            // Back and whole: the next losses are borne as well.
+            s.push((t + 9_000, Fault::WipeAfterAccept { at: r.usize(..controls), down: r.u64(200..2_000) }));
+            s.push((t + 9_000 + r.u64(..500), Fault::KillControl { at: r.usize(..controls), down: r.u64(500..4_000) }));
+            s.push((t + 20_000, Fault::LoseControl { down: r.u64(100..1_000) }));
+            s.extend((0..12).map(|i| (t + 2_000 + i * 2_000, Fault::PutSpec)));
+        }
         "kill_one" => {
             let t = at(r);
             s.push((t, Fault::PutSpec));
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -384,16 +384,18 @@
         };
         let members: Vec<Name> = (0..w.d.control.len()).map(|i| Name(format!("control-{}", i + 1))).collect();
         for (i, z) in w.d.control.clone().into_iter().enumerate() {
+            // Half of the fleets name their members, and half are founded by the daemons at the seeds.
+            let founding = seed % 2 == 1;
             let p = ControlParams {
                 name: members[i].clone(),
                 zone: z.as_str().into(),
                 addr: format!("c{}", i + 1).into(),
                 http: format!("h{}", i + 1).into(),
-                members: members.clone(),
+                members: if founding { vec![] } else { members.clone() },
                 seeds: vec!["c1".into(), "c2".into(), "c3".into()],
                 regions: BTreeMap::new(),
                 reader: coordination::board::own_spec,
-                founding: false,
+                founding,
                 bounds: Default::default(),
             };
             let id = w.rng.u64(1..1 << 60);
--- a/fleet-simulator/src/world/faults.rs
+++ b/fleet-simulator/src/world/faults.rs
@@ -10,6 +10,7 @@
     }
     pub(super) fn wipe(&mut self, at: usize) {
         self.kill_control(at);
+        self.ctl[at].p.founding = false;
         let id = self.rng.u64(1..1 << 60);
         let d = &mut self.ctl[at].disk;
         // With the guard off a lost disk passes for a voter that has caught up.
--- a/fleet-simulator/tests/never.rs
+++ b/fleet-simulator/tests/never.rs
@@ -15,7 +15,7 @@
 const DEPLOYMENTS: [&str; 2] = ["dentaplan", "registry"];
 
 fn found(deployment: &str, name: &str, seed: u64, off: Option<Guard>) -> Vec<String> {
-    let d = Deployment::named(deployment).unwrap();
+    let d = Deployment::named(deployment).unwrap().under(name);
     let s = schedule::named(name, seed, &d).unwrap();
     let mut w = World::new(d, seed, schedule::length(name), s);
     w.off = off;
