Ask all control daemons at once after a start, and let first requests wait for a moment

What came meanwhile was rejected and came back more than a second later. Ruled out: the disks, the elections (settled after 200 ms), the proxies' start (0.5 ms).

--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -14,7 +14,7 @@
     claims::{self, Claimer, Holding},
     effect::{note, send},
     events,
-    limits::{KNOWS_EDGES, MET, MISSED, NODE_GONE, PERMIT, POLL_EVERY, REPAIR_EVERY, RULE_LIFE, STABLE_BOUND, TICK},
+    limits::{KNOWS_EDGES, MET, MISSED, NODE_GONE, PERMIT, POLL_EVERY, REPAIR_EVERY, RULE_LIFE, STABLE_BOUND, START_POLL, TICK},
     membership::{CONTROL, EDGE, Membership},
 };
 
@@ -130,7 +130,13 @@
     pub fn on_msg(&mut self, from: &Name, addr: &Name, msg: Msg, now: Ms) -> Effects {
         let mut out = Vec::new();
         match msg {
-            Msg::Shuffle(m) => self.mship.on_shuffle(addr, m, now, &mut out),
+            Msg::Shuffle(m) => {
+                self.mship.on_shuffle(addr, m, now, &mut out);
+                // One that has just started asks each control daemon as soon as it knows of it.
+                if !self.ready && self.mship.known(CONTROL).any(|n| !self.sources.contains_key(&n.name)) {
+                    self.next_poll = now;
+                }
+            }
             Msg::News(m) => self.on_news(from, m, now, &mut out),
             Msg::Digests(m) => {
                 let ranges = self.board.differ(&m.ranges);
@@ -189,6 +195,9 @@
         // Another life of the proxy has nothing, however soon it came back.
         let same = |p: &Proxy| p.addr == *addr && p.life == m.born && now.saturating_sub(p.at) < RULE_LIFE;
         let full = self.proxy.as_ref().is_some_and(|p| p.full && same(p));
+        if !full {
+            self.next_board = now;
+        }
         self.proxy = Some(Proxy { addr: addr.clone(), life: m.born, at: now, tallies: m.tallies.0, opens: m.opens.0, full });
     }
 
@@ -338,7 +347,9 @@
         let ended = self.claimer.tick(now);
         self.tell(ended, &mut out);
         if now >= self.next_poll {
-            self.next_poll = now + POLL_EVERY;
+            // A large fleet that starts together does not ask more often than one that serves.
+            let fleet = self.mship.known(EDGE).count() as Ms + 1;
+            self.next_poll = now + if self.ready { POLL_EVERY } else { (fleet * START_POLL).clamp(2 * TICK, POLL_EVERY) };
             self.poll(now, &mut out);
         }
         if now >= self.next_repair {
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -47,6 +47,8 @@
 pub const WRITES_WAITING: usize = 32;
 /// ms. Agents ask each control daemon for news this often; news is also pushed.
 pub const POLL_EVERY: Ms = 400;
+/// ms for each edge that is known. An agent that has just started asks again so soon, while it may serve nobody.
+pub const START_POLL: Ms = 20;
 /// ms. Agents that polled within this are pushed to.
 pub const FOLLOWER_GONE: Ms = 3_000;
 /// ms. Shuffle between neighbours.
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -133,8 +133,11 @@
             let i = self.rng.usize(..self.view.len());
             to.push(self.known[&self.view[i]].node.addr.clone());
         }
-        // Seeds only bring a lonely node in, or join two halves that lost sight of each other.
-        if (self.view.len() < 2 || self.me.beat.is_multiple_of(16))
+        // Seeds only bring a lonely node in, or join two halves that lost sight of each other. A node that has just
+        // started asks them all: it serves nobody until it has heard most control daemons.
+        if self.me.beat == 1 {
+            to.extend(self.seeds.iter().filter(|s| **s != self.me.addr).cloned());
+        } else if (self.view.len() < 2 || self.me.beat.is_multiple_of(16))
             && let Some(s) = self.rng.choice(&self.seeds)
             && *s != self.me.addr
         {
@@ -213,6 +216,19 @@
         }
     }
 
+    #[gtest]
+    fn one_that_starts_asks_all_its_seeds_at_once_and_later_one() {
+        let seeds: Vec<Name> = ["s1", "s2", "s3"].map(Into::into).into();
+        let mut m = Membership::new(Node { name: "n".into(), addr: "s2".into(), ..Node::default() }, seeds, 1);
+        let mut asked = |now| {
+            let mut out = vec![];
+            m.tick(now, &mut out);
+            out.len()
+        };
+        expect_that!(asked(10), eq(2), "all but itself");
+        expect_that!((0..8).map(|i| asked(20 + (i + 1) * SHUFFLE_EVERY)).max(), some(eq(1)));
+    }
+
     #[gtest]
     fn all_find_each_other_notice_the_gone_and_outlive_their_seeds() {
         for seed in 0..30 {
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -109,3 +109,38 @@
     expect_that!(to(a.on_msg(&"p".into(), &"p".into(), m(), 40)), unordered_elements_are![eq("e1"), eq("e2")]);
     expect_that!(to(a.on_msg(&"e1".into(), &"e1".into(), m(), 50)), elements_are![eq("p")]);
 }
+
+#[gtest]
+fn an_agent_that_starts_asks_a_control_daemon_as_soon_as_it_knows_of_it() {
+    let shuffle = |names: &[&str]| -> Msg {
+        Shuffle { nodes: names.iter().map(|n| node(n, if n.starts_with('c') { 1 } else { 2 })).collect(), answer: 1 }.into()
+    };
+    let polls = |out: Vec<Effect>| sends(out).into_iter().filter(|(_, m)| matches!(m, Msg::Poll(_))).count();
+    let mut a = Agent::new(node("a", 2), vec!["c1".into()], 7, 0);
+    a.tick(TICK);
+    a.on_msg(&"c1".into(), &"c1".into(), shuffle(&["c1"]), 60);
+    expect_that!(polls(a.tick(2 * TICK)), eq(1));
+    a.on_msg(&"c1".into(), &"c1".into(), shuffle(&["c1", "c2", "c3"]), 110);
+    expect_that!(polls(a.tick(3 * TICK)), eq(3));
+    // From then on as often as its fleet bears, until a majority has answered.
+    let often = |a: &mut Agent, from: u64| (from..from + 2_000).step_by(TICK as usize).map(|t| polls(a.tick(t))).sum::<usize>();
+    expect_that!(often(&mut a, 200), all!(ge(45), le(63)));
+    a.on_msg(
+        &"c1".into(),
+        &"c1".into(),
+        shuffle(&(0..60).map(|i| format!("e{i}")).collect::<Vec<_>>().iter().map(|s| s.as_str()).collect::<Vec<_>>()),
+        2_200,
+    );
+    expect_that!(often(&mut a, 2_250), le(18), "a large fleet");
+}
+
+#[gtest]
+fn a_proxy_that_starts_beside_its_agent_gets_the_board_at_once() {
+    let mut a = agent("a", vec![change("spec", 1, 10)]);
+    let boards = |out: Vec<Effect>| sends(out).into_iter().filter(|(_, m)| matches!(m, Msg::Board(b) if b.full == 1)).count();
+    for (life, now) in [(1, 30), (2, 100)] {
+        let hello = ProxyHello { born: life, http: "h".into(), ..ProxyHello::default() };
+        a.on_msg(&"p".into(), &"p".into(), hello.into(), now);
+        expect_that!(boards(a.tick(now + 1)), eq(1), "life {life}");
+    }
+}
--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -97,3 +97,8 @@
 pub const STOP_RETRY: Ms = 50;
 /// New connections that wait to be taken; a burst of all downstreams.
 pub const BACKLOG: i32 = 1_024;
+/// ms. A request that comes before a proxy may serve waits so long for it: a sixth of the shortest time within which
+/// users want an answer to begin.
+pub const NOT_YET: Ms = 100;
+/// How often it looks.
+pub const NOT_YET_LOOK: Duration = Duration::from_millis(20);
--- a/edge-proxy/src/front.rs
+++ b/edge-proxy/src/front.rs
@@ -11,7 +11,11 @@
     web::{self, Payload},
 };
 use coordination::{Ms, events};
-use daemon_parts::{clock, limits::STOP_RETRY, logging::event};
+use daemon_parts::{
+    clock,
+    limits::{NOT_YET, NOT_YET_LOOK, STOP_RETRY},
+    logging::event,
+};
 use http::{HeaderMap, HeaderName, HeaderValue, Uri, header};
 use remote_calls::{Fault, Outcome};
 
@@ -119,12 +123,22 @@
     if ok { HttpResponse::Ok().finish() } else { HttpResponse::ServiceUnavailable().finish() }
 }
 
+/// A proxy that has just started serves within a moment most often: what comes waits that long for it, not longer,
+/// for a rejection that comes late is worth less than one at once.
+async fn begun(f: &Front) {
+    let until = clock::now() + NOT_YET;
+    while !hold(&f.brain).ready(clock::now()) && clock::now() < until {
+        tokio::time::sleep(NOT_YET_LOOK).await;
+    }
+}
+
 /// A request by host and path.
 pub async fn pass(r: HttpRequest, p: Payload, f: web::Data<Front>) -> HttpResponse {
     if r.path() == f.dialect.ready_path() && r.app_config().local_addr().to_string() == f.ready {
         return ready(&f);
     }
     let open = Open::new(&f.stopping);
+    begun(&f).await;
     let now = clock::now();
     let host = r.headers().get("host").and_then(|v| v.to_str().ok()).or_else(|| r.uri().host()).unwrap_or_default();
     let target = r.uri().path_and_query().map_or("/", |p| p.as_str());
--- a/edge-proxy/tests/pass.rs
+++ b/edge-proxy/tests/pass.rs
@@ -4,7 +4,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use coordination::bounds::Bounds;
+use coordination::{
+    agent::{RULE_ALL, RULE_NONE},
+    bounds::Bounds,
+    wire::Board,
+};
+use daemon_parts::{clock, limits::NOT_YET};
+use edge_proxy::shared::hold;
 use googletest::prelude::*;
 use support::*;
 use tokio::sync::Notify;
@@ -160,6 +166,26 @@
     });
 }
 
+#[gtest]
+fn what_comes_before_the_edge_may_serve_waits_a_moment_and_is_then_rejected() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        let rule = |rule, until| hold(&e.brain).on_board(Board { rule, until, ..Board::default() }, clock::now());
+        rule(RULE_NONE, 0);
+        let mut d = Downstream::to(e.addr).await;
+        d.send(request("a", "q")).await;
+        tokio::time::sleep(Duration::from_millis(NOT_YET / 3)).await;
+        rule(RULE_ALL, u64::MAX);
+        expect_that!(d.answer().await.status, eq(200));
+        rule(RULE_NONE, 0);
+        let began = clock::now();
+        let a = ask(&e, request("b", "q")).await;
+        expect_that!((a.status, a.header("retry-after").is_some(), r.count()), eq((503, true, 1)));
+        expect_that!(clock::now() - began, ge(NOT_YET));
+    });
+}
+
 #[gtest]
 fn a_replica_out_of_reach_costs_no_round() {
     run(async {
