Weigh reading shared parts again, and carrying between regions, three times as much

A prompt left the replica that keeps its parts for half a second of waiting, though reading them anew costs more than all that a few late answers do, and makes those behind it late as well. Carrying keeps its measure against it.

--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -218,13 +218,13 @@
 /// Tokens of a prompt that a replica reads in a ms: what today's engines do; only compared among replicas.
 pub const READ_TOKENS_A_MS: f64 = 50.0;
 /// Shared parts that are read again cost so many times their reading: others wait for it, and accelerators are dear.
-pub const READ_AGAIN_WEIGHT: f64 = 2.0;
+pub const READ_AGAIN_WEIGHT: f64 = 6.0;
 /// ms. What any shared part read again costs besides: keeps small ones together where little speaks against it.
 pub const SHARED_PART_MS: f64 = 8.0;
 /// Bytes that a token takes on the way.
 pub const TOKEN_BYTES: f64 = 2.0;
 /// ms. What a byte between regions is worth in waiting.
-pub const CROSS_REGION_BYTE_MS: f64 = 0.002;
+pub const CROSS_REGION_BYTE_MS: f64 = 0.006;
 /// ms there and back before any channel was opened: in a zone, in a region, between regions.
 pub const ZONE_MS: f64 = 1.0;
 pub const NEAR_MS: f64 = 3.0;
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -125,12 +125,8 @@
     // From then on as often as its fleet bears, until a majority has answered.
     let often = |a: &mut Agent, from: u64| (from..from + 2_000).step_by(TICK as usize).map(|t| polls(a.tick(t))).sum::<usize>();
     expect_that!(often(&mut a, 200), all!(ge(45), le(63)));
-    a.on_msg(
-        &"c1".into(),
-        &"c1".into(),
-        shuffle(&(0..60).map(|i| format!("e{i}")).collect::<Vec<_>>().iter().map(|s| s.as_str()).collect::<Vec<_>>()),
-        2_200,
-    );
+    let many: Vec<String> = (0..60).map(|i| format!("e{i}")).collect();
+    a.on_msg(&"c1".into(), &"c1".into(), shuffle(&many.iter().map(String::as_str).collect::<Vec<_>>()), 2_200);
     expect_that!(often(&mut a, 2_250), le(18), "a large fleet");
 }
 
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -199,3 +199,21 @@
     // Who has heard nothing follows the order.
     expect_that!(go(&mut fleet[3], &ids, &l, &long, true, 5_000), some(eq(&first)));
 }
+
+#[gtest]
+fn a_prompt_waits_for_the_replica_that_keeps_its_parts_rather_than_have_them_read_again() {
+    let all: Vec<PlacedReplica> = (0..18).map(|i| replica(&format!("r{i}"), ["a", "b", "c"][i % 3], false)).collect();
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let (l, long) = (lane(&[]), ask(&[(7, 13_000), (8, 3_000)]));
+    let mut fleet = fleet(6, &all);
+    let first = go(&mut fleet[0], &ids, &l, &long, true, 10).unwrap();
+    let told = fleet[0].readings(1_000);
+    let busy = |ms| Reading { ms, parts: Default::default(), ..told[0].clone() };
+    for p in &mut fleet[1..] {
+        told.iter().for_each(|r| p.on_reading(r, 1_010));
+        p.on_reading(&busy(1_000), 2_000);
+        expect_that!(go(p, &ids, &l, &long, true, 2_010), some(eq(&first)));
+        p.on_reading(&busy(4_000), 3_000);
+        expect_that!(go(p, &ids, &l, &long, true, 3_010), some(not(eq(&first))), "not for however long");
+    }
+}
