--- a/coordination/examples/slopes/main.rs
+++ b/coordination/examples/slopes/main.rs
@@ -92,6 +92,7 @@
         let m = w.meter.clone();
         rows(phase, &m, size.edges, &mut out);
         out.push((format!("{phase}: ready edges at the end, %"), w.ready() as f64 * 100.0 / size.edges as f64));
+        out.push((format!("{phase}: edges taken for live, %"), w.seen_live()));
         let (p, no) = (w.requests.0 - before.0, w.requests.2 - before.2);
         out.push((format!("{phase}: requests not admitted, %"), no as f64 * 100.0 / p.max(1) as f64));
     }
--- a/coordination/examples/slopes/world.rs
+++ b/coordination/examples/slopes/world.rs
@@ -13,6 +13,7 @@
     bounds::Bounds,
     control::{Control, ControlParams, SPEC},
     limits::TICK,
+    membership::EDGE,
     pass::{Ask, PassEnd, Told},
     proxy::{Admit, Placed, Proxy},
     register::Expect,
@@ -441,6 +442,12 @@
     pub fn ready(&self) -> usize {
         self.proxies.iter().flatten_brains().filter(|p| p.ready(self.now)).count()
     }
+    /// Percent of the other edges that an agent takes for live, on the average.
+    pub fn seen_live(&self) -> f64 {
+        let all = self.agents.iter().flatten_brains().map(|a| a.mship.live(EDGE).count()).sum::<usize>();
+        let n = self.size.edges;
+        all as f64 * 100.0 / (n * (n - 1)).max(1) as f64
+    }
     pub fn reached(&self, version: u64) -> usize {
         self.proxies.iter().flatten_brains().filter(|p| p.spec_version() >= version).count()
     }
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -643,13 +643,13 @@
 
     fn on_poll(&mut self, addr: &Name, m: Poll, now: Ms, out: &mut Effects) {
         let name = m.node.name.clone();
-        let old = self.agents.remove(&name);
+        let mut old = self.agents.remove(&name);
         let same = old.as_ref().filter(|a| a.node.born == m.node.born);
         let count = same.map_or(0, |a| a.count);
         // What changed since a count that an earlier life of this daemon had is not enough to know anything by; nor is
         // an agent's word before its proxy has spoken.
         let tells = m.life > 0 && m.since <= count && count <= m.count;
-        let mut opens = old.as_ref().map_or_else(Opens::new, |a| a.opens.clone());
+        let mut opens = old.as_mut().map_or_else(Opens::new, |a| std::mem::take(&mut a.opens));
         if tells {
             self.count(&name, m.life, m.tallies, now);
             if m.since == 0 {
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -85,9 +85,8 @@
     }
 
     fn sample(&mut self) -> List<Node> {
-        let mut v: Vec<Node> = self.known.values().filter(|k| k.live).map(|k| k.node.clone()).collect();
-        self.rng.shuffle(&mut v);
-        v.truncate(SHUFFLE_SAMPLE);
+        let live = self.known.values().filter(|k| k.live);
+        let mut v: Vec<Node> = self.rng.choose_multiple(live, SHUFFLE_SAMPLE).into_iter().map(|k| k.node.clone()).collect();
         v.push(self.me.clone());
         List(v)
     }
@@ -96,9 +95,8 @@
     fn refill(&mut self) {
         let known = &self.known;
         self.view.retain(|n| known.get(n).is_some_and(|k| k.live));
-        let mut more: Vec<Name> =
-            known.values().filter(|k| k.live && !self.view.contains(&k.node.name)).map(|k| k.node.name.clone()).collect();
-        self.rng.shuffle(&mut more);
+        let more = known.values().filter(|k| k.live && !self.view.contains(&k.node.name)).map(|k| &k.node.name);
+        let more: Vec<Name> = self.rng.choose_multiple(more, VIEW).into_iter().cloned().collect();
         // A random newcomer takes the oldest neighbour's place, so that views keep mixing.
         if self.view.len() >= VIEW && !more.is_empty() {
             self.view.remove(0);
