--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -235,6 +235,10 @@
 pub const LOAD_MS: f64 = 4.0;
 /// ms. What a full replica costs: more than any way.
 pub const FULL_MS: f64 = 600.0;
+/// ms. What the last place of a replica costs; half of its places cost a sixteenth of it.
+pub const FILLING_MS: f64 = 300.0;
+/// Weight of one replica's word in the mean of all: some twenty of the last count.
+pub const MEAN_WEIGHT: f64 = 0.05;
 /// ms. What it costs to exceed the rate that the replica would bear if it turned cold now.
 pub const RATE_MS: f64 = 60.0;
 /// ms. A step down a prompt's agreed order of replicas, so that all proxies overflow to the same one.
@@ -267,3 +271,11 @@
 pub const KEPT_TOKENS: u32 = 200;
 /// Bytes of one event of a stream that may be resumed; the largest seen are a hundredth of it.
 pub const EVENT_MAX: usize = 64 << 10;
+/// ms. Other proxies are told of prompts that take so long to read: a shorter one makes nobody late.
+pub const READING_TOLD: f64 = 30.0;
+/// ms for each edge between two tellings of what was sent: each agent then passes on the same, however large its fleet.
+pub const READINGS_EVERY: Ms = 8;
+/// Prompts in one telling; a second of a proxy's share of long ones is a tenth of it.
+pub const READINGS_MOST: usize = 64;
+/// ms. Most that prompts of other proxies count for: beyond it they have most likely gone elsewhere or failed.
+pub const OTHERS_MOST: f64 = 4_000.0;
