Give nodes of larger fleets more time before they count as gone

Cause: a shuffle carries eight nodes and its sender whatever the fleet's size, while a node counted as gone after 2 s without a risen beat: with 44 edges an agent took 97.9% of the others for live in a quiet fleet, with 88 83.8%. Ruled out: samples that grow with the fleet (352 nodes would send 200 KB/s each); 150 ms a node (67 of 571,200 looks wrong with a tenth of messages lost; the new test allows 57). Now 170 ms for each live node where that is more than 2 s, which is from 12 nodes on; callers who ask a control daemon where to go are sent by whom that daemon hears itself, as before within 2 s.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -1102,6 +1102,11 @@
             return None;
         }
         let all: Vec<&Node> = self.mship.live(EDGE).filter(|n| !n.http.is_empty()).collect();
+        // Rumours of a large fleet are slow: who asks this daemon itself is known sooner to be gone. Where few do, it
+        // is this daemon that is cut off.
+        let asks = |n: &&&Node| self.agents.get(&n.name).is_some_and(|a| now.saturating_sub(a.at) <= NODE_GONE);
+        let heard: Vec<&Node> = all.iter().filter(asks).copied().collect();
+        let all = if heard.len() * 2 > all.len() { heard } else { all };
         let home = |n: &Node| self.p.regions.get(&*n.zone).map_or(&*n.zone, String::as_str).to_owned();
         let near: [Vec<&Node>; 2] = [
             all.iter().filter(|n| &*n.zone == zone).copied().collect(),
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -59,6 +59,9 @@
 pub const SHUFFLE_SAMPLE: usize = 8;
 /// ms. A node whose beat has not risen for this long counts as gone; rumours need a few shuffles to cross.
 pub const NODE_GONE: Ms = 2_000;
+/// ms for each live node. A beat comes round by samples of a fixed size, so that news of each node gets rarer as the
+/// fleet grows: from 12 nodes on they are given more time, or live ones would count as gone.
+pub const GONE_A_NODE: Ms = 170;
 /// ms. A node gone this long is forgotten: longer than any freeze that is expected to wake again.
 pub const NODE_FORGOTTEN: Ms = 600_000;
 /// ms. Range digests between neighbouring agents.
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -9,7 +9,7 @@
     Effects, Ms,
     effect::{note, send},
     events,
-    limits::{NODE_FORGOTTEN, NODE_GONE, SHUFFLE_EVERY, SHUFFLE_SAMPLE, VIEW},
+    limits::{GONE_A_NODE, NODE_FORGOTTEN, NODE_GONE, SHUFFLE_EVERY, SHUFFLE_SAMPLE, VIEW},
 };
 
 /// Roles of nodes, as on the wire.
@@ -120,7 +120,8 @@
         }
         self.next = now + SHUFFLE_EVERY;
         self.me.beat += 1;
-        for k in self.known.values_mut().filter(|k| k.live && now.saturating_sub(k.at) > NODE_GONE) {
+        let gone = NODE_GONE.max(GONE_A_NODE * self.known.values().filter(|k| k.live).count() as Ms);
+        for k in self.known.values_mut().filter(|k| k.live && now.saturating_sub(k.at) > gone) {
             k.live = false;
             out.push(note(events::NODE_GONE, &k.node.name, ""));
         }
@@ -211,6 +212,24 @@
         }
     }
 
+    #[gtest]
+    fn a_large_fleet_takes_no_live_node_for_gone_and_notices_the_gone() {
+        let mut b = Bench::new(120, 1);
+        b.run(20_000);
+        let missing = |b: &Bench| -> usize { b.nodes.values().map(|m| b.nodes.len() - 1 - m.live(EDGE).count()).sum() };
+        let mut all = 0;
+        for _ in 0..40 {
+            b.run(500);
+            all += missing(&b);
+        }
+        // Of 571,200 looks of one node at another, one in ten thousand.
+        expect_that!(all, le(57));
+        let gone = Name::from("n100");
+        drop(b.nodes.remove(&gone));
+        b.run(2 * 120 * GONE_A_NODE);
+        expect_false!(b.nodes.values().any(|m| m.live(EDGE).any(|n| n.name == gone)));
+    }
+
     #[gtest]
     fn all_find_each_other_notice_the_gone_and_outlive_their_seeds() {
         for seed in 0..30 {
