--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -644,13 +644,13 @@
 
     fn on_poll(&mut self, addr: &Name, m: Poll, now: Ms, out: &mut Effects) {
         let name = m.node.name.clone();
-        let old = self.agents.remove(&name);
+        let mut old = self.agents.remove(&name);
         let same = old.as_ref().filter(|a| a.node.born == m.node.born);
         let count = same.map_or(0, |a| a.count);
         // What changed since a count that an earlier life of this daemon had is not enough to know anything by; nor is
         // an agent's word before its proxy has spoken.
         let tells = m.life > 0 && m.since <= count && count <= m.count;
-        let mut opens = old.as_ref().map_or_else(Opens::new, |a| a.opens.clone());
+        let mut opens = old.as_mut().map_or_else(Opens::new, |a| std::mem::take(&mut a.opens));
         if tells {
             self.count(&name, m.life, m.tallies, now);
             if m.since == 0 {
@@ -1108,6 +1108,11 @@
             return None;
         }
         let all: Vec<&Node> = self.mship.live(EDGE).filter(|n| !n.http.is_empty()).collect();
+        // Rumours of a large fleet are slow: who asks this daemon itself is known sooner to be gone. Where few do, it
+        // is this daemon that is cut off.
+        let asks = |n: &&&Node| self.agents.get(&n.name).is_some_and(|a| now.saturating_sub(a.at) <= NODE_GONE);
+        let heard: Vec<&Node> = all.iter().filter(asks).copied().collect();
+        let all = if heard.len() * 2 > all.len() { heard } else { all };
         let home = |n: &Node| self.p.regions.get(&*n.zone).map_or(&*n.zone, String::as_str).to_owned();
         let near: [Vec<&Node>; 2] = [
             all.iter().filter(|n| &*n.zone == zone).copied().collect(),
