--- a/fleet-simulator/tests/never.rs
+++ b/fleet-simulator/tests/never.rs
@@ -73,6 +73,9 @@
         ("dentaplan", "mix", 6011),
         ("registry", "mix", 6011),
         ("registry", "misbehave", 7),
+        ("registry", "placed_faults", 9),
+        ("registry", "placed_lane", 2),
+        ("dentaplan", "placed_faults", 1),
     ];
     expect_that!(failing(cases), is_empty());
 }
@@ -98,6 +101,7 @@
         (Guard::Health, "dentaplan", "rollout_bad", "bad_version"),
         (Guard::Health, "registry", "rollout_late", "bad_version"),
         (Guard::Health, "registry", "rollout_done", "bad_version"),
+        (Guard::Health, "dentaplan", "placed_bad", "exposure"),
         (Guard::Evacuation, "registry", "evacuate", "evacuated"),
         (Guard::Ramp, "dentaplan", "cold_crowd", "cold"),
         (Guard::Homes, "registry", "crowd", "homes: served"),
