--- a/coordination/tests/fleet/mod.rs
+++ b/coordination/tests/fleet/mod.rs
@@ -32,7 +32,7 @@
 }
 
 enum Ev {
-    Deliver { to: Name, from: Name, addr: Name, msg: Msg },
+    Deliver { to: Name, from: Name, addr: Name, msg: Box<Msg> },
     Synced { at: usize, life: u64, rows: Vec<Row>, then: Effects },
 }
 
@@ -169,7 +169,7 @@
                         continue;
                     }
                     let ms = if own { 0 } else { 1 + self.rng.u64(..self.way) };
-                    self.at(ms, Ev::Deliver { to, from, addr, msg });
+                    self.at(ms, Ev::Deliver { to, from, addr, msg: Box::new(msg) });
                 }
                 Effect::Persist { rows, then } => {
                     self.all[i].buffer.push((rows, then));
@@ -214,7 +214,7 @@
                 let Some(i) = self.all.iter().position(|d| d.p.addr == to && d.brain.is_some()) else { return };
                 let now = self.now;
                 let Some(b) = self.all[i].brain.as_mut() else { return };
-                let out = b.on_msg(&from, &addr, msg, now);
+                let out = b.on_msg(&from, &addr, *msg, now);
                 self.carry(i, out);
             }
             Ev::Synced { at, life, rows, then } => {
