Let a voter give its word to an owner that was made one without it

Cause: an owner's renewals counted only at voters that had promised its epoch. One made owner by itself and a daemon that then died held its duty without a permit for good, and nobody else took it.

--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -302,12 +302,7 @@
             }
             return;
         }
-        let wait = if !leased(&m.key) {
-            0
-        } else {
-            let granted = self.grants.get(&m.key).filter(|g| g.0 != *to).map_or(0, |g| g.2);
-            granted.max(self.abstain_until).saturating_sub(now)
-        };
+        let wait = self.keeps_out(&m.key, to, now);
         let s = self.slot(&m.key);
         if wait > 0 || m.epoch < s.promised {
             let slot = s.clone();
@@ -324,6 +319,15 @@
         out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then });
     }
 
+    /// ms. For how long nobody but the holder may take the key, as this voter let it keep a duty or may have.
+    fn keeps_out(&self, key: &Name, from: &Name, now: Ms) -> Ms {
+        if !leased(key) {
+            return 0;
+        }
+        let granted = self.grants.get(key).filter(|g| g.0 != *from).map_or(0, |g| g.2);
+        granted.max(self.abstain_until).saturating_sub(now)
+    }
+
     pub fn on_accept(&mut self, to: &Name, m: Accept, out: &mut Effects) {
         let me = self.me;
         self.highest = self.highest.max(m.epoch);
@@ -381,7 +385,7 @@
         if !self.voting || m.me != self.me {
             return;
         }
-        let mut keys = List::default();
+        let (mut keys, mut rows) = (List::default(), vec![]);
         for h in m.keys {
             let promised = self.slots.get(&h.key).map_or(0, |s| s.promised);
             // Told at once: a holder whom nobody renews any more must not rest on a key that nobody else takes.
@@ -389,12 +393,27 @@
                 out.push(send(to, Accepted { key: h.key, epoch: h.epoch, version: 0, promised, me: self.me, ok: 0 }));
                 continue;
             }
-            if promised == h.epoch {
-                self.grants.insert(h.key.clone(), (to.clone(), h.epoch, now + self.permit));
-                keys.0.push(h);
+            // An owner that others made one without this voter: it may need its word once one of those is gone.
+            if promised < h.epoch {
+                if self.keeps_out(&h.key, to, now) > 0 {
+                    continue;
+                }
+                self.highest = self.highest.max(h.epoch);
+                if self.own.get(&h.key).is_some_and(|o| o.epoch < h.epoch) {
+                    self.give_up(&h.key, out);
+                }
+                let s = self.slot(&h.key);
+                s.promised = h.epoch;
+                rows.push(Row::Slot(s.clone()));
             }
+            self.grants.insert(h.key.clone(), (to.clone(), h.epoch, now + self.permit));
+            keys.0.push(h);
+        }
+        let told = send(to, Renewed { keys, sent: m.sent, me: self.me });
+        if rows.is_empty() {
+            return out.push(told);
         }
-        out.push(send(to, Renewed { keys, sent: m.sent, me: self.me }));
+        out.push(Effect::Persist { rows, then: vec![told] });
     }
 
     /// A holder has given its duties up: nobody need wait its permits out.
