Keep idle channels to replicas for 1.5 s instead of 10

Cause: most of a proxy's memory is its channels' buffers, and what may run once (nine requests in ten) uses no channel that rested for over a second.

--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -63,8 +63,9 @@
 pub const ONCE_IDLE: Ms = 1_000;
 /// ms. A channel is dropped so long before its replica would close it: a request and a close must not cross.
 pub const IDLE_MARGIN: Ms = 300;
-/// ms. Longest that a channel is kept idle when its replica does not tell.
-pub const IDLE_KEPT: Ms = 10_000;
+/// ms. Longest that a channel is kept idle: its buffers cost more than another opening, and what may run once does
+/// not use it for so long anyway.
+pub const IDLE_KEPT: Ms = 1_500;
 /// ms. Idle channels are looked over this often.
 pub const IDLE_SWEEP: Ms = 1_000;
 /// What was sent on a channel is acknowledged by then, or the channel is lost: a machine without power says nothing.
--- a/edge-proxy/tests/pass.rs
+++ b/edge-proxy/tests/pass.rs
@@ -9,7 +9,10 @@
     bounds::Bounds,
     wire::Board,
 };
-use daemon_parts::{clock, limits::NOT_YET};
+use daemon_parts::{
+    clock,
+    limits::{IDLE_KEPT, NOT_YET},
+};
 use edge_proxy::shared::hold;
 use googletest::prelude::*;
 use support::*;
@@ -381,6 +384,19 @@
     });
 }
 
+#[gtest]
+fn an_idle_channel_is_closed_soon_even_for_what_may_be_repeated() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane::of("repeatable", 1), &[r.addr]).await;
+        for wait in [0, 0, IDLE_KEPT + 100] {
+            tokio::time::sleep(Duration::from_millis(wait)).await;
+            expect_that!(ask(&e, request("a", "q")).await.status, eq(200));
+        }
+        expect_that!(r.seen.lock().unwrap().iter().map(|g| g.connection).collect::<Vec<_>>(), eq(&[0, 0, 1]));
+    });
+}
+
 #[gtest]
 fn no_more_channels_are_opened_than_a_replica_lets_this_edge_have() {
     run(async {
