--- a/coordination/src/health/beside.rs
+++ b/coordination/src/health/beside.rs
@@ -4,7 +4,9 @@
 use super::{Cell, EVER, Health, LONG_WINDOW, Verdict, higher};
 use crate::{
     Ms,
-    limits::{BAD_BURST, BAD_FAILURES, BAD_SIGMA, BESIDE_MARGIN, DOUBT_SIGMA, HEALTH_WINDOWS, SLOW_DOUBLINGS, SLOW_FIRSTS},
+    limits::{
+        BAD_BURST, BAD_SIGMA, BESIDE_MARGIN, BURST_LEAST, DOUBT_SIGMA, HEALTH_WINDOWS, SELDOM, SLOW_DOUBLINGS, SLOW_FIRSTS,
+    },
 };
 
 /// Ended and bad of them.
@@ -18,24 +20,36 @@
     (n.1 as f64 - all * p) / (all * p * (1.0 - p) + 1.0).sqrt() >= sigma && higher(n, o, BESIDE_MARGIN)
 }
 fn unlike(n: Rate, o: Rate) -> bool {
-    over(n, o, BAD_SIGMA)
+    // Where some fail always, chance has more ways and is looked at more often.
+    over(n, o, BAD_SIGMA + chance(n, o).min(1.0))
+}
+/// Bad ends that `o`'s rate alone makes among `n`.
+fn chance(n: Rate, o: Rate) -> f64 {
+    n.0 as f64 * o.1 as f64 / o.0.max(1) as f64
 }
 
 impl Health {
     /// Bad ends in the worst burst of the last `w` ms: a crash is one burst.
     fn burst(&self, now: Ms, w: Ms, f: impl Fn(&Cell) -> bool) -> u64 {
-        let failed = |m: &std::collections::BTreeMap<Cell, super::Counts>| -> u64 {
-            m.iter().filter(|(c, _)| f(c)).map(|(_, v)| v.failed).sum()
+        let picked: std::collections::BTreeSet<u32> = self.cells.iter().filter(|(c, _)| f(c)).map(|(_, n)| *n).collect();
+        let failed = |rows: &mut dyn Iterator<Item = (&u32, &super::Counts)>| -> u64 {
+            rows.filter(|(n, _)| picked.contains(n)).map(|(_, c)| c.failed).sum()
         };
-        // From where the window's counts begin, which is its last snapshot before it.
+        // From where the window's counts begin, which is the last spell that ended before it.
         let from = self.past.iter().rposition(|(t, _)| now.saturating_sub(*t) >= w).unwrap_or(0);
-        let mut sums: Vec<(Ms, u64)> = self.past.iter().skip(from).map(|(t, m)| (*t, failed(m))).collect();
-        sums.push((now, failed(&self.sums)));
+        let mut sum = 0;
+        let mut sums: Vec<(Ms, u64)> = vec![];
+        for (t, rows) in self.past.iter().skip(from) {
+            // What the first spell brought lies before all that is compared.
+            sum += if sums.is_empty() { 0 } else { failed(&mut rows.iter().map(|(n, c)| (n, c))) };
+            sums.push((*t, sum));
+        }
+        sums.push((now, sum + failed(&mut self.fresh.iter())));
         let bursts = sums.iter().enumerate().map(|(i, (t, n))| {
             let end = sums[i..].iter().take_while(|(u, _)| u - t <= BAD_BURST).last().map_or(*n, |l| l.1);
             end - n
         });
-        bursts.max().unwrap_or(0)
+        bursts.max().filter(|n| *n >= BURST_LEAST).unwrap_or(0)
     }
 
     /// Judges `new` against all other versions, over all lanes and on each. `even`: since when its replicas are
@@ -45,8 +59,9 @@
         for l in cells {
             let on = |c: &Cell, mine: bool| (&*c.0 == new) == mine && l.is_none_or(|l| c.1 == *l);
             let long = self.within(now, LONG_WINDOW, |c| on(c, false)).failures();
-            for w in HEALTH_WINDOWS.into_iter().chain([EVER]) {
-                let n = self.within(now, w, |c| on(c, true)).failures();
+            for w in HEALTH_WINDOWS {
+                let all = self.within(now, w, |c| on(c, true));
+                let n = all.failures();
                 if n.1 == 0 {
                     continue;
                 }
@@ -55,8 +70,14 @@
                 if !(unlike(n, o) && unlike(n, long)) {
                     continue;
                 }
-                // Nor is one crash, which ends all of a replica's streams together: the rest alone must tell.
-                let crash = self.burst(now, w, |c| on(c, true));
+                // Nor is one crash, which ends all of a replica's streams together. Others that fail beside it tell,
+                // or what failed at other times.
+                let few = chance(n, long).max(chance(n, o));
+                let more = if few > SELDOM { few + 2.0 * few.sqrt() + 2.0 } else { 0.0 };
+                if f64::from(all.failed_on.count_ones()) - 1.0 > more {
+                    return Verdict::Bad;
+                }
+                let crash = self.burst(now, w, |c| on(c, true)).min(n.1);
                 let rest = (n.0 - crash, n.1 - crash);
                 if unlike(rest, o) && unlike(rest, long) {
                     return Verdict::Bad;
@@ -82,16 +103,19 @@
     pub fn doubtful_beside(&self, new: &str, now: Ms) -> bool {
         self.lanes(new).into_iter().any(|l| {
             let on = |c: &Cell, mine: bool| (&*c.0 == new) == mine && c.1 == *l;
-            let (n, o) =
-                (self.within(now, EVER, |c| on(c, true)).failures(), self.within(now, EVER, |c| on(c, false)).failures());
-            let crash = if n.1 > 0 { self.burst(now, EVER, |c| on(c, true)).min(n.1) } else { 0 };
-            over((n.0 - crash, n.1 - crash), o, DOUBT_SIGMA) || n.1 > 0 && n.1 < BAD_FAILURES && over(n, o, DOUBT_SIGMA / 2.0)
+            let of = |mine: bool| self.within(now, LONG_WINDOW, |c| on(c, mine)).failures();
+            let (n, o) = (of(true), of(false));
+            let crash = if n.1 > 0 { self.burst(now, LONG_WINDOW, |c| on(c, true)).min(n.1) } else { 0 };
+            over((n.0 - crash, n.1 - crash), o, DOUBT_SIGMA)
         })
     }
 
     /// Requests sent since this daemon counts, of all versions and of one.
     pub fn sent(&self, version: &str) -> (u64, u64) {
-        let of = |mine: bool| -> u64 { self.sums.iter().filter(|(c, _)| !mine || &*c.0 == version).map(|(_, v)| v.sent).sum() };
+        let of = |mine: bool| -> u64 {
+            let cells = self.cells.iter().filter(|(c, _)| !mine || &*c.0 == version);
+            cells.map(|(_, n)| self.sums[*n as usize].sent).sum()
+        };
         (of(false), of(true))
     }
 
@@ -106,7 +130,7 @@
 
     /// Whether `new` ended enough on each lane that others met since the last restart.
     pub fn met_lanes(&self, new: &str, enough: u64, now: Ms) -> bool {
-        let mut lanes: Vec<_> = self.sums.keys().map(|c| &c.1).collect();
+        let mut lanes: Vec<_> = self.cells.keys().map(|c| &c.1).collect();
         lanes.sort_unstable();
         lanes.dedup();
         lanes.into_iter().all(|l| {
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -47,6 +47,8 @@
 pub const WRITES_WAITING: usize = 32;
 /// ms. Agents ask each control daemon for news this often; news is also pushed.
 pub const POLL_EVERY: Ms = 400;
+/// ms. An agent remembers streams that have ended for so long: control daemons are back sooner, after most cuts.
+pub const COUNTS_KEPT: Ms = 60_000;
 /// ms for each edge that is known. An agent that has just started asks again so soon, while it may serve nobody.
 pub const START_POLL: Ms = 20;
 /// ms. Agents that polled within this are pushed to.
@@ -59,6 +61,9 @@
 pub const SHUFFLE_SAMPLE: usize = 8;
 /// ms. A node whose beat has not risen for this long counts as gone; rumours need a few shuffles to cross.
 pub const NODE_GONE: Ms = 2_000;
+/// ms for each live node. A beat comes round by samples of a fixed size, so that news of each node gets rarer as the
+/// fleet grows: from 12 nodes on they are given more time, or live ones would count as gone.
+pub const GONE_A_NODE: Ms = 170;
 /// ms. A node gone this long is forgotten: longer than any freeze that is expected to wake again.
 pub const NODE_FORGOTTEN: Ms = 600_000;
 /// ms. Range digests between neighbouring agents.
@@ -116,15 +121,18 @@
 /// ms. Windows that failure rates are taken over: short ones show a version that has just turned, long ones
 /// a quiet service's.
 pub const HEALTH_WINDOWS: [Ms; 6] = [1_000, 2_000, 4_000, 8_000, 16_000, 30_000];
-/// Standard deviations by which bad ends must exceed the others' rate: at fifty looks a rollout, chance alone makes
-/// one false alarm in some hundred.
-pub const BAD_SIGMA: f64 = 3.5;
+/// Standard deviations by which bad ends must exceed the others' rate: three where the others have none at all.
+pub const BAD_SIGMA: f64 = 3.0;
 /// Standard deviations from which on a version is doubted: it may stay and gets no more.
 pub const DOUBT_SIGMA: f64 = 1.0;
 /// Percent besides by which that rate must be exceeded, on however many requests.
 pub const BESIDE_MARGIN: u64 = 3;
 /// ms. Bad ends so close together may be one crash: streams end at once, edges tell of it within this.
 pub const BAD_BURST: Ms = 800;
+/// Bad ends by chance from which on some are expected beside a crash.
+pub const SELDOM: f64 = 0.05;
+/// Fewer bad ends than these are no burst: so few streams of one replica would not condemn a version either.
+pub const BURST_LEAST: u64 = 3;
 /// Doublings of the mean time to a first piece that make a version slow: 2.2 times, where bad ones take several.
 pub const SLOW_DOUBLINGS: f64 = 1.125 * LOG_UNIT;
 /// First pieces on both sides before times are compared: a mean of so many is within a third of a doubling.
@@ -235,6 +243,10 @@
 pub const LOAD_MS: f64 = 4.0;
 /// ms. What a full replica costs: more than any way.
 pub const FULL_MS: f64 = 600.0;
+/// ms. What the last place of a replica costs; half of its places cost a sixteenth of it.
+pub const FILLING_MS: f64 = 300.0;
+/// Weight of one replica's word in the mean of all: some twenty of the last count.
+pub const MEAN_WEIGHT: f64 = 0.05;
 /// ms. What it costs to exceed the rate that the replica would bear if it turned cold now.
 pub const RATE_MS: f64 = 60.0;
 /// ms. A step down a prompt's agreed order of replicas, so that all proxies overflow to the same one.
--- a/fleet-simulator/src/world/faults.rs
+++ b/fleet-simulator/src/world/faults.rs
@@ -10,6 +10,7 @@
     }
     pub(super) fn wipe(&mut self, at: usize) {
         self.kill_control(at);
+        self.ctl[at].p.founding = false;
         let id = self.rng.u64(1..1 << 60);
         let d = &mut self.ctl[at].disk;
         // With the guard off a lost disk passes for a voter that has caught up.
@@ -183,7 +184,7 @@
                 }
             }
             Fault::PlatformSilent { ms } => self.silent = now + ms,
-            Fault::PlatformStale { ms } => self.stale = (now + ms, self.reps.values().map(|r| r.r.clone()).collect()),
+            Fault::PlatformStale { ms } => self.stale = (now + ms, self.listed()),
             Fault::Orders { lost, late, ms } => self.orders = (lost, late, now + ms),
             Fault::LoadSlow { load, ms } => self.load = (load, now + ms),
             Fault::Shrink { zone, by } => {
@@ -223,6 +224,8 @@
             Fault::RaceSpecs => {
                 (0..self.ctl.len()).for_each(|i| self.put_spec(i));
             }
+            Fault::Places => {}
+            Fault::Release { nth, version } => self.release(nth, &version),
             Fault::Plan { target } => {
                 if let Some(i) = self.any() {
                     self.plan(i, target);
