--- a/coordination/examples/slopes/main.rs
+++ b/coordination/examples/slopes/main.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeSet;
 
-use meter::{Meter, ROLES, Role, line};
+use meter::{Meter, ROLES, Role, Way, line};
 use world::{CONTROLS, Size, World};
 
 #[global_allocator]
@@ -39,10 +39,15 @@
         let mut push = |what: &str, v: f64| rows.push((format!("{phase}: {r:?} {what}"), v));
         push("cpu us/s", m.cpu.get(&r).copied().unwrap_or(0) as f64 / 1_000.0 / s / n);
         push("out B/s", m.out(r) as f64 / s / n);
+        push("out to other regions B/s", m.far(r) as f64 / s / n);
         push("in B/s", m.came.get(&r).copied().unwrap_or(0) as f64 / s / n);
         if phase == PHASES[0] {
-            for ((_, kind, here), (c, b)) in m.sent.iter().filter(|(k, _)| k.0 == r) {
-                let place = if *here { " (loopback)" } else { "" };
+            for ((_, kind, way), (c, b)) in m.sent.iter().filter(|(k, _)| k.0 == r) {
+                let place = match way {
+                    Way::Loopback => " (loopback)",
+                    Way::Region => "",
+                    Way::Far => " (far)",
+                };
                 push(&format!("{kind}{place} msg/s"), *c as f64 / s / n);
                 push(&format!("{kind}{place} B/s"), *b as f64 / s / n);
             }
--- a/coordination/examples/slopes/meter.rs
+++ b/coordination/examples/slopes/meter.rs
@@ -48,14 +48,23 @@
 }
 pub const ROLES: [Role; 3] = [Role::Control, Role::Agent, Role::Proxy];
 
+/// How far a message went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Way {
+    Loopback,
+    Region,
+    /// To another region: the dearest bytes.
+    Far,
+}
+
 /// Messages and their bytes.
 pub type Count = (u64, u64);
 
 /// What one phase took.
 #[derive(Clone, Debug, Default)]
 pub struct Meter {
-    /// Sent, by sender and kind; those that stay on a machine apart.
-    pub sent: BTreeMap<(Role, &'static str, bool), Count>,
+    /// Sent, by sender, kind and way.
+    pub sent: BTreeMap<(Role, &'static str, Way), Count>,
     /// Bytes that came in from other machines.
     pub came: BTreeMap<Role, u64>,
     /// ns.
@@ -65,17 +74,21 @@
 }
 
 impl Meter {
-    pub fn sent(&mut self, from: Role, to: Role, kind: &'static str, bytes: usize, here: bool) {
-        let c = self.sent.entry((from, kind, here)).or_default();
+    pub fn sent(&mut self, from: Role, to: Role, kind: &'static str, bytes: usize, way: Way) {
+        let c = self.sent.entry((from, kind, way)).or_default();
         (c.0, c.1) = (c.0 + 1, c.1 + bytes as u64);
-        if !here {
+        if way != Way::Loopback {
             *self.came.entry(to).or_default() += bytes as u64;
         }
         self.longest = self.longest.max((bytes, kind));
     }
     /// Bytes out to other machines.
     pub fn out(&self, r: Role) -> u64 {
-        self.sent.iter().filter(|((f, _, here), _)| *f == r && !here).map(|(_, c)| c.1).sum()
+        self.sent.iter().filter(|((f, _, way), _)| *f == r && *way != Way::Loopback).map(|(_, c)| c.1).sum()
+    }
+    /// Bytes out to other regions.
+    pub fn far(&self, r: Role) -> u64 {
+        self.sent.iter().filter(|((f, _, way), _)| *f == r && *way == Way::Far).map(|(_, c)| c.1).sum()
     }
 }
 
--- a/coordination/examples/slopes/world.rs
+++ b/coordination/examples/slopes/world.rs
@@ -23,7 +23,7 @@
 use serde_json::json;
 use wire_messages::{Envelope, Msg, Name, Node, decode, encode};
 
-use crate::meter::{Meter, ROLES, Role, cpu, held};
+use crate::meter::{Meter, ROLES, Role, Way, cpu, held};
 
 /// Edges, replicas and requests a second of the whole fleet.
 pub const WHOLE: (usize, usize, f64) = (352, 600, 2_600.0);
@@ -284,12 +284,17 @@
             self.faults += 1;
             return;
         };
+        let (a, z) = (self.zone(me), self.zone(there));
+        let (ra, rz) = (ZONES[a].0, ZONES[z].0);
         if there != me {
             let here = me.1 == there.1 && me.0 != Role::Control && there.0 != Role::Control;
-            self.meter.sent(me.0, there.0, kind, b.len(), here);
+            let way = match () {
+                () if here => Way::Loopback,
+                () if ra == rz => Way::Region,
+                () => Way::Far,
+            };
+            self.meter.sent(me.0, there.0, kind, b.len(), way);
         }
-        let (a, z) = (self.zone(me), self.zone(there));
-        let (ra, rz) = (ZONES[a].0, ZONES[z].0);
         if self.cut.is_some_and(|c| (c == ra) != (c == rz)) {
             return;
         }
