Tell of long prompts only where the replica is shared

Cause: each proxy told all others of the fleet which long prompts it sent where, over regions too: two thirds of these messages went to proxies that hardly ever send to that replica. An agent now passes them on to its own region and to that where the prompt is read; a zone's region has one function for all who ask for it.

--- a/coordination/examples/slopes/world.rs
+++ b/coordination/examples/slopes/world.rs
@@ -178,7 +178,8 @@
             let (name, zone): (Name, Name) = (format!("edge-zone-{z}-{i}").into(), format!("zone-{z}").into());
             let (addr, at): (Name, Name) = (format!("10.2.{i}.1:7300").into(), format!("10.2.{i}.1:7301").into());
             let me = Node { name: name.clone(), zone: zone.clone(), addr: addr.clone(), born: 2_000, ..Node::default() };
-            let a = Agent::new(me, seeds.clone(), w.rng.u64(..), 0);
+            let mut a = Agent::new(me, seeds.clone(), w.rng.u64(..), 0);
+            a.set_regions(regions.clone());
             w.addrs.insert(addr.clone(), (Role::Agent, i));
             w.addrs.insert(at.clone(), (Role::Proxy, i));
             let mut p = Proxy::new(format!("{name}/proxy").into(), zone, format!("10.2.{i}.1:8263").into(), 2_000, w.rng.u64(..));
--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -19,6 +19,7 @@
         STABLE_BOUND, START_POLL, TICK,
     },
     membership::{CONTROL, EDGE, Membership},
+    regions::{Regions, region},
 };
 
 /// What a proxy may do: reject everything, stable versions only, or all that permits allow.
@@ -134,6 +135,7 @@
     met: BTreeMap<Name, Ms>,
     /// Cut off from the control plane it serves stable versions on by what it knew last.
     serve_on: bool,
+    regions: Regions,
 }
 
 impl Agent {
@@ -160,6 +162,7 @@
             woke: 0,
             met: BTreeMap::new(),
             serve_on: false,
+            regions: Regions::new(),
         }
     }
     /// Whether the proxy beside this agent still speaks but sends callers elsewhere: the whole machine stops.
@@ -170,6 +173,12 @@
     pub fn set_serve_on(&mut self, on: bool) {
         self.serve_on = on;
     }
+    pub fn set_regions(&mut self, regions: Regions) {
+        self.regions = regions;
+    }
+    fn region<'a>(&'a self, n: &'a Node) -> &'a str {
+        region(&self.regions, &n.zone)
+    }
     pub fn board(&self) -> &Board {
         &self.board
     }
@@ -234,14 +243,16 @@
         self.claimer.ask(proxy, &m, &edges, now, out);
     }
 
-    /// What its proxy lately sent goes to all edges, what others sent to its proxy.
+    /// What its proxy lately sent goes to the edges of its region, and of that where it was sent: those share replicas
+    /// with it. What others sent goes to its proxy.
     fn on_readings(&self, from: &Name, m: Readings, out: &mut Effects) {
         let Some(p) = &self.proxy else { return };
         if p.addr != *from {
             return out.push(send(&p.addr, m));
         }
-        let me = &self.mship.me().name;
-        out.extend(self.mship.live(EDGE).filter(|n| n.name != *me).map(|n| send(&n.addr, m.clone())));
+        let me = self.mship.me();
+        let near = |n: &&Node| self.region(n) == self.region(me) || self.region(n) == &*m.region;
+        out.extend(self.mship.live(EDGE).filter(|n| n.name != me.name).filter(near).map(|n| send(&n.addr, m.clone())));
     }
 
     fn on_hello(&mut self, addr: &Name, m: ProxyHello, now: Ms) {
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -28,6 +28,7 @@
     members as seats,
     membership::{CONTROL, EDGE, Membership},
     order::{agreed, weight},
+    regions,
     register::{DUTY, Expect, MEMBERS, Registers},
     rollout::{Inputs, Loop, first_record},
 };
@@ -1113,11 +1114,9 @@
         let asks = |n: &&&Node| self.agents.get(&n.name).is_some_and(|a| now.saturating_sub(a.at) <= NODE_GONE);
         let heard: Vec<&Node> = all.iter().filter(asks).copied().collect();
         let all = if heard.len() * 2 > all.len() { heard } else { all };
-        let home = |n: &Node| self.p.regions.get(&*n.zone).map_or(&*n.zone, String::as_str).to_owned();
-        let near: [Vec<&Node>; 2] = [
-            all.iter().filter(|n| &*n.zone == zone).copied().collect(),
-            all.iter().filter(|n| home(n) == region).copied().collect(),
-        ];
+        let home = |n: &Node| regions::region(&self.p.regions, &n.zone) == region;
+        let near: [Vec<&Node>; 2] =
+            [all.iter().filter(|n| &*n.zone == zone).copied().collect(), all.iter().filter(|n| home(n)).copied().collect()];
         let some = near.into_iter().find(|v| v.len() > 1).unwrap_or(all);
         let some = agreed(host, some, |n| &n.name).into_iter().take(ADDRESSES).map(|n| n.http.to_string());
         Some(some.collect()).filter(|v: &Vec<String>| !v.is_empty())
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pass_stream;
 pub mod placement;
 pub mod proxy;
+pub mod regions;
 pub mod register;
 pub mod request;
 pub mod rollout;
--- a/coordination/src/members.rs
+++ b/coordination/src/members.rs
@@ -8,6 +8,7 @@
     Ms,
     bounds::Bounds,
     limits::{BEAT_EVERY, PEER_GONE, REPLACE_ANYWHERE, STEP_IN, VOTERS, VOTERS_LEAST},
+    regions::{self, Regions},
 };
 
 /// A daemon that could vote: as a voter, and whether its disk was blank when it started.
@@ -19,29 +20,29 @@
     /// How long nothing was heard of a voter's disk.
     pub silent: &'a dyn Fn(&Voter) -> Ms,
     pub candidates: Vec<Candidate>,
-    pub regions: &'a BTreeMap<String, String>,
+    pub regions: &'a Regions,
     pub bounds: &'a Bounds,
     /// Whether a voter was heard lately, and votes.
     pub live: &'a dyn Fn(&Voter) -> bool,
 }
 
 /// Places that a loss of the worst zone or region would take beyond what leaves a majority.
-fn excess(voters: &[Voter], regions: &BTreeMap<String, String>) -> usize {
+fn excess(voters: &[Voter], regions: &Regions) -> usize {
     let spare = voters.len() - (voters.len() / 2 + 1).min(voters.len());
     let most = |group: &dyn Fn(&Voter) -> String| {
         let mut n: BTreeMap<String, usize> = BTreeMap::new();
         voters.iter().for_each(|v| *n.entry(group(v)).or_default() += 1);
         n.values().map(|n| n.saturating_sub(spare)).sum::<usize>()
     };
-    most(&|v| v.zone.to_string()) + most(&|v| region(v, regions))
+    most(&|v| v.zone.to_string()) + most(&|v| region(v, regions).to_string())
 }
 
-fn region(v: &Voter, regions: &BTreeMap<String, String>) -> String {
-    regions.get(&*v.zone).cloned().unwrap_or_else(|| v.zone.to_string())
+fn region<'a>(v: &'a Voter, regions: &'a Regions) -> &'a str {
+    regions::region(regions, &v.zone)
 }
 
 /// How crowded a place is: voters in its region, and in its zone.
-fn crowd(v: &Voter, voters: &[Voter], regions: &BTreeMap<String, String>) -> (usize, usize) {
+fn crowd(v: &Voter, voters: &[Voter], regions: &Regions) -> (usize, usize) {
     let there = region(v, regions);
     (voters.iter().filter(|o| region(o, regions) == there).count(), voters.iter().filter(|o| o.zone == v.zone).count())
 }
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use remote_calls::{EngineSpec, PathSpec, PlacedReplica};
-use wire_messages::{List, Reading};
+use wire_messages::{List, Name, Reading};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Kept, Site, Travel, again_ms, carry_ms, chain, read_ms, shared, tokens};
@@ -228,13 +228,18 @@
             self.untold.push(Reading { replica: number, ms: n.read_ms as u32, parts: List(parts) });
         }
     }
-    /// What others are to be told, not more often than the fleet can bear.
-    pub fn readings(&mut self, now: Ms) -> Vec<Reading> {
+    /// What others are to be told, by the region of the replicas, not more often than the fleet can bear.
+    pub fn readings(&mut self, now: Ms) -> BTreeMap<Name, Vec<Reading>> {
+        let mut all: BTreeMap<Name, Vec<Reading>> = BTreeMap::new();
         if now < self.told_at + READINGS_EVERY * self.edges() as Ms {
-            return vec![];
+            return all;
         }
         self.told_at = now;
-        std::mem::take(&mut self.untold)
+        for r in std::mem::take(&mut self.untold) {
+            let zone = self.ids.get(&r.replica).and_then(|id| self.zone(id)).unwrap_or_default();
+            all.entry(self.travel.region(zone).into()).or_default().push(r);
+        }
+        all
     }
     /// A long prompt that another proxy sent.
     pub fn on_reading(&mut self, m: &Reading, now: Ms) {
--- a/coordination/src/placement/travel.rs
+++ b/coordination/src/placement/travel.rs
@@ -2,23 +2,25 @@
 
 use std::collections::BTreeMap;
 
-use crate::limits::{FAR_MS, NEAR_MS, TRAVEL_WEIGHT, ZONE_MS};
+use crate::{
+    limits::{FAR_MS, NEAR_MS, TRAVEL_WEIGHT, ZONE_MS},
+    regions::{Regions, region},
+};
 
 #[derive(Clone, Debug, Default)]
 pub struct Travel {
     zone: String,
-    regions: BTreeMap<String, String>,
+    regions: Regions,
     /// ms there and back, by zone.
     took: BTreeMap<String, f64>,
 }
 
 impl Travel {
-    pub fn new(zone: &str, regions: BTreeMap<String, String>) -> Self {
+    pub fn new(zone: &str, regions: Regions) -> Self {
         Travel { zone: zone.into(), regions, took: BTreeMap::new() }
     }
-    /// A zone that no region is named for is its own.
     pub fn region<'a>(&'a self, zone: &'a str) -> &'a str {
-        self.regions.get(zone).map_or(zone, |r| r.as_str())
+        region(&self.regions, zone)
     }
     pub fn home(&self) -> &str {
         self.region(&self.zone)
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -357,10 +357,9 @@
         }
     }
 
-    /// Long prompts that went out since this was last asked, for all other proxies.
-    pub fn readings(&mut self, now: Ms) -> Option<Readings> {
-        let all = self.placement.readings(now);
-        (!all.is_empty()).then_some(Readings { all: List(all) })
+    /// Long prompts that went out since this was last asked, by the region where they are read, for other proxies.
+    pub fn readings(&mut self, now: Ms) -> impl Iterator<Item = Readings> {
+        self.placement.readings(now).into_iter().map(|(region, all)| Readings { region, all: List(all) })
     }
     /// Long prompts that another proxy sent.
     pub fn on_readings(&mut self, m: Readings, now: Ms) {
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -97,16 +97,31 @@
 }
 
 #[gtest]
-fn what_a_proxy_sent_comes_to_all_other_proxies_once() {
+fn what_a_proxy_sent_comes_once_to_those_that_share_the_replica_with_it() {
     let mut a = agent("a", vec![change("spec", 1, 10)]);
-    let m = || Msg::from(Readings { all: List(vec![Reading { replica: 7, ms: 400, parts: List(vec![1, 2]) }]) });
-    let nodes: List<Node> = ["e1", "e2", "c1"].map(|n| node(n, if n == "c1" { 1 } else { 2 })).into_iter().collect();
+    a.set_regions([("z", "r1"), ("z2", "r1"), ("y", "r2"), ("x", "r3")].map(|(z, r)| (z.to_string(), r.to_string())).into());
+    let in_region = |r: &str| -> Msg {
+        let all = List(vec![Reading { replica: 7, ms: 400, parts: List(vec![1, 2]) }]);
+        Readings { region: r.into(), all }.into()
+    };
+    let m = || in_region("r1");
+    let at = |n: &str, role, zone: &str| Node { zone: zone.into(), ..node(n, role) };
+    let nodes: List<Node> =
+        [at("e1", 2, "z"), at("e2", 2, "z2"), at("e3", 2, "y"), at("e4", 2, "x"), at("c1", 1, "z")].into_iter().collect();
     a.on_msg(&"e1".into(), &"e1".into(), Shuffle { nodes, answer: 1 }.into(), 10);
     expect_that!(sends(a.on_msg(&"e1".into(), &"e1".into(), m(), 20)), is_empty(), "there is no proxy yet");
     let hello = ProxyHello { born: 1, http: "h".into(), ..ProxyHello::default() };
     a.on_msg(&"p".into(), &"p".into(), hello.into(), 30);
-    let to = |out: Vec<Effect>| sends(out).into_iter().filter(|(_, o)| *o == m()).map(|(n, _)| n.to_string()).collect::<Vec<_>>();
+    let to = |out: Vec<Effect>| {
+        let readings = sends(out).into_iter().filter(|(_, o)| matches!(o, Msg::Readings(_)));
+        readings.map(|(n, _)| n.to_string()).collect::<Vec<_>>()
+    };
     expect_that!(to(a.on_msg(&"p".into(), &"p".into(), m(), 40)), unordered_elements_are![eq("e1"), eq("e2")]);
+    // Read in another region it delays those there too.
+    expect_that!(
+        to(a.on_msg(&"p".into(), &"p".into(), in_region("r2"), 45)),
+        unordered_elements_are![eq("e1"), eq("e2"), eq("e3")]
+    );
     expect_that!(to(a.on_msg(&"e1".into(), &"e1".into(), m(), 50)), elements_are![eq("p")]);
 }
 
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -53,6 +53,11 @@
     Some(n.id)
 }
 
+/// What a proxy tells others of, wherever it is read.
+fn told(p: &mut Placement, now: u64) -> Vec<Reading> {
+    p.readings(now).into_values().flatten().collect()
+}
+
 #[gtest]
 fn a_cold_replica_bears_its_rate_over_all_proxies_in_every_second() {
     let b = Bounds::default();
@@ -153,9 +158,9 @@
     let mut fleet = fleet(6, &all);
     let long = ask(&[(7, 40_000), (8, 4_000)]);
     let reads = go(&mut fleet[0], &ids, &l, &long, false, 1_000).unwrap();
-    let told = fleet[0].readings(1_050);
+    let told = told(&mut fleet[0], 1_050);
     expect_that!(told, len(eq(1)));
-    expect_that!(fleet[0].readings(1_500), is_empty());
+    expect_that!(fleet[0].readings(1_500), is_empty(), "not so soon again");
     let p = &mut fleet[3];
     told.iter().for_each(|r| p.on_reading(r, 1_060));
     // A news of a replica that is not known here is no news.
@@ -184,6 +189,21 @@
     }
 }
 
+#[gtest]
+fn what_is_read_in_another_region_is_told_apart() {
+    let all = [replica("ra", "a", false), replica("rb", "b", false)];
+    let mut p = fleet(3, &all).remove(0);
+    for (i, home) in ["ra", "rb", "rb"].into_iter().enumerate() {
+        let ids = [home.to_string()];
+        go(&mut p, &ids, &lane(&[]), &ask(&[(i as u64, 9_000), (90, 3_000)]), true, 100);
+    }
+    let told = p.readings(1_000);
+    expect_that!(
+        told.iter().map(|(r, v)| (r.to_string(), v.len())).collect::<Vec<_>>(),
+        elements_are![eq(&("ra".to_string(), 1)), eq(&("rb".to_string(), 2))]
+    );
+}
+
 #[gtest]
 fn a_replica_that_another_proxy_filled_goes_before_the_first_in_order() {
     let all: Vec<PlacedReplica> = (0..18).map(|i| replica(&format!("r{i}"), ["a", "b", "c"][i % 3], false)).collect();
@@ -194,7 +214,7 @@
     // The first in order is not to be had at one proxy: another keeps the parts from then on.
     let others: Vec<String> = ids.iter().filter(|id| **id != first).cloned().collect();
     let kept = go(&mut fleet[0], &others, &l, &long, true, 20).unwrap();
-    fleet[0].readings(1_000).iter().for_each(|r| fleet[2].on_reading(r, 1_010));
+    told(&mut fleet[0], 1_000).iter().for_each(|r| fleet[2].on_reading(r, 1_010));
     expect_that!(go(&mut fleet[2], &ids, &l, &long, true, 5_000), some(eq(&kept)));
     // Who has heard nothing follows the order.
     expect_that!(go(&mut fleet[3], &ids, &l, &long, true, 5_000), some(eq(&first)));
@@ -207,7 +227,7 @@
     let (l, long) = (lane(&[]), ask(&[(7, 13_000), (8, 3_000)]));
     let mut fleet = fleet(6, &all);
     let first = go(&mut fleet[0], &ids, &l, &long, true, 10).unwrap();
-    let told = fleet[0].readings(1_000);
+    let told = told(&mut fleet[0], 1_000);
     let busy = |ms| Reading { ms, parts: Default::default(), ..told[0].clone() };
     for p in &mut fleet[1..] {
         told.iter().for_each(|r| p.on_reading(r, 1_010));
--- a/edge-agent/src/lib.rs
+++ b/edge-agent/src/lib.rs
@@ -82,6 +82,7 @@
     let seeds = p.seeds.iter().map(|s| s.as_str().into()).collect();
     let mut brain = Agent::new(me, seeds, born, clock::now());
     brain.set_serve_on(p.serve_on);
+    brain.set_regions(p.regions.clone());
     let a = AgentActor { name: p.name.clone(), listen: p.listen.clone(), brain, ch: None }.start();
     channels::listen(&p.bind, a.clone().recipient()).await?;
     event(events::STARTED, &p.name, &format!("processes {}", p.listen));
--- a/edge-proxy/src/actor.rs
+++ b/edge-proxy/src/actor.rs
@@ -139,10 +139,9 @@
 impl ProxyActor {
     /// Tells other proxies, by way of the agents, which long prompts went where.
     fn tell_readings(&mut self, now: Ms) {
-        let Some(m) = hold(&self.brain).readings(now) else { return };
-        if let Some(ch) = &mut self.ch {
-            ch.send(&self.agent, m.into());
-        }
+        let all: Vec<_> = hold(&self.brain).readings(now).collect();
+        let Some(ch) = &mut self.ch else { return };
+        all.into_iter().for_each(|m| ch.send(&self.agent, m.into()));
     }
 }
 
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -109,8 +109,8 @@
     42u8 ClaimAsk { token: u64, request: Name, round: u64, void: u8, age: u64 }
     /// `state`: 0 granted, 1 another round's, 2 voided, 3 no majority.
     43u8 ClaimTold { token: u64, state: u8 }
-    /// From a proxy to its agent, from there to all other agents, and from each to its proxy.
-    44u8 Readings { all: List<Reading> }
+    /// From a proxy to its agent, from there to the agents of its own region and of `region`, and from each to its proxy.
+    44u8 Readings { region: Name, all: List<Reading> }
 }
 
 /// What travels: the sender, where it listens, and one message.
