Give a long prompt that is asked for again a copy in its own region, by chance

Carrying once is cheaper than reading 13,000 tokens again, carrying ten times is not. Each prompt that would be carried now draws: with the chance of its carrying over the reading, times how often parts that were read are asked for in general, it goes to the first in order of its own region, which the region hears of. Nobody counts prompts. Ruled out: a copy in each region from the start, which reads thrice what is asked for once.

--- a/coordination/src/placement/kept.rs
+++ b/coordination/src/placement/kept.rs
@@ -13,17 +13,18 @@
 }
 
 impl Kept {
-    /// `site`: the replica's life, as a number.
-    pub fn put(&mut self, site: u64, part: u64, now: Ms) {
-        self.at.insert((site, part), now);
+    /// `site`: the replica's life, as a number. Says whether the part was not known to be there.
+    pub fn put(&mut self, site: u64, part: u64, now: Ms) -> bool {
+        let new = self.at.insert((site, part), now).is_none_or(|t| now.saturating_sub(t) >= PREFIX_KEPT);
         if self.at.len() <= KEPT_PARTS {
-            return;
+            return new;
         }
         // Half of the age that the oldest half has: seldom done, so that each request pays little for it.
         let mut ages: Vec<Ms> = self.at.values().copied().collect();
         ages.sort_unstable();
         let cut = ages[ages.len() / 4];
         self.at.retain(|_, t| *t > cut);
+        new
     }
     pub fn has(&self, site: u64, part: u64, now: Ms) -> bool {
         self.at.get(&(site, part)).is_some_and(|t| now.saturating_sub(*t) < PREFIX_KEPT)
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -6,7 +6,7 @@
 use wire_messages::{List, Name, Reading};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Kept, Site, Travel, again_ms, carry_ms, chain, read_ms, shared, tokens};
+use super::{Kept, Reuse, Site, Travel, again_ms, carry_ms, chain, chance, read_ms, shared, tokens};
 use crate::{
     Ms,
     bounds::Bounds,
@@ -51,6 +51,7 @@
 pub struct Placement {
     rows: BTreeMap<String, Row>,
     kept: Kept,
+    reuse: Reuse,
     pub travel: Travel,
     pub bounds: Bounds,
     engines: BTreeMap<String, EngineSpec>,
@@ -173,6 +174,14 @@
         order.sort_unstable_by(|a, b| b.cmp(a));
         let keeps: Vec<bool> = all.iter().map(|(id, _)| self.keeps(self.rows[*id].site.number, parts, now)).collect();
         let kept = keeps.contains(&true);
+        // One that is carried away again and again is worth a copy of its own in this region: by chance, so that nobody
+        // need count, and sooner the more often such parts are asked for.
+        let copy = !region && !all.iter().zip(&keeps).any(|((id, _), k)| *k && !self.travel.far(&self.rows[*id].site.zone)) && {
+            let far =
+                all.iter().map(|(id, _)| self.travel.ms(&self.rows[*id].site.zone)).filter(|ms| *ms > near).fold(0.0, f64::max);
+            chance(&w.ask.round) * again < (carry + far - near) * self.reuse.times()
+        };
+        let mine = order.iter().map(|o| o.1).find(|i| copy && !self.travel.far(&self.rows[all[*i].0].site.zone));
         let edges = self.edges();
         let bears = self.engines.get(service).and_then(|e| e.cold_rate).unwrap_or(0.0) * self.bounds.cold_over / edges as f64;
         for (step, (_, i)) in order.into_iter().enumerate() {
@@ -186,7 +195,7 @@
                 c += step.min(8) as f64 * ORDER_MS;
                 // Where nobody is known to keep the parts, the first in order is taken to: somebody has read them
                 // there or will.
-                if !keeps[i] && (kept || step > 0) {
+                if !keeps[i] && (kept || step > 0) && mine != Some(i) {
                     c += again;
                 }
             }
@@ -222,7 +231,7 @@
         r.site.warm_one(now);
         let number = r.site.number;
         let parts: Vec<u64> = shared(&ask.parts).iter().filter(|p| p.1 >= KEPT_TOKENS).map(|p| p.0).collect();
-        parts.iter().for_each(|p| self.kept.put(number, *p, now));
+        self.keep(number, &parts, now);
         // What is read in no time delays nobody, and its parts are sent again soon or do not matter.
         if n.read_ms >= READING_TOLD && self.untold.len() < READINGS_MOST {
             self.untold.push(Reading { replica: number, ms: n.read_ms as u32, parts: List(parts) });
@@ -245,7 +254,12 @@
     pub fn on_reading(&mut self, m: &Reading, now: Ms) {
         let Some(r) = self.ids.get(&m.replica).and_then(|id| self.rows.get_mut(id)) else { return };
         r.site.others_read(f64::from(m.ms), now);
-        m.parts.iter().for_each(|p| self.kept.put(m.replica, *p, now));
+        self.keep(m.replica, &m.parts, now);
+    }
+    fn keep(&mut self, site: u64, parts: &[u64], now: Ms) {
+        // The longest chain tells.
+        let new = parts.iter().map(|p| self.kept.put(site, *p, now)).last();
+        new.into_iter().for_each(|new| self.reuse.saw(new));
     }
     pub fn opened(&mut self, id: &str, took: Ms) {
         let Some(r) = self.rows.get(id) else { return };
