Ask control daemons of other regions that hold no duty half as often

Only the holder of a duty acts by the counts. The others of other regions are asked every 800 ms, and at once after a change, so that who has what is known as soon as before; a majority is still heard well within the 1.2 s after which its lack shows. Ruled out: no counts to them at all: one that takes a duty over would find no streams on replicas to be withdrawn.

--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -48,6 +48,9 @@
     framed: bool,
     /// Digest of the places that it was last told, when, and of those that it answered to.
     told: (Ms, u64),
+    /// When it was last asked, and when it last answered with a permit: it holds a duty.
+    asked: Ms,
+    permits: Ms,
     knows: Option<u64>,
     /// Up to which count it has this agent's counts, by its own word; and to what it last answered.
     has: u64,
@@ -313,6 +316,9 @@
                 self.fresh.push(c);
             }
         }
+        if !m.permits.is_empty() {
+            s.permits = now;
+        }
         for p in m.permits.0 {
             let until = m.sent + Ms::from(p.ttl);
             let newer = self.permits.get(&p.service).is_none_or(|(o, u)| (o.epoch, *u) <= (p.epoch, until));
@@ -467,12 +473,21 @@
     fn poll(&mut self, now: Ms, out: &mut Effects) {
         let seen: List<Change> = self.board.rows().cloned().map(bare).collect();
         let digest = self.board.digest();
+        let me = self.mship.me();
         let names: BTreeSet<Name> = self.mship.known(CONTROL).map(|n| n.name.clone()).collect();
         self.sources.retain(|n, _| names.contains(n));
         for n in self.mship.known(CONTROL) {
             let s = self.sources.entry(n.name.clone()).or_default();
             // A list of all places goes only to a daemon that has not answered to the same one.
             let news = s.knows != Some(digest);
+            // Bytes to other regions are dear, and only a duty's holder acts by counts: the others there are asked half
+            // as often, but told at once what is new.
+            let near = region(&self.regions, &n.zone) == region(&self.regions, &me.zone);
+            let holds = now.saturating_sub(s.permits) <= PERMIT;
+            if self.ready && !near && !holds && !news && now < s.asked + 2 * POLL_EVERY {
+                continue;
+            }
+            s.asked = now;
             if news {
                 s.told = (now, digest);
             }
@@ -483,7 +498,7 @@
             let none = || (0, since, Default::default());
             let (life, count, (tallies, opens)) = told.map_or_else(none, |p| (p.life, self.change, p.since(since, now)));
             let m = Poll {
-                node: self.mship.me().clone(),
+                node: me.clone(),
                 life,
                 sent: now,
                 run: s.run,
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -2,9 +2,9 @@
 
 use coordination::{
     Effect,
-    agent::Agent,
-    limits::{MISSED, TICK},
-    wire::{Blob, Change, Digests, List, Msg, Name, News, Node, Poll, ProxyHello, Reading, Readings, Shuffle},
+    agent::{Agent, RULE_ALL},
+    limits::{MISSED, POLL_EVERY, TICK},
+    wire::{Blob, Change, Digests, List, Msg, Name, News, Node, Permit, Poll, ProxyHello, Reading, Readings, Shuffle},
 };
 use googletest::prelude::*;
 
@@ -96,6 +96,43 @@
     expect_true!(polls(&mut a, 2_620, 3_600).iter().any(|p| p.news == 1 && p.seen.len() == 1));
 }
 
+#[gtest]
+fn daemons_of_other_regions_that_hold_no_duty_are_asked_half_as_often_but_told_at_once_what_is_new() {
+    let mut a = agent("a", vec![change("spec", 1, 10)]);
+    a.set_regions([("z", "r1"), ("y", "r2")].map(|(z, r)| (z.to_string(), r.to_string())).into());
+    let at = |n: &str, zone: &str| Node { zone: zone.into(), ..node(n, 1) };
+    let nodes = List(vec![at("c1", "z"), at("c2", "y"), at("c3", "y")]);
+    a.on_msg(&"c1".into(), &"c1".into(), Shuffle { nodes, answer: 1 }.into(), 10);
+    // Answers every question at once; c2 holds a duty.
+    let mut version = 1;
+    let asked = |a: &mut Agent, from: u64, to: u64| -> [usize; 3] {
+        let mut n = [0; 3];
+        for now in (from..to).step_by(TICK as usize) {
+            for (to, m) in sends(a.tick(now)) {
+                let Msg::Poll(p) = m else { continue };
+                n[usize::from(to.as_bytes()[1] - b'1')] += 1;
+                let permit = Permit { service: "s".into(), epoch: 1, version: 1, canary_share: 0, ttl: 2_000 };
+                let permits = if &*to == "c2" { vec![permit] } else { vec![] };
+                let Msg::News(news) = news(vec![], p.sent) else { continue };
+                a.on_msg(&to, &to, News { permits: List(permits), ..news }.into(), now);
+            }
+        }
+        n
+    };
+    asked(&mut a, 50, 2_050);
+    let [near, holder, far] = asked(&mut a, 2_050, 18_050);
+    expect_that!(near, all!(ge(35), eq(holder)));
+    expect_that!(far * 2, all!(ge(near - 2), le(near + 2)));
+    expect_that!(a.rule(), eq(RULE_ALL));
+    for t in 0..10 {
+        version += 1;
+        let start = 18_050 + t * 1_000;
+        a.on_msg(&"c1".into(), &"c1".into(), news(vec![change("spec", version, 10)], start - 10), start);
+        expect_that!(asked(&mut a, start, start + POLL_EVERY + TICK)[2], ge(1), "news {t}");
+        asked(&mut a, start + POLL_EVERY + TICK, start + 1_000);
+    }
+}
+
 #[gtest]
 fn what_a_proxy_sent_comes_once_to_those_that_share_the_replica_with_it() {
     let mut a = agent("a", vec![change("spec", 1, 10)]);
