Shuffle mostly inside the region where it is large

Two of three now stay in the region, if that alone has more live nodes than a view holds; beats cross by the third. Small fleets draw from all as before.

--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -177,11 +177,9 @@
         self.serve_on = on;
     }
     pub fn set_regions(&mut self, regions: Regions) {
+        self.mship.set_regions(regions.clone());
         self.regions = regions;
     }
-    fn region<'a>(&'a self, n: &'a Node) -> &'a str {
-        region(&self.regions, &n.zone)
-    }
     pub fn board(&self) -> &Board {
         &self.board
     }
@@ -254,7 +252,7 @@
             return out.push(send(&p.addr, m));
         }
         let me = self.mship.me();
-        let near = |n: &&Node| self.region(n) == self.region(me) || self.region(n) == &*m.region;
+        let near = |n: &&Node| self.mship.near(n) || region(&self.regions, &n.zone) == &*m.region;
         out.extend(self.mship.live(EDGE).filter(|n| n.name != me.name).filter(near).map(|n| send(&n.addr, m.clone())));
     }
 
@@ -482,7 +480,7 @@
             let news = s.knows != Some(digest);
             // Bytes to other regions are dear, and only a duty's holder acts by counts: the others there are asked half
             // as often, but told at once what is new.
-            let near = region(&self.regions, &n.zone) == region(&self.regions, &me.zone);
+            let near = self.mship.near(n);
             let holds = now.saturating_sub(s.permits) <= PERMIT;
             if self.ready && !near && !holds && !news && now < s.asked + 2 * POLL_EVERY {
                 continue;
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -197,7 +197,8 @@
             born,
             beat: 0,
         };
-        let mship = Membership::new(me, p.seeds.clone(), born);
+        let mut mship = Membership::new(me, p.seeds.clone(), born);
+        mship.set_regions(p.regions.clone());
         let mut regs = Registers::new(p.name.clone(), rows, p.bounds.permit(), now);
         regs.set_addr(&p.name, &p.addr);
         regs.reader = p.reader;
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -55,6 +55,8 @@
 pub const FOLLOWER_GONE: Ms = 3_000;
 /// ms. Shuffle between neighbours.
 pub const SHUFFLE_EVERY: Ms = 250;
+/// Of so many shuffles one goes to a neighbour in any region, the others stay in the own one if it is large.
+pub const FAR_SHUFFLE: u64 = 3;
 /// Neighbours in a partial view: enough that a view of 5 in a fleet of 11 stays connected when four go.
 pub const VIEW: usize = 5;
 /// Descriptors in one shuffle besides the sender's own.
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -9,7 +9,8 @@
     Effects, Ms,
     effect::{note, send},
     events,
-    limits::{GONE_A_NODE, NODE_FORGOTTEN, NODE_GONE, SHUFFLE_EVERY, SHUFFLE_SAMPLE, VIEW},
+    limits::{FAR_SHUFFLE, GONE_A_NODE, NODE_FORGOTTEN, NODE_GONE, SHUFFLE_EVERY, SHUFFLE_SAMPLE, VIEW},
+    regions::{Regions, region},
 };
 
 /// Roles of nodes, as on the wire.
@@ -32,15 +33,31 @@
     view: Vec<Name>,
     next: Ms,
     rng: fastrand::Rng,
+    regions: Regions,
 }
 
 impl Membership {
     pub fn new(me: Node, seeds: Vec<Name>, seed: u64) -> Self {
-        Membership { me, seeds, known: BTreeMap::new(), view: Vec::new(), next: 0, rng: fastrand::Rng::with_seed(seed) }
+        Membership {
+            me,
+            seeds,
+            known: BTreeMap::new(),
+            view: Vec::new(),
+            next: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            regions: Regions::new(),
+        }
     }
     pub fn me(&self) -> &Node {
         &self.me
     }
+    pub fn set_regions(&mut self, regions: Regions) {
+        self.regions = regions;
+    }
+    /// Whether a node stands in this one's region.
+    pub fn near(&self, n: &Node) -> bool {
+        region(&self.regions, &n.zone) == region(&self.regions, &self.me.zone)
+    }
     /// Changes what this node says of itself.
     pub fn set_http(&mut self, http: &str) {
         self.me.http = http.into();
@@ -114,6 +131,18 @@
         }
     }
 
+    /// The neighbour to shuffle with.
+    fn partner(&mut self) -> Option<Name> {
+        let mut view = self.view();
+        // Bytes to other regions are dear. Where this region alone has more than a view holds, beats go round inside it,
+        // and every third shuffle is enough to have them cross.
+        let crowd = self.known.values().filter(|k| k.live && self.near(&k.node)).count() > VIEW;
+        if crowd && !self.me.beat.is_multiple_of(FAR_SHUFFLE) && view.iter().any(|n| self.near(n)) {
+            view.retain(|n| self.near(n));
+        }
+        self.rng.choice(view).map(|n| n.addr)
+    }
+
     pub fn tick(&mut self, now: Ms, out: &mut Effects) {
         if now < self.next {
             return;
@@ -128,10 +157,7 @@
         self.known.retain(|_, k| now.saturating_sub(k.at) < NODE_FORGOTTEN);
         self.refill();
         let mut to: Vec<Name> = Vec::new();
-        if !self.view.is_empty() {
-            let i = self.rng.usize(..self.view.len());
-            to.push(self.known[&self.view[i]].node.addr.clone());
-        }
+        to.extend(self.partner());
         // Seeds only bring a lonely node in, or join two halves that lost sight of each other. A node that has just
         // started asks them all: it serves nobody until it has heard most control daemons.
         if self.me.beat == 1 {
