Leave a region that gives no sign of life alone as a whole

Cause: a region that is cut off keeps trying the others. A region of which no answer came and no channel opened since two rounds went there 600 ms ago is looked at by one round each 600 ms while others have replicas; its next sign of life ends that. Ruled out: the rule and the news: agents of the cut region went on with the stable rule.

--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -257,6 +257,10 @@
 pub const ORDER_MS: f64 = 3.0;
 /// ms. A replica that waits for nobody's first piece longer than this is quiet: new requests go elsewhere.
 pub const QUIET: Ms = 900;
+/// ms, and rounds that went to another region since it last gave a sign of life: then it is left alone but for a look
+/// so often. A channel opens in a tenth of it over any way.
+pub const REGION_QUIET: Ms = 600;
+pub const REGION_TRIES: u32 = 2;
 /// ms. A replica that failed is left alone for so long, doubled each time, at most so long.
 pub const DOWN_FIRST: Ms = 250;
 pub const DOWN_MOST: Ms = 2_000;
--- a/coordination/src/placement/mod.rs
+++ b/coordination/src/placement/mod.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod kept;
 mod nominate;
+mod reach;
 mod reuse;
 mod site;
 mod travel;
@@ -12,6 +13,7 @@
 pub use bucket::Bucket;
 pub use budget::Budget;
 pub use kept::Kept;
+use reach::Reach;
 use reuse::Reuse;
 
 pub use nominate::{Nominee, Placement, Want};
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -6,7 +6,7 @@
 use wire_messages::{List, Name, Reading};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Kept, Reuse, Site, Travel, again_ms, carry_ms, chain, chance, read_ms, shared, tokens};
+use super::{Kept, Reach, Reuse, Site, Travel, again_ms, carry_ms, chain, chance, read_ms, shared, tokens};
 use crate::{
     Ms,
     bounds::Bounds,
@@ -52,6 +52,7 @@
     rows: BTreeMap<String, Row>,
     kept: Kept,
     reuse: Reuse,
+    reach: Reach,
     pub travel: Travel,
     pub bounds: Bounds,
     engines: BTreeMap<String, EngineSpec>,
@@ -152,6 +153,14 @@
         if all.iter().any(|(id, _)| self.rows[*id].site.answers(now)) {
             all.retain(|(id, _)| self.rows[*id].site.answers(now));
         }
+        // A region that is cut off is looked at now and then, not at each of its replicas.
+        let reached = |id: &str| {
+            let zone = &self.rows[id].site.zone;
+            !self.travel.far(zone) || self.reach.may_try(self.travel.region(zone), now)
+        };
+        if all.iter().any(|(id, _)| reached(id)) {
+            all.retain(|(id, _)| reached(id));
+        }
         self.weigh(service, &mut all, w, now);
         let (id, _) = all.iter().min_by(|a, b| a.1.total_cmp(&b.1))?;
         Some(self.nominee(id, w.ask, now))
@@ -230,6 +239,9 @@
         r.site.send(n.read_ms, now);
         r.site.warm_one(now);
         let number = r.site.number;
+        if self.travel.far(&r.site.zone) {
+            self.reach.tried(self.travel.region(&r.site.zone), now);
+        }
         let parts: Vec<u64> = shared(&ask.parts).iter().filter(|p| p.1 >= KEPT_TOKENS).map(|p| p.0).collect();
         self.keep(number, &parts, now);
         // What is read in no time delays nobody, and its parts are sent again soon or do not matter.
@@ -265,11 +277,13 @@
         let Some(r) = self.rows.get(id) else { return };
         let zone = r.site.zone.clone();
         self.travel.took(&zone, took as f64);
+        self.reach.sign(self.travel.region(&zone));
     }
     pub fn heard(&mut self, service: &str, id: &str, t: &Told, now: Ms) {
         let cold_ms = self.engines.get(service).map_or(0, |e| e.cold_ms);
         let Some(r) = self.rows.get_mut(id) else { return };
         r.site.heard(t, now);
+        self.reach.sign(self.travel.region(&r.site.zone));
         if let Some((running, waiting, _)) = t.load {
             self.mean += (f64::from(running + waiting) - self.mean) * MEAN_WEIGHT;
         }
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -174,6 +174,49 @@
     expect_that!(p.nominate("s", ids.iter(), &w, 10), none());
 }
 
+#[gtest]
+fn a_region_that_gives_no_sign_of_life_is_left_alone_as_a_whole() {
+    // Most replicas are in the regions that will be cut off, and nearer ones are busy reading.
+    let all: Vec<PlacedReplica> =
+        (0..30).map(|i| replica(&format!("r{i:02}"), ["a", "b", "b", "c", "c"][i % 5], false)).collect();
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let (mut p, l) = (fleet(3, &all).remove(0), lane(&[]));
+    let busy = |p: &mut Placement, now| {
+        for id in ids.iter().filter(|id| p.zone(id) == Some("a")).cloned().collect::<Vec<_>>() {
+            let n = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
+            p.on_reading(&Reading { replica: n, ms: 400, parts: Default::default() }, now);
+        }
+    };
+    // Chats, ten a second; what goes to another region is answered until it is cut off.
+    let far = |p: &mut Placement, from: u64, to: u64, cut: bool| {
+        let mut n = 0;
+        for now in (from..to).step_by(100) {
+            if now % 400 == 0 {
+                busy(p, now);
+            }
+            let a = ask(&[(now % 7, 55), (now, 290)]);
+            let w = Want { lane: &l, ask: &a, tried: &[], evacuated: &BTreeSet::new() };
+            let Some(x) = p.nominate("s", ids.iter(), &w, now) else { continue };
+            let away = p.zone(&x.id) != Some("a");
+            p.send(&x, &a, now);
+            n += usize::from(away);
+            if away && cut {
+                p.end(&x.id, Some(x.read_ms), true, now);
+                continue;
+            }
+            p.heard("s", &x.id, &Told::default(), now);
+            p.first_piece(&x.id, x.read_ms, 0.0, now);
+            p.end(&x.id, None, false, now);
+        }
+        n
+    };
+    expect_that!(far(&mut p, 1_000, 5_000, false), ge(10), "they are worth going to");
+    // Two regions of twelve replicas each, six seconds: the tries that tell, and a look each 600 ms.
+    expect_that!(far(&mut p, 5_000, 11_000, true), le(2 * (7 + 10)));
+    far(&mut p, 11_000, 12_000, false);
+    expect_that!(far(&mut p, 12_000, 16_000, false), ge(10), "and are so again");
+}
+
 #[gtest]
 fn a_replica_that_fails_is_left_alone_and_comes_back_slowly() {
     let all = [replica("ra", "a", false), replica("rb", "a", false)];
