Tell the others at once when a daemon begins to vote or follows a new member epoch

Cause: who votes, and under which member epoch, is known from beats, and the next one came up to 200 ms later. Until then the others did not take it for live: two took the same key and one deposed the other in the middle of a write. That is how the first write after a founding came to be disputed. Now the beat is sent on the next tick.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -556,6 +556,8 @@
         // Nobody ever voted before: there is no permit to wait out.
         self.regs.no_permits_before();
         self.regs.voting = true;
+        // Until others know that it votes they take its keys.
+        self.next_beat = 0;
         out.push(note(events::GENESIS, &self.p.name, ""));
         out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
     }
@@ -582,6 +584,7 @@
         self.caught.insert(from.clone());
         if self.caught.len() >= self.to_read() {
             self.regs.vote(now);
+            self.next_beat = 0;
             out.push(note(events::VOTING, &self.p.name, format!("member epoch {}", self.regs.me)));
         }
         rows.push(self.regs.members_row());
@@ -616,7 +619,8 @@
         self.regs.voting &= kept;
         self.regs.left = left;
         self.caught.clear();
-        (self.next_meet, self.changed) = (0, self.clock);
+        // Until others know that it counts the same votes it is not live to them.
+        (self.next_meet, self.next_beat, self.changed) = (0, 0, self.clock);
         out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
     }
 
--- a/coordination/tests/founding.rs
+++ b/coordination/tests/founding.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 
+use coordination::WriteOutcome;
 use fleet::{Fleet, addr};
 use googletest::prelude::*;
 use wire_messages::Msg;
@@ -119,3 +120,23 @@
     expect_that!(f.until(4_000, |f| f.voting().len() == 1), some(anything()));
     expect_that!(f.all[0].p.seeds, container_eq([addr(0)]));
 }
+
+/// Whoever begins to vote says so at once: until the others know, two daemons take the same key, and the first writes
+/// are passed to and fro.
+#[gtest]
+fn the_first_writes_are_taken_without_a_dispute() {
+    let (mut deposed, mut late) = (0, 0);
+    for seed in 0..200 {
+        let mut f = Fleet::founded(seed, 3, |i| format!("r{i}"));
+        f.until(4_000, |f| f.voting().len() == 3).expect("all vote");
+        // Word of it has come to each.
+        f.run(100);
+        let at = f.rng.usize(..3);
+        let w = f.write(at, "spec", Some(0), b"one").unwrap();
+        let took = f.until(2_500, |f| f.ends.contains_key(&w));
+        expect_that!(f.ends.get(&w).map(|e| e.1), some(eq(WriteOutcome::Accepted(1))), "seed {seed}");
+        late += usize::from(took.is_none_or(|t| t > 500));
+        deposed += f.all.iter().flat_map(|d| &d.notes).filter(|n| n.1 == "DEPOSED").count();
+    }
+    expect_that!((deposed, late), eq((0, 0)));
+}
