Count an owner's own slot when it takes a key, though its promise comes last

Found by reading: an owner whose disk is slower than two others' promises holds the key by theirs alone. Where its own disk has a newer document that no majority took, it compared the operator's release with that one: a right configuration was refused with a conflict, and one that builds on the unacknowledged document would have been taken. Its own slot now counts like a promise's; a value with the highest epoch is one that may be written again, so nothing that a majority took can be lost by it. Ruled out: waiting for its own promise, which a hung disk would hold up.

--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -557,6 +557,7 @@
         self.highest = self.highest.max(m.slot.promised);
         let (key, need, me) = (m.slot.key.clone(), self.majority(), self.me);
         let known = self.voters.iter().any(|v| v.name == *from);
+        let own = self.slots.get(&key);
         let Some(o) = self.own.get_mut(&key) else { return };
         if m.epoch != o.epoch || m.me != me || !known {
             return;
@@ -568,9 +569,10 @@
             return;
         }
         promises.insert(from.clone());
+        // What this daemon has itself counts though its own promise may be the last to come: it compares with that.
         let rank = |s: &Slot| (s.epoch, s.version, s.committed);
-        if rank(&m.slot) > rank(best) {
-            *best = m.slot;
+        if let Some(s) = own.into_iter().chain([&m.slot]).max_by_key(|s| rank(s)).filter(|s| rank(s) > rank(best)) {
+            *best = s.clone();
         }
         if promises.len() < need {
             return;
--- a/coordination/tests/expect.rs
+++ b/coordination/tests/expect.rs
@@ -5,6 +5,7 @@
 use coordination::{Ms, WriteOutcome, control::SPEC, register::Expect};
 use fleet::{Fleet, addr};
 use googletest::prelude::*;
+use wire_messages::Msg;
 
 /// A document of a release, in the product's own spelling; `mark` tells two of one release apart.
 fn document(release: u64, mark: u64) -> Vec<u8> {
@@ -136,3 +137,42 @@
         expect_that!(clear, each(eq(&&WriteOutcome::Accepted(2))), "seed {seed}");
     }
 }
+
+/// An owner's own disk has a newer document that no majority took, and is slower than the others with its word for the
+/// key: the document is what is compared with from then on, or is gone, but no right write is refused for it.
+#[gtest]
+fn an_owner_compares_with_what_stands_and_not_with_what_it_once_offered() {
+    let mut met = 0;
+    for seed in 0..20 {
+        let f = &mut settled(seed);
+        f.way = 1;
+        expect_that!(put(f, 0, Expect::Release(0), &document(1, 0)), some(eq(WriteOutcome::Accepted(1))));
+        f.run(1_000);
+        let owner = (0..3).find(|i| f.brain(*i).unwrap().regs.holds(SPEC, f.now).is_some()).expect("an owner");
+        let (own, other) = (addr(owner), (owner + 1) % 3);
+        // Offered to its own disk only; then another owns the key.
+        f.sieve = Box::new(move |from, to, m| *from != own || from == to || !matches!(m, Msg::Accept(_)));
+        send(f, owner, Expect::Release(1), &document(9, 0));
+        f.run(50);
+        f.kill(owner);
+        f.sieve = Box::new(|_, _, m| !matches!(m, Msg::SlotsAsk(_)));
+        f.run(2_500);
+        f.all[owner].sync = 100;
+        f.start(owner);
+        let back = |f: &Fleet| f.brain(owner).unwrap().regs.holds(SPEC, f.now).is_some();
+        if f.until(2_000, back).is_none() {
+            continue;
+        }
+        met += 1;
+        // An operator that reads the newest and builds on it is not refused.
+        let Some(WriteOutcome::Accepted(v)) = newest(f, other) else { continue };
+        f.sieve = Box::new(|_, _, _| true);
+        let on = if v == 1 { 1 } else { 9 };
+        expect_that!(
+            put(f, other, Expect::Release(on), &document(12, 0)),
+            some(eq(WriteOutcome::Accepted(v + 1))),
+            "seed {seed}"
+        );
+    }
+    expect_that!(met, gt(10));
+}
