Take a rollout's time from the order, not from the wall's clock of who holds the duty

Cause: a daemon that comes to hold the duty took the time left of an order as its completion time less its own wall's clock. Where that clock is far ahead, the time is over as the order comes, so the cap on an unproven version is off. Ruled out: 2 s of error (the default step), which the margin of 1 s and four fifths of the bound bear. Conclusion: the order says how long it had when it was given; daemons that follow orders already count from hearing it. One that starts later still asks the wall.

--- a/coordination/src/rollout.rs
+++ b/coordination/src/rollout.rs
@@ -636,7 +636,7 @@
     }
 
     fn plan(by: u64) -> ReleasePlan {
-        ReleasePlan { service: "s".into(), target: "v2".into(), complete_by: by }
+        ReleasePlan { service: "s".into(), target: "v2".into(), complete_by: by, within_s: None }
     }
 
     /// A region with two replicas: the whole way, load before retire, never both retired at once before the new is warm.
--- a/coordination/src/rollout/exposure.rs
+++ b/coordination/src/rollout/exposure.rs
@@ -23,8 +23,11 @@
 }
 
 impl Taken {
-    pub fn new(plan: u64, p: &ReleasePlan, h: &Health, now: Ms, wall: u64) -> Self {
-        let term = now + p.complete_by.saturating_sub(wall) * 1_000;
+    /// `fresh`: the order has only just come, so that what was left then is left now, whatever the wall's clock says.
+    pub fn new(plan: u64, p: &ReleasePlan, h: &Health, fresh: bool, now: Ms, wall: u64) -> Self {
+        let by_wall = p.complete_by.saturating_sub(wall);
+        let left = p.within_s.filter(|_| fresh).unwrap_or(by_wall);
+        let term = now + left * 1_000;
         Taken { plan, target: p.target.clone(), at: now, term, base: h.sent(&p.target) }
     }
 
--- a/coordination/src/rollout/placed.rs
+++ b/coordination/src/rollout/placed.rs
@@ -14,6 +14,8 @@
     came: BTreeMap<String, Ms>,
     /// The last order, as this daemon came to know it; kept when the duty goes.
     taken: Option<Taken>,
+    /// Orders have been followed here for a while, so the next one is as new as it looks.
+    heeds: bool,
     /// When the share last changed, and since when the canary is as warm as the baseline.
     step_at: Ms,
     even: Option<Ms>,
@@ -27,7 +29,7 @@
 impl Memory {
     /// What is kept when the duty goes: the order, whose time and counts no other can tell.
     pub(super) fn without_duty(&mut self) -> Memory {
-        Memory { taken: self.taken.take(), ..Memory::default() }
+        Memory { taken: self.taken.take(), heeds: self.heeds, ..Memory::default() }
     }
     /// Notes who came and who went. A replica that went dark and came back begins anew: what it kept is gone.
     fn note(&mut self, listed: &[&PlatformReplica], old: &RolloutRecord, now: Ms) {
@@ -134,6 +136,8 @@
     /// Takes note of an order, whoever holds the duty: its time and counts run by this daemon's own clock, and
     /// evidence from before it is about other replicas.
     pub fn heed(&mut self, plan: Option<(u64, &ReleasePlan)>, now: Ms, wall: u64) {
+        // What is there at the first look may have been ordered long ago.
+        let fresh = std::mem::replace(&mut self.placed.heeds, true);
         let old = self.placed.taken.as_ref();
         let Some((n, p)) = plan else { return self.placed.taken = None };
         if old.is_some_and(|o| o.plan == n) {
@@ -142,7 +146,7 @@
         if old.is_none_or(|o| o.target != p.target) {
             self.health.restart(now);
         }
-        self.placed.taken = Some(Taken::new(n, p, &self.health, now, wall));
+        self.placed.taken = Some(Taken::new(n, p, &self.health, fresh, now, wall));
     }
 
     /// Percent that the target may have: none without an order, all if it is no trial.
--- a/coordination/tests/rollout_placed.rs
+++ b/coordination/tests/rollout_placed.rs
@@ -26,6 +26,8 @@
     r: RolloutRecord,
     now: Ms,
     written: usize,
+    /// s. How far the wall's clock of who holds the duty is ahead of the operator's; below nought if behind.
+    ahead: i64,
 }
 
 fn replica(id: &str, version: &str) -> PlatformReplica {
@@ -42,10 +44,13 @@
     .unwrap();
     let r = first_record(&spec.services[0]);
     let list = (0..n).map(|i| replica(&format!("{}-{i}", ["a", "b", "c"][i % 3]), "v1")).collect();
-    Bench { spec, list, listed: 0, leaving: BTreeSet::new(), l: Loop::new(0), r, now: 0, written: 0 }
+    Bench { spec, list, listed: 0, leaving: BTreeSet::new(), l: Loop::new(0), r, now: 0, written: 0, ahead: 0 }
 }
 
 impl Bench {
+    fn wall(&self) -> u64 {
+        (self.now / 1_000).saturating_add_signed(self.ahead)
+    }
     fn pass(&mut self, plan: Option<(u64, &ReleasePlan)>) {
         self.now += PASS;
         self.listed = self.now;
@@ -70,7 +75,7 @@
             seen: &|| seen,
             bounds: &Bounds::default(),
             now: self.now,
-            wall: self.now / 1_000,
+            wall: self.wall(),
         };
         let (r, orders) = self.l.step(&self.r, &i);
         assert_that!(orders, is_empty());
@@ -218,7 +223,7 @@
 fn fleet(n: usize, per_s: f64, seconds: u64, bad: Option<Bad>, seed: u64) -> Fleet {
     let mut b = bench(n);
     b.list.iter_mut().for_each(|r| r.slots = 64);
-    let plan = ReleasePlan { service: "s".into(), target: "v2".into(), complete_by: 10 + seconds };
+    let plan = ReleasePlan { service: "s".into(), target: "v2".into(), complete_by: 10 + seconds, within_s: Some(seconds) };
     Fleet {
         b,
         rng: fastrand::Rng::with_seed(seed),
@@ -445,7 +450,7 @@
             let plan = self.plan.clone().filter(|_| now >= self.ordered);
             let (old, seen) = (self.b.r.clone(), self.followed_version());
             self.other.health.tick(now);
-            self.other.heed(plan.as_ref().map(|(n, p)| (*n, p)), now, now / 1_000);
+            self.other.heed(plan.as_ref().map(|(n, p)| (*n, p)), now, self.b.wall());
             self.other.rest(now);
             if self.changes.first().is_some_and(|t| *t <= now) {
                 self.changes.remove(0);
@@ -609,7 +614,7 @@
         let more: Vec<_> = f.b.list.iter().filter(|p| p.version == "v1").cloned().collect();
         let third = |p: PlatformReplica| PlatformReplica { id: format!("{}-third", p.id), version: "v3".into(), ..p };
         f.b.list.extend(more.into_iter().map(third));
-        f.plan = Some((2, ReleasePlan { service: "s".into(), target: "v3".into(), complete_by: 60 }));
+        f.plan = Some((2, ReleasePlan { service: "s".into(), target: "v3".into(), complete_by: 60, within_s: None }));
         let mut had_third = false;
         while f.now() < 150_000 && f.done.is_none() {
             f.tick();
@@ -718,3 +723,20 @@
         expect_that!((f.broken.len(), f.over()), eq((0, false)), "{}", told(&f));
     }
 }
+
+#[gtest]
+fn a_wall_clock_that_is_wrong_where_the_duty_is_held_costs_no_bound() {
+    for ahead in [-20, -2, 2, 20] {
+        for (from, n, per_s) in [(14_000, 18, 200.0), (18_000, 9, 100.0), (21_000, 18, 200.0), (23_000, 18, 200.0)] {
+            for seed in 1..=4 {
+                let mut f = fleet(n, per_s, 12, Some(Bad { from, ..FAILS }), seed);
+                f.b.ahead = ahead;
+                f.run(120_000);
+                let words = format!("{ahead} s ahead, bad from {from}, seed {seed}: {}", told(&f));
+                expect_that!(f.broken, is_empty(), "{words}");
+                expect_that!(f.done.map(|d| d.1), some(eq(Standing::Reverted)), "{words}");
+                expect_false!(f.over(), "{words}");
+            }
+        }
+    }
+}
--- a/daemon-parts/src/operator.rs
+++ b/daemon-parts/src/operator.rs
@@ -65,7 +65,12 @@
             Some(v) => v,
             None => self.plan(service).await?.version,
         };
-        let plan = ReleasePlan { service: service.into(), target: target.into(), complete_by: clock::wall_s() + within };
+        let plan = ReleasePlan {
+            service: service.into(),
+            target: target.into(),
+            complete_by: clock::wall_s() + within,
+            within_s: Some(within),
+        };
         self.put(calls::PLAN_PUT, service, &PlanPut { expect_version, plan }).await
     }
     pub async fn put_zone(&self, zone: &str, evacuated: bool) -> Result<Accepted, Fault> {
--- a/fleet-simulator/src/world/operators.rs
+++ b/fleet-simulator/src/world/operators.rs
@@ -135,7 +135,7 @@
         let v = self.ctl[at].brain.as_ref().and_then(|b| b.board().get(&key).map(|c| c.version)).unwrap_or(0);
         let complete_by = if self.places { self.now / 1_000 + PLACED_IN } else { 3_600 };
         let what = What::Plan(target.clone(), complete_by * 1_000);
-        let plan = ReleasePlan { service: s, target, complete_by };
+        let plan = ReleasePlan { service: s, target, complete_by, within_s: self.places.then_some(PLACED_IN) };
         self.write(at, &key, Some(v), serde_json::to_vec(&plan).unwrap_or_default(), what);
     }
 
