Bring the document's limits to the proxy and keep them; let slow readers go in time

Cause: the reader passed over `limits`, and the server kept two constants of its own (20 s for a head, 20 s of rest), so a document with a longer rest had its clients' connections closed while they may still be taken up, and nothing bounded head or body. Besides, two holds had no end: a body that did not come was read for ever, and an answer's time was only looked at when its downstream read, so that one that reads nothing held its replica for as long as it liked.

Ruled out: the server's own timers, which are set once and cannot follow a spec that changes; a wrapper around each connection, which needs the server's inner parts.

Now: the spec has `limits`; a head over them is told 431, a body 413 (known length at once; in chunks while it flows, its end never sent, so no replica ran it), a body that does not come within the request's time 408 with Retry-After. One task looks over the downstreams' connections: new ones without a head, idle ones by the spec of now (a head that begins after four fifths of the rest still has its whole time), and requests past their time. The time of a request counts from its arrival, not from when the edge was ready for it.

Tests: edge-proxy/tests/limits.rs, 12.

--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -7,8 +7,8 @@
 };
 
 use remote_calls::{
-    Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, PathSpec, ReplicaReport, RolloutRecord, RunRequest,
-    ServiceMode, ServiceSpec, Spec,
+    DownstreamLimits, Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, PathSpec, ReplicaReport, RolloutRecord,
+    RunRequest, ServiceMode, ServiceSpec, Spec,
 };
 use wire_messages::{Board as BoardMsg, Lent, List, Name, Node, Open, ProxyHello, Readings, Tally};
 
@@ -854,6 +854,11 @@
 
     // ---- requests that come by host and path ----
 
+    /// What a caller by host and path may send, and how long it may take or rest.
+    pub fn limits(&self) -> Option<&DownstreamLimits> {
+        self.spec.as_ref()?.limits.as_ref()
+    }
+
     /// The lane of a request, if this edge may serve at all.
     pub fn path(&mut self, host: &str, path: &str, now: Ms) -> Result<Arc<PathSpec>, Fault> {
         if self.rule == RULE_NONE || now >= self.until {
--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -84,16 +84,26 @@
 pub const LATE_SLACK: Ms = 100;
 /// Bytes of a rejection that are read so that its channel can be used on; more, and it is closed.
 pub const REJECTION_MAX: u64 = 16 << 10;
-/// s. A downstream's channel that is idle for longer is closed.
-pub const DOWNSTREAM_IDLE: Duration = Duration::from_secs(20);
-/// A downstream's first head comes by then.
-pub const DOWNSTREAM_HEAD: Duration = Duration::from_secs(20);
+/// ms. A downstream's channel that is idle for longer is closed, where the spec does not say.
+pub const DOWNSTREAM_IDLE: Ms = 20_000;
+/// ms. A downstream's head comes by then, where the spec does not say.
+pub const DOWNSTREAM_HEAD: Ms = 20_000;
+/// ms. Downstreams' channels are looked over this often: with the slack of an answer that is late it stays below the
+/// quarter of a second that users grant.
+pub const DOWNSTREAM_LOOK: Ms = 100;
+/// ms. A look at downstreams' channels that comes so late was kept from running: what they sent meanwhile is still to
+/// be read.
+pub const DOWNSTREAM_SLEPT: Ms = 5 * DOWNSTREAM_LOOK;
+/// Parts of its longest rest, of five, after which a downstream still takes its channel up.
+pub const DOWNSTREAM_TAKEN_UP: Ms = 4;
 /// ms before the end of its grace. A stopping proxy takes nothing new from then on.
 pub const STOP_TAKES: Ms = 2_500;
 /// ms before the end of its grace. It ends by then, whatever is open.
 pub const STOP_LAST: Ms = 600;
 /// How often a stopping proxy looks whether anything is open.
 pub const STOP_LOOK: Duration = Duration::from_millis(20);
+/// ms. A request that no lane takes is read for so long: as long as its head may take where the spec does not say.
+pub const NO_LANE_LIMIT: Ms = DOWNSTREAM_HEAD;
 /// ms. What a stopping proxy tells those who come too late: another edge takes them at once.
 pub const STOP_RETRY: Ms = 50;
 /// New connections that wait to be taken; a burst of all downstreams.
--- /dev/null
+++ b/edge-proxy/src/downstream.rs
@@ -0,0 +1,126 @@
+//! Downstreams' channels: how long each may rest, take for a request's head, and be held by one request. One task
+//! looks them over, for the spec that says so changes while channels are open, and a downstream that reads nothing
+//! keeps its own answer from ever looking at the time.
+
+use std::{
+    any::Any,
+    cell::{Cell, RefCell},
+    net::Shutdown,
+    rc::{Rc, Weak},
+    time::Duration,
+};
+
+use actix_web::{dev::Extensions, rt::net::TcpStream};
+use coordination::Ms;
+use daemon_parts::{
+    clock,
+    limits::{DOWNSTREAM_HEAD, DOWNSTREAM_IDLE, DOWNSTREAM_LOOK, DOWNSTREAM_SLEPT, DOWNSTREAM_TAKEN_UP, LATE_SLACK},
+};
+use remote_calls::DownstreamLimits;
+use socket2::{SockRef, Socket};
+
+use crate::shared::{Shared, hold};
+
+/// What a channel does, since or until when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It has carried nothing yet.
+    New(Ms),
+    Rests(Ms),
+    /// It carries a request until then at the most.
+    Carries(Ms),
+}
+
+/// One downstream's channel.
+pub struct Downstream {
+    socket: Socket,
+    state: Cell<State>,
+}
+
+impl State {
+    /// When the channel is to be closed.
+    pub fn ends(self, l: &DownstreamLimits) -> Ms {
+        let or = |told: Ms, or: Ms| if told > 0 { told } else { or };
+        let (head, idle) = (or(l.header_ms, DOWNSTREAM_HEAD), or(l.idle_ms, DOWNSTREAM_IDLE));
+        match self {
+            State::New(at) => at.saturating_add(head),
+            // A head that begins when the channel may still be taken up has its whole time.
+            State::Rests(at) => at.saturating_add(idle.max(idle / 5 * DOWNSTREAM_TAKEN_UP + head)),
+            State::Carries(until) => until.saturating_add(LATE_SLACK),
+        }
+    }
+    /// The same after a sleep of the whole process, in which the downstream could not be heard.
+    pub fn woke(self, now: Ms) -> Self {
+        match self {
+            State::New(_) => State::New(now),
+            State::Rests(_) => State::Rests(now),
+            State::Carries(_) => self,
+        }
+    }
+}
+
+/// One request on a downstream's channel, until its answer has ended.
+pub struct Held(Rc<Downstream>);
+impl Held {
+    pub fn new(d: &Rc<Downstream>) -> Self {
+        d.state.set(State::Carries(Ms::MAX));
+        Held(d.clone())
+    }
+    pub fn until(&self, t: Ms) {
+        self.0.state.set(State::Carries(t));
+    }
+}
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.state.set(State::Rests(clock::now()));
+    }
+}
+
+#[derive(Default)]
+struct Watch {
+    all: RefCell<Vec<Weak<Downstream>>>,
+    looks: Cell<bool>,
+}
+
+thread_local! {
+    /// A worker's own channels.
+    static WATCH: Rc<Watch> = Rc::default();
+}
+
+/// A downstream has opened a channel.
+pub fn connected(brain: &Shared, io: &dyn Any, ext: &mut Extensions) {
+    let Some(s) = io.downcast_ref::<TcpStream>() else { return };
+    // Without another handle on it the channel cannot be watched; it serves all the same.
+    let Ok(socket) = SockRef::from(s).try_clone() else { return };
+    let d = Rc::new(Downstream { socket, state: Cell::new(State::New(clock::now())) });
+    let w = WATCH.with(Rc::clone);
+    w.all.borrow_mut().push(Rc::downgrade(&d));
+    ext.insert(d);
+    if !w.looks.replace(true) {
+        actix_rt::spawn(look(w, brain.clone()));
+    }
+}
+
+/// Looks channels over for as long as there are any.
+async fn look(w: Rc<Watch>, brain: Shared) {
+    let mut last = clock::now();
+    while !w.all.borrow().is_empty() {
+        tokio::time::sleep(Duration::from_millis(DOWNSTREAM_LOOK)).await;
+        let now = clock::now();
+        let slept = now.saturating_sub(last) > DOWNSTREAM_SLEPT;
+        last = now;
+        let limits = hold(&brain).limits().cloned().unwrap_or_default();
+        w.all.borrow_mut().retain(|d| {
+            let Some(d) = d.upgrade() else { return false };
+            if slept {
+                d.state.set(d.state.get().woke(now));
+            }
+            let over = now >= d.state.get().ends(&limits);
+            if over {
+                let _ = d.socket.shutdown(Shutdown::Both);
+            }
+            !over
+        });
+    }
+    w.looks.set(false);
+}
--- a/edge-proxy/src/front.rs
+++ b/edge-proxy/src/front.rs
@@ -1,8 +1,12 @@
 //! Requests by host and path as they come from downstreams.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed},
+use std::{
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed},
+    },
+    time::Duration,
 };
 
 use actix_web::{
@@ -13,7 +17,7 @@
 use coordination::{Ms, events};
 use daemon_parts::{
     clock,
-    limits::{NOT_YET, NOT_YET_LOOK, STOP_RETRY},
+    limits::{NO_LANE_LIMIT, NOT_YET, NOT_YET_LOOK, STOP_RETRY},
     logging::event,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Uri, header};
@@ -22,10 +26,11 @@
 use crate::{
     answer,
     dialect::Dialect,
-    pass::{Ending, Passage},
+    downstream::{Downstream, Held},
+    pass::{Ending, Passage, too_large},
     pool::Pool,
     shared::{Shared, hold},
-    upload::Upload,
+    upload::{Unread, Upload},
 };
 
 /// Whether this proxy stops, and what it still has open.
@@ -54,16 +59,23 @@
 }
 
 /// A request that is open, from its head to the end of its answer.
-pub struct Open(Arc<Stopping>);
+pub struct Open {
+    stopping: Arc<Stopping>,
+    held: Option<Held>,
+}
 impl Open {
-    fn new(s: &Arc<Stopping>) -> Self {
+    fn new(s: &Arc<Stopping>, r: &HttpRequest) -> Self {
         s.open.fetch_add(1, Relaxed);
-        Open(s.clone())
+        Open { stopping: s.clone(), held: r.conn_data::<Rc<Downstream>>().map(Held::new) }
+    }
+    /// The request is held until then at the most.
+    fn until(&self, t: Ms) {
+        self.held.iter().for_each(|h| h.until(t));
     }
 }
 impl Drop for Open {
     fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Relaxed);
+        self.stopping.open.fetch_sub(1, Relaxed);
     }
 }
 
@@ -132,23 +144,55 @@
     }
 }
 
+/// Bytes of a request's head as it is written in full.
+fn head_bytes(r: &HttpRequest) -> u64 {
+    // Around a request's line and behind it: two spaces, the protocol's name and an end; around each header: ": " and an end.
+    const LINE: usize = 14;
+    const HEADER: usize = 4;
+    let line = r.method().as_str().len() + r.uri().path_and_query().map_or(1, |p| p.as_str().len()) + LINE;
+    r.headers().iter().fold(line, |n, (k, v)| n + k.as_str().len() + v.len() + HEADER) as u64
+}
+
 /// A request by host and path.
 pub async fn pass(r: HttpRequest, p: Payload, f: web::Data<Front>) -> HttpResponse {
     if r.path() == f.dialect.ready_path() && r.app_config().local_addr().to_string() == f.ready {
         return ready(&f);
     }
-    let open = Open::new(&f.stopping);
+    let open = Open::new(&f.stopping, &r);
+    let came = clock::now();
     begun(&f).await;
     let now = clock::now();
     let host = r.headers().get("host").and_then(|v| v.to_str().ok()).or_else(|| r.uri().host()).unwrap_or_default();
     let target = r.uri().path_and_query().map_or("/", |p| p.as_str());
-    let lane = hold(&f.brain).path(host, r.uri().path(), now);
+    let (lane, limits) = {
+        let mut b = hold(&f.brain);
+        (b.path(host, r.uri().path(), now), b.limits().cloned().unwrap_or_default())
+    };
     let headers = headers(&r);
+    if limits.header_bytes > 0 && head_bytes(&r) > limits.header_bytes {
+        let m = Fault::new("too_large", "read_head", "its head is larger than the configuration allows").outcome(Outcome::NotRun);
+        return reply((http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, m), true);
+    }
+    let ask = f.dialect.ask(host, r.uri().path(), &headers);
+    let longest = lane.as_ref().map_or(NO_LANE_LIMIT, |l| l.time_limit_ms);
+    let until = came + ask.left.map_or(longest, |l| l.min(longest));
+    open.until(until);
     let length = headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    let (most, over) = (if limits.body_bytes > 0 { limits.body_bytes } else { u64::MAX }, Rc::default());
     // Read before anything is answered, so that the channel can carry the next request whatever becomes of this.
-    let Ok(upload) = Upload::read(p.into_inner(), length).await else {
-        let m = Fault::new("bad_request", "read_body", "its body did not come whole").outcome(Outcome::NotRun);
-        return reply((http::StatusCode::BAD_REQUEST, m), true);
+    let read = Upload::read(p.into_inner(), length, most, Rc::clone(&over));
+    let left = Duration::from_millis(until.saturating_sub(now));
+    let upload = match tokio::time::timeout(left, read).await {
+        Ok(Ok(u)) => u,
+        Ok(Err(Unread::TooLarge)) => return reply(too_large(), true),
+        Ok(Err(Unread::Cut)) => {
+            let m = Fault::new("bad_request", "read_body", "its body did not come whole").outcome(Outcome::NotRun);
+            return reply((http::StatusCode::BAD_REQUEST, m), true);
+        }
+        Err(_) => {
+            let m = Fault::new("no_time", "read_body", "its body did not come in its time left").outcome(Outcome::NotRun);
+            return reply((http::StatusCode::REQUEST_TIMEOUT, m.retry(STOP_RETRY)), true);
+        }
     };
     let close = || f.stopping.begun();
     let lane = match lane {
@@ -166,8 +210,6 @@
         let m = Fault::new("bad_request", "read_head", "its method or path is none").outcome(Outcome::NotRun);
         return reply((http::StatusCode::BAD_REQUEST, m), close());
     };
-    let ask = f.dialect.ask(host, r.uri().path(), &headers);
-    let until = now + ask.left.map_or(lane.time_limit_ms, |l| l.min(lane.time_limit_ms));
     let mut p = Passage {
         brain: f.brain.clone(),
         dialect: f.dialect.clone(),
@@ -179,6 +221,7 @@
         uri,
         headers,
         upload: Some(upload),
+        over,
         tried: vec![],
         rounds: 0,
         drawn: false,
--- a/edge-proxy/src/lib.rs
+++ b/edge-proxy/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod actor;
 mod answer;
 pub mod dialect;
+pub mod downstream;
 pub mod front;
 pub mod http;
 mod pass;
@@ -22,12 +23,13 @@
 use actix_web::{
     App, HttpServer,
     dev::{Server, ServerHandle},
+    http::KeepAlive,
     web,
 };
 use coordination::{board::SpecReader, events, proxy::Proxy};
 use daemon_parts::{
     channels, clock,
-    limits::{BACKLOG, DOWNSTREAM_HEAD, DOWNSTREAM_IDLE, STOP_LAST, STOP_LIMIT, STOP_LOOK, STOP_TAKES, WORKERS},
+    limits::{BACKLOG, STOP_LAST, STOP_LIMIT, STOP_LOOK, STOP_TAKES, WORKERS},
     logging::{self, StartFault, event},
     look::Look,
     params::Params,
@@ -113,7 +115,7 @@
 
 /// The HTTP server of the product's own calls and of lanes, at ports that are bound already.
 pub fn serve(f: Front, a: Addr<ProxyActor>, ports: Vec<TcpListener>) -> io::Result<Server> {
-    let b = web::Data::new(a);
+    let (b, brain) = (web::Data::new(a), f.brain.clone());
     let server = HttpServer::new(move || {
         let f = f.clone();
         App::new().app_data(b.clone()).configure(|c| http::routes_and_lanes(c, f))
@@ -124,8 +126,10 @@
     .tcp_nodelay(true)
     // A downstream that closes has left: its replica stops work.
     .h1_allow_half_closed(false)
-    .keep_alive(DOWNSTREAM_IDLE)
-    .client_request_timeout(DOWNSTREAM_HEAD)
+    // How long downstreams may take and rest is the spec's to say, which changes while this runs.
+    .keep_alive(KeepAlive::Os)
+    .client_request_timeout(Duration::ZERO)
+    .on_connect(move |io, ext| downstream::connected(&brain, io, ext))
     .shutdown_timeout(1);
     Ok(ports.into_iter().try_fold(server, |s, p| s.listen(p))?.run())
 }
--- a/edge-proxy/src/pass.rs
+++ b/edge-proxy/src/pass.rs
@@ -3,7 +3,7 @@
 //! What may run only once is sent once: no round follows one of which a byte may have left, except by the replica's
 //! own word that it did not run. A rejection promises that nothing ran, so it is given only while that is sure.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use coordination::{
     Ms, events,
@@ -54,6 +54,8 @@
     pub headers: HeaderMap,
     /// None: it went out and is not kept.
     pub upload: Option<Upload>,
+    /// More of its body came than may: it never ended, so nobody ran it.
+    pub over: Rc<Cell<bool>>,
     /// Replicas that it went to before.
     pub tried: Vec<String>,
     /// Rounds that a byte of may have left.
@@ -198,6 +200,10 @@
 
     /// It may have run.
     fn lost(&mut self, mut f: Flight, why: &str) -> Round {
+        if self.over.get() {
+            f.end(PassEnd::Dropped);
+            return Round::End(too_large());
+        }
         event(events::ROUND_FAILED, &f.placed.replica, why);
         f.end(PassEnd::Failed);
         self.tried.push(f.placed.replica.clone());
@@ -273,6 +279,12 @@
     }
 }
 
+/// A body over its limit never ended at any replica: nobody ran it.
+pub fn too_large() -> Ending {
+    let f = Fault::new("too_large", "read_body", "its body is larger than the configuration allows").outcome(Outcome::NotRun);
+    (StatusCode::PAYLOAD_TOO_LARGE, f)
+}
+
 fn retry_after(h: &HeaderMap) -> Option<Ms> {
     let s: f64 = h.get(http::header::RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
     (s.is_finite() && s >= 0.0).then_some((s * 1_000.0) as Ms)
--- a/edge-proxy/src/upload.rs
+++ b/edge-proxy/src/upload.rs
@@ -1,8 +1,10 @@
 //! A request's body on its way to a replica.
 
 use std::{
+    cell::Cell,
     io,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll},
 };
 
@@ -15,20 +17,33 @@
 pub enum Upload {
     /// All of it: small enough to be sent again.
     Whole(Bytes),
-    /// Its beginning, and the rest as the downstream sends it; `left` of all, if its length was told.
-    Flow { head: Bytes, rest: Payload, left: Option<u64> },
+    /// Its beginning, and the rest as the downstream sends it; `left` of all, if its length was told, and `room` for
+    /// what may still come.
+    Flow { head: Bytes, rest: Payload, left: Option<u64>, room: u64, over: Rc<Cell<bool>> },
+}
+
+/// Why a body was not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    Cut,
+    TooLarge,
 }
 
 impl Upload {
     /// Reads a small body whole; of a large one only so much that it is known to be large.
-    pub async fn read(mut p: Payload, length: Option<u64>) -> io::Result<Self> {
+    /// `most`: bytes that it may have; `over` is set once more than these come, if that is only seen while it flows.
+    pub async fn read(mut p: Payload, length: Option<u64>, most: u64, over: Rc<Cell<bool>>) -> Result<Self, Unread> {
+        if length.is_some_and(|n| n > most) {
+            return Err(Unread::TooLarge);
+        }
         // Memory grows with what arrives, not with what the length claims.
         let mut b = BytesMut::new();
         while let Some(x) = p.next().await {
-            let x = x.map_err(io::Error::other)?;
+            let x = x.map_err(|_| Unread::Cut)?;
             b.extend_from_slice(&x);
+            let Some(room) = most.checked_sub(b.len() as u64) else { return Err(Unread::TooLarge) };
             if b.len() > UPLOAD_KEPT {
-                return Ok(Upload::Flow { head: b.freeze(), rest: p, left: length });
+                return Ok(Upload::Flow { head: b.freeze(), rest: p, left: length, room, over });
             }
         }
         Ok(Upload::Whole(b.freeze()))
@@ -50,11 +65,18 @@
         let piece = match &mut *self {
             Upload::Whole(b) if b.is_empty() => return Poll::Ready(None),
             Upload::Whole(b) => std::mem::take(b),
-            Upload::Flow { head, rest, left } => {
+            Upload::Flow { head, rest, left, room, over } => {
                 let b = match head.is_empty() {
                     false => std::mem::take(head),
                     true => match std::task::ready!(Pin::new(rest).poll_next(cx)) {
-                        Some(Ok(b)) => b,
+                        Some(Ok(b)) if b.len() as u64 > *room => {
+                            over.set(true);
+                            return Poll::Ready(Some(Err(io::Error::other("the body is over its limit"))));
+                        }
+                        Some(Ok(b)) => {
+                            *room -= b.len() as u64;
+                            b
+                        }
                         Some(Err(e)) => return Poll::Ready(Some(Err(io::Error::other(e)))),
                         None => return Poll::Ready(None),
                     },
--- /dev/null
+++ b/edge-proxy/tests/limits.rs
@@ -0,0 +1,233 @@
+//! What downstreams may send, and how long they may take, rest and be held: by the spec, which changes while they are
+//! connected.
+
+mod support;
+
+use std::sync::Arc;
+
+use coordination::Ms;
+use daemon_parts::limits::{DOWNSTREAM_HEAD, DOWNSTREAM_IDLE, LATE_SLACK, UPLOAD_KEPT};
+use edge_proxy::downstream::State;
+use googletest::prelude::*;
+use remote_calls::DownstreamLimits;
+use support::*;
+use tokio::sync::Notify;
+
+fn run(f: impl Future<Output = ()>) {
+    actix_rt::System::new().block_on(f);
+}
+fn limits(header_bytes: u64, body_bytes: u64, header_ms: Ms, idle_ms: Ms) -> DownstreamLimits {
+    DownstreamLimits { header_bytes, body_bytes, header_ms, idle_ms }
+}
+/// Time enough that nothing ends by itself in a test.
+const AMPLE: Ms = 3_600_000;
+
+// ---- size ----
+
+#[gtest]
+fn a_head_over_its_limit_is_told_so_and_one_at_the_limit_passes() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let q = request("a", "");
+        let l = limits(q.len() as u64, 0, 0, 0);
+        let e = Edge::start(Lane { limits: l, ..Lane::of("once", 1) }, &[r.addr]).await;
+        expect_that!(ask(&e, &q).await.status, eq(200));
+        let a = ask(&e, q.replace("Round: a", "Round: ab")).await;
+        expect_that!((a.status, a.header("connection"), a.header("seal"), r.count()), eq((431, Some("close"), None, 1)));
+        expect_that!(a.body, contains_substring("too_large"));
+    });
+}
+
+#[gtest]
+fn a_body_over_its_limit_is_told_so_and_one_at_the_limit_passes() {
+    run(async {
+        let head = "POST /p/x HTTP/1.1\r\nHost: h\r\nRound: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let chunked = |n: usize| {
+            let parts: String = (0..n / 8).map(|_| chunk("12345678")).collect();
+            format!("{head}{parts}{}", if !n.is_multiple_of(8) { chunk(&"9".repeat(n % 8)) } else { String::new() })
+        };
+        // Kept whole, and flowing.
+        for most in [64, UPLOAD_KEPT + 64_000] {
+            let r = Replica::plain("x").await;
+            let l = limits(0, most as u64, 0, 0);
+            let e = Edge::start(Lane { limits: l, ..Lane::of("repeatable", 3) }, &[r.addr, r.addr]).await;
+            expect_that!(ask(&e, request("a", &"y".repeat(most))).await.status, eq(200));
+            expect_that!(ask(&e, chunked(most) + "0\r\n\r\n").await.status, eq(200));
+            expect_that!((r.got(0).body.len(), r.got(1).body.len()), eq((most, most)));
+            let a = ask(&e, request("b", &"y".repeat(most + 1))).await;
+            expect_that!((a.status, a.header("seal")), eq((413, None)));
+            // Its end is never sent: too much is too much before it.
+            let a = ask(&e, chunked(most + 1)).await;
+            expect_that!((a.status, a.header("seal"), a.body.contains("not_run")), eq((413, None, true)), "{most}");
+            // No replica has got a whole request of it.
+            expect_that!((r.count(), e.open(), e.tallies().2), eq((2, 0, 0)));
+        }
+    });
+}
+
+// ---- time ----
+
+#[gtest]
+fn a_head_that_does_not_come_ends_its_channel() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane { limits: limits(0, 0, 40, AMPLE), ..Lane::of("once", 1) }, &[r.addr]).await;
+        for half in ["", "POST /p/x HTTP/1.1\r\nHost: h\r\nRou"] {
+            let mut d = Downstream::to(e.addr).await;
+            d.send(half).await;
+            expect_that!(d.end().await, eq(""));
+        }
+        expect_that!(r.count(), eq(0));
+    });
+}
+
+#[gtest]
+fn a_resting_channel_ends_by_the_spec_of_now() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let lane = |idle| Lane { limits: limits(0, 0, 40, idle), ..Lane::of("once", 1) };
+        let e = Edge::start(lane(AMPLE), &[r.addr]).await;
+        let mut d = Downstream::to(e.addr).await;
+        for round in ["a", "b"] {
+            d.send(request(round, "q")).await;
+            expect_that!(d.answer().await.status, eq(200));
+        }
+        e.set_spec(2, &lane(40));
+        expect_that!(d.end().await, eq(""));
+        expect_that!(ask(&e, request("c", "q")).await.status, eq(200));
+    });
+}
+
+#[gtest]
+fn a_channel_is_kept_for_as_long_as_a_downstream_may_take_it_up() {
+    for (head, idle) in [(3_000, 15_000), (3_000, 1_000), (0, 60_000), (500, 0), (0, 0)] {
+        let l = limits(0, 0, head, idle);
+        let idle = if idle > 0 { idle } else { DOWNSTREAM_IDLE };
+        let head = if head > 0 { head } else { DOWNSTREAM_HEAD };
+        // A head that begins after four fifths of the rest comes whole; and the rest ends.
+        let ends = State::Rests(1_000).ends(&l);
+        expect_that!(ends, all!(ge(1_000 + idle / 5 * 4 + head), ge(1_000 + idle), le(1_000 + idle + head)));
+        expect_that!(State::New(1_000).ends(&l), eq(1_000 + head));
+        expect_that!(State::Carries(1_000).ends(&l), eq(1_000 + LATE_SLACK));
+    }
+    // What was sent while the process slept is still to be read.
+    for s in [State::New(1_000), State::Rests(1_000)] {
+        expect_that!(s.woke(500_000).ends(&limits(0, 0, 100, 100)), gt(500_000));
+    }
+    expect_that!(State::Carries(1_000).woke(500_000), eq(State::Carries(1_000)));
+}
+
+#[gtest]
+fn a_body_that_does_not_come_in_time_is_told_so() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane { time_limit: 60, ..Lane::of("once", 1) }, &[r.addr]).await;
+        let mut d = Downstream::to(e.addr).await;
+        d.send("POST /p/x HTTP/1.1\r\nHost: h\r\nRound: a\r\nContent-Length: 9\r\n\r\nhalf").await;
+        let a = d.answer().await;
+        expect_that!((a.status, a.header("connection"), a.header("retry-after").is_some()), eq((408, Some("close"), true)));
+        expect_that!((a.body.contains("not_run"), r.count()), eq((true, 0)));
+    });
+}
+
+#[gtest]
+fn a_slow_writer_in_time_is_served() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        let mut d = Downstream::to(e.addr).await;
+        for b in request("a", "slowly").bytes() {
+            d.send([b]).await;
+            tokio::task::yield_now().await;
+        }
+        expect_that!((d.answer().await.status, r.got(0).body), eq(&(200, b"slowly".to_vec())));
+    });
+}
+
+#[gtest]
+fn a_downstream_that_reads_nothing_holds_no_replica_past_its_time() {
+    run(async {
+        // More than all buffers on the way take.
+        const MUCH: usize = 32 << 20;
+        let much = Arc::new(chunk(&"id: 1\ndata: x\n\n".repeat(MUCH / 15)));
+        for kind in ["once", "stream", "stream_resumable"] {
+            let m = much.clone();
+            let r = Replica::start(move |_, g| vec![say(stream(g)), say(&*m)]).await;
+            let e = Edge::start(Lane { time_limit: 300, ..Lane::of(kind, 1) }, &[r.addr]).await;
+            let mut d = Downstream::to(e.addr).await;
+            d.send(request("a", "q")).await;
+            e.until(|_| r.count() == 1).await;
+            // It reads nothing, and its replica is let go all the same.
+            e.until(|e| e.open() == 0 && e.stopping.open() == 0).await;
+            drop(d);
+        }
+    });
+}
+
+#[gtest]
+fn without_time_left_it_is_rejected_at_once_and_sent_nowhere() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        let a = ask(&e, request("a", "q").replace("Round", "Left: 0\r\nRound")).await;
+        expect_that!((a.status, a.header("retry-after").is_some(), a.body.contains("not_run")), eq((503, true, true)));
+        expect_that!(r.count(), eq(0));
+    });
+}
+
+// ---- replicas of one try ----
+
+#[gtest]
+fn no_try_goes_to_more_replicas_than_its_lane_allows() {
+    run(async {
+        let full = |_: usize, g: &Got| vec![say(answer(g, "503 Full", "Not-Run: 1\r\nContent-Length: 0\r\n", ""))];
+        let lost = |_: usize, _: &Got| vec![Act::Reset];
+        for (kind, rounds) in [("once", 2), ("repeatable", 1), ("repeatable", 2), ("repeatable", 3), ("stream_resumable", 2)] {
+            let fulls =
+                [Replica::start(full).await, Replica::start(full).await, Replica::start(full).await, Replica::start(full).await];
+            let e = Edge::start(Lane::of(kind, rounds), &fulls.each_ref().map(|r| r.addr)).await;
+            expect_that!(ask(&e, request("a", "q")).await.status, eq(503));
+            expect_that!(fulls.iter().map(Replica::count).sum::<usize>(), eq(rounds as usize), "{kind} {rounds}");
+            let losts =
+                [Replica::start(lost).await, Replica::start(lost).await, Replica::start(lost).await, Replica::start(lost).await];
+            let e = Edge::start(Lane::of(kind, rounds), &losts.each_ref().map(|r| r.addr)).await;
+            let a = ask(&e, request("a", "q")).await;
+            expect_that!((a.status, a.header("seal"), a.header("retry-after")), eq((502, None, None)));
+            let most = if kind == "once" { 1 } else { rounds as usize };
+            expect_that!(losts.iter().map(Replica::count).sum::<usize>(), eq(most), "{kind} {rounds}");
+        }
+    });
+}
+
+#[gtest]
+fn a_replica_that_is_another_gets_nothing_more() {
+    run(async {
+        let other = Replica::start(|_, g| vec![say(answer(g, "421 Misdirected", "Content-Length: 0\r\n", ""))]).await;
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane::of("once", 2), &[other.addr, r.addr]).await;
+        for i in 0..8 {
+            expect_that!(ask(&e, request(&format!("a{i}"), "q")).await.status, eq(200));
+        }
+        expect_that!(other.count(), le(1));
+        expect_that!(r.count(), eq(8));
+    });
+}
+
+// ---- whose word an answer is ----
+
+#[gtest]
+fn a_failure_of_our_own_bears_no_replicas_stamp() {
+    run(async {
+        let left = Arc::new(Notify::new());
+        let n = left.clone();
+        let silent = Replica::start(move |_, _| vec![Act::UntilLeft(n.clone())]).await;
+        let foreign =
+            Replica::start(|_, _| vec![say("HTTP/1.1 200 OK\r\nRound: another\r\nSeal: s1\r\nContent-Length: 1\r\n\r\nx")]).await;
+        let full = Replica::start(|_, g| vec![say(answer(g, "429 Full", "Not-Run: 1\r\nContent-Length: 0\r\n", ""))]).await;
+        for (addr, status) in [(silent.addr, 504), (foreign.addr, 502), (full.addr, 429), (nowhere(), 503)] {
+            let e = Edge::start(Lane { time_limit: 60, ..Lane::of("once", 1) }, &[addr]).await;
+            let a = ask(&e, request("a", "q")).await;
+            expect_that!((a.status, a.header("seal")), eq((status, None)));
+        }
+    });
+}
--- a/edge-proxy/tests/support/mod.rs
+++ b/edge-proxy/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A proxy in front of raw TCP replicas that answer byte by byte as each test says.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -24,7 +26,7 @@
     shared::{Shared, hold},
 };
 use http::HeaderMap;
-use remote_calls::PathSpec;
+use remote_calls::{DownstreamLimits, PathSpec};
 use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -247,10 +249,12 @@
     pub time_limit: Ms,
     /// Channels that a replica accepts; 0: not told.
     pub channels: u32,
+    /// What a downstream may send, and how long it may take or rest.
+    pub limits: DownstreamLimits,
 }
 impl Lane {
     pub fn of(kind: &'static str, rounds: u32) -> Self {
-        Lane { kind, rounds, time_limit: 15_000, channels: 0 }
+        Lane { kind, rounds, time_limit: 15_000, channels: 0, limits: DownstreamLimits::default() }
     }
 }
 
@@ -262,8 +266,15 @@
     pub handle: ServerHandle,
 }
 
-fn change(key: &str, v: &Value) -> Change {
-    Change { key: key.into(), epoch: 1, version: 1, value: Blob(serde_json::to_vec(v).unwrap()) }
+fn change(key: &str, version: u64, v: &Value) -> Change {
+    Change { key: key.into(), epoch: 1, version, value: Blob(serde_json::to_vec(v).unwrap()) }
+}
+fn spec(lane: &Lane) -> Value {
+    json!({"zones": [{"name": "z"}], "tiers": [], "canary_percent": 10, "bake_ms": 1, "release": 1, "limits": lane.limits,
+        "services": [{"name": "s", "version": "v1", "mode": "placed", "lanes": [], "zones": [],
+            "engine": {"slots": 8, "channels": lane.channels}}],
+        "paths": [{"lane": "l", "host": "h", "prefix": "/p/", "kind": lane.kind, "time_limit_ms": lane.time_limit,
+            "expected_ms": 1_000, "rounds": lane.rounds, "split": [{"service": "s", "weight": 1}]}]})
 }
 
 impl Edge {
@@ -285,16 +296,11 @@
         let record = json!({"service": "s", "phase": "steady", "stable": "v1", "plan_version": 0, "failed_plan": 0,
             "since_ms": 0, "retiring": [], "alerts": [], "replicas": placed,
             "groups": [{"role": "stable", "version": "v1", "share_percent": 100, "replicas": ids, "allow_unload": false}]});
-        let spec = json!({"zones": [{"name": "z"}], "tiers": [], "canary_percent": 10, "bake_ms": 1, "release": 1,
-            "services": [{"name": "s", "version": "v1", "mode": "placed", "lanes": [], "zones": [],
-                "engine": {"slots": 8, "channels": lane.channels}}],
-            "paths": [{"lane": "l", "host": "h", "prefix": "/p/", "kind": lane.kind, "time_limit_ms": lane.time_limit,
-                "expected_ms": 1_000, "rounds": lane.rounds, "split": [{"service": "s", "weight": 1}]}]});
         let m = Board {
             rule: RULE_ALL,
             until: u64::MAX,
             full: 1,
-            changes: [change("spec", &spec), change("rollout/s", &record)].into_iter().collect(),
+            changes: [change("spec", 1, &spec(&lane)), change("rollout/s", 1, &record)].into_iter().collect(),
             ..Board::default()
         };
         b.on_board(m, clock::now());
@@ -312,6 +318,11 @@
         actix_rt::spawn(server);
         Edge { addr, ready: ready_addr, brain, stopping, handle }
     }
+    /// The spec changes while the edge runs.
+    pub fn set_spec(&self, version: u64, lane: &Lane) {
+        let changes = [change("spec", version, &spec(lane))].into_iter().collect();
+        hold(&self.brain).on_board(Board { rule: RULE_ALL, until: u64::MAX, changes, ..Board::default() }, clock::now());
+    }
     /// Rounds that the brain holds to be open.
     pub fn open(&self) -> u32 {
         hold(&self.brain).hello(clock::now()).opens.0.iter().map(|o| o.streams).sum()
@@ -360,6 +371,12 @@
     pub async fn send(&mut self, b: impl AsRef<[u8]>) {
         self.s.write_all(b.as_ref()).await.unwrap();
     }
+    /// The other side ends the channel; gives what came before.
+    pub async fn end(&mut self) -> String {
+        let read = async { while more(&mut self.s, &mut self.b).await {} };
+        tokio::time::timeout(HANG, read).await.expect("it ended");
+        String::from_utf8_lossy(&self.b).into_owned()
+    }
     /// Reads on until these bytes have come.
     pub async fn until(&mut self, what: &str) {
         let read = async {
--- a/remote-calls/src/spec_check.rs
+++ b/remote-calls/src/spec_check.rs
@@ -119,6 +119,13 @@
     split: Vec<ShareFile>,
 }
 #[derive(Config)]
+struct LimitsFile {
+    header_bytes: u64,
+    body_bytes: u64,
+    header_ms: u64,
+    idle_ms: u64,
+}
+#[derive(Config)]
 struct ServiceFile {
     #[setting(validate = label)]
     name: String,
@@ -148,6 +155,8 @@
     release: u64,
     #[setting(nested)]
     paths: Vec<PathFile>,
+    #[setting(nested)]
+    limits: Option<LimitsFile>,
 }
 
 fn fault(field: impl Into<String>, message: impl Into<String>) -> Fault {
