Keep the fleet's calls for the platform's list within `ratePerS`, also at a handover

Cause: `ratePerS` was read and used by nobody. What kept it was only that one daemon asked every 450 ms; a list of many pages, several services with a holder each, or a new holder beside one that has not noticed would go over it.

Now each page of the list is drawn on a bucket that saves up nothing. A daemon's part is the rate over all who may call in one second: two for each duty (holder and former holder), no more than there are voters.

--- a/control-daemon/src/actor.rs
+++ b/control-daemon/src/actor.rs
@@ -3,6 +3,7 @@
 use daemon_parts::limits::DISK_AGAIN;
 use std::{
     collections::{BTreeMap, HashMap},
+    rc::Rc,
     time::Duration,
 };
 
@@ -31,7 +32,7 @@
 
 use crate::{
     disk::{Disk, Held},
-    face::{ListCall, Replicas},
+    face::{ListCall, Pace, Replicas},
 };
 
 pub struct ControlActor {
@@ -47,6 +48,7 @@
     next_report: Ms,
     /// A list call is under way: one that takes long must not put a later one's answer back.
     listing: bool,
+    pace: Rc<Pace>,
     next_open: Ms,
     opening: bool,
     stopping: bool,
@@ -88,6 +90,7 @@
             client,
             next_report,
             listing,
+            pace: Rc::default(),
             next_open,
             opening,
             stopping,
@@ -218,7 +221,8 @@
         if now < self.next_report || !brain.on_duty(now) {
             return;
         }
-        if let Replicas::Listed { call, every } = self.replicas {
+        if let Replicas::Listed { call, every, rate } = self.replicas {
+            self.pace.set_rate(brain.calls_share(rate));
             return self.ask_list(call, now, every, ctx);
         }
         self.next_report = now + REPORT_EVERY;
@@ -247,7 +251,7 @@
             return;
         }
         (self.listing, self.next_report) = (true, now + every.as_millis() as Ms);
-        let f = call(self.client.clone(), self.platform.clone()).into_actor(self).map(move |r, me, _| {
+        let f = call(self.client.clone(), self.platform.clone(), self.pace.clone()).into_actor(self).map(move |r, me, _| {
             me.listing = false;
             match (r, &mut me.c) {
                 (Ok(l), Some(c)) => c.on_platform(l, now),
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -184,6 +184,14 @@
     writing: BTreeMap<u64, String>,
 }
 
+/// What one of `voters` may call for a second so that all who may hold one of `duties`, or held it last, stay within
+/// `rate` in any second: each may have one call in hand besides.
+pub fn calls_share(rate: f64, voters: usize, duties: usize) -> f64 {
+    let part = rate / voters.min(2 * duties).max(1) as f64;
+    // Below two calls a second the one in hand is half of it.
+    (part - 1.0).max(part / 2.0)
+}
+
 impl Control {
     /// `disk`: the data folder's own number; `rows`: what it held; `born`: differs between lives.
     pub fn new(p: ControlParams, disk: u64, rows: Vec<Row>, born: u64, now: Ms) -> Self {
@@ -836,6 +844,13 @@
                 .is_some_and(|s| s.services.iter().any(|v| self.regs.holds(&format!("{DUTY}{}", v.name), now).is_some()))
     }
 
+    /// This daemon's part of what may be called for a second by all: the holder of each duty calls, a former one may
+    /// not have noticed yet that another holds it, and no more daemons hold duties than there are voters.
+    pub fn calls_share(&self, rate: f64) -> f64 {
+        let duties = self.spec.as_ref().map_or(1, |s| s.services.len().max(1));
+        calls_share(rate, self.regs.voters.len(), duties)
+    }
+
     // ---- time ----
 
     pub fn tick(&mut self, now: Ms) -> Effects {
--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -46,6 +46,8 @@
 pub const HELLO_EVERY: Ms = 200;
 /// Lines that wait for a slow caller before its replica is slowed too.
 pub const LINES: usize = 32;
+/// How often a call that waits for its turn looks whether that has come; a tenth of the time between two calls.
+pub const PACE_LOOK: Duration = Duration::from_millis(10);
 /// s. Longest that one step may wait.
 pub const WITHIN_MAX: u64 = 3_600;
 /// How often a condition is looked at.
