Let proxies of a region tell each other which replicas fail them

Now a failure is told to the proxies of the region, by the way that long prompts are told, and costs them 80 ms for each proxy that says so, which fades; nobody is shut out by it, and one proxy's word counts once. Opening is given up after 150 ms and twice the way. The time for opening has no test of its own: it would be one of seconds.

--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -256,6 +256,18 @@
 /// ms. A replica that failed is left alone for so long, doubled each time, at most so long.
 pub const DOWN_FIRST: Ms = 250;
 pub const DOWN_MOST: Ms = 2_000;
+/// ms. What it costs that one proxy of the region was lately failed by a replica: more than another replica beside it.
+pub const DOUBT_MS: f64 = 80.0;
+/// Proxies whose word counts: by then all requests that have another replica go there.
+pub const DOUBT_MOST: f64 = 4.0;
+/// ms. Doubt fades by e in this time: then somebody tries it again.
+pub const DOUBT_FADES: f64 = 1_500.0;
+/// Part of the doubt that stays when it answers well: one that fails half of what it gets stays in doubt.
+pub const DOUBT_KEPT: f64 = 0.5;
+/// Doubt from which on a failure is no news: others were told.
+pub const DOUBT_NEWS: f64 = 1.5;
+/// ms for each edge between two tellings of failures; they are few, and each that is not told costs another request.
+pub const FAILING_EVERY: Ms = 2;
 /// ms. A replica that was down for so long has started anew and is cold.
 pub const DOWN_COLD: Ms = 400;
 /// ms. What an answer told of its replica's load counts for so long.
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -11,8 +11,8 @@
     Ms,
     bounds::Bounds,
     limits::{
-        COLD_BURST_PART, COLD_PART, DOWN_COLD, EDGES_FALL, FILLING_MS, FULL_MS, KEPT_TOKENS, LOAD_MS, MEAN_WEIGHT, ORDER_MS,
-        RATE_MS, READING_TOLD, READINGS_EVERY, READINGS_MOST,
+        COLD_BURST_PART, COLD_PART, DOUBT_MS, DOUBT_NEWS, DOWN_COLD, EDGES_FALL, FAILING_EVERY, FILLING_MS, FULL_MS, KEPT_TOKENS,
+        LOAD_MS, MEAN_WEIGHT, ORDER_MS, RATE_MS, READING_TOLD, READINGS_EVERY, READINGS_MOST,
     },
     order::{weight, weight_of},
     pass::{Ask, Told},
@@ -63,6 +63,9 @@
     /// Long prompts that went out and that others have not been told of, and when they were last told.
     untold: Vec<Reading>,
     told_at: Ms,
+    /// Replicas that failed here and that others have not been told of, and when they were last told.
+    failing: BTreeSet<u64>,
+    failing_at: Ms,
     /// Ids of replicas by the numbers of their lives.
     ids: BTreeMap<u64, String>,
 }
@@ -178,7 +181,7 @@
         for (step, (_, i)) in order.into_iter().enumerate() {
             let s = &self.rows[all[i].0].site;
             let load = s.load(self.mean, now);
-            let mut c = self.travel.ms(&s.zone) + s.lag + s.reads(now) + load * LOAD_MS;
+            let mut c = self.travel.ms(&s.zone) + s.lag + s.reads(now) + load * LOAD_MS + s.doubt(now) * DOUBT_MS;
             if self.travel.far(&s.zone) {
                 c += carry;
             }
@@ -236,12 +239,34 @@
         self.told_at = now;
         std::mem::take(&mut self.untold)
     }
+    /// Replicas that failed here, for the other proxies of the region: the way there is theirs too.
+    pub fn failing(&mut self, now: Ms) -> Vec<u64> {
+        if now < self.failing_at + FAILING_EVERY * self.edges() as Ms {
+            return vec![];
+        }
+        self.failing_at = now;
+        std::mem::take(&mut self.failing).into_iter().collect()
+    }
+    /// A replica failed another proxy, which stands in `zone`.
+    pub fn on_failing(&mut self, number: u64, by: &str, zone: &str, now: Ms) {
+        // From another region the way may be what fails.
+        if self.travel.far(zone) {
+            return;
+        }
+        if let Some(r) = self.ids.get(&number).and_then(|id| self.rows.get_mut(id)) {
+            r.site.doubted(by, now);
+        }
+    }
     /// A long prompt that another proxy sent.
     pub fn on_reading(&mut self, m: &Reading, now: Ms) {
         let Some(r) = self.ids.get(&m.replica).and_then(|id| self.rows.get_mut(id)) else { return };
         r.site.others_read(f64::from(m.ms), now);
         m.parts.iter().for_each(|p| self.kept.put(m.replica, *p, now));
     }
+    /// ms there and back to a replica, as far as is known.
+    pub fn way(&self, id: &str) -> Ms {
+        self.zone(id).map_or(0, |z| self.travel.ms(z).ceil() as Ms)
+    }
     pub fn opened(&mut self, id: &str, took: Ms) {
         let Some(r) = self.rows.get(id) else { return };
         let zone = r.site.zone.clone();
@@ -276,6 +301,12 @@
         r.site.end(unheard);
         if failed {
             r.site.fail(now);
+            if r.site.doubt(now) < DOUBT_NEWS {
+                self.failing.insert(r.site.number);
+            }
+            r.site.doubted(&self.me, now);
+        } else if unheard.is_none() {
+            r.site.trusted();
         }
     }
     /// Another life stands at the address: the replica is gone, whatever the record still says.
--- a/coordination/src/placement/site.rs
+++ b/coordination/src/placement/site.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Ms,
-    limits::{DOWN_FIRST, DOWN_MOST, LAG_MOST, LAG_WEIGHT, LOAD_OLD, OTHERS_MOST, QUIET},
+    limits::{DOUBT_FADES, DOUBT_KEPT, DOUBT_MOST, DOWN_FIRST, DOWN_MOST, LAG_MOST, LAG_WEIGHT, LOAD_OLD, OTHERS_MOST, QUIET},
     pass::Told,
     placement::Bucket,
 };
@@ -31,6 +31,10 @@
     fails: u32,
     down_until: Ms,
     down_since: Option<Ms>,
+    /// Proxies of the region that it lately failed, fading; since when, and who said so last.
+    doubt: f64,
+    doubt_at: Ms,
+    doubter: String,
     /// Since when somebody waits there, and when it was last heard.
     waits_since: Option<Ms>,
     heard_at: Ms,
@@ -56,6 +60,9 @@
             fails: 0,
             down_until: 0,
             down_since: None,
+            doubt: 0.0,
+            doubt_at: 0,
+            doubter: String::new(),
             waits_since: None,
             heard_at: 0,
             cold_until: 0,
@@ -131,8 +138,24 @@
         self.down_until = now + (DOWN_FIRST << (self.fails - 1).min(8)).min(DOWN_MOST);
     }
 
+    /// It failed a proxy of the region. One that says so again and again is still one: its own link may be bad.
+    pub fn doubted(&mut self, by: &str, now: Ms) {
+        let old = self.doubt(now);
+        self.doubt = if self.doubter == by { old.max(1.0) } else { (old + 1.0).min(DOUBT_MOST) };
+        self.doubt_at = now;
+        self.doubter = by.into();
+    }
+    /// It answered well.
+    pub fn trusted(&mut self) {
+        self.doubt *= DOUBT_KEPT;
+    }
+
     // ---- what is thought of it ----
 
+    pub fn doubt(&self, now: Ms) -> f64 {
+        self.doubt * (-(now.saturating_sub(self.doubt_at) as f64) / DOUBT_FADES).exp()
+    }
+
     /// Whether it may be tried: not lately failed, and after a failure by one round at a time.
     pub fn answers(&self, now: Ms) -> bool {
         let quiet = self.waits_since.is_some_and(|t| now.saturating_sub(t.max(self.heard_at)) > QUIET);
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -357,14 +357,16 @@
         }
     }
 
-    /// Long prompts that went out since this was last asked, for all other proxies.
+    /// Long prompts that went out and replicas that failed since this was last asked, for all other proxies.
     pub fn readings(&mut self, now: Ms) -> Option<Readings> {
-        let all = self.placement.readings(now);
-        (!all.is_empty()).then_some(Readings { all: List(all) })
+        let (all, failing) = (self.placement.readings(now), self.placement.failing(now));
+        let any = !all.is_empty() || !failing.is_empty();
+        any.then(|| Readings { by: self.name.clone(), zone: self.zone.clone(), all: List(all), failing: List(failing) })
     }
-    /// Long prompts that another proxy sent.
+    /// What another proxy sent, and what failed it.
     pub fn on_readings(&mut self, m: Readings, now: Ms) {
         m.all.iter().for_each(|r| self.placement.on_reading(r, now));
+        m.failing.iter().for_each(|n| self.placement.on_failing(*n, &m.by, &m.zone, now));
     }
 
     // ---- what replicas say ----
@@ -951,6 +953,10 @@
     pub fn channels(&self, service: &str) -> usize {
         self.placement.channels(service)
     }
+    /// ms there and back to a replica, as far as is known.
+    pub fn way(&self, p: &Placed) -> Ms {
+        self.placement.way(&p.replica)
+    }
     /// A channel was opened; it took so long.
     pub fn opened(&mut self, p: &Placed, took: Ms, _now: Ms) {
         self.placement.opened(&p.replica, took);
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -99,7 +99,14 @@
 #[gtest]
 fn what_a_proxy_sent_comes_to_all_other_proxies_once() {
     let mut a = agent("a", vec![change("spec", 1, 10)]);
-    let m = || Msg::from(Readings { all: List(vec![Reading { replica: 7, ms: 400, parts: List(vec![1, 2]) }]) });
+    let m = || {
+        Msg::from(Readings {
+            by: "p".into(),
+            zone: "z".into(),
+            all: List(vec![Reading { replica: 7, ms: 400, parts: List(vec![1, 2]) }]),
+            failing: List(vec![9]),
+        })
+    };
     let nodes: List<Node> = ["e1", "e2", "c1"].map(|n| node(n, if n == "c1" { 1 } else { 2 })).into_iter().collect();
     a.on_msg(&"e1".into(), &"e1".into(), Shuffle { nodes, answer: 1 }.into(), 10);
     expect_that!(sends(a.on_msg(&"e1".into(), &"e1".into(), m(), 20)), is_empty(), "there is no proxy yet");
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -217,3 +217,75 @@
         expect_that!(go(p, &ids, &l, &long, true, 3_010), some(not(eq(&first))), "not for however long");
     }
 }
+
+/// Says to each proxy of `to` what failed at the first.
+fn tell(from: &mut Placement, name: &str, zone: &str, to: &mut [Placement], now: u64) {
+    let failing = from.failing(now);
+    to.iter_mut().for_each(|p| failing.iter().for_each(|n| p.on_failing(*n, name, zone, now)));
+}
+
+#[gtest]
+fn a_replica_that_failed_one_proxy_gets_less_from_all_of_the_region_and_is_tried_again_by_a_few() {
+    let all: Vec<PlacedReplica> = (0..8).map(|i| replica(&format!("r{i}"), "a", false)).collect();
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let (l, a) = (lane(&[]), ask(&[(1, 55), (2, 300)]));
+    // Every third stands in the zone a; the second in b, another region.
+    let mut fleet = fleet(30, &all);
+    let dark = go(&mut fleet[0], &ids, &l, &a, true, 900).unwrap();
+    let (mut tries, mut tries_far) = (vec![], 0);
+    for now in (1_000..7_000u64).step_by(10) {
+        let i = (now / 10) as usize % 30;
+        let w = Want { lane: &l, ask: &a, tried: &[], evacuated: &BTreeSet::new() };
+        let n = fleet[i].nominate("s", ids.iter(), &w, now).unwrap();
+        fleet[i].send(&n, &a, now);
+        if n.id != dark {
+            fleet[i].first_piece(&n.id, n.read_ms, 0.0, now);
+            fleet[i].end(&n.id, None, false, now);
+            continue;
+        }
+        fleet[i].end(&n.id, Some(n.read_ms), true, now);
+        if i.is_multiple_of(3) {
+            tries.push(now);
+        }
+        tries_far += usize::from(i % 3 == 1);
+        let (name, zone) = (format!("e{i}"), ["a", "b", "c"][i % 3]);
+        let mut p = fleet.remove(i);
+        tell(&mut p, &name, zone, &mut fleet, now);
+        fleet.insert(i, p);
+    }
+    // Alone, each of the ten would find it out for itself, again and again.
+    expect_that!(tries.len(), all!(ge(2), le(10)), "{tries:?}");
+    expect_that!(tries_far, ge(1), "who stands elsewhere goes by its own region's word");
+    // It is well again: soon it has its place back.
+    let back = (9_000..14_000u64).step_by(10).filter(|now| {
+        let i = (now / 10) as usize % 30;
+        go(&mut fleet[i], &ids, &l, &a, true, *now).as_ref() == Some(&dark)
+    });
+    expect_that!(back.count(), ge(100));
+}
+
+#[gtest]
+fn a_proxy_whose_own_link_is_bad_takes_little_from_a_replica() {
+    let all = [replica("ra", "a", false), replica("rb", "b", false)];
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let (l, a) = (lane(&[]), ask(&[(1, 10)]));
+    let mut fleet = fleet(6, &all);
+    let number = |p: &mut Placement, id: &str| {
+        let w = Want { lane: &l, ask: &a, tried: &[], evacuated: &BTreeSet::new() };
+        let n = p.nominate("s", [id.to_string()].iter(), &w, 10).unwrap();
+        p.send(&n, &a, 10);
+        p.end(id, Some(n.read_ms), true, 10);
+        p.failing(1_000)[0]
+    };
+    let ra = number(&mut fleet[3], "ra");
+    // The near one stays the better one, however often a single neighbour says that it failed.
+    (0..50).for_each(|i| fleet[0].on_failing(ra, "e3", "a", 2_000 + i));
+    expect_that!(go(&mut fleet[0], &ids, &l, &a, true, 2_060), some(eq("ra")));
+    // Others say so too: until their word fades it is left to those that must.
+    ["e6", "e9", "e12"].iter().for_each(|e| fleet[0].on_failing(ra, e, "a", 2_100));
+    expect_that!(go(&mut fleet[0], &ids, &l, &a, true, 2_110), some(eq("rb")));
+    expect_that!(go(&mut fleet[0], &ids, &l, &a, true, 8_000), some(eq("ra")));
+    // The word of another region may be about the way.
+    ["e1", "e4", "e7", "e10"].iter().for_each(|e| fleet[0].on_failing(ra, e, "b", 9_000));
+    expect_that!(go(&mut fleet[0], &ids, &l, &a, true, 9_010), some(eq("ra")));
+}
--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -72,8 +72,10 @@
 pub const SENT_LIMIT: Duration = Duration::from_millis(1_800);
 /// A silent channel is probed this often, so that a cut shows on streams that only come in.
 pub const PROBE_EVERY: Duration = Duration::from_secs(1);
-/// Opening a channel may take the fixed part and so many times what it took of late.
-pub const OPEN_FACTOR: u64 = 3;
+/// ms. Opening a channel may take this and so many times the way there and back, or what it took of late if that is
+/// more: a replica that is up answers at once, and who waits for one that is gone is late.
+pub const OPEN_BASE: Ms = 150;
+pub const OPEN_FACTOR: u64 = 2;
 /// Weight of a new opening time against all before, in percent.
 pub const OPEN_WEIGHT: u64 = 25;
 /// Replicas that a request may find out of reach before it is rejected.
--- a/edge-proxy/src/pass.rs
+++ b/edge-proxy/src/pass.rs
@@ -160,9 +160,12 @@
 
     async fn open(&self, f: &Flight) -> Result<Channel, Unopened> {
         let p = &f.placed;
-        let most = hold(&self.brain).channels(&p.service);
+        let (most, way) = {
+            let b = hold(&self.brain);
+            (b.channels(&p.service), b.way(p))
+        };
         let left = self.until.saturating_sub(clock::now());
-        let (c, took) = self.pool.open(&p.addr, most, left).await?;
+        let (c, took) = self.pool.open(&p.addr, most, way, left).await?;
         hold(&self.brain).opened(p, took, clock::now());
         Ok(c)
     }
--- a/edge-proxy/src/pool.rs
+++ b/edge-proxy/src/pool.rs
@@ -8,7 +8,7 @@
 use daemon_parts::{
     clock,
     limits::{
-        CHANNEL_BYTES, IDLE_KEPT, IDLE_MARGIN, IDLE_SWEEP, OPEN_FACTOR, OPEN_LIMIT, OPEN_WEIGHT, PROBE_EVERY, REJECTION_MAX,
+        CHANNEL_BYTES, IDLE_KEPT, IDLE_MARGIN, IDLE_SWEEP, OPEN_BASE, OPEN_FACTOR, OPEN_WEIGHT, PROBE_EVERY, REJECTION_MAX,
         SENT_LIMIT,
     },
 };
@@ -143,8 +143,8 @@
         Some(idle.remove(i))
     }
 
-    /// Opens a channel, unless `most` are open already.
-    pub async fn open(&self, addr: &str, most: usize, left: Ms) -> Result<(Channel, Ms), Unopened> {
+    /// Opens a channel, unless `most` are open already. `way`: ms there and back.
+    pub async fn open(&self, addr: &str, most: usize, way: Ms, left: Ms) -> Result<(Channel, Ms), Unopened> {
         let peer = self.peer(addr);
         if peer.open.get() >= most {
             // Those that rest too long for this request make room.
@@ -163,7 +163,7 @@
         let raw = SockRef::from(&s);
         let _ = raw.set_tcp_user_timeout(Some(SENT_LIMIT));
         let _ = raw.set_tcp_keepalive(&TcpKeepalive::new().with_time(PROBE_EVERY).with_interval(PROBE_EVERY));
-        let limit = (OPEN_LIMIT + OPEN_FACTOR * peer.took.get()).min(left);
+        let limit = (OPEN_BASE + OPEN_FACTOR * peer.took.get().max(way)).min(left);
         let at = clock::now();
         let counted = Counted::new(peer.clone());
         let s = match timeout(Duration::from_millis(limit), s.connect(to)).await {
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -109,8 +109,9 @@
     42u8 ClaimAsk { token: u64, request: Name, round: u64, void: u8, age: u64 }
     /// `state`: 0 granted, 1 another round's, 2 voided, 3 no majority.
     43u8 ClaimTold { token: u64, state: u8 }
-    /// From a proxy to its agent, from there to all other agents, and from each to its proxy.
-    44u8 Readings { all: List<Reading> }
+    /// From a proxy to its agent, from there to all other agents, and from each to its proxy. `failing`: numbers of
+    /// replicas' lives that lately failed the proxy `by`, which stands in `zone`.
+    44u8 Readings { by: Name, zone: Name, all: List<Reading>, failing: List<u64> }
 }
 
 /// What travels: the sender, where it listens, and one message.
