Count in placement that a channel is at hand or must be opened

Placement did not know that opening one takes the way there and back once more: callers of batumi, whose homes are the other two regions, had half of their answers after 335 ms of 600 and were late at any wait. Ruled out: keeping channels for longer (replicas close them after 1.5 s, what may run once takes none older than 1 s).

--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -256,6 +256,10 @@
 /// ms. A replica that failed is left alone for so long, doubled each time, at most so long.
 pub const DOWN_FIRST: Ms = 250;
 pub const DOWN_MOST: Ms = 2_000;
+/// ms. A channel that rested for longer is taken to be no longer of use: what may run once takes none.
+pub const CHANNEL_RESTS: Ms = 900;
+/// ms. What opening a channel costs besides the way there and back: the replica's work and a price.
+pub const OPENING_MS: f64 = 2.0;
 /// ms. What it costs that one proxy of the region was lately failed by a replica: more than another replica beside it.
 pub const DOUBT_MS: f64 = 80.0;
 /// Proxies whose word counts: by then all requests that have another replica go there.
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -12,7 +12,7 @@
     bounds::Bounds,
     limits::{
         COLD_BURST_PART, COLD_PART, DOUBT_MS, DOUBT_NEWS, DOWN_COLD, EDGES_FALL, FAILING_EVERY, FILLING_MS, FULL_MS, KEPT_TOKENS,
-        LOAD_MS, MEAN_WEIGHT, ORDER_MS, RATE_MS, READING_TOLD, READINGS_EVERY, READINGS_MOST,
+        LOAD_MS, MEAN_WEIGHT, OPENING_MS, ORDER_MS, RATE_MS, READING_TOLD, READINGS_EVERY, READINGS_MOST,
     },
     order::{weight, weight_of},
     pass::{Ask, Told},
@@ -185,6 +185,10 @@
             if self.travel.far(&s.zone) {
                 c += carry;
             }
+            // Opening a channel takes the way there and back once more.
+            if !s.at_hand(now) {
+                c += self.travel.ms(&s.zone) + OPENING_MS;
+            }
             if key.is_some() {
                 c += step.min(8) as f64 * ORDER_MS;
                 // Where nobody is known to keep the parts, the first in order is taken to: somebody has read them
@@ -307,6 +311,7 @@
             r.site.doubted(&self.me, now);
         } else if unheard.is_none() {
             r.site.trusted();
+            r.site.rested(now);
         }
     }
     /// Another life stands at the address: the replica is gone, whatever the record still says.
--- a/coordination/src/placement/site.rs
+++ b/coordination/src/placement/site.rs
@@ -1,8 +1,13 @@
 //! One replica as a proxy sees it: what is open there, what its answers told, whether it answers at all.
 
+use std::collections::VecDeque;
+
 use crate::{
     Ms,
-    limits::{DOUBT_FADES, DOUBT_KEPT, DOUBT_MOST, DOWN_FIRST, DOWN_MOST, LAG_MOST, LAG_WEIGHT, LOAD_OLD, OTHERS_MOST, QUIET},
+    limits::{
+        CHANNEL_RESTS, DOUBT_FADES, DOUBT_KEPT, DOUBT_MOST, DOWN_FIRST, DOWN_MOST, LAG_MOST, LAG_WEIGHT, LOAD_OLD, OTHERS_MOST,
+        QUIET,
+    },
     pass::Told,
     placement::Bucket,
 };
@@ -22,6 +27,8 @@
     others: f64,
     /// What an answer last told: running, waiting; how many of ours were open then; when.
     told: Option<(u32, u32, u32, Ms)>,
+    /// When answers of ours ended whose channels rest since, oldest first.
+    rests: VecDeque<Ms>,
     /// Recent rounds of ours, decaying over a second.
     rate: f64,
     rate_at: Ms,
@@ -54,6 +61,7 @@
             reading: 0.0,
             others: 0.0,
             told: None,
+            rests: VecDeque::new(),
             rate: 0.0,
             rate_at: 0,
             lag: 0.0,
@@ -73,6 +81,7 @@
     // ---- what is sent ----
 
     pub fn send(&mut self, read_ms: f64, now: Ms) {
+        self.rests.pop_back();
         self.open += 1;
         self.unheard += 1;
         self.reading += read_ms;
@@ -80,6 +89,17 @@
         self.rate_at = now;
         self.waits_since.get_or_insert(now);
     }
+    /// An answer came whole, and its channel rests from now on.
+    pub fn rested(&mut self, now: Ms) {
+        self.rests.push_back(now);
+        while self.rests.front().is_some_and(|t| now.saturating_sub(*t) > CHANNEL_RESTS) {
+            self.rests.pop_front();
+        }
+    }
+    /// Whether a channel should be at hand.
+    pub fn at_hand(&self, now: Ms) -> bool {
+        self.rests.back().is_some_and(|t| now.saturating_sub(*t) <= CHANNEL_RESTS)
+    }
     /// Another proxy sent a prompt that takes so long to read.
     pub fn others_read(&mut self, ms: f64, now: Ms) {
         // One is read after the other, and no news is worth more than the longest that any can take.
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -289,3 +289,22 @@
     ["e1", "e4", "e7", "e10"].iter().for_each(|e| fleet[0].on_failing(ra, e, "b", 9_000));
     expect_that!(go(&mut fleet[0], &ids, &l, &a, true, 9_010), some(eq("ra")));
 }
+
+#[gtest]
+fn requests_that_must_go_far_keep_to_replicas_whose_channels_are_at_hand() {
+    let all: Vec<PlacedReplica> = (0..40).map(|i| replica(&format!("r{i}"), ["b", "c"][i % 2], false)).collect();
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let l = lane(&["rb", "rc"]);
+    let mut p = fleet(6, &all).remove(0);
+    let places = |p: &mut Placement, from: u64, every: u64| -> BTreeSet<String> {
+        let one = |k: u64| go(p, &ids, &l, &ask(&[(k, 55), (1_000 + k, 40), (5_000, 290)]), true, from + k * every).unwrap();
+        (0..40).map(one).collect()
+    };
+    expect_that!(places(&mut p, 10, 100).len(), le(3));
+    // Where channels have rested for too long each prompt goes to its own place.
+    expect_that!(places(&mut p, 10_000, 2_000).len(), ge(15));
+    // One that has come to hold much is left for another.
+    let busy = places(&mut p, 100_000, 100).pop_first().unwrap();
+    p.heard("s", &busy, &Told { load: Some((64, 30, 64)), ..Told::default() }, 104_100);
+    expect_that!(places(&mut p, 104_110, 1), not(contains(eq(&busy))));
+}
