--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -55,6 +55,8 @@
 pub const FOLLOWER_GONE: Ms = 3_000;
 /// ms. Shuffle between neighbours.
 pub const SHUFFLE_EVERY: Ms = 250;
+/// Of so many shuffles one goes to a neighbour in any region, the others stay in the own one if it is large.
+pub const FAR_SHUFFLE: u32 = 3;
 /// Neighbours in a partial view: enough that a view of 5 in a fleet of 11 stays connected when four go.
 pub const VIEW: usize = 5;
 /// Nodes up to which a fleet shuffles so often, and ms at most between two shuffles of a larger one: what it says to
@@ -241,6 +243,8 @@
 pub const READ_TOKENS_A_MS: f64 = 50.0;
 /// Shared parts that are read again cost so many times their reading: others wait for it, and accelerators are dear.
 pub const READ_AGAIN_WEIGHT: f64 = 6.0;
+/// Weight of a long prompt in how often shared parts are asked for again: some two hundred of the last count.
+pub const REUSE_WEIGHT: f64 = 0.005;
 /// ms. What any shared part read again costs besides: keeps small ones together where little speaks against it.
 pub const SHARED_PART_MS: f64 = 8.0;
 /// Bytes that a token takes on the way.
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -357,11 +357,19 @@
         }
     }
 
-    /// Long prompts that went out and replicas that failed since this was last asked, for all other proxies.
-    pub fn readings(&mut self, now: Ms) -> Option<Readings> {
-        let (all, failing) = (self.placement.readings(now), self.placement.failing(now));
-        let any = !all.is_empty() || !failing.is_empty();
-        any.then(|| Readings { by: self.name.clone(), zone: self.zone.clone(), all: List(all), failing: List(failing) })
+    /// Long prompts that went out since this was last asked, by the region where they are read, and replicas that failed
+    /// here, for other proxies. Who shares this region's ways is told of the failures.
+    pub fn readings(&mut self, now: Ms) -> impl Iterator<Item = Readings> {
+        let (mut all, failing) = (self.placement.readings(now), self.placement.failing(now));
+        let home: Name = self.placement.travel.home().into();
+        if !failing.is_empty() {
+            all.entry(home.clone()).or_default();
+        }
+        let (by, zone) = (self.name.clone(), self.zone.clone());
+        all.into_iter().map(move |(region, all)| {
+            let failing = List(if region == home { failing.clone() } else { vec![] });
+            Readings { by: by.clone(), zone: zone.clone(), region, all: List(all), failing }
+        })
     }
     /// What another proxy sent, and what failed it.
     pub fn on_readings(&mut self, m: Readings, now: Ms) {
