--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -28,6 +28,7 @@
     members as seats,
     membership::{CONTROL, EDGE, Membership},
     order::{agreed, weight},
+    regions,
     register::{DUTY, Expect, MEMBERS, Registers},
     rollout::{Inputs, Loop, first_record},
 };
@@ -186,6 +187,14 @@
     writing: BTreeMap<u64, String>,
 }
 
+/// What one of `voters` may call for a second so that all who may hold one of `duties`, or held it last, stay within
+/// `rate` in any second: each may have one call in hand besides.
+pub fn calls_share(rate: f64, voters: usize, duties: usize) -> f64 {
+    let part = rate / voters.min(2 * duties).max(1) as f64;
+    // Below two calls a second the one in hand is half of it.
+    (part - 1.0).max(part / 2.0)
+}
+
 impl Control {
     /// `disk`: the data folder's own number; `rows`: what it held; `born`: differs between lives.
     pub fn new(p: ControlParams, disk: u64, rows: Vec<Row>, born: u64, now: Ms) -> Self {
@@ -197,8 +206,10 @@
             http: p.http.clone(),
             born,
             beat: 0,
+            age: 0,
         };
-        let mship = Membership::new(me, p.seeds.clone(), born);
+        let mut mship = Membership::new(me, p.seeds.clone(), born);
+        mship.set_regions(p.regions.clone());
         let mut regs = Registers::new(p.name.clone(), rows, p.bounds.permit(), now);
         regs.set_addr(&p.name, &p.addr);
         regs.reader = p.reader;
@@ -864,6 +875,13 @@
                 .is_some_and(|s| s.services.iter().any(|v| self.regs.holds(&format!("{DUTY}{}", v.name), now).is_some()))
     }
 
+    /// This daemon's part of what may be called for a second by all: the holder of each duty calls, a former one may
+    /// not have noticed yet that another holds it, and no more daemons hold duties than there are voters.
+    pub fn calls_share(&self, rate: f64) -> f64 {
+        let duties = self.spec.as_ref().map_or(1, |s| s.services.len().max(1));
+        calls_share(rate, self.regs.voters.len(), duties)
+    }
+
     // ---- time ----
 
     pub fn tick(&mut self, now: Ms) -> Effects {
@@ -1141,11 +1159,9 @@
         let asks = |n: &&&Node| self.agents.get(&n.name).is_some_and(|a| now.saturating_sub(a.at) <= NODE_GONE);
         let heard: Vec<&Node> = all.iter().filter(asks).copied().collect();
         let all = if heard.len() * 2 > all.len() { heard } else { all };
-        let home = |n: &Node| self.p.regions.get(&*n.zone).map_or(&*n.zone, String::as_str).to_owned();
-        let near: [Vec<&Node>; 2] = [
-            all.iter().filter(|n| &*n.zone == zone).copied().collect(),
-            all.iter().filter(|n| home(n) == region).copied().collect(),
-        ];
+        let home = |n: &Node| regions::region(&self.p.regions, &n.zone) == region;
+        let near: [Vec<&Node>; 2] =
+            [all.iter().filter(|n| &*n.zone == zone).copied().collect(), all.iter().filter(|n| home(n)).copied().collect()];
         let some = near.into_iter().find(|v| v.len() > 1).unwrap_or(all);
         let some = agreed(host, some, |n| &n.name).into_iter().take(ADDRESSES).map(|n| n.http.to_string());
         Some(some.collect()).filter(|v: &Vec<String>| !v.is_empty())
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -3,16 +3,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use remote_calls::{EngineSpec, PathSpec, PlacedReplica};
-use wire_messages::{List, Reading};
+use wire_messages::{List, Name, Reading};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Kept, Site, Travel, again_ms, carry_ms, chain, read_ms, shared, tokens};
+use super::{Kept, Reuse, Site, Travel, again_ms, carry_ms, chain, chance, read_ms, shared, tokens};
 use crate::{
     Ms,
     bounds::Bounds,
     limits::{
-        COLD_BURST_PART, COLD_PART, DOWN_COLD, EDGES_FALL, FILLING_MS, FULL_MS, KEPT_TOKENS, LOAD_MS, MEAN_WEIGHT, ORDER_MS,
-        RATE_MS, READING_TOLD, READINGS_EVERY, READINGS_MOST,
+        COLD_BURST_PART, COLD_PART, DOUBT_MS, DOUBT_NEWS, DOWN_COLD, EDGES_FALL, FAILING_EVERY, FILLING_MS, FULL_MS, KEPT_TOKENS,
+        LOAD_MS, MEAN_WEIGHT, OPENING_MS, ORDER_MS, RATE_MS, READING_TOLD, READINGS_EVERY, READINGS_MOST,
     },
     order::{weight, weight_of},
     pass::{Ask, Told},
@@ -51,6 +51,7 @@
 pub struct Placement {
     rows: BTreeMap<String, Row>,
     kept: Kept,
+    reuse: Reuse,
     pub travel: Travel,
     pub bounds: Bounds,
     engines: BTreeMap<String, EngineSpec>,
@@ -63,6 +64,9 @@
     /// Long prompts that went out and that others have not been told of, and when they were last told.
     untold: Vec<Reading>,
     told_at: Ms,
+    /// Replicas that failed here and that others have not been told of, and when they were last told.
+    failing: BTreeSet<u64>,
+    failing_at: Ms,
     /// Ids of replicas by the numbers of their lives.
     ids: BTreeMap<u64, String>,
 }
@@ -173,20 +177,32 @@
         order.sort_unstable_by(|a, b| b.cmp(a));
         let keeps: Vec<bool> = all.iter().map(|(id, _)| self.keeps(self.rows[*id].site.number, parts, now)).collect();
         let kept = keeps.contains(&true);
+        // One that is carried away again and again is worth a copy of its own in this region: by chance, so that nobody
+        // need count, and sooner the more often such parts are asked for.
+        let copy = !region && !all.iter().zip(&keeps).any(|((id, _), k)| *k && !self.travel.far(&self.rows[*id].site.zone)) && {
+            let far =
+                all.iter().map(|(id, _)| self.travel.ms(&self.rows[*id].site.zone)).filter(|ms| *ms > near).fold(0.0, f64::max);
+            chance(&w.ask.round) * again < (carry + far - near) * self.reuse.times()
+        };
+        let mine = order.iter().map(|o| o.1).find(|i| copy && !self.travel.far(&self.rows[all[*i].0].site.zone));
         let edges = self.edges();
         let bears = self.engines.get(service).and_then(|e| e.cold_rate).unwrap_or(0.0) * self.bounds.cold_over / edges as f64;
         for (step, (_, i)) in order.into_iter().enumerate() {
             let s = &self.rows[all[i].0].site;
             let load = s.load(self.mean, now);
-            let mut c = self.travel.ms(&s.zone) + s.lag + s.reads(now) + load * LOAD_MS;
+            let mut c = self.travel.ms(&s.zone) + s.lag + s.reads(now) + load * LOAD_MS + s.doubt(now) * DOUBT_MS;
             if self.travel.far(&s.zone) {
                 c += carry;
             }
+            // Opening a channel takes the way there and back once more.
+            if !s.at_hand(now) {
+                c += self.travel.ms(&s.zone) + OPENING_MS;
+            }
             if key.is_some() {
                 c += step.min(8) as f64 * ORDER_MS;
                 // Where nobody is known to keep the parts, the first in order is taken to: somebody has read them
                 // there or will.
-                if !keeps[i] && (kept || step > 0) {
+                if !keeps[i] && (kept || step > 0) && mine != Some(i) {
                     c += again;
                 }
             }
@@ -222,25 +238,57 @@
         r.site.warm_one(now);
         let number = r.site.number;
         let parts: Vec<u64> = shared(&ask.parts).iter().filter(|p| p.1 >= KEPT_TOKENS).map(|p| p.0).collect();
-        parts.iter().for_each(|p| self.kept.put(number, *p, now));
+        self.keep(number, &parts, now);
         // What is read in no time delays nobody, and its parts are sent again soon or do not matter.
         if n.read_ms >= READING_TOLD && self.untold.len() < READINGS_MOST {
             self.untold.push(Reading { replica: number, ms: n.read_ms as u32, parts: List(parts) });
         }
     }
-    /// What others are to be told, not more often than the fleet can bear.
-    pub fn readings(&mut self, now: Ms) -> Vec<Reading> {
+    /// What others are to be told, by the region of the replicas, not more often than the fleet can bear.
+    pub fn readings(&mut self, now: Ms) -> BTreeMap<Name, Vec<Reading>> {
+        let mut all: BTreeMap<Name, Vec<Reading>> = BTreeMap::new();
         if now < self.told_at + READINGS_EVERY * self.edges() as Ms {
-            return vec![];
+            return all;
         }
         self.told_at = now;
-        std::mem::take(&mut self.untold)
+        for r in std::mem::take(&mut self.untold) {
+            let zone = self.ids.get(&r.replica).and_then(|id| self.zone(id)).unwrap_or_default();
+            all.entry(self.travel.region(zone).into()).or_default().push(r);
+        }
+        all
+    }
+    /// Replicas that failed here, for the other proxies of the region: the way there is theirs too.
+    pub fn failing(&mut self, now: Ms) -> Vec<u64> {
+        if now < self.failing_at + FAILING_EVERY * self.edges() as Ms {
+            return vec![];
+        }
+        self.failing_at = now;
+        std::mem::take(&mut self.failing).into_iter().collect()
+    }
+    /// A replica failed another proxy, which stands in `zone`.
+    pub fn on_failing(&mut self, number: u64, by: &str, zone: &str, now: Ms) {
+        // From another region the way may be what fails.
+        if self.travel.far(zone) {
+            return;
+        }
+        if let Some(r) = self.ids.get(&number).and_then(|id| self.rows.get_mut(id)) {
+            r.site.doubted(by, now);
+        }
     }
     /// A long prompt that another proxy sent.
     pub fn on_reading(&mut self, m: &Reading, now: Ms) {
         let Some(r) = self.ids.get(&m.replica).and_then(|id| self.rows.get_mut(id)) else { return };
         r.site.others_read(f64::from(m.ms), now);
-        m.parts.iter().for_each(|p| self.kept.put(m.replica, *p, now));
+        self.keep(m.replica, &m.parts, now);
+    }
+    fn keep(&mut self, site: u64, parts: &[u64], now: Ms) {
+        // The longest chain tells.
+        let new = parts.iter().map(|p| self.kept.put(site, *p, now)).last();
+        new.into_iter().for_each(|new| self.reuse.saw(new));
+    }
+    /// ms there and back to a replica, as far as is known.
+    pub fn way(&self, id: &str) -> Ms {
+        self.zone(id).map_or(0, |z| self.travel.ms(z).ceil() as Ms)
     }
     pub fn opened(&mut self, id: &str, took: Ms) {
         let Some(r) = self.rows.get(id) else { return };
@@ -276,6 +324,13 @@
         r.site.end(unheard);
         if failed {
             r.site.fail(now);
+            if r.site.doubt(now) < DOUBT_NEWS {
+                self.failing.insert(r.site.number);
+            }
+            r.site.doubted(&self.me, now);
+        } else if unheard.is_none() {
+            r.site.trusted();
+            r.site.rested(now);
         }
     }
     /// Another life stands at the address: the replica is gone, whatever the record still says.
