Tell callers of no edge whose proxy is silent, and test where they are told to go

Cause: an agent kept its proxy's address for good, so that an edge whose proxy was down or hung while its agent ran was named to callers as near and ready. Now an agent that has not heard its proxy for a rule's life says so, and the proxy's next hello takes that back.

--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -419,6 +419,10 @@
         if self.next_poll > 0 && now > self.next_poll + GAP {
             self.woke = now;
         }
+        // A proxy that is silent serves nobody: callers are not sent there until it speaks again.
+        if self.proxy.as_ref().is_some_and(|p| now.saturating_sub(p.at) >= RULE_LIFE) {
+            self.mship.set_http("");
+        }
         self.mship.tick(now, &mut out);
         let ended = self.claimer.tick(now);
         self.tell(ended, &mut out);
--- /dev/null
+++ b/coordination/tests/resolution.rs
@@ -0,0 +1,172 @@
+//! Where callers are told to go: near edges that serve, at once, while machines freeze, leave and come back.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coordination::{
+    Effect, Effects, Ms,
+    agent::Agent,
+    control::{Control, ControlParams},
+    limits::{KNOWS_FLEET, NODE_GONE, POLL_EVERY, RULE_LIFE, SHUFFLE_EVERY, TICK},
+    wire::{Msg, Name, Node, ProxyHello},
+};
+use googletest::prelude::*;
+
+/// ms. Proxies speak to their agents this often.
+const HELLO: Ms = 200;
+/// ms. How long callers keep an answer, as the platform's directory tells them.
+const TTL: Ms = 2_000;
+
+/// One control daemon and two edges in each of four zones, of two regions; messages arrive at once.
+struct Land {
+    now: Ms,
+    control: Control,
+    agents: BTreeMap<Name, Agent>,
+    /// Machines that neither run nor are reached, and machines whose proxy alone is down.
+    frozen: BTreeSet<Name>,
+    silent: BTreeSet<Name>,
+}
+
+fn node(name: &str, zone: &str, role: u8) -> Node {
+    Node { name: name.into(), addr: name.into(), role, zone: zone.into(), http: "".into(), born: 1, beat: 0 }
+}
+
+impl Land {
+    fn new() -> Self {
+        let regions = ["a1", "a2", "b1", "b2"].map(|z| (z.to_string(), z[..1].to_string())).into_iter().collect();
+        let p = ControlParams {
+            name: "c".into(),
+            zone: "a1".into(),
+            addr: "c".into(),
+            http: "hc".into(),
+            members: vec![],
+            seeds: vec!["c".into()],
+            founding: true,
+            regions,
+            reader: coordination::board::own_spec,
+            bounds: Default::default(),
+        };
+        let mut l = Land {
+            now: 1_000,
+            control: Control::new(p, 7, vec![], 7, 1_000),
+            agents: BTreeMap::new(),
+            frozen: BTreeSet::new(),
+            silent: BTreeSet::new(),
+        };
+        for z in ["a1", "a2", "b1", "b2"] {
+            (0..2).for_each(|i| l.add(&format!("{z}-{i}"), z));
+        }
+        l
+    }
+    fn add(&mut self, name: &str, zone: &str) {
+        let mut a = Agent::new(node(name, zone, 2), vec!["c".into()], 7 + self.agents.len() as u64, self.now);
+        a.set_serve_on(true);
+        self.agents.insert(name.into(), a);
+    }
+    fn deliver(&mut self, from: Name, out: Effects) {
+        let mut all: Vec<(Name, Effect)> = out.into_iter().map(|e| (from.clone(), e)).collect();
+        while let Some((from, e)) = all.pop() {
+            let Effect::Send { to, msg } = e else { continue };
+            let more = match (&*to, self.agents.get_mut(&to)) {
+                ("c", _) => self.control.on_msg(&from, &from, msg, self.now),
+                (_, Some(a)) if !self.frozen.contains(&to) => a.on_msg(&from, &from, msg, self.now),
+                _ => vec![],
+            };
+            all.extend(more.into_iter().map(|e| (to.clone(), e)));
+        }
+    }
+    fn run(&mut self, ms: Ms) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += TICK;
+            let out = self.control.tick(self.now);
+            self.deliver("c".into(), out);
+            let names: Vec<Name> = self.agents.keys().filter(|n| !self.frozen.contains(*n)).cloned().collect();
+            for n in names {
+                let a = self.agents.get_mut(&n).unwrap();
+                if self.now.is_multiple_of(HELLO) && !self.silent.contains(&n) {
+                    let m = ProxyHello { born: 1, http: format!("h-{n}").as_str().into(), ..ProxyHello::default() };
+                    let p: Name = format!("p-{n}").into();
+                    let _ = a.on_msg(&p, &p, Msg::from(m), self.now);
+                }
+                let out = a.tick(self.now);
+                self.deliver(n, out);
+            }
+        }
+    }
+    fn near(&self, zone: &str, region: &str) -> Option<BTreeSet<String>> {
+        let all = self.control.edges_near("host", zone, region, self.now)?;
+        Some(all.into_iter().collect())
+    }
+    fn told(&self, zone: &str, region: &str) -> Vec<String> {
+        self.near(zone, region).unwrap_or_default().into_iter().map(|h| h[2..].to_string()).collect()
+    }
+}
+fn names(all: &[&str]) -> Vec<String> {
+    all.iter().map(|n| n.to_string()).collect()
+}
+
+#[gtest]
+fn a_caller_is_told_of_its_zone_then_of_its_region_then_of_all() {
+    let mut l = Land::new();
+    expect_that!(l.near("a1", "a"), none());
+    l.run(2 * KNOWS_FLEET);
+    expect_that!(l.told("a1", "a"), eq(&names(&["a1-0", "a1-1"])));
+    expect_that!(l.told("b2", "b"), eq(&names(&["b2-0", "b2-1"])));
+    expect_that!(l.told("nowhere", "b"), eq(&names(&["b1-0", "b1-1", "b2-0", "b2-1"])));
+    expect_that!(l.told("", "").len(), eq(8));
+}
+
+#[gtest]
+fn an_edge_that_freezes_or_leaves_is_left_out_before_answers_end_and_comes_back() {
+    let mut l = Land::new();
+    l.run(2 * KNOWS_FLEET);
+    l.frozen.insert("a1-0".into());
+    l.run(NODE_GONE + 2 * POLL_EVERY);
+    // One edge is no choice for a whole zone: its region's others are told too, the frozen one is not.
+    expect_that!(l.told("a1", "a"), eq(&names(&["a1-1", "a2-0", "a2-1"])));
+    l.frozen.insert("a1-1".into());
+    l.run(NODE_GONE + 2 * POLL_EVERY);
+    expect_that!(l.told("a1", "a"), eq(&names(&["a2-0", "a2-1"])));
+    l.frozen.clear();
+    l.run(TTL);
+    expect_that!(l.told("a1", "a"), eq(&names(&["a1-0", "a1-1"])));
+    // One that is replaced by another of a new name.
+    l.agents.remove("b1-0");
+    l.add("b1-9", "b1");
+    l.run(NODE_GONE + 2 * POLL_EVERY);
+    expect_that!(l.told("b1", "b"), eq(&names(&["b1-1", "b1-9"])));
+}
+
+#[gtest]
+fn an_edge_whose_proxy_is_silent_is_left_out_until_it_speaks() {
+    let mut l = Land::new();
+    l.run(2 * KNOWS_FLEET);
+    l.silent.insert("a1-0".into());
+    l.run(RULE_LIFE + SHUFFLE_EVERY + 2 * POLL_EVERY);
+    expect_that!(l.told("a1", "a"), eq(&names(&["a1-1", "a2-0", "a2-1"])));
+    l.silent.clear();
+    l.run(TTL);
+    expect_that!(l.told("a1", "a"), eq(&names(&["a1-0", "a1-1"])));
+    // One that has just started is told of only once its proxy speaks.
+    l.silent.insert("a1-7".into());
+    l.add("a1-7", "a1");
+    l.run(KNOWS_FLEET);
+    expect_that!(l.told("a1", "a"), eq(&names(&["a1-0", "a1-1"])));
+    l.silent.clear();
+    l.run(TTL);
+    expect_that!(l.told("a1", "a"), eq(&names(&["a1-0", "a1-1", "a1-7"])));
+}
+
+#[gtest]
+fn a_daemon_that_hears_few_edges_still_tells_of_those_it_knows() {
+    let mut l = Land::new();
+    l.run(2 * KNOWS_FLEET);
+    // More than half stop asking this daemon: it is this daemon that is cut off, and callers need somebody.
+    let all: Vec<Name> = l.agents.keys().cloned().collect();
+    l.frozen.extend(all[..5].iter().cloned());
+    l.run(NODE_GONE / 2);
+    expect_that!(l.told("", "").len(), ge(3));
+    l.frozen.extend(all);
+    l.run(NODE_GONE / 2);
+    expect_that!(l.told("", ""), not(is_empty()));
+}
