--- a/edge-proxy/tests/pass.rs
+++ b/edge-proxy/tests/pass.rs
@@ -543,6 +543,28 @@
     });
 }
 
+// ---- readiness ----
+
+#[gtest]
+fn an_edge_is_ready_only_while_its_rule_holds() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        let ready = async |rule, until| {
+            hold(&e.brain).on_board(Board { rule, until, ..Board::default() }, clock::now());
+            let mut d = Downstream::to(e.ready).await;
+            d.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").await;
+            d.answer().await.status
+        };
+        expect_that!(ready(RULE_ALL, u64::MAX).await, eq(200));
+        // Its machine slept, and the rule lapsed meanwhile; the agent renews it.
+        expect_that!(ready(RULE_ALL, clock::now()).await, eq(503));
+        expect_that!(ready(RULE_ALL, u64::MAX).await, eq(200));
+        expect_that!(ready(RULE_NONE, u64::MAX).await, eq(503));
+        expect_that!(r.count(), eq(0));
+    });
+}
+
 // ---- stopping ----
 
 #[gtest]
