--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -19,6 +19,7 @@
         STABLE_BOUND, START_POLL, TICK,
     },
     membership::{CONTROL, EDGE, Membership},
+    regions::{Regions, region},
 };
 
 /// What a proxy may do: reject everything, stable versions only, or all that permits allow.
@@ -47,6 +48,9 @@
     framed: bool,
     /// Digest of the places that it was last told, when, and of those that it answered to.
     told: (Ms, u64),
+    /// When it was last asked, and when it last answered with a permit: it holds a duty.
+    asked: Ms,
+    permits: Ms,
     knows: Option<u64>,
     /// Up to which count it has this agent's counts, by its own word; and to what it last answered.
     has: u64,
@@ -134,6 +138,7 @@
     met: BTreeMap<Name, Ms>,
     /// Cut off from the control plane it serves stable versions on by what it knew last.
     serve_on: bool,
+    regions: Regions,
 }
 
 impl Agent {
@@ -160,6 +165,7 @@
             woke: 0,
             met: BTreeMap::new(),
             serve_on: false,
+            regions: Regions::new(),
         }
     }
     /// Whether the proxy beside this agent still speaks but sends callers elsewhere: the whole machine stops.
@@ -170,6 +176,10 @@
     pub fn set_serve_on(&mut self, on: bool) {
         self.serve_on = on;
     }
+    pub fn set_regions(&mut self, regions: Regions) {
+        self.mship.set_regions(regions.clone());
+        self.regions = regions;
+    }
     pub fn board(&self) -> &Board {
         &self.board
     }
@@ -234,14 +244,16 @@
         self.claimer.ask(proxy, &m, &edges, now, out);
     }
 
-    /// What its proxy lately sent goes to all edges, what others sent to its proxy.
+    /// What its proxy lately sent goes to the edges of its region, and of that where it was sent: those share replicas
+    /// with it. What others sent goes to its proxy.
     fn on_readings(&self, from: &Name, m: Readings, out: &mut Effects) {
         let Some(p) = &self.proxy else { return };
         if p.addr != *from {
             return out.push(send(&p.addr, m));
         }
-        let me = &self.mship.me().name;
-        out.extend(self.mship.live(EDGE).filter(|n| n.name != *me).map(|n| send(&n.addr, m.clone())));
+        let me = self.mship.me();
+        let near = |n: &&Node| self.mship.near(n) || region(&self.regions, &n.zone) == &*m.region;
+        out.extend(self.mship.live(EDGE).filter(|n| n.name != me.name).filter(near).map(|n| send(&n.addr, m.clone())));
     }
 
     fn on_hello(&mut self, addr: &Name, m: ProxyHello, now: Ms) {
@@ -302,6 +314,9 @@
                 self.fresh.push(c);
             }
         }
+        if !m.permits.is_empty() {
+            s.permits = now;
+        }
         for p in m.permits.0 {
             let until = m.sent + Ms::from(p.ttl);
             let newer = self.permits.get(&p.service).is_none_or(|(o, u)| (o.epoch, *u) <= (p.epoch, until));
@@ -460,12 +475,21 @@
     fn poll(&mut self, now: Ms, out: &mut Effects) {
         let seen: List<Change> = self.board.rows().cloned().map(bare).collect();
         let digest = self.board.digest();
+        let me = self.mship.me();
         let names: BTreeSet<Name> = self.mship.known(CONTROL).map(|n| n.name.clone()).collect();
         self.sources.retain(|n, _| names.contains(n));
         for n in self.mship.known(CONTROL) {
             let s = self.sources.entry(n.name.clone()).or_default();
             // A list of all places goes only to a daemon that has not answered to the same one.
             let news = s.knows != Some(digest);
+            // Bytes to other regions are dear, and only a duty's holder acts by counts: the others there are asked half
+            // as often, but told at once what is new.
+            let near = self.mship.near(n);
+            let holds = now.saturating_sub(s.permits) <= PERMIT;
+            if self.ready && !near && !holds && !news && now < s.asked + 2 * POLL_EVERY {
+                continue;
+            }
+            s.asked = now;
             if news {
                 s.told = (now, digest);
             }
@@ -476,7 +500,7 @@
             let none = || (0, since, Default::default());
             let (life, count, (tallies, opens)) = told.map_or_else(none, |p| (p.life, self.change, p.since(since, now)));
             let m = Poll {
-                node: self.mship.me().clone(),
+                node: me.clone(),
                 life,
                 sent: now,
                 run: s.run,
