--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -187,6 +187,14 @@
     writing: BTreeMap<u64, String>,
 }
 
+/// What one of `voters` may call for a second so that all who may hold one of `duties`, or held it last, stay within
+/// `rate` in any second: each may have one call in hand besides.
+pub fn calls_share(rate: f64, voters: usize, duties: usize) -> f64 {
+    let part = rate / voters.min(2 * duties).max(1) as f64;
+    // Below two calls a second the one in hand is half of it.
+    (part - 1.0).max(part / 2.0)
+}
+
 impl Control {
     /// `disk`: the data folder's own number; `rows`: what it held; `born`: differs between lives.
     pub fn new(p: ControlParams, disk: u64, rows: Vec<Row>, born: u64, now: Ms) -> Self {
@@ -198,6 +206,7 @@
             http: p.http.clone(),
             born,
             beat: 0,
+            age: 0,
         };
         let mut mship = Membership::new(me, p.seeds.clone(), born);
         mship.set_regions(p.regions.clone());
@@ -558,6 +567,8 @@
         // Nobody ever voted before: there is no permit to wait out.
         self.regs.no_permits_before();
         self.regs.voting = true;
+        // Until others know that it votes they take its keys.
+        self.next_beat = 0;
         out.push(note(events::GENESIS, &self.p.name, ""));
         out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
     }
@@ -584,6 +595,7 @@
         self.caught.insert(from.clone());
         if self.caught.len() >= self.to_read() {
             self.regs.vote(now);
+            self.next_beat = 0;
             out.push(note(events::VOTING, &self.p.name, format!("member epoch {}", self.regs.me)));
         }
         rows.push(self.regs.members_row());
@@ -618,7 +630,8 @@
         self.regs.voting &= kept;
         self.regs.left = left;
         self.caught.clear();
-        (self.next_meet, self.changed) = (0, self.clock);
+        // Until others know that it counts the same votes it is not live to them.
+        (self.next_meet, self.next_beat, self.changed) = (0, 0, self.clock);
         out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
     }
 
@@ -862,6 +875,13 @@
                 .is_some_and(|s| s.services.iter().any(|v| self.regs.holds(&format!("{DUTY}{}", v.name), now).is_some()))
     }
 
+    /// This daemon's part of what may be called for a second by all: the holder of each duty calls, a former one may
+    /// not have noticed yet that another holds it, and no more daemons hold duties than there are voters.
+    pub fn calls_share(&self, rate: f64) -> f64 {
+        let duties = self.spec.as_ref().map_or(1, |s| s.services.len().max(1));
+        calls_share(rate, self.regs.voters.len(), duties)
+    }
+
     // ---- time ----
 
     pub fn tick(&mut self, now: Ms) -> Effects {
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -11,8 +11,8 @@
     Ms,
     bounds::Bounds,
     limits::{
-        COLD_BURST_PART, COLD_PART, DOWN_COLD, EDGES_FALL, FILLING_MS, FULL_MS, KEPT_TOKENS, LOAD_MS, MEAN_WEIGHT, ORDER_MS,
-        RATE_MS, READING_TOLD, READINGS_EVERY, READINGS_MOST,
+        COLD_BURST_PART, COLD_PART, DOUBT_MS, DOUBT_NEWS, DOWN_COLD, EDGES_FALL, FAILING_EVERY, FILLING_MS, FULL_MS, KEPT_TOKENS,
+        LOAD_MS, MEAN_WEIGHT, OPENING_MS, ORDER_MS, RATE_MS, READING_TOLD, READINGS_EVERY, READINGS_MOST,
     },
     order::{weight, weight_of},
     pass::{Ask, Told},
@@ -68,6 +68,9 @@
     /// Long prompts that went out and that others have not been told of, and when they were last told.
     untold: Vec<Reading>,
     told_at: Ms,
+    /// Replicas that failed here and that others have not been told of, and when they were last told.
+    failing: BTreeSet<u64>,
+    failing_at: Ms,
     /// Ids of replicas by the numbers of their lives.
     ids: BTreeMap<u64, String>,
 }
@@ -199,10 +202,14 @@
         for (step, (_, i)) in order.into_iter().enumerate() {
             let s = &self.rows[all[i].0].site;
             let load = s.load(self.mean, now);
-            let mut c = self.travel.ms(&s.zone) + s.lag + s.reads(now) + load * LOAD_MS;
+            let mut c = self.travel.ms(&s.zone) + s.lag + s.reads(now) + load * LOAD_MS + s.doubt(now) * DOUBT_MS;
             if self.travel.far(&s.zone) {
                 c += carry;
             }
+            // Opening a channel takes the way there and back once more.
+            if !s.at_hand(now) {
+                c += self.travel.ms(&s.zone) + OPENING_MS;
+            }
             if key.is_some() {
                 c += step.min(8) as f64 * ORDER_MS;
                 // Where nobody is known to keep the parts, the first in order is taken to: somebody has read them
@@ -265,6 +272,24 @@
         }
         all
     }
+    /// Replicas that failed here, for the other proxies of the region: the way there is theirs too.
+    pub fn failing(&mut self, now: Ms) -> Vec<u64> {
+        if now < self.failing_at + FAILING_EVERY * self.edges() as Ms {
+            return vec![];
+        }
+        self.failing_at = now;
+        std::mem::take(&mut self.failing).into_iter().collect()
+    }
+    /// A replica failed another proxy, which stands in `zone`.
+    pub fn on_failing(&mut self, number: u64, by: &str, zone: &str, now: Ms) {
+        // From another region the way may be what fails.
+        if self.travel.far(zone) {
+            return;
+        }
+        if let Some(r) = self.ids.get(&number).and_then(|id| self.rows.get_mut(id)) {
+            r.site.doubted(by, now);
+        }
+    }
     /// A long prompt that another proxy sent.
     pub fn on_reading(&mut self, m: &Reading, now: Ms) {
         let Some(r) = self.ids.get(&m.replica).and_then(|id| self.rows.get_mut(id)) else { return };
@@ -279,6 +304,10 @@
         let new = parts.last().map(|p| self.kept.put(ANYWHERE, *p, now));
         new.into_iter().for_each(|new| self.reuse.saw(new));
     }
+    /// ms there and back to a replica, as far as is known.
+    pub fn way(&self, id: &str) -> Ms {
+        self.zone(id).map_or(0, |z| self.travel.ms(z).ceil() as Ms)
+    }
     pub fn opened(&mut self, id: &str, took: Ms) {
         let Some(r) = self.rows.get(id) else { return };
         let zone = r.site.zone.clone();
@@ -315,6 +344,13 @@
         r.site.end(unheard);
         if failed {
             r.site.fail(now);
+            if r.site.doubt(now) < DOUBT_NEWS {
+                self.failing.insert(r.site.number);
+            }
+            r.site.doubted(&self.me, now);
+        } else if unheard.is_none() {
+            r.site.trusted();
+            r.site.rested(now);
         }
     }
     /// Another life stands at the address: the replica is gone, whatever the record still says.
