--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -243,8 +243,8 @@
 pub const READ_TOKENS_A_MS: f64 = 50.0;
 /// Shared parts that are read again cost so many times their reading: others wait for it, and accelerators are dear.
 pub const READ_AGAIN_WEIGHT: f64 = 6.0;
-/// Weight of a long prompt in how often shared parts are asked for again: some two hundred of the last count.
-pub const REUSE_WEIGHT: f64 = 0.005;
+/// Weight of a long prompt in how often shared parts are asked for again: some two thousand of the last count.
+pub const REUSE_WEIGHT: f64 = 0.0005;
 /// ms. What any shared part read again costs besides: keeps small ones together where little speaks against it.
 pub const SHARED_PART_MS: f64 = 8.0;
 /// Bytes that a token takes on the way.
@@ -271,6 +271,10 @@
 pub const ORDER_MS: f64 = 3.0;
 /// ms. A replica that waits for nobody's first piece longer than this is quiet: new requests go elsewhere.
 pub const QUIET: Ms = 900;
+/// ms, and rounds that went to another region since it last gave a sign of life: then it is left alone but for a look
+/// so often. A channel opens in a tenth of it over any way.
+pub const REGION_QUIET: Ms = 600;
+pub const REGION_TRIES: u32 = 2;
 /// ms. A replica that failed is left alone for so long, doubled each time, at most so long.
 pub const DOWN_FIRST: Ms = 250;
 pub const DOWN_MOST: Ms = 2_000;
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -6,7 +6,7 @@
 use wire_messages::{List, Name, Reading};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Kept, Reuse, Site, Travel, again_ms, carry_ms, chain, chance, read_ms, shared, tokens};
+use super::{Kept, Reach, Reuse, Site, Travel, again_ms, carry_ms, chain, read_ms, shared, tokens};
 use crate::{
     Ms,
     bounds::Bounds,
@@ -18,6 +18,9 @@
     pass::{Ask, Told},
 };
 
+/// In place of a replica's number.
+const ANYWHERE: u64 = 0;
+
 /// A replica that was nominated.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Nominee {
@@ -52,6 +55,7 @@
     rows: BTreeMap<String, Row>,
     kept: Kept,
     reuse: Reuse,
+    reach: Reach,
     pub travel: Travel,
     pub bounds: Bounds,
     engines: BTreeMap<String, EngineSpec>,
@@ -155,6 +159,14 @@
         if all.iter().any(|(id, _)| self.rows[*id].site.answers(now)) {
             all.retain(|(id, _)| self.rows[*id].site.answers(now));
         }
+        // A region that is cut off is looked at now and then, not at each of its replicas.
+        let reached = |id: &str| {
+            let zone = &self.rows[id].site.zone;
+            !self.travel.far(zone) || self.reach.may_try(self.travel.region(zone), now)
+        };
+        if all.iter().any(|(id, _)| reached(id)) {
+            all.retain(|(id, _)| reached(id));
+        }
         self.weigh(service, &mut all, w, now);
         let (id, _) = all.iter().min_by(|a, b| a.1.total_cmp(&b.1))?;
         Some(self.nominee(id, w.ask, now))
@@ -177,12 +189,12 @@
         order.sort_unstable_by(|a, b| b.cmp(a));
         let keeps: Vec<bool> = all.iter().map(|(id, _)| self.keeps(self.rows[*id].site.number, parts, now)).collect();
         let kept = keeps.contains(&true);
-        // One that is carried away again and again is worth a copy of its own in this region: by chance, so that nobody
-        // need count, and sooner the more often such parts are asked for.
+        // Where parts are asked for so often that carrying them away each time costs more than reading them once, this
+        // region has a copy of its own.
         let copy = !region && !all.iter().zip(&keeps).any(|((id, _), k)| *k && !self.travel.far(&self.rows[*id].site.zone)) && {
             let far =
                 all.iter().map(|(id, _)| self.travel.ms(&self.rows[*id].site.zone)).filter(|ms| *ms > near).fold(0.0, f64::max);
-            chance(&w.ask.round) * again < (carry + far - near) * self.reuse.times()
+            again < (carry + far - near) * self.reuse.times()
         };
         let mine = order.iter().map(|o| o.1).find(|i| copy && !self.travel.far(&self.rows[all[*i].0].site.zone));
         let edges = self.edges();
@@ -237,6 +249,9 @@
         r.site.send(n.read_ms, now);
         r.site.warm_one(now);
         let number = r.site.number;
+        if self.travel.far(&r.site.zone) {
+            self.reach.tried(self.travel.region(&r.site.zone), now);
+        }
         let parts: Vec<u64> = shared(&ask.parts).iter().filter(|p| p.1 >= KEPT_TOKENS).map(|p| p.0).collect();
         self.keep(number, &parts, now);
         // What is read in no time delays nobody, and its parts are sent again soon or do not matter.
@@ -282,8 +297,11 @@
         self.keep(m.replica, &m.parts, now);
     }
     fn keep(&mut self, site: u64, parts: &[u64], now: Ms) {
-        // The longest chain tells.
-        let new = parts.iter().map(|p| self.kept.put(site, *p, now)).last();
+        for p in parts {
+            self.kept.put(site, *p, now);
+        }
+        // The last of them stands for the chain; wherever it is kept.
+        let new = parts.last().map(|p| self.kept.put(ANYWHERE, *p, now));
         new.into_iter().for_each(|new| self.reuse.saw(new));
     }
     /// ms there and back to a replica, as far as is known.
@@ -294,11 +312,13 @@
         let Some(r) = self.rows.get(id) else { return };
         let zone = r.site.zone.clone();
         self.travel.took(&zone, took as f64);
+        self.reach.sign(self.travel.region(&zone));
     }
     pub fn heard(&mut self, service: &str, id: &str, t: &Told, now: Ms) {
         let cold_ms = self.engines.get(service).map_or(0, |e| e.cold_ms);
         let Some(r) = self.rows.get_mut(id) else { return };
         r.site.heard(t, now);
+        self.reach.sign(self.travel.region(&r.site.zone));
         if let Some((running, waiting, _)) = t.load {
             self.mean += (f64::from(running + waiting) - self.mean) * MEAN_WEIGHT;
         }
