--- a/control-daemon/src/actor.rs
+++ b/control-daemon/src/actor.rs
@@ -218,7 +218,9 @@
         if now < self.next_report || !brain.on_duty(now) {
             return;
         }
-        if let Replicas::Listed { call, every } = self.replicas {
+        if let Replicas::Listed { call, every, calm } = self.replicas {
+            // Calls are priced, and most of the time the list stays as it is.
+            let every = if brain.list_calm(now) { calm } else { every };
             return self.ask_list(call, now, every, ctx);
         }
         self.next_report = now + REPORT_EVERY;
--- a/control-daemon/src/face.rs
+++ b/control-daemon/src/face.rs
@@ -20,7 +20,7 @@
     /// The platform takes our own calls, replicas answer reports and take orders.
     Own,
     /// The list tells everything, and replicas take no orders.
-    Listed { call: ListCall, every: Duration },
+    Listed { call: ListCall, every: Duration, calm: Duration },
 }
 
 #[derive(Clone, Copy)]
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -22,7 +22,7 @@
     effect::{note, send},
     events,
     limits::{
-        ADDRESSES, BEAT_EVERY, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LOOP_EVERY, LOOP_RESTS, NEWCOMER,
+        ADDRESSES, BEAT_EVERY, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LIST_CALM, LOOP_EVERY, LOOP_RESTS, NEWCOMER,
         NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING,
     },
     members as seats,
@@ -165,6 +165,8 @@
     platform: Option<PlatformList>,
     /// When the platform was asked for the list that stands.
     listed: Ms,
+    /// When the list last differed from the one before.
+    list_moved: Ms,
     reports: BTreeMap<String, (ReplicaReport, Ms)>,
     pub going: bool,
     pub disk_ok: bool,
@@ -235,6 +237,7 @@
             plans: BTreeMap::new(),
             platform: None,
             listed: 0,
+            list_moved: 0,
             reports: BTreeMap::new(),
             going: false,
             disk_ok: true,
@@ -812,8 +815,15 @@
         }
         self.listed = asked;
         self.reports.retain(|id, _| l.replicas.iter().any(|r| r.id == *id));
+        if self.platform.as_ref() != Some(&l) {
+            self.list_moved = asked;
+        }
         self.platform = Some(l);
     }
+    /// Whether the list has not changed for a while, so that it may be asked for less often.
+    pub fn list_calm(&self, now: Ms) -> bool {
+        self.platform.is_some() && now.saturating_sub(self.list_moved) > LIST_CALM
+    }
     pub fn on_report(&mut self, r: ReplicaReport, now: Ms) {
         self.reports.insert(r.replica.clone(), (r, now));
     }
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -88,6 +88,8 @@
 pub const KNOWS_EDGES: Ms = 3_000;
 /// Holders of one claim: a majority of three outlives one of them.
 pub const CLAIM_GROUP: usize = 3;
+/// ms. A list of replicas that has not changed for so long is calm: nothing is being placed, drained or taken away.
+pub const LIST_CALM: Ms = 5_000;
 /// ms. Replicas and the platform are asked this often.
 pub const REPORT_EVERY: Ms = 300;
 /// ms. A replica whose report is older is not used; three reports may be lost.
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -316,6 +316,10 @@
     }
     /// Another life stands at the address: the replica is gone, whatever the record still says.
     pub fn gone(&mut self, id: &str) {
+        // Others would ask there for it too until the record says so.
+        if let Some(r) = self.rows.get(id) {
+            self.failing.insert(r.site.number);
+        }
         self.forget(id);
     }
 }
--- a/coordination/tests/counts.rs
+++ b/coordination/tests/counts.rs
@@ -324,3 +324,22 @@
     expect_that!(b.longest, le(20));
     expect_that!(b.told, le(160));
 }
+
+#[gtest]
+fn a_list_that_has_not_changed_for_a_while_is_calm() {
+    let list = |state: &str| -> PlatformList {
+        let one = json!({"id": "r", "zone": "z", "addr": "r", "service": "s", "version": "v1", "state": state, "slots": 64,
+            "loaded": true});
+        serde_json::from_value(json!({"replicas": [one]})).unwrap()
+    };
+    let mut c = Control::new(params(), 7, vec![], 1, 0);
+    expect_false!(c.list_calm(60_000), "nothing is known yet");
+    for at in (10_000..20_000).step_by(500) {
+        c.on_platform(list("running"), at);
+        expect_that!(c.list_calm(at), eq(at > 15_000), "at {at}");
+    }
+    c.on_platform(list("draining"), 20_000);
+    expect_false!(c.list_calm(20_000));
+    expect_false!(c.list_calm(24_000));
+    expect_true!(c.list_calm(26_000));
+}
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -308,3 +308,16 @@
     p.heard("s", &busy, &Told { load: Some((64, 30, 64)), ..Told::default() }, 104_100);
     expect_that!(places(&mut p, 104_110, 1), not(contains(eq(&busy))));
 }
+
+#[gtest]
+fn that_a_life_is_over_is_told_to_the_region() {
+    let all: Vec<PlacedReplica> = (0..3).map(|i| replica(&format!("r{i}"), "a", false)).collect();
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let (l, a) = (lane(&[]), ask(&[(1, 55), (2, 300)]));
+    let mut fleet = fleet(6, &all);
+    let first = go(&mut fleet[0], &ids, &l, &a, true, 10).unwrap();
+    let mut p = fleet.remove(3);
+    p.gone(&first);
+    tell(&mut p, "e3", "a", &mut fleet, 1_000);
+    expect_that!(go(&mut fleet[0], &ids, &l, &a, true, 1_010), some(not(eq(&first))));
+}
