Take reading a prompt to be as slow as engines are between the tokens of others

What others were told of a long prompt ended before its reading did, and late explanations (expected 5 ms, 600 to 1,800 taken) stood behind it. What reading again weighs stays as it was in all (4.2 for 6). Most of what is left: prompts of over 30,000 tokens that nobody has read yet take over 1 s anywhere.

--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -225,10 +225,10 @@
 pub const WAIT_MAX: Ms = 600;
 /// Ended requests over a lane's expected time by this factor count as slow.
 pub const SLOW_FACTOR: u64 = 4;
-/// Tokens of a prompt that a replica reads in a ms: what today's engines do; only compared among replicas.
-pub const READ_TOKENS_A_MS: f64 = 50.0;
+/// Tokens of a prompt that a replica reads in a ms: what today's engines do between the tokens of others.
+pub const READ_TOKENS_A_MS: f64 = 35.0;
 /// Shared parts that are read again cost so many times their reading: others wait for it, and accelerators are dear.
-pub const READ_AGAIN_WEIGHT: f64 = 6.0;
+pub const READ_AGAIN_WEIGHT: f64 = 4.2;
 /// ms. What any shared part read again costs besides: keeps small ones together where little speaks against it.
 pub const SHARED_PART_MS: f64 = 8.0;
 /// Bytes that a token takes on the way.
