--- a/control-daemon/src/actor.rs
+++ b/control-daemon/src/actor.rs
@@ -221,7 +221,9 @@
         if now < self.next_report || !brain.on_duty(now) {
             return;
         }
-        if let Replicas::Listed { call, every, rate } = self.replicas {
+        if let Replicas::Listed { call, every, calm, rate } = self.replicas {
+            // Calls are priced, and most of the time the list stays as it is.
+            let every = if brain.list_calm(now) { calm } else { every };
             self.pace.set_rate(brain.calls_share(rate));
             return self.ask_list(call, now, every, ctx);
         }
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -100,6 +100,8 @@
 pub const KNOWS_EDGES: Ms = 3_000;
 /// Holders of one claim: a majority of three outlives one of them.
 pub const CLAIM_GROUP: usize = 3;
+/// ms. A list of replicas that has not changed for so long is calm: nothing is being placed, drained or taken away.
+pub const LIST_CALM: Ms = 5_000;
 /// ms. Replicas and the platform are asked this often.
 pub const REPORT_EVERY: Ms = 300;
 /// ms. A replica whose report is older is not used; three reports may be lost.
@@ -239,10 +241,10 @@
 pub const WAIT_MAX: Ms = 600;
 /// Ended requests over a lane's expected time by this factor count as slow.
 pub const SLOW_FACTOR: u64 = 4;
-/// Tokens of a prompt that a replica reads in a ms: what today's engines do; only compared among replicas.
-pub const READ_TOKENS_A_MS: f64 = 50.0;
+/// Tokens of a prompt that a replica reads in a ms: what today's engines do between the tokens of others.
+pub const READ_TOKENS_A_MS: f64 = 35.0;
 /// Shared parts that are read again cost so many times their reading: others wait for it, and accelerators are dear.
-pub const READ_AGAIN_WEIGHT: f64 = 6.0;
+pub const READ_AGAIN_WEIGHT: f64 = 4.2;
 /// Weight of a long prompt in how often shared parts are asked for again: some two thousand of the last count.
 pub const REUSE_WEIGHT: f64 = 0.0005;
 /// ms. What any shared part read again costs besides: keeps small ones together where little speaks against it.
