Model replicas as engines in the simulator, with schedules engine_quiet, engine_crowd, engine_region_lost

Cause: replicas of the simulator have eight places and a list of prefixes; what shared context, long prompts and a lost region do to the time to a first piece was to be seen only on the users' platform.

A deployment's `engine` section makes each replica an engine: batches, steps that slow with them, prompts read in pieces, parts of prompt chains kept and given up, priorities, putting back. The production proxies place the requests as they do where requests come by host and path, and tell each other their readings. It is switched on for the three schedules only.

--- a/fleet-simulator/src/checkers/requests.rs
+++ b/fleet-simulator/src/checkers/requests.rs
@@ -11,7 +11,11 @@
 const FOR_GOOD: [&str; 3] = ["bad_request", "wrong_zone", "voided"];
 
 pub fn served(h: &History) -> Found {
-    if h.told.iter().any(|t| t.outcome == "answered") { vec![] } else { vec!["nothing was answered".into()] }
+    if h.told.iter().any(|t| t.outcome == "answered") || h.passes.iter().any(|p| p.how == "answered") {
+        vec![]
+    } else {
+        vec!["nothing was answered".into()]
+    }
 }
 
 /// What may run once: a request id, or all ids that came under one key of a caller.
--- a/fleet-simulator/src/deployment.rs
+++ b/fleet-simulator/src/deployment.rs
@@ -1,8 +1,10 @@
 //! A deployment: its machines, spec and callers' mix.
 
-use remote_calls::Spec;
+use remote_calls::{Spec, ZoneCount};
 use serde::Deserialize;
 
+use crate::world::EngineParams;
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct EdgeCount {
     pub zone: String,
@@ -27,6 +29,49 @@
     pub mix: Vec<MixPart>,
     pub rate_per_s: u64,
     pub spec: Spec,
+    /// Replicas are engines, and requests come by host and path.
+    #[serde(default)]
+    pub engine: Option<EngineSection>,
+}
+
+/// What the engines of a deployment are and what is asked of them.
+#[derive(Clone, Debug, Deserialize)]
+pub struct EngineSection {
+    pub params: EngineParams,
+    pub cold_ms: u64,
+    pub cold_rate: f64,
+    /// ms one way between regions and to clients.
+    pub region_ms: u64,
+    pub client_ms: u64,
+    pub zones: Vec<ZoneCount>,
+    pub classes: Vec<Class>,
+}
+
+/// A kind of request: requests a second over all regions, and what they hold.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Class {
+    pub lane: String,
+    pub per_s: f64,
+    pub kind: String,
+    pub rank: u32,
+    pub rounds: u32,
+    pub aim_ms: u64,
+    pub time_limit_ms: u64,
+    pub homes: Vec<String>,
+    pub shared: Vec<Shared>,
+    pub own_tokens: f64,
+    pub own_spread: f64,
+    pub events: f64,
+    pub event_spread: f64,
+}
+
+/// A shared part: so many different ones, some asked for more often.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Shared {
+    pub tokens: f64,
+    pub spread: f64,
+    pub things: u64,
+    pub skew: f64,
 }
 
 const DENTAPLAN: &str = include_str!("../deployments/dentaplan.json");
@@ -44,6 +89,9 @@
 
     /// The deployment as a schedule wants it.
     pub fn under(mut self, schedule: &str) -> Self {
+        if !schedule.starts_with("engine") {
+            self.engine = None;
+        }
         if schedule == "five_voters" {
             self.control.extend(self.control.clone());
         }
--- a/fleet-simulator/src/figures.rs
+++ b/fleet-simulator/src/figures.rs
@@ -39,6 +39,7 @@
         let mut f = Figures::default();
         f.callers(h);
         f.bounds(h);
+        f.engines(h);
         for (kind, n) in h.messages.iter().filter(|_| h.processes > 0 && h.end_ms > 0) {
             let each = *n as f64 * 1_000.0 / (h.end_ms * h.processes) as f64;
             f.add(format!("messages a second from each process: {kind}"), each);
@@ -69,6 +70,38 @@
         self.add("prefixes cached more than once", again as f64);
     }
 
+    /// First pieces, what was served, and what engines read and kept.
+    fn engines(&mut self, h: &History) {
+        if h.passes.is_empty() {
+            return;
+        }
+        let lanes: std::collections::BTreeSet<&str> = h.passes.iter().map(|p| p.lane.as_str()).collect();
+        // What the end of the run cut off is not among them; what came before the first spec was honoured counts.
+        for lane in lanes {
+            let mine: Vec<_> = h.passes.iter().filter(|p| p.lane == lane).collect();
+            for (near, name) in [(true, "near"), (false, "distant")] {
+                let mut firsts: Vec<Ms> = mine.iter().filter(|p| p.near == near).filter_map(|p| p.first).collect();
+                firsts.sort_unstable();
+                for (part, of) in [("p50", 50), ("p95", 95)] {
+                    let at = firsts.get(firsts.len() * of / 100).map(|x| *x as f64);
+                    self.0.entry(format!("engine {lane}, {name}: ms to first piece, {part}")).or_default().extend(at);
+                }
+                self.share(format!("engine {lane}: {name}, %"), firsts.len(), mine.iter().filter(|p| p.first.is_some()).count());
+            }
+            let served = mine.iter().filter(|p| p.how == "answered").count();
+            let aim = mine.iter().filter(|p| p.how == "answered" && p.first.is_some_and(|f| f <= p.aim)).count();
+            self.share(format!("engine {lane}: served, %"), served, mine.len());
+            self.share(format!("engine {lane}: served inside its aim, %"), aim, mine.len());
+        }
+        let asked: u64 = h.passes.iter().map(|p| u64::from(p.shared_tokens)).sum();
+        self.add("engine: shared tokens asked, thousands", asked as f64 / 1e3);
+        self.add("engine: shared tokens read first, thousands", h.shared_read as f64 / 1e3);
+        self.add("engine: shared tokens read again, thousands", h.shared_again as f64 / 1e3);
+        self.share("engine: shared tokens read again, % of asked", h.shared_again as usize, asked as usize);
+        self.0.entry("engine: tokens kept, thousands".into()).or_default().extend(h.kept_tokens.iter().map(|n| *n as f64 / 1e3));
+        self.add("engine: requests put back", h.put_back as f64);
+    }
+
     /// How long after each word the last request went where it should not.
     fn bounds(&mut self, h: &History) {
         for s in &h.specs {
--- a/fleet-simulator/src/history.rs
+++ b/fleet-simulator/src/history.rs
@@ -43,6 +43,25 @@
     pub cut_short: bool,
 }
 
+/// A request that came by host and path, as its caller saw it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Pass {
+    pub lane: String,
+    /// Where its caller is, whether the last replica stood in its edge's zone, and which that was.
+    pub zone: String,
+    pub near: bool,
+    pub replica: String,
+    pub at: Ms,
+    /// ms to its first event, when it was wanted by, and when all was over.
+    pub first: Option<Ms>,
+    pub aim: Ms,
+    pub end: Ms,
+    /// answered, late, full, or why not.
+    pub how: String,
+    pub tokens: u32,
+    pub shared_tokens: u32,
+}
+
 /// A replica's record of a run.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Run {
@@ -181,6 +200,18 @@
     /// Processes that send them.
     #[serde(default)]
     pub processes: u64,
+    /// Requests that came by host and path; shared tokens that engines read first and again, kept in the end by each
+    /// engine, and requests that they put back.
+    #[serde(default)]
+    pub passes: Vec<Pass>,
+    #[serde(default)]
+    pub shared_read: u64,
+    #[serde(default)]
+    pub shared_again: u64,
+    #[serde(default)]
+    pub kept_tokens: Vec<u64>,
+    #[serde(default)]
+    pub put_back: u64,
     pub crowds: Vec<(Ms, Ms)>,
     pub capacity: Capacity,
     pub end_ms: Ms,
--- a/fleet-simulator/src/schedule.rs
+++ b/fleet-simulator/src/schedule.rs
@@ -97,6 +97,9 @@
     ("placed_load", "replicas that report their version very late there"),
     ("placed_faults", "an order there while its leaders are frozen, killed and cut off, and replicas crash"),
     ("placed_plans", "orders there that are replaced under way"),
+    ("engine_quiet", "replicas are engines, and nothing fails"),
+    ("engine_crowd", "three times as many requests to engines"),
+    ("engine_region_lost", "a region with its engines is lost for a while"),
     ("pairs", "two or three faults of any kind at once"),
     ("mix", "anything"),
 ];
@@ -180,7 +183,9 @@
     let at = |r: &mut fastrand::Rng| FROM + r.u64(..3_000);
     let c = r.usize(..controls);
     match name {
-        "quiet" => {}
+        "quiet" | "engine_quiet" => {}
+        "engine_crowd" => s.push((25_000, Fault::Crowd { times: 3, ms: 12_000 })),
+        "engine_region_lost" => s.push((25_000 + r.u64(..2_000), Fault::LoseRegion { zone: c, ms: Some(6_000) })),
         "founding" => {
             s.push((r.u64(20..900), Fault::KillControl { at: c, down: r.u64(100..900) }));
             s.push((r.u64(20..900), Fault::KillControl { at: r.usize(..controls), down: r.u64(100..900) }));
@@ -639,7 +644,7 @@
             let others: Vec<&str> = NAMES
                 .iter()
                 .map(|n| n.0)
-                .filter(|n| *n != "mix" && !["rollout", "placed"].iter().any(|p| n.starts_with(p)))
+                .filter(|n| *n != "mix" && !["rollout", "placed", "engine"].iter().any(|p| n.starts_with(p)))
                 .collect();
             for _ in 0..3 {
                 let n = others[r.usize(..others.len())];
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -26,12 +26,15 @@
 
 mod callers;
 mod daemons;
+mod engine;
 mod faults;
 mod network;
 mod operators;
 mod placing;
 mod replicas;
 
+pub use engine::EngineParams;
+
 use crate::{
     deployment::Deployment,
     faults::{Fault, How},
@@ -176,6 +179,7 @@
         flow: u64,
     },
     Fault(Fault),
+    Engine(engine::EngineEv),
     FirstSpec,
     Read {
         mark: u64,
@@ -333,6 +337,7 @@
     seq: u64,
     queue: BTreeMap<(Ms, u64), Ev>,
     d: Deployment,
+    engines: engine::Engines,
     ctl: Vec<Ctl>,
     edges: Vec<Edge>,
     reps: BTreeMap<String, Rep>,
@@ -438,7 +443,9 @@
     pub fn new(d: Deployment, seed: u64, end: Ms, schedule: Vec<(Ms, Fault)>) -> World {
         let rng = fastrand::Rng::with_seed(seed);
         let mut d = d;
-        let places = schedule.iter().any(|s| s.1 == Fault::Places);
+        // Engines are placed by their platform, whose versions the proxies only choose among.
+        let places = d.engine.is_some() || schedule.iter().any(|s| s.1 == Fault::Places);
+        engine::fit(&mut d);
         if places {
             d.spec.services.iter_mut().for_each(|s| s.mode = ServiceMode::Placed);
         }
@@ -480,6 +487,7 @@
             places,
             orders_taken: vec![],
             end,
+            engines: engine::Engines::default(),
             off: None,
             d,
         };
@@ -532,7 +540,10 @@
             }
         }
         w.after(1_500, Ev::FirstSpec);
-        w.after(TRAFFIC_FROM, Ev::Arrive);
+        if w.d.engine.is_none() {
+            w.after(TRAFFIC_FROM, Ev::Arrive);
+        }
+        w.engines_begin();
         w.after(SAMPLE, Ev::Sample);
         for (t, f) in schedule {
             w.after(t, Ev::Fault(f));
@@ -561,6 +572,7 @@
             self.now = t;
             self.handle(ev);
         }
+        self.engines_end();
         let open: Vec<u64> = self.flows.keys().copied().collect();
         for f in open {
             if let Some(f) = self.flows.get_mut(&f) {
@@ -626,6 +638,7 @@
             }
             Ev::TimeUp { flow } => self.lost(flow),
             Ev::Fault(f) => self.fault(f),
+            Ev::Engine(e) => self.engine_ev(e),
             Ev::FirstSpec => self.first_spec(),
             Ev::Read { mark } => self.read(mark),
             Ev::Warn { id } => self.warn(&id),
--- a/fleet-simulator/src/world/daemons.rs
+++ b/fleet-simulator/src/world/daemons.rs
@@ -77,6 +77,10 @@
             To::Proxy(i) => {
                 let Some(p) = self.edges[i].proxy.as_ref() else { return };
                 let (hello, replicas) = (p.news(now), p.replicas());
+                let told = self.edges[i].proxy.as_mut().and_then(|p| p.readings(now));
+                if let Some(m) = told {
+                    self.post_agent(i, m.into());
+                }
                 if now >= self.edges[i].next_hello {
                     self.edges[i].next_hello = now + HELLO_EVERY;
                     self.post_agent(i, hello.into());
--- a/fleet-simulator/src/world/faults.rs
+++ b/fleet-simulator/src/world/faults.rs
@@ -29,6 +29,7 @@
         let addr = self.edges[at].addr('x');
         self.addrs.remove(&addr);
         self.proxy_died(at);
+        self.engine_edge_down(at);
     }
 
     fn lose_control(&mut self, down: Ms) {
--- a/fleet-simulator/src/world/network.rs
+++ b/fleet-simulator/src/world/network.rs
@@ -17,7 +17,8 @@
             .any(|c| (on(&c.a, a) && on(&c.b, b) && a.0 != b.0) || (!c.one_way && on(&c.b, a) && on(&c.a, b) && a.0 != b.0))
     }
     pub(super) fn latency(&mut self, a: &str, b: &str) -> Ms {
-        let ms = if a == b { self.rng.u64(1..4) } else { self.rng.u64(4..13) };
+        let far = self.d.engine.as_ref().map_or(4, |e| e.region_ms);
+        let ms = if a == b { self.rng.u64(1..4) } else { self.rng.u64(far..far + 9) };
         ms + if self.net.until > self.now && self.net.extra > 0 { self.rng.u64(..self.net.extra) } else { 0 }
     }
     /// Whether the network loses this.
@@ -148,6 +149,11 @@
                         p.on_board(b, now);
                     }
                 }
+                Msg::Readings(r) => {
+                    if let Some(p) = &mut self.edges[i].proxy {
+                        p.on_readings(r, now);
+                    }
+                }
                 Msg::ClaimTold(c) => {
                     if let Some(f) = self.claims.remove(&c.token) {
                         self.drive(f, Got::Claimed(c.state));
--- a/fleet-simulator/src/world/replicas.rs
+++ b/fleet-simulator/src/world/replicas.rs
@@ -66,6 +66,7 @@
     /// A replica ends; with `back` it comes back cold after so long.
     pub(super) fn replica_down(&mut self, id: &str, back: Option<Ms>) {
         self.say(id, "goes down");
+        self.engine_down(id);
         let Some(r) = self.reps.get_mut(id) else { return };
         r.up = false;
         r.busy.clear();
