--- a/fleet-simulator/src/world/daemons.rs
+++ b/fleet-simulator/src/world/daemons.rs
@@ -77,8 +77,8 @@
             To::Proxy(i) => {
                 let Some(p) = self.edges[i].proxy.as_ref() else { return };
                 let (hello, replicas) = (p.news(now), p.replicas());
-                let told = self.edges[i].proxy.as_mut().and_then(|p| p.readings(now));
-                if let Some(m) = told {
+                let told: Vec<_> = self.edges[i].proxy.iter_mut().flat_map(|p| p.readings(now)).collect();
+                for m in told {
                     self.post_agent(i, m.into());
                 }
                 if now >= self.edges[i].next_hello {
