--- a/fleet-simulator/src/world/daemons.rs
+++ b/fleet-simulator/src/world/daemons.rs
@@ -77,6 +77,10 @@
             To::Proxy(i) => {
                 let Some(p) = self.edges[i].proxy.as_ref() else { return };
                 let (hello, replicas) = (p.news(now), p.replicas());
+                let told: Vec<_> = self.edges[i].proxy.iter_mut().flat_map(|p| p.readings(now)).collect();
+                for m in told {
+                    self.post_agent(i, m.into());
+                }
                 if now >= self.edges[i].next_hello {
                     self.edges[i].next_hello = now + HELLO_EVERY;
                     self.post_agent(i, hello.into());
