Answer a repeated rollout order by the order it repeats, not by the wall's clock alone

Cause: an order for the target that stands was taken for its repetition only while the asked daemon's wall had not passed its time. Where that clock is ahead, a repetition became a new order, whose counts against the exposure bound begin anew and whose time is later. Now it is a repetition as long as the rollout is under way, or its time is not over.

--- a/coordination/src/standing.rs
+++ b/coordination/src/standing.rs
@@ -12,6 +12,12 @@
     Reverted,
 }
 
+/// Whether an order is the one that stands, sent again: as long as that is under way or its time is not over.
+/// The wall's clock alone would not do: where it is ahead, an order repeated there would begin anew, with all its counts.
+pub fn repeats(record: Option<&RolloutRecord>, old: (u64, &ReleasePlan), new: &ReleasePlan, wall: u64) -> bool {
+    old.1.target == new.target && (old.1.complete_by >= wall || standing(record, Some(old)).0 == Standing::InService)
+}
+
 /// `plan`: its version and itself. Gives the version asked for too.
 pub fn standing(record: Option<&RolloutRecord>, plan: Option<(u64, &ReleasePlan)>) -> (Standing, String) {
     let Some((version, plan)) = plan else { return (Standing::InService, String::new()) };
--- a/coordination/tests/rollout_placed.rs
+++ b/coordination/tests/rollout_placed.rs
@@ -7,7 +7,7 @@
     bounds::Bounds,
     health::{failing, log_ms},
     rollout::{Inputs, Loop, first_record},
-    standing::{Standing, standing},
+    standing::{Standing, repeats, standing},
     wire::Tally,
 };
 use googletest::prelude::*;
@@ -740,3 +740,20 @@
         }
     }
 }
+
+#[gtest]
+fn an_order_that_is_sent_again_is_the_same_one_until_it_has_ended() {
+    let mut f = fleet(9, 100.0, 12, Some(FAILS), 1);
+    let order = f.plan.clone().unwrap().1;
+    let again = ReleasePlan { complete_by: 100, ..order.clone() };
+    let same = |f: &Fleet, wall| repeats(Some(&f.b.r), (1, &order), &again, wall);
+    // The daemon that is asked may have a clock that is far ahead.
+    f.run(10_500);
+    expect_that!((same(&f, 12), same(&f, 40)), eq((true, true)));
+    expect_that!(repeats(None, (1, &order), &again, 40), eq(true));
+    let other = ReleasePlan { target: "v3".into(), ..again.clone() };
+    expect_that!(repeats(Some(&f.b.r), (1, &order), &other, 12), eq(false));
+    f.run(60_000);
+    // Reverted: until its time it is a repetition, afterwards another try.
+    expect_that!((same(&f, 22), same(&f, 23)), eq((true, false)));
+}
