--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -2,9 +2,9 @@
 
 use coordination::{
     Effect,
-    agent::Agent,
-    limits::{MISSED, TICK},
-    wire::{Blob, Change, Digests, List, Msg, Name, News, Node, Poll, ProxyHello, Reading, Readings, Shuffle},
+    agent::{Agent, RULE_ALL},
+    limits::{MISSED, POLL_EVERY, TICK},
+    wire::{Blob, Change, Digests, List, Msg, Name, News, Node, Permit, Poll, ProxyHello, Reading, Readings, Shuffle},
 };
 use googletest::prelude::*;
 
@@ -12,7 +12,7 @@
 const LONG: usize = 30_000;
 
 fn node(name: &str, role: u8) -> Node {
-    Node { name: name.into(), addr: name.into(), role, zone: "z".into(), http: "h".into(), born: 1, beat: 1 }
+    Node { name: name.into(), addr: name.into(), role, zone: "z".into(), http: "h".into(), born: 1, beat: 1, age: 0 }
 }
 fn change(key: &str, version: u64, bytes: usize) -> Change {
     Change { key: key.into(), epoch: 1, version, value: Blob(vec![7; bytes]) }
@@ -70,7 +70,7 @@
 fn one_that_serves_on_does_not_ask_every_edge_while_it_is_cut_off() {
     let mut a = agent("a", vec![change("spec", 1, 10)]);
     let nodes: List<Node> = (0..87).map(|i| node(&format!("e{i}"), 2)).collect();
-    a.on_msg(&"e0".into(), &"e0".into(), Shuffle { nodes, answer: 1 }.into(), 10);
+    a.on_msg(&"e0".into(), &"e0".into(), Shuffle { nodes, answer: 1, ..Shuffle::default() }.into(), 10);
     let mut asked = 0;
     for now in (20..2 * MISSED + 3_000).step_by(TICK as usize) {
         asked += sends(a.tick(now)).iter().filter(|(_, m)| matches!(m, Msg::Digests(_))).count();
@@ -81,7 +81,12 @@
 #[gtest]
 fn places_are_told_to_a_daemon_until_it_has_answered_to_them() {
     let mut a = agent("a", vec![change("spec", 1, 10)]);
-    a.on_msg(&"c1".into(), &"c1".into(), Shuffle { nodes: List(vec![node("c1", 1)]), answer: 1 }.into(), 10);
+    a.on_msg(
+        &"c1".into(),
+        &"c1".into(),
+        Shuffle { nodes: List(vec![node("c1", 1)]), answer: 1, ..Shuffle::default() }.into(),
+        10,
+    );
     let polls = |a: &mut Agent, from: u64, to: u64| -> Vec<Poll> {
         let out = (from..to).step_by(TICK as usize).flat_map(|t| sends(a.tick(t))).collect::<Vec<_>>();
         out.into_iter().filter_map(|(_, m)| if let Msg::Poll(p) = m { Some(p) } else { None }).collect()
@@ -97,23 +102,80 @@
 }
 
 #[gtest]
-fn what_a_proxy_sent_comes_to_all_other_proxies_once() {
+fn daemons_of_other_regions_that_hold_no_duty_are_asked_half_as_often_but_told_at_once_what_is_new() {
     let mut a = agent("a", vec![change("spec", 1, 10)]);
-    let m = || Msg::from(Readings { all: List(vec![Reading { replica: 7, ms: 400, parts: List(vec![1, 2]) }]) });
-    let nodes: List<Node> = ["e1", "e2", "c1"].map(|n| node(n, if n == "c1" { 1 } else { 2 })).into_iter().collect();
-    a.on_msg(&"e1".into(), &"e1".into(), Shuffle { nodes, answer: 1 }.into(), 10);
+    a.set_regions([("z", "r1"), ("y", "r2")].map(|(z, r)| (z.to_string(), r.to_string())).into());
+    let at = |n: &str, zone: &str| Node { zone: zone.into(), ..node(n, 1) };
+    let nodes = List(vec![at("c1", "z"), at("c2", "y"), at("c3", "y")]);
+    a.on_msg(&"c1".into(), &"c1".into(), Shuffle { nodes, answer: 1, ..Shuffle::default() }.into(), 10);
+    // Answers every question at once; c2 holds a duty.
+    let mut version = 1;
+    let asked = |a: &mut Agent, from: u64, to: u64| -> [usize; 3] {
+        let mut n = [0; 3];
+        for now in (from..to).step_by(TICK as usize) {
+            for (to, m) in sends(a.tick(now)) {
+                let Msg::Poll(p) = m else { continue };
+                n[usize::from(to.as_bytes()[1] - b'1')] += 1;
+                let permit = Permit { service: "s".into(), epoch: 1, version: 1, canary_share: 0, ttl: 2_000 };
+                let permits = if &*to == "c2" { vec![permit] } else { vec![] };
+                let Msg::News(news) = news(vec![], p.sent) else { continue };
+                a.on_msg(&to, &to, News { permits: List(permits), ..news }.into(), now);
+            }
+        }
+        n
+    };
+    asked(&mut a, 50, 2_050);
+    let [near, holder, far] = asked(&mut a, 2_050, 18_050);
+    expect_that!(near, all!(ge(35), eq(holder)));
+    expect_that!(far * 2, all!(ge(near - 2), le(near + 2)));
+    expect_that!(a.rule(), eq(RULE_ALL));
+    for t in 0..10 {
+        version += 1;
+        let start = 18_050 + t * 1_000;
+        a.on_msg(&"c1".into(), &"c1".into(), news(vec![change("spec", version, 10)], start - 10), start);
+        expect_that!(asked(&mut a, start, start + POLL_EVERY + TICK)[2], ge(1), "news {t}");
+        asked(&mut a, start + POLL_EVERY + TICK, start + 1_000);
+    }
+}
+
+#[gtest]
+fn what_a_proxy_sent_comes_once_to_those_that_share_the_replica_with_it() {
+    let mut a = agent("a", vec![change("spec", 1, 10)]);
+    a.set_regions([("z", "r1"), ("z2", "r1"), ("y", "r2"), ("x", "r3")].map(|(z, r)| (z.to_string(), r.to_string())).into());
+    let in_region = |r: &str| -> Msg {
+        let all = List(vec![Reading { replica: 7, ms: 400, parts: List(vec![1, 2]) }]);
+        Readings { by: "p".into(), zone: "z".into(), region: r.into(), all, failing: List(vec![9]) }.into()
+    };
+    let m = || in_region("r1");
+    let at = |n: &str, role, zone: &str| Node { zone: zone.into(), ..node(n, role) };
+    let nodes: List<Node> =
+        [at("e1", 2, "z"), at("e2", 2, "z2"), at("e3", 2, "y"), at("e4", 2, "x"), at("c1", 1, "z")].into_iter().collect();
+    a.on_msg(&"e1".into(), &"e1".into(), Shuffle { nodes, answer: 1, ..Shuffle::default() }.into(), 10);
     expect_that!(sends(a.on_msg(&"e1".into(), &"e1".into(), m(), 20)), is_empty(), "there is no proxy yet");
     let hello = ProxyHello { born: 1, http: "h".into(), ..ProxyHello::default() };
     a.on_msg(&"p".into(), &"p".into(), hello.into(), 30);
-    let to = |out: Vec<Effect>| sends(out).into_iter().filter(|(_, o)| *o == m()).map(|(n, _)| n.to_string()).collect::<Vec<_>>();
+    let to = |out: Vec<Effect>| {
+        let readings = sends(out).into_iter().filter(|(_, o)| matches!(o, Msg::Readings(_)));
+        readings.map(|(n, _)| n.to_string()).collect::<Vec<_>>()
+    };
     expect_that!(to(a.on_msg(&"p".into(), &"p".into(), m(), 40)), unordered_elements_are![eq("e1"), eq("e2")]);
+    // Read in another region it delays those there too.
+    expect_that!(
+        to(a.on_msg(&"p".into(), &"p".into(), in_region("r2"), 45)),
+        unordered_elements_are![eq("e1"), eq("e2"), eq("e3")]
+    );
     expect_that!(to(a.on_msg(&"e1".into(), &"e1".into(), m(), 50)), elements_are![eq("p")]);
 }
 
 #[gtest]
 fn an_agent_that_starts_asks_a_control_daemon_as_soon_as_it_knows_of_it() {
     let shuffle = |names: &[&str]| -> Msg {
-        Shuffle { nodes: names.iter().map(|n| node(n, if n.starts_with('c') { 1 } else { 2 })).collect(), answer: 1 }.into()
+        Shuffle {
+            nodes: names.iter().map(|n| node(n, if n.starts_with('c') { 1 } else { 2 })).collect(),
+            answer: 1,
+            ..Shuffle::default()
+        }
+        .into()
     };
     let polls = |out: Vec<Effect>| sends(out).into_iter().filter(|(_, m)| matches!(m, Msg::Poll(_))).count();
     let mut a = Agent::new(node("a", 2), vec!["c1".into()], 7, 0);
