Tell tallies only to who holds a service's duty and the next to take it

Cause: each agent told all its counts to all five daemons for control, 16.8 KB a second of the 23 that it sends; of what comes to a control daemon nearly all is counts (3,858 bytes a second a further edge). Only a duty's holder acts by them. Change: a control daemon names in its news the services whose tallies it keeps: those whose duty it holds or would take next among the live voters, itself counted in where it stands by. A choice has a number, polls name it, and tallies of another choice or run are not taken; one that changes has everything told anew, and evidence that was left is forgotten, or it would seem to have come at once. A daemon keeps a service for 10 s after it is neither: voters come and go. Streams are still told to all: status tells them, and they have no service. Ruled out: asking all less often saves a third at most, as most counts are of paths that are seldom met twice.

--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -51,6 +51,9 @@
     /// Up to which count it has this agent's counts, by its own word; and to what it last answered.
     has: u64,
     answered: Ms,
+    /// The services whose tallies it keeps, by its newest word, and the number of that choice.
+    choice: u32,
+    counts: Vec<Name>,
 }
 
 /// Service, version, lane, warm, group.
@@ -94,14 +97,15 @@
             self.opens.insert((o.replica.clone(), o.version.clone()), (o, change, now));
         }
     }
-    /// Counts after an own change; all of them after none, without those that have ended.
-    fn since(&self, change: u64, now: Ms) -> (List<Tally>, List<Open>) {
+    /// Counts after an own change, of some services; all of them after none, without those that have ended.
+    fn since(&self, change: u64, of: &[Name], now: Ms) -> (List<Tally>, List<Open>) {
         let old = |at: Ms| now.saturating_sub(at) > HEALTH_WINDOWS[HEALTH_WINDOWS.len() - 1];
-        let tallies = self.tallies.values().filter(|t| t.1 > change).map(|(t, _, at)| match old(*at) {
-            // What was recent when it came is so no more.
-            true => Tally { new_ended: 0, new_failed: 0, new_slow: 0, ..t.clone() },
-            false => t.clone(),
-        });
+        let tallies =
+            self.tallies.values().filter(|t| t.1 > change && of.contains(&t.0.service)).map(|(t, _, at)| match old(*at) {
+                // What was recent when it came is so no more.
+                true => Tally { new_ended: 0, new_failed: 0, new_slow: 0, ..t.clone() },
+                false => t.clone(),
+            });
         let opens = self.opens.values().filter(|o| o.1 > change && (change > 0 || o.0.streams > 0)).map(|o| o.0.clone());
         (tallies.collect(), opens.collect())
     }
@@ -292,6 +296,7 @@
         }
         if m.sent >= s.answered {
             (s.answered, s.has) = (m.sent, m.count);
+            (s.choice, s.counts) = (m.choice, m.counts.0);
         }
         // Only a settled voter counts as heard: others may lack what a majority has accepted.
         if m.settled != 0 {
@@ -470,7 +475,8 @@
             let since = if s.has < self.forgot { 0 } else { s.has };
             let told = self.proxy.as_ref().filter(|_| now.saturating_sub(s.answered) <= RULE_LIFE);
             let none = || (0, since, Default::default());
-            let (life, count, (tallies, opens)) = told.map_or_else(none, |p| (p.life, self.change, p.since(since, now)));
+            let (life, count, (tallies, opens)) =
+                told.map_or_else(none, |p| (p.life, self.change, p.since(since, &s.counts, now)));
             let m = Poll {
                 node: self.mship.me().clone(),
                 life,
@@ -479,6 +485,7 @@
                 after: s.upto,
                 since,
                 count,
+                choice: s.choice,
                 tallies,
                 opens,
                 news: news.into(),
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -21,9 +21,10 @@
     bounds::Bounds,
     effect::{note, send},
     events,
+    health::Health,
     limits::{
-        ADDRESSES, BEAT_EVERY, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LOOP_EVERY, LOOP_RESTS, NEWCOMER,
-        NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING,
+        ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LOOP_EVERY,
+        LOOP_RESTS, NEWCOMER, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING,
     },
     members as seats,
     membership::{CONTROL, EDGE, Membership},
@@ -166,6 +167,9 @@
     /// When the platform was asked for the list that stands.
     listed: Ms,
     reports: BTreeMap<String, (ReplicaReport, Ms)>,
+    /// Services whose tallies are kept here and when that was last called for; how often they changed.
+    counts: BTreeMap<Name, Ms>,
+    choice: u32,
     pub going: bool,
     pub disk_ok: bool,
     settled: bool,
@@ -237,6 +241,8 @@
             platform: None,
             listed: 0,
             reports: BTreeMap::new(),
+            counts: BTreeMap::new(),
+            choice: 0,
             going: false,
             disk_ok: true,
             settled: false,
@@ -650,7 +656,7 @@
         let count = same.map_or(0, |a| a.count);
         // What changed since a count that an earlier life of this daemon had is not enough to know anything by; nor is
         // an agent's word before its proxy has spoken.
-        let tells = m.life > 0 && m.since <= count && count <= m.count;
+        let tells = m.life > 0 && (m.run, m.choice) == (self.run, self.choice) && m.since <= count && count <= m.count;
         let mut opens = old.as_mut().map_or_else(Opens::new, |a| std::mem::take(&mut a.opens));
         if tells {
             self.count(&name, m.life, m.tallies, now);
@@ -680,13 +686,46 @@
         self.agents.insert(name, a);
     }
 
+    /// Chooses whose tallies are kept: of services whose duty this daemon holds or is the next to take. Whoever takes a
+    /// duty over so judges by evidence at once, and all others need not hear every edge's every count.
+    fn choose(&mut self, now: Ms, live: &dyn Fn(&str) -> bool) {
+        let Some(spec) = self.spec() else { return };
+        let me = &self.p.name;
+        let mut changed = false;
+        for s in &spec.services {
+            let key = format!("{DUTY}{}", s.name);
+            // One that stands by may step in as a voter before the duty is free to take.
+            let others = self.regs.voters.iter().filter(|v| v.name != *me && live(&v.name));
+            let next = others.filter(|v| weight(&key, &v.name) > weight(&key, me)).count() < COUNTERS;
+            if next || self.regs.holds(&key, now).is_some() {
+                changed |= self.counts.insert(s.name.as_str().into(), now).is_none();
+            }
+        }
+        // A voter that is silent for a moment changes nothing: a choice costs every edge's every count.
+        let loops = &mut self.loops;
+        self.counts.retain(|s, at| {
+            let keep = now.saturating_sub(*at) < COUNTS_LEFT;
+            if !keep {
+                // What came in the meantime would seem to have come at once.
+                loops.get_mut(&**s).into_iter().for_each(|l| l.health = Health::default());
+            }
+            changed |= !keep;
+            keep
+        });
+        if changed {
+            self.choice += 1;
+            self.agents.values_mut().for_each(|a| a.count = 0);
+        }
+    }
+
     fn count(&mut self, source: &Name, life: u64, tallies: List<Tally>, now: Ms) {
         let mut by: BTreeMap<Name, Vec<Tally>> = BTreeMap::new();
         // Services without a count yet are told too: a source is known from its first word on.
-        for s in self.spec.iter().flat_map(|s| &s.services) {
-            by.insert(s.name.as_str().into(), vec![]);
+        for s in self.counts.keys() {
+            by.insert(s.clone(), vec![]);
         }
-        tallies.0.into_iter().for_each(|t| by.entry(t.service.clone()).or_default().push(t));
+        let kept = tallies.0.into_iter().filter(|t| self.counts.contains_key(&t.service));
+        kept.for_each(|t| by.entry(t.service.clone()).or_default().push(t));
         for (s, v) in by {
             self.loops.entry(s.to_string()).or_insert_with(|| Loop::new(now)).health.feed(source, life, &v);
         }
@@ -704,6 +743,8 @@
                 run: self.run,
                 upto: self.seq,
                 count: a.count,
+                choice: self.choice,
+                counts: self.counts.keys().cloned().collect(),
                 full: full.into(),
                 settled: self.settled.into(),
                 voters: self.regs.voters.len() as u32,
@@ -857,6 +898,7 @@
         };
         let live = self.live(now);
         self.regs.tick(now, &live, &wanted, &mut out);
+        self.choose(now, &live);
         self.mend_seats(now, &live, &mut out);
         self.watch_loops(now, &live, &mut out);
         self.taken.retain(|_, t| now.saturating_sub(*t) < 2 * FORWARD_LIMIT);
@@ -985,7 +1027,7 @@
             return vec![];
         }
         self.next_loop = now + LOOP_EVERY;
-        // Every daemon keeps the evidence: whoever takes a duty over judges by it at once.
+        // Whoever is next to take a duty keeps the evidence too, and judges by it at once.
         self.loops.values_mut().for_each(|l| l.health.tick(now));
         // Taken out and put back: it is large, and nothing below replaces it.
         let Some(spec) = self.spec() else { return vec![] };
@@ -1196,6 +1238,10 @@
         let mut rows = self.board.under(DUTY).filter_map(|(_, c)| serde_json::from_slice::<RolloutRecord>(&c.value.0).ok());
         listed || rows.any(|r| r.replicas.iter().any(|p| p.id == id))
     }
+    /// Services whose tallies this daemon keeps.
+    pub fn counts(&self) -> impl Iterator<Item = &str> {
+        self.counts.keys().map(|s| &**s)
+    }
     /// Requests sent that this daemon has counted: of a service, and of one of its versions.
     pub fn counted(&self, service: &str, version: &str) -> (u64, u64) {
         self.loops.get(service).map_or((0, 0), |l| l.health.sent(version))
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -49,6 +49,10 @@
 pub const POLL_EVERY: Ms = 400;
 /// ms. An agent remembers streams that have ended for so long: control daemons are back sooner, after most cuts.
 pub const COUNTS_KEPT: Ms = 60_000;
+/// Daemons that keep a service's tallies: who holds its duty, and who would take it next.
+pub const COUNTERS: usize = 2;
+/// ms. A daemon that is neither any more keeps them for so long: voters come and go for a moment.
+pub const COUNTS_LEFT: Ms = 10_000;
 /// ms for each edge that is known. An agent that has just started asks again so soon, while it may serve nobody.
 pub const START_POLL: Ms = 20;
 /// ms. Agents that polled within this are pushed to.
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -4,7 +4,7 @@
     Effect,
     agent::Agent,
     limits::{MISSED, TICK},
-    wire::{Blob, Change, Digests, List, Msg, Name, News, Node, Poll, ProxyHello, Reading, Readings, Shuffle},
+    wire::{Blob, Change, Digests, List, Msg, Name, News, Node, Poll, ProxyHello, Reading, Readings, Shuffle, Tally},
 };
 use googletest::prelude::*;
 
@@ -19,7 +19,7 @@
 }
 fn news(changes: Vec<Change>, sent: u64) -> Msg {
     let (run, upto, voters) = (1, 9, 3);
-    News { sent, run, upto, full: 1, settled: 1, voters, count: 0, changes: List(changes), permits: List::default() }.into()
+    News { sent, run, upto, full: 1, settled: 1, voters, changes: List(changes), ..News::default() }.into()
 }
 fn agent(name: &str, changes: Vec<Change>) -> Agent {
     let mut a = Agent::new(node(name, 2), vec!["c1".into()], 7, 0);
@@ -150,3 +150,31 @@
         expect_that!(boards(a.tick(now + 1)), eq(1), "life {life}");
     }
 }
+
+#[gtest]
+fn tallies_go_to_the_daemons_that_keep_them_and_all_again_when_they_choose_anew() {
+    let mut a = agent("e1", vec![]);
+    let nodes = ["c1", "c2", "c3"].iter().map(|n| node(n, 1)).collect();
+    a.on_msg(&"c1".into(), &"c1".into(), Shuffle { nodes, answer: 1, ..Shuffle::default() }.into(), 10);
+    let tally = |s: &str| Tally { service: s.into(), version: "v".into(), lane: "l".into(), sent: 1, ..Tally::default() };
+    let hello = ProxyHello { born: 1, upto: 1, tallies: List(vec![tally("s1"), tally("s2")]), ..ProxyHello::default() };
+    let told = |a: &mut Agent, now| -> Vec<(Name, u32, Vec<Name>)> {
+        a.on_msg(&"p".into(), &"p".into(), ProxyHello { after: 1, tallies: List::default(), ..hello.clone() }.into(), now);
+        let polls = sends(a.tick(now)).into_iter().filter_map(|(to, m)| if let Msg::Poll(p) = m { Some((to, p)) } else { None });
+        polls.map(|(to, p)| (to, p.choice, p.tallies.iter().map(|t| t.service.clone()).collect())).collect()
+    };
+    a.on_msg(&"p".into(), &"p".into(), hello.clone().into(), 20);
+    let says = |a: &mut Agent, c: &str, choice, counts: &[&str], sent| {
+        let counts = counts.iter().map(|s| (*s).into()).collect();
+        let m = News { sent, run: 1, upto: 9, settled: 1, voters: 3, choice, counts, ..News::default() };
+        a.on_msg(&c.into(), &c.into(), m.into(), sent + 5);
+    };
+    says(&mut a, "c1", 1, &["s1"], 30);
+    says(&mut a, "c2", 4, &["s1", "s2"], 30);
+    says(&mut a, "c3", 0, &[], 30);
+    let name = |v: &[&str]| -> Vec<Name> { v.iter().map(|n| (*n).into()).collect() };
+    let want = vec![("c1".into(), 1, name(&["s1"])), ("c2".into(), 4, name(&["s1", "s2"])), ("c3".into(), 0, vec![])];
+    expect_that!(told(&mut a, 50), eq(&want));
+    says(&mut a, "c1", 2, &["s2"], 50);
+    expect_that!(told(&mut a, 500)[0], eq(&("c1".into(), 2, name(&["s2"]))));
+}
--- a/coordination/tests/replacing.rs
+++ b/coordination/tests/replacing.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use coordination::{Ms, WriteOutcome};
+use coordination::{Ms, WriteOutcome, limits::COUNTS_LEFT};
 use fleet::Fleet;
 use googletest::prelude::*;
 use wire_messages::Msg;
@@ -438,3 +438,27 @@
     }
     expect_that!(met, gt(10));
 }
+
+/// Whoever takes a duty over judges by evidence at once, and no others are told it.
+#[gtest]
+fn tallies_are_kept_by_the_holder_of_a_duty_and_the_next_to_take_it() {
+    let spec = br#"{"zones": [], "tiers": [], "canary_percent": 8, "bake_ms": 0, "release": 1, "paths": [], "services":
+        [{"name": "s", "version": "", "mode": "placed", "lanes": [], "zones": [], "engine": {"slots": 64, "channels": 400}}]}"#;
+    for seed in 0..10 {
+        let mut f = six(seed);
+        expect_that!(f.put("spec", spec, 5_000), some(anything()));
+        f.put("rollout/s", b"duty", 5_000);
+        f.run(1_000);
+        let keep =
+            |f: &Fleet| -> Vec<usize> { (0..6).filter(|i| f.brain(*i).is_some_and(|b| b.counts().any(|s| s == "s"))).collect() };
+        let holder = |f: &Fleet| (0..6).find(|i| f.brain(*i).is_some_and(|b| b.regs.holds("rollout/s", f.now).is_some()));
+        let (before, old) = (keep(&f), holder(&f).unwrap());
+        // One that stands by may be the next as well.
+        expect_that!(before, all!(len(le(3)), contains(eq(&old))), "seed {seed}");
+        f.kill(old);
+        f.until(8_000, |f| holder(f).is_some_and(|h| h != old)).unwrap();
+        expect_that!(before, contains(eq(&holder(&f).unwrap())), "seed {seed}: the evidence was there before");
+        f.run(COUNTS_LEFT + 2_000);
+        expect_that!(keep(&f), all!(len(le(3)), contains(eq(&holder(&f).unwrap()))), "seed {seed}");
+    }
+}
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -90,10 +90,12 @@
     16u8 Release { keys: List<Held> }
     /// An agent asks for news. `life`: of the proxy whose tallies it brings. `sent` comes back so that permits count from the asking.
     /// `news`: `seen` is new, else it is as the daemon last heard it. Tallies and opens are those that
-    /// changed after the agent's `since`th count, up to its `count`th; all of them after none.
-    20u8 Poll { node: Node, life: u64, sent: u64, run: u64, after: u64, since: u64, count: u64, tallies: List<Tally>, opens: List<Open>, news: u8, seen: List<Change> }
+    /// changed after the agent's `since`th count, up to its `count`th; all of them after none. Tallies are of the services in
+    /// the daemon's `choice`th list of those that it counts.
+    20u8 Poll { node: Node, life: u64, sent: u64, run: u64, after: u64, since: u64, count: u64, choice: u32, tallies: List<Tally>, opens: List<Open>, news: u8, seen: List<Change> }
     /// `full`: a frame of all keys, not a piece of the feed. `count`: up to which of the agent's counts the sender has them.
-    21u8 News { sent: u64, run: u64, upto: u64, count: u64, full: u8, settled: u8, voters: u32, changes: List<Change>, permits: List<Permit> }
+    /// `counts`: the services whose tallies the sender keeps, its `choice`th list of them.
+    21u8 News { sent: u64, run: u64, upto: u64, count: u64, choice: u32, counts: List<Name>, full: u8, settled: u8, voters: u32, changes: List<Change>, permits: List<Permit> }
     /// `wants`: digests of descriptions that the sender has heard beats of and lacks. `answer` counts the turns of one
     /// exchange: 0 opens it, 1 answers; 2 and 3 only bring what was wanted.
     30u8 Shuffle { nodes: List<Node>, beats: List<Heard>, wants: List<u32>, answer: u8 }
