--- a/coordination/examples/slopes/world.rs
+++ b/coordination/examples/slopes/world.rs
@@ -23,7 +23,7 @@
 use serde_json::json;
 use wire_messages::{Envelope, Msg, Name, Node, decode, encode};
 
-use crate::meter::{Meter, ROLES, Role, cpu, held};
+use crate::meter::{Meter, ROLES, Role, Way, cpu, held};
 
 /// Edges, replicas and requests a second of the whole fleet.
 pub const WHOLE: (usize, usize, f64) = (352, 600, 2_600.0);
@@ -178,7 +178,8 @@
             let (name, zone): (Name, Name) = (format!("edge-zone-{z}-{i}").into(), format!("zone-{z}").into());
             let (addr, at): (Name, Name) = (format!("10.2.{i}.1:7300").into(), format!("10.2.{i}.1:7301").into());
             let me = Node { name: name.clone(), zone: zone.clone(), addr: addr.clone(), born: 2_000, ..Node::default() };
-            let a = Agent::new(me, seeds.clone(), w.rng.u64(..), 0);
+            let mut a = Agent::new(me, seeds.clone(), w.rng.u64(..), 0);
+            a.set_regions(regions.clone());
             w.addrs.insert(addr.clone(), (Role::Agent, i));
             w.addrs.insert(at.clone(), (Role::Proxy, i));
             let mut p = Proxy::new(format!("{name}/proxy").into(), zone, format!("10.2.{i}.1:8263").into(), 2_000, w.rng.u64(..));
@@ -284,12 +285,17 @@
             self.faults += 1;
             return;
         };
+        let (a, z) = (self.zone(me), self.zone(there));
+        let (ra, rz) = (ZONES[a].0, ZONES[z].0);
         if there != me {
             let here = me.1 == there.1 && me.0 != Role::Control && there.0 != Role::Control;
-            self.meter.sent(me.0, there.0, kind, b.len(), here);
+            let way = match () {
+                () if here => Way::Loopback,
+                () if ra == rz => Way::Region,
+                () => Way::Far,
+            };
+            self.meter.sent(me.0, there.0, kind, b.len(), way);
         }
-        let (a, z) = (self.zone(me), self.zone(there));
-        let (ra, rz) = (ZONES[a].0, ZONES[z].0);
         if self.cut.is_some_and(|c| (c == ra) != (c == rz)) {
             return;
         }
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -12,9 +12,10 @@
     effect::{note, send},
     events,
     limits::{
-        AGE_UNIT, GONE_A_NODE, NODE_FORGOTTEN, NODE_GONE, SHUFFLE_BEATS, SHUFFLE_EVERY, SHUFFLE_FLEET, SHUFFLE_NODES,
-        SHUFFLE_SLOWEST, VIEW, YOUNG,
+        AGE_UNIT, FAR_SHUFFLE, GONE_A_NODE, NODE_FORGOTTEN, NODE_GONE, SHUFFLE_BEATS, SHUFFLE_EVERY, SHUFFLE_FLEET,
+        SHUFFLE_NODES, SHUFFLE_SLOWEST, VIEW, YOUNG,
     },
+    regions::{Regions, region},
 };
 
 /// Roles of nodes, as on the wire.
@@ -67,16 +68,32 @@
     view: Vec<Name>,
     next: Ms,
     rng: fastrand::Rng,
+    regions: Regions,
 }
 
 impl Membership {
     pub fn new(me: Node, seeds: Vec<Name>, seed: u64) -> Self {
-        let (known, ids, rng) = (BTreeMap::new(), BTreeMap::new(), fastrand::Rng::with_seed(seed));
-        Membership { me, seeds, known, ids, view: Vec::new(), next: 0, rng }
+        Membership {
+            me,
+            seeds,
+            known: BTreeMap::new(),
+            ids: BTreeMap::new(),
+            view: Vec::new(),
+            next: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            regions: Regions::new(),
+        }
     }
     pub fn me(&self) -> &Node {
         &self.me
     }
+    pub fn set_regions(&mut self, regions: Regions) {
+        self.regions = regions;
+    }
+    /// Whether a node stands in this one's region.
+    pub fn near(&self, n: &Node) -> bool {
+        region(&self.regions, &n.zone) == region(&self.regions, &self.me.zone)
+    }
     /// Changes what this node says of itself.
     pub fn set_http(&mut self, http: &str) {
         self.me.http = http.into();
@@ -202,6 +219,18 @@
         (SHUFFLE_EVERY * live / SHUFFLE_FLEET).clamp(SHUFFLE_EVERY, SHUFFLE_SLOWEST)
     }
 
+    /// The neighbour to shuffle with.
+    fn partner(&mut self) -> Option<Name> {
+        let mut view = self.view();
+        // Bytes to other regions are dear. Where this region alone has more than a view holds, beats go round inside it,
+        // and every third shuffle is enough to have them cross.
+        let crowd = self.known.values().filter(|k| k.live && self.near(&k.node)).count() > VIEW;
+        if crowd && !self.me.beat.is_multiple_of(FAR_SHUFFLE) && view.iter().any(|n| self.near(n)) {
+            view.retain(|n| self.near(n));
+        }
+        self.rng.choice(view).map(|n| n.addr)
+    }
+
     pub fn tick(&mut self, now: Ms, out: &mut Effects) {
         if now < self.next {
             return;
@@ -219,10 +248,7 @@
         self.ids.insert(digest(&self.me), self.me.name.clone());
         self.refill();
         let mut to: Vec<Name> = Vec::new();
-        if !self.view.is_empty() {
-            let i = self.rng.usize(..self.view.len());
-            to.push(self.known[&self.view[i]].node.addr.clone());
-        }
+        to.extend(self.partner());
         // Seeds only bring a lonely node in, or join two halves that lost sight of each other. A node that has just
         // started asks them all: it serves nobody until it has heard most control daemons.
         if self.me.beat == 1 {
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -77,7 +77,8 @@
     /// `mode`: what `expect` is compared with; 0 the version that stands, 1 nothing, 2 the release of the standing
     /// spec, 3 nothing and nothing is written: the newest version is asked for.
     9u8 Forward { token: u64, key: Name, expect: u64, mode: u8, value: Blob }
-    /// `code`: 0 accepted, 1 conflict, 2 not accepted, 3 unknown, 4 not accepted as the daemon is not the key's owner.
+    /// `code`: 0 accepted, 1 conflict, 2 not accepted, 3 unknown, 4 not accepted as the daemon is not the key's owner,
+    /// 5 offered to disks as `version` by an owner that then lost the key.
     10u8 Forwarded { token: u64, code: u8, version: u64, why: Name }
     /// The first voters, offered once while every disk is blank.
     11u8 Genesis { voters: List<Voter> }
@@ -116,8 +117,9 @@
     42u8 ClaimAsk { token: u64, request: Name, round: u64, void: u8, age: u64 }
     /// `state`: 0 granted, 1 another round's, 2 voided, 3 no majority.
     43u8 ClaimTold { token: u64, state: u8 }
-    /// From a proxy to its agent, from there to all other agents, and from each to its proxy.
-    44u8 Readings { all: List<Reading> }
+    /// From a proxy to its agent, from there to the agents of its own region and of `region`, and from each to its proxy.
+    /// `failing`: numbers of replicas' lives that lately failed the proxy `by`, which stands in `zone`.
+    44u8 Readings { by: Name, zone: Name, region: Name, all: List<Reading>, failing: List<u64> }
 }
 
 /// What travels: the sender, where it listens, and one message.
