--- a/coordination/tests/resolution.rs
+++ b/coordination/tests/resolution.rs
@@ -27,7 +27,7 @@
 }
 
 fn node(name: &str, zone: &str, role: u8) -> Node {
-    Node { name: name.into(), addr: name.into(), role, zone: zone.into(), http: "".into(), born: 1, beat: 0 }
+    Node { name: name.into(), addr: name.into(), role, zone: zone.into(), http: "".into(), born: 1, ..Node::default() }
 }
 
 impl Land {
