--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use wire_messages::{
-    Board as BoardMsg, Change, ClaimAsk, ClaimTold, Digests, Lent, List, Mend, Msg, Name, News, Node, Open, Permit, Poll,
+    Board as BoardMsg, Change, ClaimAsk, ClaimTold, Demand, Digests, Lent, List, Mend, Msg, Name, News, Node, Open, Permit, Poll,
     ProxyHello, Readings, Tally,
 };
 
@@ -114,6 +114,8 @@
     sources: BTreeMap<Name, Source>,
     voters: usize,
     permits: BTreeMap<Name, (Permit, Ms)>,
+    /// By service: the daemon that last lent a permit under its duty.
+    holders: BTreeMap<Name, Name>,
     proxy: Option<Proxy>,
     /// Counts the hellos; and the last count that brought an end which is forgotten here.
     change: u64,
@@ -144,6 +146,7 @@
             sources: BTreeMap::new(),
             voters: 0,
             permits: BTreeMap::new(),
+            holders: BTreeMap::new(),
             proxy: None,
             change: 0,
             forgot: 0,
@@ -211,6 +214,7 @@
             Msg::ProxyHello(m) => self.on_hello(addr, m, now),
             Msg::ClaimAsk(m) => self.on_claim_ask(addr, m, now, &mut out),
             Msg::Readings(m) => self.on_readings(addr, m, &mut out),
+            Msg::Demand(m) => self.on_demand(addr, m, &mut out),
             _ => {}
         }
         // News goes to the proxy as it comes, not at the next tick.
@@ -244,6 +248,13 @@
         out.extend(self.mship.live(EDGE).filter(|n| n.name != *me).map(|n| send(&n.addr, m.clone())));
     }
 
+    /// What its proxy's callers often ask for goes to the holder of the service's duty and nobody else.
+    fn on_demand(&self, from: &Name, m: Demand, out: &mut Effects) {
+        let own = self.proxy.as_ref().is_some_and(|p| p.addr == *from);
+        let holder = self.holders.get(&m.service).filter(|_| own);
+        out.extend(self.mship.known(CONTROL).filter(|n| Some(&n.name) == holder).map(|n| send(&n.addr, m.clone())));
+    }
+
     fn on_hello(&mut self, addr: &Name, m: ProxyHello, now: Ms) {
         self.mship.set_http(&m.http);
         // Another life of the proxy has nothing, however soon it came back.
@@ -307,6 +318,7 @@
             let newer = self.permits.get(&p.service).is_none_or(|(o, u)| (o.epoch, *u) <= (p.epoch, until));
             // A permit of a lower epoch is a former holder's: it grants nothing any more.
             if newer {
+                self.holders.insert(p.service.clone(), from.clone());
                 self.permits.insert(p.service.clone(), (p, until));
             }
         }
--- /dev/null
+++ b/coordination/src/context/demand.rs
@@ -0,0 +1,114 @@
+//! How often shared chains are asked for: a heavy-hitter summary (filtered space-saving) that decays, in bounded memory,
+//! and the sum of all edges' summaries by region.
+
+use std::collections::BTreeMap;
+
+use topk::FilteredSpaceSaving;
+use wire_messages::{Name, Popular};
+
+use super::{Asked, Chain};
+use crate::{
+    Ms,
+    limits::{ASK_UNIT, DECAY_EVERY, DEMAND_CHAINS, DEMAND_EVERY, DEMAND_EVERY_EDGE, DEMAND_HALF, DEMAND_OLD, DEMAND_TOLD},
+};
+
+/// What one edge counts.
+#[derive(Clone)]
+pub struct Demand {
+    asked: FilteredSpaceSaving<Chain>,
+    /// Chains that were taken for ready and were read again; bounded, as each was asked for.
+    missed: BTreeMap<Chain, f64>,
+    decayed: Ms,
+    told: Ms,
+}
+
+impl Default for Demand {
+    fn default() -> Self {
+        Demand { asked: FilteredSpaceSaving::new(DEMAND_CHAINS), missed: BTreeMap::new(), decayed: 0, told: 0 }
+    }
+}
+
+impl Demand {
+    pub fn ask(&mut self, c: Chain, now: Ms) {
+        self.decay(now);
+        self.asked.insert(c, ASK_UNIT);
+    }
+    /// A chain was taken for ready and was not.
+    pub fn miss(&mut self, c: Chain, now: Ms) {
+        self.decay(now);
+        *self.missed.entry(c).or_default() += ASK_UNIT as f64;
+        if self.missed.len() > DEMAND_CHAINS {
+            let least = self.missed.iter().min_by(|a, b| a.1.total_cmp(b.1)).map(|m| *m.0);
+            least.map(|c| self.missed.remove(&c));
+        }
+    }
+    fn decay(&mut self, now: Ms) {
+        let past = now.saturating_sub(self.decayed) / DECAY_EVERY;
+        if past == 0 {
+            return;
+        }
+        self.decayed = now;
+        let f = 0.5f64.powf((past * DECAY_EVERY) as f64 / DEMAND_HALF as f64);
+        self.asked.decay(f);
+        self.missed.retain(|_, n| {
+            *n *= f;
+            *n >= 1.0
+        });
+    }
+    /// Whether it is time to tell: each holder bears the same, however large its fleet.
+    pub fn due(&self, edges: usize, now: Ms) -> bool {
+        now >= self.told + DEMAND_EVERY.max(DEMAND_EVERY_EDGE * edges as Ms)
+    }
+    /// The chains most asked for. What is told replaces what was told before: it may be lost or come twice.
+    pub fn tell(&mut self, now: Ms) -> Vec<Popular> {
+        self.told = now;
+        self.decay(now);
+        let sure = |e: &topk::ElementCounter| e.estimated_count().saturating_sub(e.associated_error());
+        let mut all: Vec<(Chain, u64, u64)> =
+            self.asked.iter().map(|(c, e)| (*c, e.estimated_count(), e.associated_error())).filter(|c| c.1 > c.2).collect();
+        debug_assert!(self.asked.iter().all(|(_, e)| sure(e) <= e.estimated_count()));
+        // Of as many asks the lower number first, so that telling is the same everywhere.
+        all.sort_unstable_by_key(|(c, n, e)| (std::cmp::Reverse(n - e), *c));
+        all.truncate(DEMAND_TOLD);
+        let missed = |c: &Chain| self.missed.get(c).copied().unwrap_or(0.0) as u32;
+        let one = |(c, n, e): (Chain, u64, u64)| Popular {
+            version: c.version,
+            homes: c.homes,
+            chain: c.chain,
+            tokens: c.tokens,
+            asked: n as u32,
+            error: e as u32,
+            missed: missed(&c),
+        };
+        all.into_iter().map(one).collect()
+    }
+}
+
+/// What all edges last told of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Demands {
+    by: BTreeMap<Name, (Ms, Vec<Popular>)>,
+}
+
+impl Demands {
+    pub fn tell(&mut self, edge: &Name, all: Vec<Popular>, now: Ms) {
+        self.by.insert(edge.clone(), (now, all));
+    }
+    /// Sums by region and chain. Only what is sure counts: an estimate's error never makes a copy.
+    pub fn sums(&mut self, region: &dyn Fn(&Name) -> Option<String>, now: Ms) -> BTreeMap<(String, Chain), Asked> {
+        self.by.retain(|_, t| now.saturating_sub(t.0) < DEMAND_OLD);
+        let mut sums: BTreeMap<(String, Chain), Asked> = BTreeMap::new();
+        for (edge, (at, all)) in &self.by {
+            let Some(r) = region(edge) else { continue };
+            // What was told a while ago has decayed since.
+            let f = 0.5f64.powf(now.saturating_sub(*at) as f64 / DEMAND_HALF as f64) / ASK_UNIT as f64;
+            for p in all {
+                let c = Chain { version: p.version, homes: p.homes, chain: p.chain, tokens: p.tokens };
+                let s = sums.entry((r.clone(), c)).or_default();
+                s.asked += f64::from(p.asked.saturating_sub(p.error)) * f;
+                s.missed += f64::from(p.missed) * f;
+            }
+        }
+        sums
+    }
+}
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -7,11 +7,12 @@
 };
 
 use remote_calls::{
-    EdgeStatus, GroupRecord, GroupRole, Health as HealthAnswer, KeyStatus, KeyVersion, MemberStatus, PlatformList,
+    ContextRecord, EdgeStatus, GroupRecord, GroupRole, Health as HealthAnswer, KeyStatus, KeyVersion, MemberStatus, PlatformList,
     PlatformReplica, ReleasePlan, ReplicaReport, RolloutRecord, ServiceMode, Spec, Status, ZoneState, ZoneStreams,
 };
 use wire_messages::{
-    Beat, Blob, Change, Forward, Forwarded, Genesis, List, Msg, Name, News, Node, Permit, Poll, Slots, SlotsAsk, Tally, Voter,
+    Beat, Blob, Change, Demand, Forward, Forwarded, Genesis, List, Msg, Name, News, Node, Permit, Poll, Slots, SlotsAsk, Tally,
+    Voter,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -19,16 +20,17 @@
     Effect, Effects, Ms, Row, WriteOutcome,
     board::{Board, SpecReader, stamp},
     bounds::Bounds,
+    context::{self, Demands, homes},
     effect::{note, send},
     events,
     limits::{
-        ADDRESSES, BEAT_EVERY, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LOOP_EVERY, LOOP_RESTS, NEWCOMER,
-        NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING,
+        ADDRESSES, BEAT_EVERY, DEMAND_OLD, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LOOP_EVERY, LOOP_RESTS,
+        NEWCOMER, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING, STANDING_EVERY,
     },
     members as seats,
     membership::{CONTROL, EDGE, Membership},
     order::{agreed, weight},
-    register::{DUTY, Expect, MEMBERS, Registers},
+    register::{CONTEXT, DUTY, Expect, MEMBERS, Registers},
     rollout::{Inputs, Loop, first_record},
 };
 
@@ -182,6 +184,17 @@
     resting: BTreeSet<String>,
     /// Writes of rollout records under way, by service.
     writing: BTreeMap<u64, String>,
+    /// By service whose copies of shared context are decided here.
+    contexts: BTreeMap<String, ContextDuty>,
+}
+
+/// What is known for deciding a service's copies of shared context.
+#[derive(Clone, Debug)]
+struct ContextDuty {
+    /// Since when the duty is held here, and when the record was last written.
+    since: Ms,
+    wrote: Ms,
+    demands: Demands,
 }
 
 impl Control {
@@ -249,6 +262,7 @@
             ran: BTreeMap::new(),
             resting: BTreeSet::new(),
             writing: BTreeMap::new(),
+            contexts: BTreeMap::new(),
         };
         c.publish(now, &mut Vec::new());
         c
@@ -472,6 +486,7 @@
             Msg::SlotsAsk(m) => self.on_slots_ask(addr, m, now, &mut out),
             Msg::Slots(m) => self.on_slots(from, m, now, &mut out),
             Msg::Poll(m) => self.on_poll(addr, m, now, &mut out),
+            Msg::Demand(m) => self.on_demand(from, m, now),
             Msg::Shuffle(m) => self.mship.on_shuffle(addr, m, now, &mut out),
             _ => {}
         }
@@ -691,6 +706,71 @@
         }
     }
 
+    fn on_demand(&mut self, from: &Name, m: Demand, now: Ms) {
+        if let Some(c) = self.contexts.get_mut(&*m.service) {
+            c.demands.tell(from, m.parts.0, now);
+        }
+    }
+
+    /// Decides where copies of popular shared context stand, for the services whose duty is held here.
+    fn decide_contexts(&mut self, spec: &Spec, now: Ms, out: &mut Effects) {
+        for s in &spec.services {
+            let key: Name = format!("{CONTEXT}{}", s.name).into();
+            let stands = self.board.get(&key).filter(|c| !c.value.0.is_empty());
+            let on = s.context.as_ref().filter(|c| c.on);
+            let held = self.regs.holds(&key, now).is_some() && self.regs.holds(&format!("{DUTY}{}", s.name), now).is_some();
+            let (Some(on), true) = (on, held) else {
+                self.contexts.remove(&s.name);
+                // Switched off: nothing stands any more.
+                if let Some(c) = stands.filter(|_| held && !self.regs.busy(&key)) {
+                    let e = Expect::Version(c.version);
+                    self.regs.propose(NOBODY, &key, e, Blob::default(), now, out);
+                    out.push(note(events::CONTEXT_OFF, &s.name, ""));
+                }
+                continue;
+            };
+            let d = self.contexts.entry(s.name.clone()).or_insert_with(|| {
+                out.push(note(events::CONTEXT_DUTY, &s.name, ""));
+                ContextDuty { since: now, wrote: 0, demands: Demands::default() }
+            });
+            if now < d.wrote + STANDING_EVERY || self.regs.busy(&key) {
+                continue;
+            }
+            let Some(r) = self.records.get(&s.name) else { continue };
+            let region_of = |z: &str| self.p.regions.get(z).map_or(z, String::as_str).to_string();
+            let edge = |n: &Name| self.agents.get(n).map(|a| region_of(&a.node.zone));
+            let asked = d.demands.sums(&edge, now);
+            let used: BTreeSet<&String> = r.groups.iter().flat_map(|g| &g.replicas).collect();
+            let may = |p: &&remote_calls::PlacedReplica| {
+                used.contains(&p.id)
+                    && self.board.get(&format!("{LEAVING}{}", p.id)).is_none_or(|c| c.value.0.is_empty())
+                    && !evacuated(&self.board, &p.zone)
+            };
+            let replicas: Vec<_> = r.replicas.iter().filter(may).cloned().collect();
+            let lanes = spec.paths.iter().filter(|p| p.split.iter().any(|x| x.service == s.name));
+            let homes: BTreeMap<u64, Vec<String>> = lanes.map(|p| (homes(&p.homes), p.homes.clone())).collect();
+            let i = context::Inputs {
+                spec: on,
+                cache_tokens: s.engine.as_ref().map_or(0, |e| e.cache_tokens),
+                version: &r.stable,
+                replicas: &replicas,
+                region: &region_of,
+                homes: &homes,
+                asked: &asked,
+                young: now.saturating_sub(d.since) < DEMAND_OLD,
+            };
+            let old: Option<ContextRecord> = stands.and_then(|c| serde_json::from_slice(&c.value.0).ok());
+            let none = || ContextRecord { service: s.name.clone(), version: r.stable.clone(), parts: vec![] };
+            let next = context::decide(old.as_ref().unwrap_or(&none()), &i);
+            let Some(v) = serde_json::to_vec(&next).ok().filter(|_| old.as_ref() != Some(&next)) else { continue };
+            d.wrote = now;
+            let (was, n) = (old.map_or(0, |o| o.parts.len()), next.parts.len());
+            out.push(note(events::CONTEXT_MOVED, &s.name, format!("{was} to {n} copies")));
+            let e = Expect::Version(self.board.get(&key).map_or(0, |c| c.version));
+            self.regs.propose(NOBODY, &key, e, Blob(v), now, out);
+        }
+    }
+
     fn news(&self, to: &Name, a: &Agent, full: bool, now: Ms) -> Effect {
         let new = self.feed.iter().filter(|(_, s)| **s > a.after);
         // What it has by other ways is not sent again.
@@ -851,7 +931,17 @@
         self.beat(now, &mut out);
         self.meet(now, &mut out);
         let wanted: Vec<Name> = match &self.spec {
-            Some(s) => s.services.iter().map(|v| format!("{DUTY}{}", v.name).into()).collect(),
+            // Copies of shared context come with the duty, where they are switched on.
+            Some(s) => s
+                .services
+                .iter()
+                .flat_map(|v| {
+                    let on = v.context.as_ref().is_some_and(|c| c.on);
+                    [Some(format!("{DUTY}{}", v.name)), on.then(|| format!("{CONTEXT}{}", v.name))]
+                })
+                .flatten()
+                .map(Name)
+                .collect(),
             None => vec![],
         };
         let live = self.live(now);
@@ -1085,6 +1175,7 @@
                 out.push(Effect::Order { service: s.name.clone(), epoch, until, order: o });
             }
         }
+        self.decide_contexts(&spec, now, &mut out);
         // Warnings of replicas that are gone are cleared by whoever owns them.
         let gone: Vec<Name> = leaving
             .iter()
@@ -1148,6 +1239,7 @@
             spec_version: a.seen.iter().find(|c| &*c.key == SPEC).map_or(0, |c| c.version),
             versions: a.seen.iter().map(|c| KeyVersion { key: c.key.to_string(), version: c.version }).collect(),
         });
+        let contexts = self.board.under(CONTEXT).filter_map(|(_, c)| serde_json::from_slice(&c.value.0).ok());
         let rollouts = self.board.under(DUTY).filter_map(|(_, c)| serde_json::from_slice(&c.value.0).ok());
         let zones = self.spec.as_ref().map_or(vec![], |s| s.zones.clone());
         let heard = || self.agents.values().filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE).flat_map(|a| &a.opens);
@@ -1173,6 +1265,7 @@
             keys: keys.collect(),
             edges: edges.collect(),
             rollouts: rollouts.collect(),
+            contexts: contexts.collect(),
             zones: zones.collect(),
             streams,
             kill_switch: self.killed(),
@@ -1200,7 +1293,9 @@
         self.loops.get(service).map_or((0, 0), |l| l.health.sent(version))
     }
     pub fn counters(&self) -> Vec<(&'static str, u64)> {
+        let copies = self.board.under(CONTEXT).filter_map(|(_, c)| serde_json::from_slice::<ContextRecord>(&c.value.0).ok());
         vec![
+            ("context_copies", copies.map(|r| r.parts.len() as u64).sum()),
             ("feed_place", self.seq),
             ("keys", self.regs.keys().count() as u64),
             ("edges", self.agents.len() as u64),
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod board;
 pub mod bounds;
 pub mod claims;
+pub mod context;
 pub mod control;
 pub mod effect;
 pub mod events;
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -287,3 +287,36 @@
 pub const READINGS_MOST: usize = 64;
 /// ms. Most that prompts of other proxies count for: beyond it they have most likely gone elsewhere or failed.
 pub const OTHERS_MOST: f64 = 4_000.0;
+/// Chains that an edge counts: a summary of so many errs by at most a 128th of what was asked for lately.
+pub const DEMAND_CHAINS: usize = 128;
+/// Units of one ask: counts decay as whole numbers.
+pub const ASK_UNIT: u64 = 256;
+/// ms. An ask counts half after so long: some asks of a popular chain lie within it, and busy hours move more slowly.
+pub const DEMAND_HALF: Ms = 15_000;
+/// ms. Counts decay in steps of this.
+pub const DECAY_EVERY: Ms = 1_000;
+/// ms, at least and for each edge, between two tellings of what is asked for; and chains in one: the holder of the duty
+/// hears 50 KB a second at most.
+pub const DEMAND_EVERY: Ms = 1_000;
+pub const DEMAND_EVERY_EDGE: Ms = 25;
+pub const DEMAND_TOLD: usize = 32;
+/// ms. What an edge told counts no more after so long, several tellings of the largest fleets.
+pub const DEMAND_OLD: Ms = 30_000;
+/// ms. A copy is planned for so long: less than a cache keeps what is asked for so often.
+pub const STANDING_FOR: Ms = 30_000;
+/// Copies in one record: with ids it stays some ten KB, which each edge gets at each change.
+pub const STANDING_MOST: usize = 128;
+/// ms. A record of copies is not written again before: each writing is a sync and a message to every edge.
+pub const STANDING_EVERY: Ms = 3_000;
+/// A copy is given back when it is worth less than this part of what would have it made.
+pub const GIVE_BACK_PART: f64 = 0.25;
+/// Asks in the window that one replica takes beside its other work: six a second.
+pub const COPY_ASKS: f64 = 128.0;
+/// Tokens of a prompt that are its own, where only its chain is known.
+pub const OWN_TOKENS: u32 = 2_000;
+/// Chains of fewer tokens are read sooner than a message crosses a region: they are not counted.
+pub const CONTEXT_TOKENS: u32 = 1_000;
+/// Part of a replica's places that may be taken while a copy is made on it: reading ahead takes no places from callers.
+pub const READ_AHEAD_LOAD: f64 = 0.5;
+/// Part of a chain's reading by which a first piece must be late to tell that the chain was read again.
+pub const MISSED_PART: f64 = 0.6;
--- a/coordination/src/placement/kept.rs
+++ b/coordination/src/placement/kept.rs
@@ -28,6 +28,10 @@
     pub fn has(&self, site: u64, part: u64, now: Ms) -> bool {
         self.at.get(&(site, part)).is_some_and(|t| now.saturating_sub(*t) < PREFIX_KEPT)
     }
+    /// One part is not there after all.
+    pub fn drop_part(&mut self, site: u64, part: u64) {
+        self.at.remove(&(site, part));
+    }
     pub fn forget(&mut self, site: u64) {
         self.at.retain(|(s, _), _| *s != site);
     }
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use remote_calls::{EngineSpec, PathSpec, PlacedReplica};
+use remote_calls::{ContextRecord, EngineSpec, PathSpec, PlacedReplica};
 use wire_messages::{List, Reading};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -10,9 +10,10 @@
 use crate::{
     Ms,
     bounds::Bounds,
+    context::Standing,
     limits::{
         COLD_BURST_PART, COLD_PART, DOWN_COLD, EDGES_FALL, FILLING_MS, FULL_MS, KEPT_TOKENS, LOAD_MS, MEAN_WEIGHT, ORDER_MS,
-        RATE_MS, READING_TOLD, READINGS_EVERY, READINGS_MOST,
+        RATE_MS, READ_AHEAD_LOAD, READING_TOLD, READINGS_EVERY, READINGS_MOST,
     },
     order::{weight, weight_of},
     pass::{Ask, Told},
@@ -65,6 +66,8 @@
     told_at: Ms,
     /// Ids of replicas by the numbers of their lives.
     ids: BTreeMap<u64, String>,
+    /// Copies of popular shared context that stand ready in this region.
+    standing: Standing,
 }
 
 impl Placement {
@@ -102,6 +105,10 @@
                 version: r.version.clone(),
                 site: Site::new(number, &r.zone, r.slots),
             });
+            // What was kept by other weights is kept no more.
+            if row.version != r.version {
+                self.kept.forget(number);
+            }
             (row.addr, row.version) = (r.addr.clone(), r.version.clone());
             self.ids.insert(number, r.id.clone());
             if r.cold {
@@ -109,6 +116,26 @@
             }
         }
     }
+    /// Takes a service's copies of shared context; none where they are switched off.
+    pub fn set_context(&mut self, service: &str, r: Option<&ContextRecord>) {
+        match r {
+            Some(r) => self.standing.set(r, self.travel.home()),
+            None => self.standing.unset(service),
+        }
+    }
+    /// Whether a service's popular shared context stands ready in regions that ask for it.
+    pub fn has_context(&self, service: &str) -> bool {
+        self.standing.on(service)
+    }
+    /// ms by which a replica's first pieces lately come late.
+    pub fn lag(&self, id: &str) -> f64 {
+        self.rows.get(id).map_or(0.0, |r| r.site.lag)
+    }
+    /// A replica read shared parts that were taken for kept there: they are not, or were put out meanwhile.
+    pub fn missed(&mut self, id: &str, parts: &[u64]) {
+        let Some(r) = self.rows.get(id) else { return };
+        parts.iter().for_each(|p| self.kept.drop_part(r.site.number, *p));
+    }
     fn forget(&mut self, id: &str) {
         if let Some(r) = self.rows.remove(id) {
             self.kept.forget(r.site.number);
@@ -164,12 +191,18 @@
         let near = all.iter().map(|(id, _)| self.travel.ms(&self.rows[*id].site.zone)).fold(f64::MAX, f64::min);
         // A prompt whose shared parts are dear to read again has one place among all; of others each region has one.
         let region = again < carry + near;
+        // A popular one has copies besides, which stand before all others for the requests of their region.
+        let copies = key.and_then(|k| self.standing.stands(service, k));
+        let copy = |id: &str| {
+            let r = &self.rows[id];
+            copies.is_some_and(|(v, on)| r.version == v && on.contains(&r.site.number) && !self.travel.far(&r.site.zone))
+        };
         let place = |id: &String| {
             let s = &self.rows[id].site;
             let far = region && self.travel.far(&s.zone);
-            (!far, key.map_or(0, |k| weight_of(k, s.number)))
+            (copy(id), !far, key.map_or(0, |k| weight_of(k, s.number)))
         };
-        let mut order: Vec<((bool, u64), usize)> = all.iter().enumerate().map(|(i, (id, _))| (place(id), i)).collect();
+        let mut order: Vec<((bool, bool, u64), usize)> = all.iter().enumerate().map(|(i, (id, _))| (place(id), i)).collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
         let keeps: Vec<bool> = all.iter().map(|(id, _)| self.keeps(self.rows[*id].site.number, parts, now)).collect();
         let kept = keeps.contains(&true);
@@ -186,7 +219,9 @@
                 c += step.min(8) as f64 * ORDER_MS;
                 // Where nobody is known to keep the parts, the first in order is taken to: somebody has read them
                 // there or will.
-                if !keeps[i] && (kept || step > 0) {
+                // The first caller there has a copy made, as long as that takes no places from others.
+                let makes = copy(all[i].0) && load <= f64::from(s.slots) * READ_AHEAD_LOAD;
+                if !keeps[i] && (kept || step > 0) && !makes {
                     c += again;
                 }
             }
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -7,10 +7,10 @@
 };
 
 use remote_calls::{
-    Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, PathSpec, ReplicaReport, RolloutRecord, RunRequest,
-    ServiceMode, ServiceSpec, Spec,
+    ContextRecord, Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, PathSpec, ReplicaReport, RolloutRecord,
+    RunRequest, ServiceMode, ServiceSpec, Spec,
 };
-use wire_messages::{Board as BoardMsg, Lent, List, Name, Node, Open, ProxyHello, Readings, Tally};
+use wire_messages::{Board as BoardMsg, Demand as DemandMsg, Lent, List, Name, Node, Open, ProxyHello, Readings, Tally};
 
 use crate::{
     Ms,
@@ -18,16 +18,18 @@
     board::{Board, SpecReader, own_spec, stamp},
     bounds::Bounds,
     claims,
+    context::{Chain, Demand, homes, number},
     control::{LEAVING, SPEC, evacuated},
     health::{Health, Verdict, failing, log_ms},
     limits::{
-        AFFINITY_BUSY, COLD_PLACES, KV_FULL, PLACE_OLD, PREFIX_KEPT, PREFIXES, PRESS_EBB, PRESS_MOST, PRESS_STEP, REPORT_OLD,
-        RETRY_AFTER, SECOND_ROUNDS, SECOND_ROUNDS_FREE, SLOW_FACTOR, SUSPECT_FOR, WAIT_MAX, WAIT_PERCENT, WAITING, WARM_UP,
+        AFFINITY_BUSY, COLD_PLACES, CONTEXT_TOKENS, KV_FULL, MISSED_PART, PLACE_OLD, PREFIX_KEPT, PREFIXES, PRESS_EBB,
+        PRESS_MOST, PRESS_STEP, REPORT_OLD, RETRY_AFTER, SECOND_ROUNDS, SECOND_ROUNDS_FREE, SLOW_FACTOR, SUSPECT_FOR, WAIT_MAX,
+        WAIT_PERCENT, WAITING, WARM_UP,
     },
     order::weight,
     pass::{Ask, PassEnd, Paths, Told},
-    placement::{Budget, Nominee, Placement, Want},
-    register::DUTY,
+    placement::{Budget, Nominee, Placement, Want, chain, read_ms, shared, tokens},
+    register::{CONTEXT, DUTY},
 };
 
 /// Where a round goes.
@@ -94,6 +96,15 @@
     at: Ms,
     slow_ms: f64,
     slow: bool,
+    /// Its shared context, where that was taken for ready.
+    ready: Option<Ready>,
+}
+
+/// Shared context that a replica was taken to keep.
+#[derive(Clone, Debug)]
+struct Ready {
+    chain: Chain,
+    parts: Vec<u64>,
 }
 
 /// A request in the buffer.
@@ -163,6 +174,10 @@
     budgets: BTreeMap<String, Budget>,
     flights: BTreeMap<u64, Flight>,
     flight: u64,
+    /// Places of the records of copies of shared context that were read last, and how often shared context is asked
+    /// for; by service, and only where copies are kept.
+    contexts: BTreeMap<String, (u64, u64)>,
+    demand: BTreeMap<String, Demand>,
 }
 
 /// Groups of one version as one pool: a baseline is told apart for counting, and a prompt that lies in its cache
@@ -222,6 +237,8 @@
             budgets: BTreeMap::new(),
             flights: BTreeMap::new(),
             flight: 0,
+            contexts: BTreeMap::new(),
+            demand: BTreeMap::new(),
         }
     }
     /// Another spelling of the operator's document than the product's own.
@@ -290,10 +307,26 @@
             self.placement.set_service(&s, &r.replicas, &old, now);
             self.records.insert(s, (at.0, at.1, r));
         }
+        self.read_contexts();
         let zones = self.spec.as_ref().map_or(&[][..], |s| &s.zones);
         self.evacuated = zones.iter().filter(|z| evacuated(&self.board, &z.name)).map(|z| z.name.clone()).collect();
     }
 
+    /// Takes copies of shared context as their records have them.
+    fn read_contexts(&mut self) {
+        let all = self.board.under(CONTEXT).map(|(s, c)| (s.to_string(), stamp(c)));
+        let changed: Vec<(String, (u64, u64))> = all.filter(|(s, at)| self.contexts.get(s) != Some(at)).collect();
+        for (s, at) in changed {
+            // Nothing stands under the key where copies are switched off.
+            let r = self.board.read::<ContextRecord>(&format!("{CONTEXT}{s}"));
+            self.placement.set_context(&s, r.as_ref());
+            if r.is_none() {
+                self.demand.remove(&s);
+            }
+            self.contexts.insert(s, at);
+        }
+    }
+
     fn told<'a>(&self, keys: impl Iterator<Item = &'a TallyKey>, now: Ms) -> List<Tally> {
         let mut told = BTreeSet::new();
         let tallies = keys.filter_map(|k| Some((k, self.tallies.get(k)?))).map(|((s, v, l, warm, g), n)| {
@@ -362,6 +395,28 @@
         let all = self.placement.readings(now);
         (!all.is_empty()).then_some(Readings { all: List(all) })
     }
+    /// What shared context is often asked for here, for the holders of the services' duties.
+    pub fn demands(&mut self, now: Ms) -> Vec<DemandMsg> {
+        let edges = self.placement.edges();
+        let due = self.demand.iter_mut().filter(|(_, d)| d.due(edges, now));
+        due.map(|(s, d)| DemandMsg { service: s.as_str().into(), parts: List(d.tell(now)) }).collect()
+    }
+    /// Counts an ask for shared context, where copies of it may be kept.
+    fn ask_context(&mut self, lane: &PathSpec, service: &str, n: &Nominee, ask: &Ask, now: Ms) -> Option<Ready> {
+        let (Some(key), parts) = (chain(&ask.parts), shared(&ask.parts)) else { return None };
+        if tokens(parts) < CONTEXT_TOKENS || !self.placement.has_context(service) {
+            return None;
+        }
+        let c = Chain { version: number(&n.version), homes: homes(&lane.homes), chain: key, tokens: tokens(parts) };
+        self.demand.entry(service.into()).or_default().ask(c, now);
+        n.warm.then(|| Ready { chain: c, parts: parts.iter().map(|p| p.0).collect() })
+    }
+    /// A first piece came so late that what was taken for ready was read again.
+    fn miss_context(&mut self, p: &Placed, r: Ready, now: Ms) {
+        self.count("context_missed");
+        self.placement.missed(&p.replica, &r.parts);
+        self.demand.entry(p.service.clone()).or_default().miss(r.chain, now);
+    }
     /// Long prompts that another proxy sent.
     pub fn on_readings(&mut self, m: Readings, now: Ms) {
         m.all.iter().for_each(|r| self.placement.on_reading(r, now));
@@ -917,11 +972,14 @@
         ask: &Ask,
         now: Ms,
     ) -> Placed {
+        let ready = self.ask_context(lane, &service, &n, ask, now);
         self.placement.send(&n, ask, now);
         self.flight += 1;
         let slow = lane.expected_ms.max(1) as f64 * SLOW_FACTOR as f64;
-        self.flights
-            .insert(self.flight, Flight { read_ms: Some(n.read_ms), expected: n.expected, at: now, slow_ms: slow, slow: false });
+        self.flights.insert(
+            self.flight,
+            Flight { read_ms: Some(n.read_ms), expected: n.expected, at: now, slow_ms: slow, slow: false, ready },
+        );
         let p = Placed {
             service,
             lane: lane.lane.clone(),
@@ -966,7 +1024,15 @@
         let took = now.saturating_sub(f.at) as f64;
         f.slow = took > f.slow_ms;
         let took_ms = now.saturating_sub(f.at);
-        self.placement.first_piece(&p.replica, read, (took - f.expected).max(0.0), now);
+        let late = (took - f.expected).max(0.0);
+        let ready = f.ready.take();
+        // Others' prompts make a replica late too: it must be late by most of what reading the shared parts takes, and
+        // beyond what it lately was.
+        let missed = ready.filter(|r| late - self.placement.lag(&p.replica) > read_ms(r.chain.tokens) * MISSED_PART);
+        self.placement.first_piece(&p.replica, read, late, now);
+        if let Some(r) = missed {
+            self.miss_context(p, r, now);
+        }
         self.tally(p, 4);
         self.add(p, 5, log_ms(took_ms));
     }
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -2,7 +2,10 @@
 //! majority of the voters' disks before it answers. Keys of duties also carry a permit: voters let no
 //! other daemon take such a key while its holder's permit runs.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{
+    borrow::Cow,
+    collections::{BTreeMap, BTreeSet, VecDeque},
+};
 
 use wire_messages::{
     Accept, Accepted, Blob, Change, Commit, Held, List, Name, Prepare, Promise, Release, Renew, Renewed, Slot, Voter,
@@ -20,6 +23,8 @@
 
 /// Keys of duties begin with this; their owner runs the rollout of the service named behind it.
 pub const DUTY: &str = "rollout/";
+/// Keys of services' copies of shared context. They come with the duty: the same daemon owns both, under permits alike.
+pub const CONTEXT: &str = "context/";
 /// The voters themselves are a key.
 pub const MEMBERS: &str = "members";
 
@@ -27,7 +32,12 @@
 const EPOCHS: &str = "epochs";
 
 fn leased(key: &str) -> bool {
-    key.starts_with(DUTY)
+    key.starts_with(DUTY) || key.starts_with(CONTEXT)
+}
+
+/// The key by which the agreed order of a key's owners goes.
+fn seat(key: &str) -> Cow<'_, str> {
+    key.strip_prefix(CONTEXT).map_or(Cow::Borrowed(key), |s| format!("{DUTY}{s}").into())
 }
 
 /// What must stand for a write to count.
@@ -279,7 +289,8 @@
     }
     /// The agreed first live voter for a key.
     pub fn first(&self, key: &str, live: &dyn Fn(&str) -> bool) -> Option<&Voter> {
-        self.voters.iter().filter(|v| live(&v.name)).max_by_key(|v| weight(key, &v.name))
+        let seat = seat(key);
+        self.voters.iter().filter(|v| live(&v.name)).max_by_key(|v| weight(&seat, &v.name))
     }
     /// Whether a write to the key is under way or waits here.
     pub fn busy(&self, key: &str) -> bool {
--- /dev/null
+++ b/coordination/tests/shared_context.rs
@@ -0,0 +1,241 @@
+//! Popular shared context stands ready in the regions that ask for it, and nowhere stale: schedules over real proxies,
+//! modelled engines and the real decision.
+
+mod engines;
+
+use coordination::Ms;
+use engines::{Call, World, region_of, within};
+use googletest::prelude::*;
+
+const TOKENS: u32 = 13_300;
+
+/// Asks by Zipf's law over so many chains, `rate` a second in each region.
+struct Load {
+    rng: fastrand::Rng,
+    chains: usize,
+    /// Added to each chain's id: another one is a changed schedule.
+    edition: u64,
+}
+
+impl Load {
+    fn new(seed: u64, chains: usize) -> Self {
+        Load { rng: fastrand::Rng::with_seed(seed ^ 0x5eed), chains, edition: 0 }
+    }
+    fn chain(&mut self) -> usize {
+        let all: f64 = (1..=self.chains).map(|i| 1.0 / i as f64).sum();
+        let mut x = self.rng.f64() * all;
+        (1..=self.chains)
+            .find(|i| {
+                x -= 1.0 / *i as f64;
+                x <= 0.0
+            })
+            .unwrap_or(self.chains)
+            - 1
+    }
+    fn id(&self, chain: usize) -> u64 {
+        (self.edition + 1) * 10_000 + chain as u64
+    }
+    fn run(&mut self, w: &mut World, ms: Ms, rates: [f64; 3]) {
+        let end = w.now + ms;
+        while w.now < end {
+            for (region, r) in rates.iter().enumerate() {
+                if self.rng.f64() < r / 100.0 {
+                    let c = self.chain();
+                    w.ask(region, c, self.id(c), TOKENS);
+                }
+            }
+            w.run_to(w.now + 10);
+        }
+    }
+}
+
+fn world(seed: u64, on: bool) -> World {
+    World::new(seed, on, 9, [8, 6, 4], &[])
+}
+fn firsts(c: &[Call], travelled: bool) -> Vec<Ms> {
+    c.iter().filter(|c| c.travelled == travelled).map(|c| c.first).collect()
+}
+fn once(w: &World) {
+    expect_that!(w.doubled, eq(0), "a call was answered twice");
+    expect_that!(w.open.len(), eq(0), "calls without an end");
+    expect_that!(w.calls.len() as u64 + w.rejected, eq(w.sent));
+}
+
+/// Busy hours that move round the regions.
+fn busy(w: &mut World, l: &mut Load) -> Vec<Call> {
+    for hour in 0..3 {
+        let mut rates = [4.0; 3];
+        rates[hour] = 20.0;
+        l.run(w, 60_000, rates);
+    }
+    let end = w.now;
+    w.run_to(end + 5_000);
+    w.calls.clone()
+}
+
+#[gtest]
+fn at_busy_hours_calls_from_anywhere_are_answered_as_promptly() {
+    let (mut far, mut between, mut again) = ([0; 2], [0; 2], [0; 2]);
+    let mut p95 = [[0; 2]; 2];
+    for (i, on) in [false, true].into_iter().enumerate() {
+        for seed in 0..3 {
+            let (mut w, mut l) = (world(seed, on), Load::new(seed, 60));
+            let calls = busy(&mut w, &mut l);
+            once(&w);
+            far[i] += calls.iter().filter(|c| c.travelled).count();
+            between[i] += w.between;
+            again[i] += w.again;
+            // Of the last half minute of each hour, as copies need a while.
+            let late: Vec<Call> = calls.iter().filter(|c| (c.at - 1_000) % 60_000 > 30_000).cloned().collect();
+            let busy: Vec<Call> = late.iter().filter(|c| c.region as u64 == (c.at - 1_000) / 60_000).cloned().collect();
+            p95[i][0] = p95[i][0].max(within(busy.iter().map(|c| c.first).collect(), 0.95));
+            p95[i][1] = p95[i][1].max(within(firsts(&late, false), 0.95));
+            let all = |t| (within(firsts(&late, t), 0.5), within(firsts(&late, t), 0.95), firsts(&late, t).len());
+            println!(
+                "on {on} seed {seed}: near {:?} travelled {:?}; busy region p50 {} p95 {}; read again {} of {} calls; {} MB \
+                 between regions; told {} KB; missed {}; copies {}",
+                all(false),
+                all(true),
+                within(busy.iter().map(|c| c.first).collect(), 0.5),
+                within(busy.iter().map(|c| c.first).collect(), 0.95),
+                w.again / u64::from(TOKENS),
+                calls.len(),
+                w.between / 1_000_000,
+                w.told_bytes / 1_000,
+                w.counter("context_missed"),
+                w.copies().len()
+            );
+        }
+    }
+    println!("far {far:?} between {between:?} again {again:?} p95 {p95:?}");
+    expect_that!(far[1] * 2, lt(far[0]), "calls that travelled: {far:?}");
+    expect_that!(between[1] * 2, lt(between[0]));
+}
+
+#[gtest]
+fn a_schedule_that_changes_under_load_is_never_answered_from_the_old_one_and_its_copies_go() {
+    let (mut w, mut l) = (world(5, true), Load::new(5, 30));
+    l.run(&mut w, 40_000, [12.0; 3]);
+    let old = w.copies();
+    expect_that!(old, not(is_empty()));
+    l.edition = 1;
+    l.run(&mut w, 60_000, [12.0; 3]);
+    let new = w.copies();
+    expect_that!(new, not(is_empty()));
+    let left = new.iter().filter(|c| old.iter().any(|o| o.0 == c.0)).count();
+    expect_that!(left, eq(0), "copies of what nobody asks for any more");
+    w.run_to(w.now + 5_000);
+    once(&w);
+}
+
+#[gtest]
+fn a_region_lost_with_the_only_copies_leaves_no_call_without_an_answer() {
+    let (mut w, mut l) = (world(6, true), Load::new(6, 30));
+    l.run(&mut w, 40_000, [3.0, 3.0, 15.0]);
+    expect_that!(w.copies().iter().filter(|c| c.1 == region_of("c")).count(), gt(0));
+    // The region's edges, replicas and all: the list tells a second later.
+    w.cut = (0..9).filter(|i| i % 3 == 2).collect();
+    w.engines.values_mut().filter(|e| e.row.zone == "c").for_each(|e| e.up = false);
+    l.run(&mut w, 1_000, [12.0, 8.0, 0.0]);
+    w.engines.retain(|_, e| e.up);
+    w.roll();
+    l.run(&mut w, 40_000, [12.0, 8.0, 0.0]);
+    expect_that!(w.copies().iter().filter(|c| c.1 == region_of("c")).count(), eq(0));
+    expect_that!(w.rejected, eq(0));
+    // It comes back with empty replicas: copies are not taken for ready there before somebody has read them.
+    (0..4).for_each(|i| w.add(&format!("cc{i}"), "c", "v1"));
+    w.roll();
+    w.cut.clear();
+    let from = w.now;
+    l.run(&mut w, 40_000, [3.0, 3.0, 15.0]);
+    w.run_to(w.now + 5_000);
+    let bad = w.calls.iter().filter(|c| c.at > from && c.replica.starts_with("cc") && c.warm && c.read).count();
+    expect_that!(bad, le(2), "taken for ready and was not");
+    expect_that!(w.copies().iter().filter(|c| c.1 == region_of("c")).count(), gt(0));
+    once(&w);
+}
+
+#[gtest]
+fn what_turns_cold_is_given_back_and_the_bound_is_never_passed() {
+    let (mut w, mut l) = (world(7, true), Load::new(7, 300));
+    w.spec.share_percent = 10;
+    for _ in 0..8 {
+        l.run(&mut w, 5_000, [30.0; 3]);
+        let room = w.room();
+        expect_that!(room.values().max().copied().unwrap_or(0), le(34_800), "tokens of copies on one replica");
+    }
+    expect_that!(w.copies().len(), gt(5));
+    w.run_to(w.now + 60_000);
+    expect_that!(w.copies(), is_empty());
+}
+
+#[gtest]
+fn a_rollout_ends_readiness_at_once() {
+    let (mut w, mut l) = (world(8, true), Load::new(8, 30));
+    l.run(&mut w, 40_000, [12.0; 3]);
+    expect_that!(w.copies(), not(is_empty()));
+    let old: Vec<(String, String)> = w.engines.values().map(|e| (e.row.id.clone(), e.row.zone.clone())).collect();
+    old.iter().for_each(|(id, z)| w.add(&format!("{id}n"), z, "v2"));
+    w.version = "v2".into();
+    w.roll();
+    let from = w.now + 200;
+    l.run(&mut w, 3_000, [12.0; 3]);
+    old.iter().for_each(|(id, _)| w.lose(id));
+    w.roll();
+    l.run(&mut w, 40_000, [12.0; 3]);
+    w.run_to(w.now + 5_000);
+    let stale = w.calls.iter().filter(|c| c.at > from && c.warm && c.read).count();
+    expect_that!(stale, le(3), "taken for ready and was not");
+    expect_that!(w.record.as_ref().map(|r| r.2.version.as_str()), some(eq("v2")));
+    expect_true!(w.copies().iter().flat_map(|c| &c.2).all(|r| r.ends_with('n')));
+    expect_that!(w.copies(), not(is_empty()));
+    once(&w);
+}
+
+#[gtest]
+fn a_holder_that_freezes_costs_no_copies_and_its_late_word_counts_for_nothing() {
+    let (mut w, mut l) = (world(9, true), Load::new(9, 30));
+    l.run(&mut w, 40_000, [12.0; 3]);
+    let before = w.copies().len();
+    expect_that!(before, gt(3));
+    w.freeze_holder(20_000);
+    for _ in 0..20 {
+        l.run(&mut w, 1_000, [12.0; 3]);
+        // Whoever took over does not take silence for cold.
+        expect_that!(w.copies().len() * 10, ge(before * 7), "copies after a holder's loss");
+    }
+    // By now the former holder's demands are old: alone it would give all back.
+    l.run(&mut w, 15_000, [12.0; 3]);
+    expect_that!(w.record.as_ref().map(|r| r.0), some(eq(2)));
+    expect_that!(w.copies().len() * 10, ge(before * 7));
+    w.run_to(w.now + 5_000);
+    once(&w);
+}
+
+#[gtest]
+fn a_copy_that_was_put_out_is_noticed_and_read_again_once() {
+    let (mut w, mut l) = (world(10, true), Load::new(10, 10));
+    l.run(&mut w, 40_000, [12.0; 3]);
+    let from = w.now;
+    // Other work takes all caches, and nobody is told.
+    w.engines.values_mut().for_each(|e| e.kept.clear());
+    l.run(&mut w, 20_000, [12.0; 3]);
+    w.run_to(w.now + 5_000);
+    expect_that!(w.counter("context_missed"), gt(0));
+    let read = |a, b| w.calls.iter().filter(|c| c.read && c.at >= from + a && c.at < from + b).count();
+    expect_that!(read(0, 3_000), gt(0));
+    expect_that!(read(5_000, 20_000), le(12), "still read again after they were repaired");
+    once(&w);
+}
+
+#[gtest]
+fn copies_never_leave_their_homes() {
+    let mut w = World::new(11, true, 9, [8, 6, 4], &["ra", "rb"]);
+    let mut l = Load::new(11, 30);
+    l.run(&mut w, 60_000, [12.0; 3]);
+    w.run_to(w.now + 5_000);
+    expect_that!(w.copies(), not(is_empty()));
+    expect_true!(w.copies().iter().all(|c| c.1 != region_of("c")));
+    expect_true!(w.calls.iter().all(|c| !c.replica.starts_with('c')));
+    once(&w);
+}
--- a/edge-proxy/src/actor.rs
+++ b/edge-proxy/src/actor.rs
@@ -137,6 +137,13 @@
 }
 
 impl ProxyActor {
+    /// Tells the holders of duties, by way of the agent, which shared context is often asked for.
+    fn tell_demands(&mut self, now: Ms) {
+        let all = hold(&self.brain).demands(now);
+        if let Some(ch) = &mut self.ch {
+            all.into_iter().for_each(|m| ch.send(&self.agent, m.into()));
+        }
+    }
     /// Tells other proxies, by way of the agents, which long prompts went where.
     fn tell_readings(&mut self, now: Ms) {
         let Some(m) = hold(&self.brain).readings(now) else { return };
@@ -155,6 +162,7 @@
             let now = clock::now();
             me.say_hello(now);
             me.tell_readings(now);
+            me.tell_demands(now);
             me.ask_replicas(now, ctx);
             me.wake();
         });
--- a/remote-calls/src/spec_check.rs
+++ b/remote-calls/src/spec_check.rs
@@ -11,6 +11,8 @@
 
 /// Most of a service a canary may ever take: the brief's tenth.
 const CANARY_PERCENT_MAX: u32 = 10;
+/// Most of a replica's cache that copies of shared context may take: running requests need the rest.
+const CACHE_PERCENT_MAX: u32 = 50;
 /// Longest time left a lane may grant; drains wait this long at most.
 const TIME_LIMIT_MS_MAX: u64 = 120_000;
 /// Most replicas of a service in a zone; keeps one frame of the fleet far below the frame limit.
@@ -48,6 +50,10 @@
     let ok = v.starts_with('/') && v.ends_with('/');
     if ok { Ok(()) } else { Err(ValidateError::new("must begin and end with a slash")) }
 }
+fn cache_share<P, C>(v: &u32, _: &P, _: &C, _: bool) -> Check {
+    let ok = (1..=CACHE_PERCENT_MAX).contains(v);
+    if ok { Ok(()) } else { Err(ValidateError::new(format!("must be 1 to {CACHE_PERCENT_MAX}"))) }
+}
 fn count<P, C>(v: &u32, _: &P, _: &C, _: bool) -> Check {
     if *v <= REPLICAS_MAX { Ok(()) } else { Err(ValidateError::new(format!("must be at most {REPLICAS_MAX}"))) }
 }
@@ -93,6 +99,12 @@
     cold_rate: f64,
 }
 #[derive(Config)]
+struct ContextFile {
+    on: bool,
+    #[setting(default = 20, validate = cache_share)]
+    share_percent: u32,
+}
+#[derive(Config)]
 struct ShareFile {
     #[setting(validate = label)]
     service: String,
@@ -132,6 +144,8 @@
     zones: Vec<CountFile>,
     #[setting(nested)]
     engine: Option<EngineFile>,
+    #[setting(nested)]
+    context: Option<ContextFile>,
 }
 #[derive(Config)]
 struct SpecFile {
@@ -176,6 +190,10 @@
                 return Err(fault(format!("services[{i}].lanes[{j}].expected_ms"), "is over the lane's time limit"));
             }
         }
+        // The bound on copies is a part of what a replica keeps, which must then be told.
+        if v.context.as_ref().is_some_and(|c| c.on) && v.engine.as_ref().is_none_or(|e| e.cache_tokens == 0) {
+            return Err(fault(format!("services[{i}].context.on"), "needs engine.cache_tokens, what a replica keeps"));
+        }
         for (j, z) in v.zones.iter().enumerate() {
             if !zones.contains(z.zone.as_str()) {
                 return Err(fault(format!("services[{i}].zones[{j}].zone"), format!("no zone {}", z.zone)));
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -57,6 +57,9 @@
     /// A long prompt that a proxy sent to a replica: the number of the replica's life, ms that reading it takes there,
     /// and the prompt's shared parts.
     Reading { replica: u64, ms: u32, parts: List<u64> }
+    /// A shared chain that is often asked for: for which version of weights and homes, its size, how often in a decaying
+    /// window and by how much that may be too high, and how often it was taken for ready and was not; in parts of one ask.
+    Popular { version: u64, homes: u64, chain: u64, tokens: u32, asked: u32, error: u32, missed: u32 }
     /// A key that a duty holder keeps, or a voter lets it keep.
     Held { key: Name, epoch: u64 }
 }
@@ -111,6 +114,8 @@
     43u8 ClaimTold { token: u64, state: u8 }
     /// From a proxy to its agent, from there to all other agents, and from each to its proxy.
     44u8 Readings { all: List<Reading> }
+    /// From a proxy to its agent, from there to the holder of the service's duty; it replaces what was told before.
+    45u8 Demand { service: Name, parts: List<Popular> }
 }
 
 /// What travels: the sender, where it listens, and one message.
