--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -310,8 +310,8 @@
 pub const STANDING_EVERY: Ms = 3_000;
 /// A copy is given back when it is worth less than this part of what would have it made.
 pub const GIVE_BACK_PART: f64 = 0.25;
-/// Asks in the window that one replica takes beside its other work: six a second.
-pub const COPY_ASKS: f64 = 128.0;
+/// Asks in the window that one replica takes beside its other work: three a second, a fifth of what it reads.
+pub const COPY_ASKS: f64 = 64.0;
 /// Tokens of a prompt that are its own, where only its chain is known.
 pub const OWN_TOKENS: u32 = 2_000;
 /// Chains of fewer tokens are read sooner than a message crosses a region: they are not counted.
@@ -319,4 +319,4 @@
 /// Part of a replica's places that may be taken while a copy is made on it: reading ahead takes no places from callers.
 pub const READ_AHEAD_LOAD: f64 = 0.5;
 /// Part of a chain's reading by which a first piece must be late to tell that the chain was read again.
-pub const MISSED_PART: f64 = 0.6;
+pub const MISSED_PART: f64 = 0.8;
