--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -55,10 +55,22 @@
 pub const FOLLOWER_GONE: Ms = 3_000;
 /// ms. Shuffle between neighbours.
 pub const SHUFFLE_EVERY: Ms = 250;
+/// Of so many shuffles one goes to a neighbour in any region, the others stay in the own one if it is large.
+pub const FAR_SHUFFLE: u32 = 3;
 /// Neighbours in a partial view: enough that a view of 5 in a fleet of 11 stays connected when four go.
 pub const VIEW: usize = 5;
-/// Descriptors in one shuffle besides the sender's own.
-pub const SHUFFLE_SAMPLE: usize = 8;
+/// Nodes up to which a fleet shuffles so often, and ms at most between two shuffles of a larger one: what it says to
+/// neighbours is a part of its whole traffic that does not grow.
+pub const SHUFFLE_FLEET: Ms = 88;
+pub const SHUFFLE_SLOWEST: Ms = 1_000;
+/// Beats in one shuffle, ten bytes each: all of a small fleet's.
+pub const SHUFFLE_BEATS: usize = 24;
+/// Descriptions in one shuffle at most, besides the sender's own: those that the other asked for.
+pub const SHUFFLE_NODES: usize = 128;
+/// Beats during which a node has just started: it asks seeds, and is told the beats of all whom they know.
+pub const YOUNG: u32 = 8;
+/// ms. Unit of a beat's age on the wire.
+pub const AGE_UNIT: Ms = 10;
 /// ms. A node whose beat has not risen for this long counts as gone; rumours need a few shuffles to cross.
 pub const NODE_GONE: Ms = 2_000;
 /// ms for each live node. A beat comes round by samples of a fixed size, so that news of each node gets rarer as the
@@ -125,6 +137,10 @@
 pub const BAD_SIGMA: f64 = 3.0;
 /// Standard deviations from which on a version is doubted: it may stay and gets no more.
 pub const DOUBT_SIGMA: f64 = 1.0;
+/// ms. Windows in which a version that is about to be completed may not be doubted, and for how long doubt may hold
+/// it back: what has just turned bad is condemned sooner, and an order has its time.
+pub const FINAL_WINDOWS: [Ms; 2] = [1_000, 2_000];
+pub const FINAL_DOUBT: Ms = 4_000;
 /// Percent besides by which that rate must be exceeded, on however many requests.
 pub const BESIDE_MARGIN: u64 = 3;
 /// ms. Bad ends so close together may be one crash: streams end at once, edges tell of it within this.
@@ -227,6 +243,8 @@
 pub const READ_TOKENS_A_MS: f64 = 50.0;
 /// Shared parts that are read again cost so many times their reading: others wait for it, and accelerators are dear.
 pub const READ_AGAIN_WEIGHT: f64 = 6.0;
+/// Weight of a long prompt in how often shared parts are asked for again: some two hundred of the last count.
+pub const REUSE_WEIGHT: f64 = 0.005;
 /// ms. What any shared part read again costs besides: keeps small ones together where little speaks against it.
 pub const SHARED_PART_MS: f64 = 8.0;
 /// Bytes that a token takes on the way.
@@ -256,6 +274,22 @@
 /// ms. A replica that failed is left alone for so long, doubled each time, at most so long.
 pub const DOWN_FIRST: Ms = 250;
 pub const DOWN_MOST: Ms = 2_000;
+/// ms. A channel that rested for longer is taken to be no longer of use: what may run once takes none.
+pub const CHANNEL_RESTS: Ms = 900;
+/// ms. What opening a channel costs besides the way there and back: the replica's work and a price.
+pub const OPENING_MS: f64 = 2.0;
+/// ms. What it costs that one proxy of the region was lately failed by a replica: more than another replica beside it.
+pub const DOUBT_MS: f64 = 80.0;
+/// Proxies whose word counts: by then all requests that have another replica go there.
+pub const DOUBT_MOST: f64 = 4.0;
+/// ms. Doubt fades by e in this time: then somebody tries it again.
+pub const DOUBT_FADES: f64 = 1_500.0;
+/// Part of the doubt that stays when it answers well: one that fails half of what it gets stays in doubt.
+pub const DOUBT_KEPT: f64 = 0.5;
+/// Doubt from which on a failure is no news: others were told.
+pub const DOUBT_NEWS: f64 = 1.5;
+/// ms for each edge between two tellings of failures; they are few, and each that is not told costs another request.
+pub const FAILING_EVERY: Ms = 2;
 /// ms. A replica that was down for so long has started anew and is cold.
 pub const DOWN_COLD: Ms = 400;
 /// ms. What an answer told of its replica's load counts for so long.
--- a/coordination/src/placement/site.rs
+++ b/coordination/src/placement/site.rs
@@ -1,8 +1,13 @@
 //! One replica as a proxy sees it: what is open there, what its answers told, whether it answers at all.
 
+use std::collections::VecDeque;
+
 use crate::{
     Ms,
-    limits::{DOWN_FIRST, DOWN_MOST, LAG_MOST, LAG_WEIGHT, LOAD_OLD, OTHERS_MOST, QUIET},
+    limits::{
+        CHANNEL_RESTS, DOUBT_FADES, DOUBT_KEPT, DOUBT_MOST, DOWN_FIRST, DOWN_MOST, LAG_MOST, LAG_WEIGHT, LOAD_OLD, OTHERS_MOST,
+        QUIET,
+    },
     pass::Told,
     placement::Bucket,
 };
@@ -22,6 +27,8 @@
     others: f64,
     /// What an answer last told: running, waiting; how many of ours were open then; when.
     told: Option<(u32, u32, u32, Ms)>,
+    /// When answers of ours ended whose channels rest since, oldest first.
+    rests: VecDeque<Ms>,
     /// Recent rounds of ours, decaying over a second.
     rate: f64,
     rate_at: Ms,
@@ -31,6 +38,10 @@
     fails: u32,
     down_until: Ms,
     down_since: Option<Ms>,
+    /// Proxies of the region that it lately failed, fading; since when, and who said so last.
+    doubt: f64,
+    doubt_at: Ms,
+    doubter: String,
     /// Since when somebody waits there, and when it was last heard.
     waits_since: Option<Ms>,
     heard_at: Ms,
@@ -50,12 +61,16 @@
             reading: 0.0,
             others: 0.0,
             told: None,
+            rests: VecDeque::new(),
             rate: 0.0,
             rate_at: 0,
             lag: 0.0,
             fails: 0,
             down_until: 0,
             down_since: None,
+            doubt: 0.0,
+            doubt_at: 0,
+            doubter: String::new(),
             waits_since: None,
             heard_at: 0,
             cold_until: 0,
@@ -66,6 +81,7 @@
     // ---- what is sent ----
 
     pub fn send(&mut self, read_ms: f64, now: Ms) {
+        self.rests.pop_back();
         self.open += 1;
         self.unheard += 1;
         self.reading += read_ms;
@@ -73,6 +89,17 @@
         self.rate_at = now;
         self.waits_since.get_or_insert(now);
     }
+    /// An answer came whole, and its channel rests from now on.
+    pub fn rested(&mut self, now: Ms) {
+        self.rests.push_back(now);
+        while self.rests.front().is_some_and(|t| now.saturating_sub(*t) > CHANNEL_RESTS) {
+            self.rests.pop_front();
+        }
+    }
+    /// Whether a channel should be at hand.
+    pub fn at_hand(&self, now: Ms) -> bool {
+        self.rests.back().is_some_and(|t| now.saturating_sub(*t) <= CHANNEL_RESTS)
+    }
     /// Another proxy sent a prompt that takes so long to read.
     pub fn others_read(&mut self, ms: f64, now: Ms) {
         // One is read after the other, and no news is worth more than the longest that any can take.
@@ -131,8 +158,24 @@
         self.down_until = now + (DOWN_FIRST << (self.fails - 1).min(8)).min(DOWN_MOST);
     }
 
+    /// It failed a proxy of the region. One that says so again and again is still one: its own link may be bad.
+    pub fn doubted(&mut self, by: &str, now: Ms) {
+        let old = self.doubt(now);
+        self.doubt = if self.doubter == by { old.max(1.0) } else { (old + 1.0).min(DOUBT_MOST) };
+        self.doubt_at = now;
+        self.doubter = by.into();
+    }
+    /// It answered well.
+    pub fn trusted(&mut self) {
+        self.doubt *= DOUBT_KEPT;
+    }
+
     // ---- what is thought of it ----
 
+    pub fn doubt(&self, now: Ms) -> f64 {
+        self.doubt * (-(now.saturating_sub(self.doubt_at) as f64) / DOUBT_FADES).exp()
+    }
+
     /// Whether it may be tried: not lately failed, and after a failure by one round at a time.
     pub fn answers(&self, now: Ms) -> bool {
         let quiet = self.waits_since.is_some_and(|t| now.saturating_sub(t.max(self.heard_at)) > QUIET);
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -7,8 +7,8 @@
 };
 
 use remote_calls::{
-    ContextRecord, Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, PathSpec, ReplicaReport, RolloutRecord,
-    RunRequest, ServiceMode, ServiceSpec, Spec,
+    ContextRecord, DownstreamLimits, Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, PathSpec, ReplicaReport,
+    RolloutRecord, RunRequest, ServiceMode, ServiceSpec, Spec,
 };
 use wire_messages::{Board as BoardMsg, Demand as DemandMsg, Lent, List, Name, Node, Open, ProxyHello, Readings, Tally};
 
@@ -390,10 +390,19 @@
         }
     }
 
-    /// Long prompts that went out since this was last asked, for all other proxies.
-    pub fn readings(&mut self, now: Ms) -> Option<Readings> {
-        let all = self.placement.readings(now);
-        (!all.is_empty()).then_some(Readings { all: List(all) })
+    /// Long prompts that went out since this was last asked, by the region where they are read, and replicas that failed
+    /// here, for other proxies. Who shares this region's ways is told of the failures.
+    pub fn readings(&mut self, now: Ms) -> impl Iterator<Item = Readings> {
+        let (mut all, failing) = (self.placement.readings(now), self.placement.failing(now));
+        let home: Name = self.placement.travel.home().into();
+        if !failing.is_empty() {
+            all.entry(home.clone()).or_default();
+        }
+        let (by, zone) = (self.name.clone(), self.zone.clone());
+        all.into_iter().map(move |(region, all)| {
+            let failing = List(if region == home { failing.clone() } else { vec![] });
+            Readings { by: by.clone(), zone: zone.clone(), region, all: List(all), failing }
+        })
     }
     /// What shared context is often asked for here, for the holders of the services' duties.
     pub fn demands(&mut self, now: Ms) -> Vec<DemandMsg> {
@@ -417,9 +426,10 @@
         self.placement.missed(&p.replica, &r.parts);
         self.demand.entry(p.service.clone()).or_default().miss(r.chain, now);
     }
-    /// Long prompts that another proxy sent.
+    /// What another proxy sent, and what failed it.
     pub fn on_readings(&mut self, m: Readings, now: Ms) {
         m.all.iter().for_each(|r| self.placement.on_reading(r, now));
+        m.failing.iter().for_each(|n| self.placement.on_failing(*n, &m.by, &m.zone, now));
     }
 
     // ---- what replicas say ----
@@ -909,6 +919,11 @@
 
     // ---- requests that come by host and path ----
 
+    /// What a caller by host and path may send, and how long it may take or rest.
+    pub fn limits(&self) -> Option<&DownstreamLimits> {
+        self.spec.as_ref()?.limits.as_ref()
+    }
+
     /// The lane of a request, if this edge may serve at all.
     pub fn path(&mut self, host: &str, path: &str, now: Ms) -> Result<Arc<PathSpec>, Fault> {
         if self.rule == RULE_NONE || now >= self.until {
@@ -1009,6 +1024,10 @@
     pub fn channels(&self, service: &str) -> usize {
         self.placement.channels(service)
     }
+    /// ms there and back to a replica, as far as is known.
+    pub fn way(&self, p: &Placed) -> Ms {
+        self.placement.way(&p.replica)
+    }
     /// A channel was opened; it took so long.
     pub fn opened(&mut self, p: &Placed, took: Ms, _now: Ms) {
         self.placement.opened(&p.replica, took);
--- a/coordination/src/rollout/placed.rs
+++ b/coordination/src/rollout/placed.rs
@@ -3,8 +3,8 @@
 
 use super::{exposure::Taken, *};
 use crate::limits::{
-    CANARY_LIGHT, CANARY_MOST, DRY, HOLD_PART, PACE_WINDOW, REUSE, SHIFT_GUESS, SIDE_FULL, STEP_ENDED, STEP_HOLDS, STEP_QUIET,
-    STREAMS_LEAST,
+    CANARY_LIGHT, CANARY_MOST, DRY, FINAL_DOUBT, HOLD_PART, PACE_WINDOW, REUSE, SHIFT_GUESS, SIDE_FULL, STEP_ENDED, STEP_HOLDS,
+    STEP_QUIET, STREAMS_LEAST,
 };
 
 /// What the loop remembers of the platform's replicas, lost with its duty.
@@ -14,6 +14,8 @@
     came: BTreeMap<String, Ms>,
     /// The last order, as this daemon came to know it; kept when the duty goes.
     taken: Option<Taken>,
+    /// Orders have been followed here for a while, so the next one is as new as it looks.
+    heeds: bool,
     /// When the share last changed, and since when the canary is as warm as the baseline.
     step_at: Ms,
     even: Option<Ms>,
@@ -22,12 +24,14 @@
     /// When a withdrawn replica last had a stream, or may have had one that edges had not told of, and the record
     /// that withdrew it.
     busy: BTreeMap<String, (Ms, u64)>,
+    /// Since when nothing but doubt keeps the target from being completed.
+    ripe: Option<Ms>,
 }
 
 impl Memory {
     /// What is kept when the duty goes: the order, whose time and counts no other can tell.
     pub(super) fn without_duty(&mut self) -> Memory {
-        Memory { taken: self.taken.take(), ..Memory::default() }
+        Memory { taken: self.taken.take(), heeds: self.heeds, ..Memory::default() }
     }
     /// Notes who came and who went. A replica that went dark and came back begins anew: what it kept is gone.
     fn note(&mut self, listed: &[&PlatformReplica], old: &RolloutRecord, now: Ms) {
@@ -134,6 +138,8 @@
     /// Takes note of an order, whoever holds the duty: its time and counts run by this daemon's own clock, and
     /// evidence from before it is about other replicas.
     pub fn heed(&mut self, plan: Option<(u64, &ReleasePlan)>, now: Ms, wall: u64) {
+        // What is there at the first look may have been ordered long ago.
+        let fresh = std::mem::replace(&mut self.placed.heeds, true);
         let old = self.placed.taken.as_ref();
         let Some((n, p)) = plan else { return self.placed.taken = None };
         if old.is_some_and(|o| o.plan == n) {
@@ -142,7 +148,7 @@
         if old.is_none_or(|o| o.target != p.target) {
             self.health.restart(now);
         }
-        self.placed.taken = Some(Taken::new(n, p, &self.health, now, wall));
+        self.placed.taken = Some(Taken::new(n, p, &self.health, fresh, now, wall));
     }
 
     /// Percent that the target may have: none without an order, all if it is no trial.
@@ -493,7 +499,12 @@
         }
         let versions: BTreeSet<&str> = s.old.iter().map(|p| p.version.as_str()).collect();
         let flagged = s.before.phase == RolloutPhase::Baking && versions.iter().all(|v| flags(s.before, v).next().is_some());
-        let ready = dry && now.saturating_sub(self.phase_at) >= s.i.spec.bake_ms;
+        let ripe = dry && now.saturating_sub(self.phase_at) >= s.i.spec.bake_ms;
+        self.placed.ripe = ripe.then(|| self.placed.ripe.unwrap_or(now));
+        // The platform stops the old replicas on this word, and nothing is left to turn back to: a version that has
+        // just begun to fail is looked at a little longer.
+        let waited = self.placed.ripe.is_some_and(|t| now.saturating_sub(t) >= FINAL_DOUBT);
+        let ready = ripe && (waited || s.proven() || !self.health.just_failed(&s.target, now));
         r.groups = vec![group(GroupRole::Stable, &s.target, 100, ids(&warm))];
         for v in versions {
             let of: Vec<_> = s.old.iter().filter(|p| p.version == v).copied().collect();
--- a/coordination/tests/engines/mod.rs
+++ b/coordination/tests/engines/mod.rs
@@ -302,7 +302,12 @@
         self.go(proxy, chain, parts, self.now, vec![]);
     }
     fn go(&mut self, proxy: usize, chain: u64, parts: Vec<(u64, u32)>, at: Ms, tried: Vec<String>) {
-        let ask = Ask { tokens: (parts.iter().map(|p| p.1).sum(), 120), parts: parts.clone(), ..Ask::default() };
+        let ask = Ask {
+            tokens: (parts.iter().map(|p| p.1).sum(), 120),
+            parts: parts.clone(),
+            round: parts[1].0.to_string(),
+            ..Ask::default()
+        };
         let Admit::Go(placed) = self.proxies[proxy].pass(&self.lane, &ask, &tried, Ms::MAX, self.now) else {
             self.rejected += 1;
             self.open.remove(&(parts[1].0 & !(1 << 40)));
@@ -406,10 +411,13 @@
             if self.cut.contains(&i) {
                 continue;
             }
-            if let Some(m) = self.proxies[i].readings(self.now) {
-                (0..self.proxies.len()).filter(|j| *j != i).for_each(|proxy| {
+            let told: Vec<_> = self.proxies[i].readings(self.now).collect();
+            for m in told {
+                // Agents pass them on in their own region and in that of the replicas.
+                let hears = |j: &usize| j % 3 == i % 3 || region_of(ZONES[j % 3]) == *m.region;
+                for proxy in (0..self.proxies.len()).filter(|j| *j != i).filter(hears) {
                     self.push(WAY + 2, Ev::Readings { proxy, m: m.clone() });
-                });
+                }
             }
             for m in self.proxies[i].demands(self.now) {
                 self.push(WAY + 2, Ev::Demand { from: i, m });
