--- a/coordination/tests/context_duty.rs
+++ b/coordination/tests/context_duty.rs
@@ -6,6 +6,7 @@
 use coordination::{
     Ms,
     context::number,
+    order::weight,
     register::{CONTEXT, DUTY},
     wire::{Demand, List, Msg, Node, Poll, Popular},
 };
@@ -14,12 +15,20 @@
 use remote_calls::{ContextRecord, PlatformList};
 use serde_json::json;
 
-const KEY: &str = "context/s";
+/// A service whose keys would have different owners if each went by its own name.
+fn service() -> String {
+    let first = |key: String| (0..3).max_by_key(|i| weight(&key, &format!("c{i}")));
+    let differ = |s: &String| first(format!("{DUTY}{s}")) != first(format!("{CONTEXT}{s}"));
+    (0..).map(|i| format!("s{i}")).find(differ).unwrap_or_default()
+}
+fn key() -> String {
+    format!("{CONTEXT}{}", service())
+}
 
 fn spec(on: bool) -> Vec<u8> {
     let path = json!({"lane": "l", "host": "h", "prefix": "/p/", "kind": "stream", "time_limit_ms": 5000, "expected_ms": 600,
-        "homes": [], "split": [{"service": "s", "weight": 1}]});
-    let service = json!({"name": "s", "version": "", "mode": "placed", "lanes": [], "zones": [],
+        "homes": [], "split": [{"service": service(), "weight": 1}]});
+    let service = json!({"name": service(), "version": "", "mode": "placed", "lanes": [], "zones": [],
         "engine": {"slots": 64, "cache_tokens": 300_000}, "context": {"on": on, "share_percent": 20}});
     json!({"zones": [], "tiers": [], "services": [service], "canary_percent": 8, "bake_ms": 0, "paths": [path]})
         .to_string()
@@ -27,7 +36,7 @@
 }
 fn list() -> PlatformList {
     let one = |i: usize| {
-        json!({"id": format!("r{i}"), "zone": format!("z{}", i % 3), "addr": format!("r{i}"), "service": "s", "version": "v1",
+        json!({"id": format!("r{i}"), "zone": format!("z{}", i % 3), "addr": format!("r{i}"), "service": service(), "version": "v1",
             "state": "running", "slots": 64, "loaded": true})
     };
     serde_json::from_value(json!({"replicas": (0..9).map(one).collect::<Vec<_>>()})).unwrap()
@@ -54,7 +63,7 @@
         d
     }
     fn holder(&self, prefix: &str) -> Option<usize> {
-        let key = format!("{prefix}s");
+        let key = format!("{prefix}{}", service());
         (0..3).find(|i| self.f.brain(*i).is_some_and(|b| b.regs.holds(&key, self.f.now).is_some()))
     }
     fn loops(&mut self, i: usize) {
@@ -97,7 +106,7 @@
             }
             let parts: List<Popular> = self.asked.iter().map(|c| popular(*c, 20)).collect();
             if let Some(i) = holder.filter(|_| !parts.is_empty()) {
-                self.tell(i, &name, Demand { service: "s".into(), parts }.into());
+                self.tell(i, &name, Demand { service: service().as_str().into(), parts }.into());
             }
         }
     }
@@ -118,7 +127,7 @@
         }
     }
     fn record(&self, i: usize) -> Option<ContextRecord> {
-        self.f.held(i, KEY).and_then(|(_, v)| serde_json::from_slice(&v).ok())
+        self.f.held(i, &key()).and_then(|(_, v)| serde_json::from_slice(&v).ok())
     }
     /// Copies that each living daemon knows of.
     fn copies(&self) -> Vec<usize> {
@@ -173,7 +182,7 @@
         // Meanwhile others are asked for, by another holder's decision.
         d.asked = (20..=25).collect();
         d.run(90_000);
-        let stands = (0..3).filter_map(|i| d.f.held(i, KEY)).max_by_key(|h| h.0);
+        let stands = (0..3).filter_map(|i| d.f.held(i, &key())).max_by_key(|h| h.0);
         let chains = |r: &ContextRecord| r.parts.iter().all(|p| p.chain >= 20);
         let now = (0..3).find_map(|i| d.f.brain(i).and_then(|_| d.record(i)));
         expect_that!(now.as_ref().map(|r| (r.parts.len(), chains(r))), some(eq((12, true))), "seed {seed}");
@@ -182,7 +191,7 @@
         d.loops(old);
         d.run(5_000);
         for i in 0..3 {
-            expect_that!(d.f.held(i, KEY).map(|h| h.0), eq(stands.as_ref().map(|s| s.0)), "seed {seed}, daemon {i}");
+            expect_that!(d.f.held(i, &key()).map(|h| h.0), eq(stands.as_ref().map(|s| s.0)), "seed {seed}, daemon {i}");
         }
     }
 }
@@ -194,15 +203,15 @@
         d.asked = (1..=6).collect();
         d.run(10_000);
         let old = d.holder(DUTY).unwrap_or_default();
-        let before = d.f.held(old, KEY).map(|h| h.0);
+        let before = d.f.held(old, &key()).map(|h| h.0);
         d.f.cut.insert(addr(old));
         d.run(4_000);
         // It still has the edges beside it, which ask for something else.
         for _ in 0..20 {
-            d.tell(old, "e0", Demand { service: "s".into(), parts: List(vec![popular(77, 90)]) }.into());
+            d.tell(old, "e0", Demand { service: service().as_str().into(), parts: List(vec![popular(77, 90)]) }.into());
             d.run(500);
         }
-        expect_that!(d.f.held(old, KEY).map(|h| h.0), eq(before), "seed {seed}");
+        expect_that!(d.f.held(old, &key()).map(|h| h.0), eq(before), "seed {seed}");
         expect_that!(d.holder(CONTEXT), some(not(eq(old))));
         d.f.cut.clear();
         d.run(10_000);
@@ -222,7 +231,7 @@
     d.run(5_000);
     expect_true!(d.copies().iter().all(|n| *n == 0));
     for i in 0..3 {
-        expect_that!(d.f.held(i, KEY).map(|h| h.1), some(is_empty()));
+        expect_that!(d.f.held(i, &key()).map(|h| h.1), some(is_empty()));
         expect_that!(d.f.brain(i).map(|b| b.status(d.f.now).contexts.len()), some(eq(0)));
     }
     // And on again.
