--- a/control-daemon/src/face.rs
+++ b/control-daemon/src/face.rs
@@ -48,8 +48,9 @@
     /// The platform takes our own calls, replicas answer reports and take orders.
     Own,
     /// The list tells everything, and replicas take no orders.
-    /// `rate`: calls a second that the platform takes from all daemons together.
-    Listed { call: ListCall, every: Duration, rate: f64 },
+    /// `rate`: calls a second that the platform takes from all daemons together. `calm`: how often a list is asked for
+    /// that does not change.
+    Listed { call: ListCall, every: Duration, calm: Duration, rate: f64 },
 }
 
 #[derive(Clone, Copy)]
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -49,6 +49,10 @@
 pub const POLL_EVERY: Ms = 400;
 /// ms. An agent remembers streams that have ended for so long: control daemons are back sooner, after most cuts.
 pub const COUNTS_KEPT: Ms = 60_000;
+/// Daemons that keep a service's tallies: who holds its duty, and who would take it next.
+pub const COUNTERS: usize = 2;
+/// ms. A daemon that is neither any more keeps them for so long: voters come and go for a moment.
+pub const COUNTS_LEFT: Ms = 10_000;
 /// ms for each edge that is known. An agent that has just started asks again so soon, while it may serve nobody.
 pub const START_POLL: Ms = 20;
 /// ms. Agents that polled within this are pushed to.
@@ -100,6 +104,8 @@
 pub const KNOWS_EDGES: Ms = 3_000;
 /// Holders of one claim: a majority of three outlives one of them.
 pub const CLAIM_GROUP: usize = 3;
+/// ms. A list of replicas that has not changed for so long is calm: nothing is being placed, drained or taken away.
+pub const LIST_CALM: Ms = 5_000;
 /// ms. Replicas and the platform are asked this often.
 pub const REPORT_EVERY: Ms = 300;
 /// ms. A replica whose report is older is not used; three reports may be lost.
@@ -239,12 +245,12 @@
 pub const WAIT_MAX: Ms = 600;
 /// Ended requests over a lane's expected time by this factor count as slow.
 pub const SLOW_FACTOR: u64 = 4;
-/// Tokens of a prompt that a replica reads in a ms: what today's engines do; only compared among replicas.
-pub const READ_TOKENS_A_MS: f64 = 50.0;
+/// Tokens of a prompt that a replica reads in a ms: what today's engines do between the tokens of others.
+pub const READ_TOKENS_A_MS: f64 = 35.0;
 /// Shared parts that are read again cost so many times their reading: others wait for it, and accelerators are dear.
-pub const READ_AGAIN_WEIGHT: f64 = 6.0;
-/// Weight of a long prompt in how often shared parts are asked for again: some two hundred of the last count.
-pub const REUSE_WEIGHT: f64 = 0.005;
+pub const READ_AGAIN_WEIGHT: f64 = 4.2;
+/// Weight of a long prompt in how often shared parts are asked for again: some two thousand of the last count.
+pub const REUSE_WEIGHT: f64 = 0.0005;
 /// ms. What any shared part read again costs besides: keeps small ones together where little speaks against it.
 pub const SHARED_PART_MS: f64 = 8.0;
 /// Bytes that a token takes on the way.
@@ -271,6 +277,10 @@
 pub const ORDER_MS: f64 = 3.0;
 /// ms. A replica that waits for nobody's first piece longer than this is quiet: new requests go elsewhere.
 pub const QUIET: Ms = 900;
+/// ms, and rounds that went to another region since it last gave a sign of life: then it is left alone but for a look
+/// so often. A channel opens in a tenth of it over any way.
+pub const REGION_QUIET: Ms = 600;
+pub const REGION_TRIES: u32 = 2;
 /// ms. A replica that failed is left alone for so long, doubled each time, at most so long.
 pub const DOWN_FIRST: Ms = 250;
 pub const DOWN_MOST: Ms = 2_000;
--- a/coordination/tests/context_duty.rs
+++ b/coordination/tests/context_duty.rs
@@ -101,6 +101,7 @@
                     opens: List::default(),
                     news: 1,
                     seen: List::default(),
+                    choice: 0,
                 };
                 self.tell(i, &name, poll.into());
             }
--- a/coordination/tests/shared_context.rs
+++ b/coordination/tests/shared_context.rs
@@ -115,7 +115,7 @@
     }
     println!("{travelled} of {distant} distant calls travelled; read again {again:?}");
     expect_that!(travelled * 2, lt(distant));
-    // Against each proxy's own chance to read a part once more: half at the most.
+    // Against what proxies have read once more by themselves: half at the most.
     expect_that!(again[1] * 2, lt(again[0]));
 }
 
