Hold the transcript to both: a repeated spec is accepted, another one loses its race

Cause: since a write that is sent again and stands is accepted, the approved transcript's second putting of the very same spec against version 0 is no conflict any more, as operators' repeats must not be refused.

--- a/fleet-tools/tests/ordinary.rs
+++ b/fleet-tools/tests/ordinary.rs
@@ -89,6 +89,10 @@
     s.say("put the spec against version 0", r.map_or_else(|f| fault(&f), |a| format!("accepted as version {}", a.version)));
     let r = s.f.operator().put_spec(d.spec.clone(), Some(0)).await;
     s.say("put it against version 0 again", r.map_or_else(|f| fault(&f), |a| format!("accepted as version {}", a.version)));
+    let mut other = d.spec.clone();
+    other.canary_percent -= 1;
+    let r = s.f.operator().put_spec(other, Some(0)).await;
+    s.say("put another against version 0", r.map_or_else(|f| fault(&f), |a| format!("accepted as version {}", a.version)));
     let mut bad = d.spec.clone();
     bad.services[0].zones[0].replicas = 0;
     let r = s.f.operator().put_spec(bad, Some(1)).await;
