--- a/coordination/tests/engines/mod.rs
+++ b/coordination/tests/engines/mod.rs
@@ -122,6 +122,21 @@
     format!("r{z}")
 }
 
+/// The edges as agents tell proxies of them, a third in each zone.
+fn edges(n: usize) -> List<Node> {
+    let edge = |i: usize| Node {
+        name: format!("e{i}").into(),
+        role: 2,
+        zone: ZONES[i % 3].into(),
+        addr: format!("e{i}").into(),
+        http: format!("h{i}").into(),
+        born: 1,
+        beat: 1,
+        age: 0,
+    };
+    (0..n).map(edge).collect()
+}
+
 impl World {
     pub fn new(seed: u64, on: bool, proxies: usize, replicas: [usize; 3], homes: &[&str]) -> Self {
         let lane: PathSpec = serde_json::from_value(json!({"lane": "l", "host": "h", "prefix": "/p/", "kind": "stream",
@@ -168,18 +183,7 @@
             "services": [{"name": SERVICE, "version": "v1", "mode": "placed", "lanes": [], "zones": [],
                 "engine": {"slots": 64, "cache_tokens": 348_000, "channels": 360}}]});
         let spec = change("spec", 1, 1, spec.to_string().into_bytes());
-        let nodes: List<Node> = (0..proxies)
-            .map(|i| Node {
-                name: format!("e{i}").into(),
-                role: 2,
-                zone: ZONES[i % 3].into(),
-                addr: format!("e{i}").into(),
-                http: format!("h{i}").into(),
-                born: 1,
-                beat: 1,
-                age: 0,
-            })
-            .collect();
+        let nodes = edges(proxies);
         for p in &mut w.proxies {
             let m = Board {
                 life: 1,
@@ -381,18 +385,7 @@
                     full: 0,
                     changes: List(vec![*m]),
                     permits: List::default(),
-                    nodes: (0..self.proxies.len())
-                        .map(|i| Node {
-                            name: format!("e{i}").into(),
-                            role: 2,
-                            zone: ZONES[i % 3].into(),
-                            addr: format!("e{i}").into(),
-                            http: format!("h{i}").into(),
-                            born: 1,
-                            beat: 1,
-                            age: 0,
-                        })
-                        .collect(),
+                    nodes: edges(self.proxies.len()),
                 };
                 self.proxies[proxy].on_board(m, self.now);
             }
