Have long news come to an agent from its own region, once, and none into a cut

Now: the second daemon is one of the agent's region; others leave long values out for a second; a question that comes right behind one that was sent long before it gets none; nor does, for a second, an agent of another region that was silent; whoever was silent for two questions is not pushed to. Ruled out: caller's edges by the host's homes (trial, taken back): callers ask once for all their hosts.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -26,7 +26,8 @@
     health::Health,
     limits::{
         ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET,
-        LIST_CALM, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING, STANDING_EVERY,
+        LIST_CALM, LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, PUSH_TAKES, PUSHED_TO,
+        READING, STANDING_EVERY,
     },
     members as seats,
     membership::{CONTROL, EDGE, Membership},
@@ -102,6 +103,10 @@
 struct Agent {
     node: Node,
     at: Ms,
+    /// Since when it has spoken without a gap, and whether its last question came right behind the one before, though
+    /// it had been sent long after it: both waited on the way, and what the first asked for is under way.
+    since: Ms,
+    waited: bool,
     sent: u64,
     after: u64,
     /// Its counts are here up to this one.
@@ -144,8 +149,8 @@
     started: Ms,
     run: u64,
     seq: u64,
-    /// The feed: each key's newest place in it. Older places are never needed again.
-    feed: BTreeMap<Name, u64>,
+    /// The feed: each key's newest place in it, and since when. Older places are never needed again.
+    feed: BTreeMap<Name, (u64, Ms)>,
     peers: BTreeMap<Name, Peer>,
     agents: BTreeMap<Name, Agent>,
     /// Writes passed on, by the token they went under.
@@ -710,6 +715,8 @@
         let mut old = self.agents.remove(&name);
         let same = old.as_ref().filter(|a| a.node.born == m.node.born);
         let count = same.map_or(0, |a| a.count);
+        let since = same.filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE).map_or(now, |a| a.since);
+        let waited = same.is_some_and(|a| m.sent.saturating_sub(a.sent) > 2 * now.saturating_sub(a.at));
         // What changed since a count that an earlier life of this daemon had is not enough to know anything by; nor is
         // an agent's word before its proxy has spoken.
         let tells = m.life > 0 && (m.run, m.choice) == (self.run, self.choice) && m.since <= count && count <= m.count;
@@ -737,8 +744,9 @@
             Some(a) if m.news == 0 && a.node.born == m.node.born => a.seen,
             _ => m.seen.0,
         };
-        let a = Agent { node: m.node, at: now, sent: m.sent, after, count, opens, seen };
-        out.push(self.news(addr, &a, full, now));
+        let a = Agent { node: m.node, at: now, since, waited, sent: m.sent, after, count, opens, seen };
+        let pushes = self.pushes(&a.node, &self.tellers(now));
+        out.push(self.news(addr, &a, full, pushes, now));
         self.agents.insert(name, a);
     }
 
@@ -852,24 +860,38 @@
         }
     }
 
-    fn news(&self, to: &Name, a: &Agent, full: bool, now: Ms) -> Effect {
-        let new = self.feed.iter().filter(|(_, s)| **s > a.after);
+    /// `pushes`: this daemon is one of those from which the agent has its news.
+    fn news(&self, to: &Name, a: &Agent, full: bool, pushes: bool, now: Ms) -> Effect {
+        let new = self.feed.iter().filter(|(_, (s, _))| *s > a.after).filter_map(|(k, at)| Some((self.board.get(k)?, *at)));
         // What it has by other ways is not sent again.
-        let lacks = |c: &&Change| a.seen.iter().find(|s| s.key == c.key).is_none_or(|s| stamp(s) < stamp(c));
-        let changes = new.filter_map(|(k, _)| self.board.get(k)).filter(lacks).cloned().collect();
+        let lacks = |c: &Change| a.seen.iter().find(|s| s.key == c.key).is_none_or(|s| stamp(s) < stamp(c));
+        // Nor what is long and most likely on its way: as an answer to an earlier question, or from a daemon nearby, which
+        // may have been cut off with the agent until just now.
+        let far = regions::region(&self.p.regions, &a.node.zone) != regions::region(&self.p.regions, &self.p.zone);
+        let lately = |at: Ms| now.saturating_sub(at) < PUSH_TAKES;
+        let waits = !full && (a.waited || (far && lately(a.since)));
+        let comes = |c: &Change, at: Ms| c.value.0.len() > LONG_VALUE && (waits || (!full && !pushes && lately(at)));
+        let (mut upto, mut changes) = (self.seq, vec![]);
+        for (c, (place, at)) in new.filter(|(c, _)| lacks(c)) {
+            if comes(c, at) {
+                upto = upto.min(place - 1);
+            } else {
+                changes.push(c.clone());
+            }
+        }
         send(
             to,
             News {
                 sent: a.sent,
                 run: self.run,
-                upto: self.seq,
+                upto,
                 count: a.count,
                 choice: self.choice,
                 counts: self.counts.keys().cloned().collect(),
                 full: full.into(),
                 settled: self.settled.into(),
                 voters: self.regs.voters.len() as u32,
-                changes,
+                changes: List(changes),
                 permits: self.permits(now),
             },
         )
@@ -923,7 +945,7 @@
                     out.push(note(events::LEAVING, r, ""));
                 }
                 self.seq += 1;
-                self.feed.insert(c.key.clone(), self.seq);
+                self.feed.insert(c.key.clone(), (self.seq, now));
                 new = true;
             }
         }
@@ -933,26 +955,34 @@
         if !new {
             return;
         }
-        let pushes = self.pushes(now);
+        let tellers = self.tellers(now);
         let mut agents = std::mem::take(&mut self.agents);
-        for a in agents.values_mut().filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE && pushes(&a.node)) {
-            out.push(self.news(&a.node.addr, a, false, now));
+        for a in agents.values_mut().filter(|a| now.saturating_sub(a.at) <= PUSHED_TO && self.pushes(&a.node, &tellers)) {
+            out.push(self.news(&a.node.addr, a, false, true, now));
             // Taken for arrived; where it is not, the agent's next question says so.
             a.after = self.seq;
         }
         self.agents = agents;
     }
 
-    /// Whom this daemon pushes news to: agents of its zone, and those that come to it in the agreed order. All
-    /// others have it from other daemons, or ask.
-    fn pushes(&self, now: Ms) -> impl Fn(&Node) -> bool + use<> {
+    /// Whether this daemon pushes news to an agent: to those of its zone, and to those that come to it in the agreed order
+    /// of the live daemons of their region, or of all where their region has none. All others have it from other daemons,
+    /// or ask.
+    fn pushes(&self, a: &Node, live: &[Name]) -> bool {
+        let region = |zone| regions::region(&self.p.regions, zone);
+        // The way between regions is dear.
+        let near = |n: &&Name| {
+            let zone = self.peers.get(*n).map_or(&self.p.zone, |p| &p.beat.zone);
+            region(zone) == region(&a.zone)
+        };
+        let by = |n: &&Name| weight(&a.name, n);
+        let first = live.iter().filter(near).max_by_key(by).or_else(|| live.iter().max_by_key(by));
+        a.zone == self.p.zone || first.is_none_or(|n| *n == self.p.name)
+    }
+    /// Daemons that news may be had from.
+    fn tellers(&self, now: Ms) -> Vec<Name> {
         let live = self.live(now);
-        let names: Vec<Name> = self.peers.keys().chain([&self.p.name]).filter(|n| live(n)).cloned().collect();
-        let (me, zone) = (self.p.name.clone(), self.p.zone.clone());
-        move |a: &Node| {
-            let first = names.iter().max_by_key(|n| weight(&a.name, n));
-            a.zone == zone || first.is_none_or(|n| *n == me)
-        }
+        self.peers.keys().chain([&self.p.name]).filter(|n| live(n)).cloned().collect()
     }
 
     fn finish(&mut self, now: Ms, mut out: Effects) -> Effects {
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -55,8 +55,16 @@
 pub const COUNTS_LEFT: Ms = 10_000;
 /// ms for each edge that is known. An agent that has just started asks again so soon, while it may serve nobody.
 pub const START_POLL: Ms = 20;
-/// ms. Agents that polled within this are pushed to.
+/// ms. Agents that polled within this are counted as followers.
 pub const FOLLOWER_GONE: Ms = 3_000;
+/// ms. They are pushed to if they polled within this, two questions' time: who is cut off asks when it is back, and what
+/// was pushed meanwhile would come then as a flood.
+pub const PUSHED_TO: Ms = 1_000;
+/// Bytes. A longer value is let come to an agent from one daemon: to send it is dearer than to wait.
+pub const LONG_VALUE: usize = 1_000;
+/// ms. News is pushed to an agent within this, also a long spec over a slow link and by a busy daemon; after it whichever
+/// daemon is asked tells, well before a change must be in force.
+pub const PUSH_TAKES: Ms = 1_000;
 /// ms. Shuffle between neighbours.
 pub const SHUFFLE_EVERY: Ms = 250;
 /// Of so many shuffles one goes to a neighbour in any region, the others stay in the own one if it is large.
