Split the proxy's brain by topic, pure moves

What the agent says, reports, callers' places, counts, requests by host and path, and the buffer stand in a file each under proxy/ now; the struct and its shared types stay. Compared line by line: besides imports, headings and pub(super) where another file calls, nothing differs. Not measured: nothing runs otherwise.

--- /dev/null
+++ b/coordination/src/proxy/pass.rs
@@ -0,0 +1,178 @@
+//! Requests that come by host and path.
+
+use std::sync::Arc;
+
+use remote_calls::{DownstreamLimits, Fault, GroupRole, Outcome, PathSpec};
+
+use super::{Admit, Ended, Flight, Placed, Proxy, pools};
+use crate::{
+    Ms,
+    agent::RULE_NONE,
+    health::log_ms,
+    limits::{MISSED_PART, SLOW_FACTOR},
+    pass::{Ask, PassEnd, Told},
+    placement::{Nominee, Want, read_ms},
+};
+
+impl Proxy {
+    /// What a caller by host and path may send, and how long it may take or rest.
+    pub fn limits(&self) -> Option<&DownstreamLimits> {
+        self.spec.as_ref()?.limits.as_ref()
+    }
+
+    /// The lane of a request, if this edge may serve at all.
+    pub fn path(&mut self, host: &str, path: &str, now: Ms) -> Result<Arc<PathSpec>, Fault> {
+        if self.rule == RULE_NONE || now >= self.until {
+            return Err(self.reject("no_rule", "check_rule", "this edge may not serve now"));
+        }
+        if !self.whole || self.spec.is_none() {
+            return Err(self.reject("no_spec", "check_rule", "no spec is known yet"));
+        }
+        let none = || Fault::new("not_found", "find_lane", "no lane has this host and path").outcome(Outcome::NotRun);
+        self.paths.find(host, path).ok_or_else(none)
+    }
+
+    /// Nominates a replica for a request. `tried`: replicas that it went to before.
+    pub fn pass(&mut self, lane: &PathSpec, ask: &Ask, tried: &[String], until: Ms, now: Ms) -> Admit {
+        if now >= until {
+            return Admit::Reject(self.reject("no_time", "nominate", "it could not end in its time left"));
+        }
+        for service in self.by_weight(lane) {
+            if tried.is_empty() {
+                self.budgets.entry(service.clone()).or_default().first(&self.placement.bounds, now);
+            }
+            for (role, version, ids) in pools(self.groups(&service, now)) {
+                let evacuated = std::mem::take(&mut self.evacuated);
+                let leaving = &self.leaving;
+                let open = ids.iter().filter(|id| !leaving.contains(*id));
+                let w = Want { lane, ask, tried, evacuated: &evacuated };
+                let n = self.placement.nominate(&service, open, &w, now);
+                self.evacuated = evacuated;
+                if let Some(n) = n {
+                    return Admit::Go(self.fly(lane, service, role, version, n, ask, now));
+                }
+            }
+        }
+        Admit::Reject(self.reject("no_replica", "nominate", "no replica may take it now"))
+    }
+
+    /// Services of a lane, one drawn by weight first; the others may serve it too if that one has nobody.
+    fn by_weight(&mut self, lane: &PathSpec) -> Vec<String> {
+        let total: u32 = lane.split.iter().map(|s| s.weight).sum();
+        let mut x = if total > 0 { self.rng.u32(..total) } else { 0 };
+        let mut names: Vec<String> = vec![];
+        for s in lane.split.iter().filter(|s| s.weight > 0) {
+            if x < s.weight && !names.contains(&s.service) {
+                names.insert(0, s.service.clone());
+            } else if !names.contains(&s.service) {
+                names.push(s.service.clone());
+            }
+            x = if x < s.weight { u32::MAX } else { x - s.weight };
+        }
+        names
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one nomination's parts, put together in one place")]
+    fn fly(
+        &mut self,
+        lane: &PathSpec,
+        service: String,
+        role: GroupRole,
+        version: String,
+        n: Nominee,
+        ask: &Ask,
+        now: Ms,
+    ) -> Placed {
+        let ready = self.ask_context(lane, &service, &n, ask, now);
+        self.placement.send(&n, ask, now);
+        self.flight += 1;
+        let slow = lane.expected_ms.max(1) as f64 * SLOW_FACTOR as f64;
+        self.flights.insert(
+            self.flight,
+            Flight { read_ms: Some(n.read_ms), expected: n.expected, at: now, slow_ms: slow, slow: false, ready },
+        );
+        let p = Placed {
+            service,
+            lane: lane.lane.clone(),
+            version,
+            replica: n.id,
+            addr: n.addr,
+            role,
+            warm: n.warm,
+            at: now,
+            flight: self.flight,
+        };
+        self.opens((p.replica.clone(), p.version.clone()));
+        self.share_out(&p.service, role);
+        self.tally(&p, 0);
+        p
+    }
+
+    /// Draws a second round on the budget that holds over all proxies.
+    pub fn second_pass(&mut self, service: &str, now: Ms) -> bool {
+        let edges = self.placement.edges();
+        let b = self.budgets.entry(service.into()).or_default();
+        let may = b.second(&self.placement.bounds, edges, now);
+        self.count(if may { "second_rounds" } else { "second_rounds_denied" });
+        may
+    }
+
+    /// Most channels this proxy may hold to each replica of a service.
+    pub fn channels(&self, service: &str) -> usize {
+        self.placement.channels(service)
+    }
+
+    /// ms there and back to a replica, as far as is known.
+    pub fn way(&self, p: &Placed) -> Ms {
+        self.placement.way(&p.replica)
+    }
+
+    /// A channel was opened; it took so long.
+    pub fn opened(&mut self, p: &Placed, took: Ms, _now: Ms) {
+        self.placement.opened(&p.replica, took);
+    }
+
+    /// An answer's head came.
+    pub fn heard(&mut self, p: &Placed, t: &Told, now: Ms) {
+        self.placement.heard(&p.service, &p.replica, t, now);
+    }
+
+    /// The first event or bytes of an answer came.
+    pub fn first_piece(&mut self, p: &Placed, now: Ms) {
+        let Some(f) = self.flights.get_mut(&p.flight) else { return };
+        let Some(read) = f.read_ms.take() else { return };
+        let took = now.saturating_sub(f.at) as f64;
+        f.slow = took > f.slow_ms;
+        let took_ms = now.saturating_sub(f.at);
+        let late = (took - f.expected).max(0.0);
+        let ready = f.ready.take();
+        // Others' prompts make a replica late too: it must be late by most of what reading the shared parts takes, and
+        // beyond what it lately was.
+        let missed = ready.filter(|r| late - self.placement.lag(&p.replica) > read_ms(r.chain.tokens) * MISSED_PART);
+        self.placement.first_piece(&p.replica, read, late, now);
+        if let Some(r) = missed {
+            self.miss_context(p, r, now);
+        }
+        self.tally(p, 4);
+        self.add(p, 5, log_ms(took_ms));
+    }
+
+    /// A round ended; said once for each. Gives the version that this proxy begins to cap, if it does.
+    pub fn passed(&mut self, p: &Placed, e: PassEnd, now: Ms) -> Option<String> {
+        let f = self.flights.remove(&p.flight)?;
+        let failed = matches!(e, PassEnd::Failed | PassEnd::Unreachable | PassEnd::Silent);
+        self.placement.end(&p.replica, f.read_ms, failed, now);
+        if e == PassEnd::Other {
+            self.placement.gone(&p.replica);
+        }
+        let ended = match e {
+            PassEnd::Answered if f.slow => Ended::Slow,
+            PassEnd::Answered => Ended::Answered,
+            PassEnd::Slow => Ended::Slow,
+            PassEnd::Failed | PassEnd::Silent => Ended::Failed,
+            PassEnd::Unreachable | PassEnd::Full | PassEnd::Other => Ended::Busy,
+            PassEnd::Dropped => Ended::Dropped,
+        };
+        self.done(p, ended, now)
+    }
+}
