Give up channels that are not acknowledged, so that an edge is back soon after a cut

An edge behind a cut of 6 s heard its control majority only 5.6 s after the cut's end and served by an old spec until then. Cause: channels between our processes had no limit on unacknowledged bytes. Writes went into the socket's buffer all through the cut, and the system sends again after pauses that double: up to as long again as the cut was. Ruled out: polls held back by the agent (asked 12 times a second throughout), a majority missing (all three daemons up).

--- a/daemon-parts/src/channels.rs
+++ b/daemon-parts/src/channels.rs
@@ -1,11 +1,12 @@
 //! Channels between processes: frames over TCP, one channel a direction, each with a bounded buffer.
 //! What cannot be sent is dropped; the state machines above expect that and repeat themselves.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, io, time::Duration};
 
 use actix::{Message, Recipient};
 use coordination::events;
 use error_stack::{Report, ResultExt};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -15,7 +16,10 @@
 use wire_messages::{Envelope, Msg, Name, decode, encode, read_length};
 
 use crate::{
-    limits::{CHANNEL_BUFFER, CHANNELS, CONNECT_LIMIT, IDLE_LIMIT, WRITE_LIMIT},
+    limits::{
+        CHANNEL_BUFFER, CHANNELS, CONNECT_LIMIT, IDLE_LIMIT, PEER_PROBES, PEER_QUIET, PROBE_EVERY, SENT_LIMIT, WRITE_LIMIT,
+        WRITER_IDLE,
+    },
     logging::{StartFault, event},
 };
 
@@ -49,24 +53,40 @@
             Ok(b) => b,
             Err(f) => return event(events::CHANNEL_BAD_FRAME, to, &format!("own {kind}: {f}")),
         };
-        let s = self.out.entry(to.clone()).or_insert_with(|| {
+        // A writer that had nothing to write has ended: daemons come and go, and those that went cost nothing.
+        if self.out.get(to).is_none_or(mpsc::Sender::is_closed) {
             let (s, r) = mpsc::channel(CHANNEL_BUFFER);
-            actix_rt::spawn(write_all(to.clone(), r));
-            s
-        });
-        if s.try_send(b).is_err() {
+            actix_rt::spawn(write_all(to.clone(), r, WRITER_IDLE));
+            self.out.retain(|_, s| !s.is_closed());
+            self.out.insert(to.clone(), s);
+        }
+        if self.out[to].try_send(b).is_err() {
             event(events::BUFFER_FULL, to, kind);
         }
     }
 }
 
-async fn write_all(to: Name, mut r: mpsc::Receiver<Vec<u8>>) {
+/// Sets up a channel that this process writes. What a cut holds up the system would send again after ever longer
+/// pauses, up to as long again as the cut was; a channel that is given up and opened anew works a moment after it.
+fn outgoing(s: &TcpStream) -> io::Result<()> {
+    s.set_nodelay(true)?;
+    SockRef::from(s).set_tcp_user_timeout(Some(SENT_LIMIT))
+}
+
+/// Sets up a channel that this process reads: one whose writer is gone without a word ends soon, and its place is free.
+fn incoming(s: &TcpStream) -> io::Result<()> {
+    let k = TcpKeepalive::new().with_time(PEER_QUIET).with_interval(PROBE_EVERY).with_retries(PEER_PROBES);
+    SockRef::from(s).set_tcp_keepalive(&k)
+}
+
+async fn write_all(to: Name, mut r: mpsc::Receiver<Vec<u8>>, idle: Duration) {
     let mut open: Option<TcpStream> = None;
-    while let Some(b) = r.recv().await {
+    while let Ok(Some(b)) = timeout(idle, r.recv()).await {
         if open.is_none() {
             open = match timeout(CONNECT_LIMIT, TcpStream::connect(&*to)).await {
                 Ok(Ok(s)) => {
-                    let _ = s.set_nodelay(true);
+                    // A system that lacks an option serves all the same, only later after a cut.
+                    let _ = outgoing(&s);
                     Some(s)
                 }
                 // What waited meanwhile is as stale as this one.
@@ -98,6 +118,7 @@
             // Over the limit a channel is closed at once, so that strangers cannot hold memory.
             let Ok(p) = free.clone().try_acquire_owned() else { continue };
             let inbox = inbox.clone();
+            let _ = incoming(&s);
             actix_rt::spawn(async move {
                 if let Err(why) = read_frames(s, inbox).await {
                     event(events::CHANNEL_BAD_FRAME, &peer.to_string(), &why);
@@ -130,3 +151,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -10,10 +10,16 @@
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Writing one frame; a peer that reads nothing for so long is cut off.
 pub const WRITE_LIMIT: Duration = Duration::from_millis(1_000);
-/// A channel that carried nothing for so long is closed by its reader: its machine may be gone.
+/// A channel that carried nothing for so long is closed by its writer, and by its reader some time after: nothing is
+/// under way then, and no message is lost on it.
+pub const WRITER_IDLE: Duration = Duration::from_secs(30);
 pub const IDLE_LIMIT: Duration = Duration::from_secs(60);
-/// Channels a process accepts at once: several times a fleet's processes.
-pub const CHANNELS: usize = 256;
+/// A writer that was quiet for so long is probed, every `PROBE_EVERY`, and after so many probes it is gone.
+pub const PEER_QUIET: Duration = Duration::from_secs(5);
+pub const PEER_PROBES: u32 = 3;
+/// Channels a process accepts at once: twice the processes of a fleet of 400, as after a cut each opens another before
+/// the old one ends.
+pub const CHANNELS: usize = 1_024;
 /// Bytes of a JSON body: a practice's whole schedule and history fit several times.
 pub const BODY_MAX: usize = 2 << 20;
 /// A whole call to an operator's, platform's or replica's short endpoint.
