Send nothing to where a flag stands, and complete after every edge has seen it

Cause: a proxy that suspected the new version after a crash of one of its replicas went on to the old side, whose share was 0, for 15 s.

Now a proxy turns to the old side only until its flag stands, and then to what has the share; and where streams were there as the flag was written, completion waits until all edges that are heard have seen it and told of no stream for 0.7 s, the longest lane's time and 2 s at most. Edges that are not heard for 3 s don't count, as before. A completion that was not forced goes as fast as it did.

Ruled out: not falling back at all while Baking (a version that turns bad there would have everything until the holder's cut); writing the flag before the old side's streams have ended (the flag says that they have).

--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -676,9 +676,13 @@
             let g = rest.remove(i);
             rest.insert(0, g);
         }
-        // While nothing permits more, the stable version goes on wherever it is loaded.
+        // While nothing permits more, the stable version goes on wherever it is loaded, but for where its replicas may be
+        // stopped at any moment: a flag stands only if what has the share was found good.
         if rest.is_empty() {
-            rest.extend(r.groups.iter().filter(|g| g.version == r.stable));
+            rest.extend(r.groups.iter().filter(|g| g.version == r.stable && !g.allow_unload));
+        }
+        if rest.is_empty() {
+            rest.extend(r.groups.iter().filter(|g| g.share_percent > 0 && g.role != GroupRole::Canary));
         }
         first.into_iter().chain(rest).map(|g| (g.role, g.version.clone(), g.replicas.clone())).collect()
     }
--- a/coordination/src/rollout/placed.rs
+++ b/coordination/src/rollout/placed.rs
@@ -26,6 +26,8 @@
     busy: BTreeMap<String, (Ms, u64)>,
     /// Since when nothing but doubt keeps the target from being completed.
     ripe: Option<Ms>,
+    /// When the flag was first seen to stand.
+    flagged_at: Option<Ms>,
 }
 
 impl Memory {
@@ -493,13 +495,22 @@
             return self.shift(r, s);
         }
         let limit = s.drain_limit();
+        let versions: BTreeSet<&str> = s.old.iter().map(|p| p.version.as_str()).collect();
+        let flagged = s.before.phase == RolloutPhase::Baking && versions.iter().all(|v| flags(s.before, v).next().is_some());
+        let first = flagged && self.placed.flagged_at.is_none();
+        self.placed.flagged_at = flagged.then(|| self.placed.flagged_at.unwrap_or(now));
         let mut dry = true;
         for p in &s.old {
-            dry &= self.placed.dry(&p.id, s) || now.saturating_sub(self.phase_at) > limit;
+            let of = self.placed.dry(&p.id, s);
+            dry &= of;
+            // An edge that suspects the target sends to the old side until it sees the flag: streams there end from
+            // when all have seen it.
+            if first && !of {
+                self.placed.busy.insert(p.id.clone(), (now, s.i.stands));
+            }
         }
-        let versions: BTreeSet<&str> = s.old.iter().map(|p| p.version.as_str()).collect();
-        let flagged = s.before.phase == RolloutPhase::Baking && versions.iter().all(|v| flags(s.before, v).next().is_some());
-        let ripe = dry && now.saturating_sub(self.phase_at) >= s.i.spec.bake_ms;
+        let late = |t: Ms| now.saturating_sub(t) > limit;
+        let ripe = (flagged || dry || late(self.phase_at)) && now.saturating_sub(self.phase_at) >= s.i.spec.bake_ms;
         self.placed.ripe = ripe.then(|| self.placed.ripe.unwrap_or(now));
         // The platform stops the old replicas on this word, and nothing is left to turn back to: a version that has
         // just begun to fail is looked at a little longer.
@@ -512,7 +523,9 @@
             g.allow_unload = ready;
             r.groups.push(g);
         }
-        if flagged && ready {
+        // A flag that was forced stops what the old side still gets. One edge that never tells cannot hold this for ever.
+        let through = dry || self.placed.flagged_at.is_some_and(late);
+        if flagged && ready && through {
             r.stable = s.target.clone();
             (r.target, r.retiring) = (None, vec![]);
             self.enter(r, RolloutPhase::Unloading, now);
--- a/coordination/tests/rollout_placed.rs
+++ b/coordination/tests/rollout_placed.rs
@@ -218,6 +218,10 @@
     stragglers: (usize, Ms),
     /// Alerts that were ever raised.
     alerts: BTreeSet<String>,
+    /// Percent of the requests that go on to the old side, by edges that suspect the target wrongly, until they see a
+    /// flag; and ms before the present up to which the loop hears of what edges have seen, if one of them hears late.
+    suspects: u32,
+    seen_lag: Ms,
 }
 
 fn fleet(n: usize, per_s: f64, seconds: u64, bad: Option<Bad>, seed: u64) -> Fleet {
@@ -256,6 +260,8 @@
         long: (0, 1),
         stragglers: (usize::MAX, 0),
         alerts: BTreeSet::new(),
+        suspects: 0,
+        seen_lag: 0,
     }
 }
 
@@ -272,7 +278,7 @@
         self.records.iter().rev().find(|(t, _)| *t <= at).map(|(_, r)| r)
     }
     fn followed_version(&self) -> u64 {
-        let at = self.now().saturating_sub(self.lag + HEARD_AFTER);
+        let at = self.now().saturating_sub(self.lag + HEARD_AFTER + self.seen_lag);
         self.records.iter().filter(|(t, _)| *t <= at).count() as u64
     }
 
@@ -291,7 +297,9 @@
             x = x.saturating_sub(g.share_percent);
             hit
         });
-        let g = g.unwrap();
+        let falls = self.suspects > 0 && self.rng.u32(..100) < self.suspects;
+        let back = r.groups.iter().find(|g| g.version == r.stable && !g.allow_unload && !g.replicas.is_empty());
+        let g = back.filter(|_| falls && r.phase == RolloutPhase::Baking).unwrap_or(g.unwrap());
         let id = g.replicas[self.rng.usize(..g.replicas.len())].clone();
         let Some(p) = self.b.list.iter().find(|p| p.id == id) else {
             // It was stopped or crashed; edges find nobody there.
@@ -710,6 +718,38 @@
     }
 }
 
+#[gtest]
+fn edges_that_wrongly_suspect_the_target_are_waited_for_until_they_have_seen_the_flag() {
+    for (lag, seen_lag) in [(250, 0), (1_800, 0), (250, 4_000)] {
+        for seed in 1..=4 {
+            let mut f = fleet(18, 200.0, 12, None, seed);
+            (f.lag, f.seen_lag, f.suspects, f.long) = (lag, seen_lag, 6, (5, 6));
+            f.run(300_000);
+            expect_that!(f.done.map(|d| d.1), some(eq(Standing::Completed)), "{}", told(&f));
+            expect_that!(f.broken, is_empty(), "{}", told(&f));
+            // The longest time of a lane was waited for the old side, and not twice more.
+            let baking = f.phases.iter().find(|p| p.1 == RolloutPhase::Baking).unwrap().0;
+            expect_that!(f.done.unwrap().0 - baking, all!(ge(12_000), le(24_000)), "{}", told(&f));
+        }
+    }
+}
+
+#[gtest]
+fn an_edge_that_never_tells_does_not_hold_a_completion_for_ever() {
+    let mut f = fleet(18, 200.0, 12, None, 1);
+    while f.b.r.phase != RolloutPhase::Baking {
+        f.tick();
+    }
+    // It is in touch, and goes by the record of now for good.
+    let baking = f.now();
+    (f.lag, f.suspects) = (1_000_000, 6);
+    f.records.clear();
+    f.records.push((0, f.b.r.clone()));
+    f.run(300_000);
+    let words = told(&f);
+    expect_that!(f.done, some((all!(ge(baking + 24_000), le(baking + 26_000)), eq(Standing::Completed))), "{words}");
+}
+
 #[gtest]
 fn share_moves_only_to_those_that_reported_though_others_have() {
     let mut f = fleet(18, 200.0, 12, None, 1);
--- a/fleet-simulator/tests/never.rs
+++ b/fleet-simulator/tests/never.rs
@@ -73,6 +73,7 @@
         ("dentaplan", "mix", 6011),
         ("registry", "mix", 6011),
         ("registry", "misbehave", 7),
+        ("registry", "placed_faults", 5),
         ("registry", "placed_faults", 9),
         ("registry", "placed_lane", 2),
         ("dentaplan", "placed_faults", 1),
