Let a request whose time ran out in a pause of the process say so before its channel is closed

Cause: the task that looks channels over closed one whose request's time and slack had ended, also where both ended in one pause of the process: the request's own timer was due in the same turn, and its 504 or 408 found the channel closed. A look that came late by a quarter now leaves a channel that carries a request to the next look. Test: a_process_that_was_kept_from_running_tells_an_end_before_it_closes.

Tests that look at channels to replicas wait until the one before rests.

--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -98,6 +98,9 @@
 /// ms. A look at downstreams' channels that comes so late was kept from running: what they sent meanwhile is still to
 /// be read.
 pub const DOWNSTREAM_SLEPT: Ms = 5 * DOWNSTREAM_LOOK;
+/// ms. A look that comes so long after the one before was late by a quarter: timers of requests that were due since
+/// have had no turn either.
+pub const DOWNSTREAM_LATE: Ms = DOWNSTREAM_LOOK * 5 / 4;
 /// Parts of its longest rest, of five, after which a downstream still takes its channel up.
 pub const DOWNSTREAM_TAKEN_UP: Ms = 4;
 /// ms before the end of its grace. A stopping proxy takes nothing new from then on.
--- a/edge-proxy/src/downstream.rs
+++ b/edge-proxy/src/downstream.rs
@@ -14,7 +14,9 @@
 use coordination::Ms;
 use daemon_parts::{
     clock,
-    limits::{DOWNSTREAM_HEAD, DOWNSTREAM_IDLE, DOWNSTREAM_LOOK, DOWNSTREAM_SLEPT, DOWNSTREAM_TAKEN_UP, LATE_SLACK},
+    limits::{
+        DOWNSTREAM_HEAD, DOWNSTREAM_IDLE, DOWNSTREAM_LATE, DOWNSTREAM_LOOK, DOWNSTREAM_SLEPT, DOWNSTREAM_TAKEN_UP, LATE_SLACK,
+    },
 };
 use remote_calls::DownstreamLimits;
 use socket2::{SockRef, Socket};
@@ -35,6 +37,8 @@
 pub struct Downstream {
     socket: Socket,
     state: Cell<State>,
+    /// The last look found its time over.
+    over: Cell<bool>,
 }
 
 impl State {
@@ -64,6 +68,7 @@
 impl Held {
     pub fn new(d: &Rc<Downstream>) -> Self {
         d.state.set(State::Carries(Ms::MAX));
+        d.over.set(false);
         Held(d.clone())
     }
     pub fn until(&self, t: Ms) {
@@ -92,7 +97,7 @@
     let Some(s) = io.downcast_ref::<TcpStream>() else { return };
     // Without another handle on it the channel cannot be watched; it serves all the same.
     let Ok(socket) = SockRef::from(s).try_clone() else { return };
-    let d = Rc::new(Downstream { socket, state: Cell::new(State::New(clock::now())) });
+    let d = Rc::new(Downstream { socket, state: Cell::new(State::New(clock::now())), over: Cell::new(false) });
     let w = WATCH.with(Rc::clone);
     w.all.borrow_mut().push(Rc::downgrade(&d));
     ext.insert(d);
@@ -101,25 +106,51 @@
     }
 }
 
+/// The looks at downstreams' channels, by when each came.
+#[derive(Clone, Copy, Debug)]
+pub struct Looks {
+    last: Ms,
+    late: bool,
+    slept: bool,
+}
+
+impl Looks {
+    pub fn new(now: Ms) -> Self {
+        Looks { last: now, late: false, slept: false }
+    }
+    pub fn at(&mut self, now: Ms) {
+        let gone = now.saturating_sub(std::mem::replace(&mut self.last, now));
+        (self.late, self.slept) = (gone > DOWNSTREAM_LATE, gone > DOWNSTREAM_SLEPT);
+    }
+    /// What a channel does now that this process runs again.
+    pub fn state(&self, s: State) -> State {
+        if self.slept { s.woke(self.last) } else { s }
+    }
+    /// Whether a channel is over, and whether it is to be closed; `before`: the last look found it over too.
+    pub fn over(&self, s: State, l: &DownstreamLimits, before: bool) -> (bool, bool) {
+        let over = self.last >= s.ends(l);
+        // A look that comes late comes with timers that were due since: a request whose time ran out still says so.
+        let first = self.late && !before && matches!(s, State::Carries(_));
+        (over, over && !first)
+    }
+}
+
 /// Looks channels over for as long as there are any.
 async fn look(w: Rc<Watch>, brain: Shared) {
-    let mut last = clock::now();
+    let mut looks = Looks::new(clock::now());
     while !w.all.borrow().is_empty() {
         tokio::time::sleep(Duration::from_millis(DOWNSTREAM_LOOK)).await;
-        let now = clock::now();
-        let slept = now.saturating_sub(last) > DOWNSTREAM_SLEPT;
-        last = now;
+        looks.at(clock::now());
         let limits = hold(&brain).limits().cloned().unwrap_or_default();
         w.all.borrow_mut().retain(|d| {
             let Some(d) = d.upgrade() else { return false };
-            if slept {
-                d.state.set(d.state.get().woke(now));
-            }
-            let over = now >= d.state.get().ends(&limits);
-            if over {
+            d.state.set(looks.state(d.state.get()));
+            let (over, close) = looks.over(d.state.get(), &limits, d.over.get());
+            d.over.set(over);
+            if close {
                 let _ = d.socket.shutdown(Shutdown::Both);
             }
-            !over
+            !close
         });
     }
     w.looks.set(false);
--- a/edge-proxy/tests/limits.rs
+++ b/edge-proxy/tests/limits.rs
@@ -6,8 +6,10 @@
 use std::sync::Arc;
 
 use coordination::{Ms, bounds::Bounds};
-use daemon_parts::limits::{DOWNSTREAM_HEAD, DOWNSTREAM_IDLE, LATE_SLACK, UNREACHED_MOST, UPLOAD_KEPT};
-use edge_proxy::downstream::State;
+use daemon_parts::limits::{
+    DOWNSTREAM_HEAD, DOWNSTREAM_IDLE, DOWNSTREAM_LATE, DOWNSTREAM_LOOK, DOWNSTREAM_SLEPT, LATE_SLACK, UNREACHED_MOST, UPLOAD_KEPT,
+};
+use edge_proxy::downstream::{Looks, State};
 use googletest::prelude::*;
 use remote_calls::DownstreamLimits;
 use support::*;
@@ -123,6 +125,33 @@
     expect_that!(State::Carries(1_000).woke(500_000), eq(State::Carries(1_000)));
 }
 
+#[gtest]
+fn a_process_that_was_kept_from_running_tells_an_end_before_it_closes() {
+    let l = limits(0, 0, 100, 100);
+    const ENDS: Ms = 1_000 + LATE_SLACK;
+    // A look at this time, so long after the one before.
+    let look = |at: Ms, gone: Ms| {
+        let mut looks = Looks::new(at - gone);
+        looks.at(at);
+        looks
+    };
+    let carries = State::Carries(1_000);
+    // Looks in time: closed once its time and the slack are over, and not before.
+    expect_that!(look(ENDS - 1, DOWNSTREAM_LOOK).over(carries, &l, false), eq((false, false)));
+    expect_that!(look(ENDS, DOWNSTREAM_LOOK).over(carries, &l, false), eq((true, true)));
+    // Its time and the slack may have ended in one pause: whoever answers it has had no turn yet, but has one before
+    // the next look, however late that comes.
+    for gone in [DOWNSTREAM_LATE + 1, 2 * DOWNSTREAM_LOOK, DOWNSTREAM_SLEPT + 1, 60_000] {
+        let late = look(ENDS + gone, gone);
+        expect_that!(late.over(late.state(carries), &l, false), eq((true, false)), "{gone}");
+        expect_that!(late.over(late.state(carries), &l, true), eq((true, true)), "{gone}");
+    }
+    // Who rests or has begun nothing is closed by the look itself: nobody else would answer.
+    for s in [State::New(0), State::Rests(0)] {
+        expect_that!(look(1_000, 2 * DOWNSTREAM_LOOK).over(s, &l, false), eq((true, true)));
+    }
+}
+
 #[gtest]
 fn a_body_that_does_not_come_in_time_is_told_so() {
     run(async {
--- a/edge-proxy/tests/pass.rs
+++ b/edge-proxy/tests/pass.rs
@@ -61,6 +61,7 @@
         for i in 0..5 {
             d.send(request(&format!("a{i}"), "q")).await;
             expect_that!(d.answer().await.status, eq(200));
+            e.rests().await;
         }
         expect_that!(r.seen.lock().unwrap().iter().map(|g| g.connection).collect::<Vec<_>>(), eq(&[0; 5]));
     });
@@ -126,6 +127,7 @@
         for _ in 0..2 {
             let a = ask(&e, request("a", "q")).await;
             expect_that!((a.status, a.body.as_str(), a.whole), eq((200, "", true)));
+            e.rests().await;
         }
         expect_that!((e.open(), e.tallies(), r.got(1).connection), eq((0, (2, 2, 0), 0)));
         let r = Replica::start(|_, g| vec![say(answer(g, "200 OK", "Content-Length: 7\r\n", ""))]).await;
@@ -134,6 +136,7 @@
         for _ in 0..2 {
             d.send("HEAD /p/x HTTP/1.1\r\nHost: h\r\nRound: a\r\n\r\n").await;
             expect_that!(d.head().await.to_lowercase(), contains_substring("content-length: 7\r\n"));
+            e.rests().await;
         }
         expect_that!((e.open(), r.got(1).connection), eq((0, 0)));
     });
@@ -307,13 +310,14 @@
 #[gtest]
 fn an_answer_that_is_cut_does_not_look_complete() {
     run(async {
-        let cuts: [fn(&Got) -> Vec<Act>; 5] = [
+        let cuts: [fn(&Got) -> Vec<Act>; 6] = [
             |g| vec![say(answer(g, "200 OK", "Content-Length: 9\r\n", "half")), Act::Close],
             |g| vec![say(answer(g, "200 OK", "Content-Length: 9\r\n", "half")), Act::Reset],
             |g| vec![say(stream(g) + &chunk("half")), Act::Close],
             |g| vec![say(stream(g) + &chunk("half")), Act::Reset],
             // Nothing tells this end from a cut.
             |g| vec![say(answer(g, "200 OK", "", "half")), Act::Close],
+            |g| vec![say(answer(g, "200 OK", "", "half")), Act::Reset],
         ];
         for (i, cut) in cuts.into_iter().enumerate() {
             let r = Replica::start(move |_, g| cut(g)).await;
@@ -394,6 +398,7 @@
         for wait in [0, 0, IDLE_KEPT + 100] {
             tokio::time::sleep(Duration::from_millis(wait)).await;
             expect_that!(ask(&e, request("a", "q")).await.status, eq(200));
+            e.rests().await;
         }
         expect_that!(r.seen.lock().unwrap().iter().map(|g| g.connection).collect::<Vec<_>>(), eq(&[0, 0, 1]));
     });
@@ -449,7 +454,9 @@
 #[gtest]
 fn when_the_downstream_leaves_its_replica_is_left_too() {
     run(async {
-        for began in [false, true] {
+        for (kind, began) in
+            ["once", "repeatable", "stream", "stream_resumable"].into_iter().flat_map(|k| [(k, false), (k, true)])
+        {
             let left = Arc::new(Notify::new());
             let n = left.clone();
             let r = Replica::start(move |_, g| {
@@ -458,7 +465,7 @@
                 if began { vec![head, end] } else { vec![end] }
             })
             .await;
-            let e = Edge::start(Lane::of("stream_resumable", 3), &[r.addr, r.addr]).await;
+            let e = Edge::start(Lane::of(kind, 3), &[r.addr, r.addr]).await;
             let mut d = Downstream::to(e.addr).await;
             d.send(request("a", "q")).await;
             match began {
@@ -467,8 +474,8 @@
             }
             drop(d);
             left.notified().await;
-            e.until(|e| e.open() == 0).await;
-            expect_that!((r.count(), e.tallies()), eq((1, (1, 0, 0))));
+            e.rests().await;
+            expect_that!((r.count(), e.open(), e.tallies()), eq((1, 0, (1, 0, 0))), "{kind} {began}");
         }
     });
 }
--- a/edge-proxy/tests/support/mod.rs
+++ b/edge-proxy/tests/support/mod.rs
@@ -31,7 +31,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::Notify,
+    sync::{Notify, watch},
 };
 
 /// Nothing in a test takes so long unless it hangs.
@@ -124,6 +124,30 @@
     pub async fn plain(body: &'static str) -> Self {
         Self::start(move |_, g| vec![say(whole(g, body))]).await
     }
+    /// Answers each request at its head, and reads its body only once it is let.
+    pub async fn early(said: fn(&Got) -> String, go: watch::Receiver<bool>) -> Self {
+        let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (addr, seen, cut) = (l.local_addr().unwrap(), Seen::default(), Seen::default());
+        let all = [seen.clone(), cut.clone()];
+        actix_rt::spawn(async move {
+            for connection in 0.. {
+                let Ok((mut s, _)) = l.accept().await else { return };
+                let ([seen, cut], mut go) = (all.clone(), go.clone());
+                actix_rt::spawn(async move {
+                    let mut b = Vec::new();
+                    while let Some(head) = read_head(&mut s, &mut b).await {
+                        let mut g = Got { connection, head, body: vec![] };
+                        let _ = s.write_all(said(&g).as_bytes()).await;
+                        let _ = go.wait_for(|g| *g).await;
+                        let Some((body, whole)) = read_body(&mut s, &mut b, &g.head, false).await else { return };
+                        g.body = body;
+                        (if whole { &seen } else { &cut }).lock().unwrap().push(g);
+                    }
+                });
+            }
+        });
+        Replica { addr, seen, cut }
+    }
     pub fn count(&self) -> usize {
         self.seen.lock().unwrap().len()
     }
@@ -356,6 +380,10 @@
         let all = hold(&self.brain).hello(clock::now()).tallies.0;
         all.iter().fold((0, 0, 0), |a, t| (a.0 + t.sent, a.1 + t.ok, a.2 + t.failed))
     }
+    /// Waits until nothing is open: channels to replicas rest, and the next request may take them.
+    pub async fn rests(&self) {
+        self.until(|e| e.stopping.open() == 0).await;
+    }
     pub async fn until(&self, what: impl Fn(&Edge) -> bool) {
         let looked = async {
             while !what(self) {
