--- a/edge-proxy/tests/support/mod.rs
+++ b/edge-proxy/tests/support/mod.rs
@@ -18,7 +18,7 @@
     proxy::{Placed, Proxy},
     wire::{Blob, Board, Change},
 };
-use daemon_parts::clock;
+use daemon_parts::{clock, limits::NOT_YET};
 use edge_proxy::{
     actor::ProxyActor,
     dialect::Dialect,
@@ -31,7 +31,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::Notify,
+    sync::{Notify, watch},
 };
 
 /// Nothing in a test takes so long unless it hangs.
@@ -68,6 +68,8 @@
     Wait(Arc<Notify>),
     /// Ends the connection in order.
     Close,
+    /// The same; the test is told once the other side has ended it too.
+    CloseUntilLeft(Arc<Notify>),
     /// Ends it with a reset.
     Reset,
     /// Reads whatever else comes, until the other side ends it; then the test is told.
@@ -99,26 +101,53 @@
 
 pub struct Replica {
     pub addr: SocketAddr,
+    /// Requests that came whole: only these can run.
     pub seen: Seen,
+    /// Requests whose body was cut off.
+    pub cut: Seen,
 }
 impl Replica {
     /// `script`: what it does with its n-th request, counted from 0.
     pub async fn start(script: impl Fn(usize, &Got) -> Vec<Act> + Clone + 'static) -> Self {
         let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let (addr, seen) = (l.local_addr().unwrap(), Seen::default());
-        let all = seen.clone();
+        let (addr, seen, cut) = (l.local_addr().unwrap(), Seen::default(), Seen::default());
+        let all = [seen.clone(), cut.clone()];
         actix_rt::spawn(async move {
             for connection in 0.. {
                 let Ok((s, _)) = l.accept().await else { return };
                 actix_rt::spawn(talk(s, connection, all.clone(), script.clone()));
             }
         });
-        Replica { addr, seen }
+        Replica { addr, seen, cut }
     }
     /// Answers each request with its own round and these bytes.
     pub async fn plain(body: &'static str) -> Self {
         Self::start(move |_, g| vec![say(whole(g, body))]).await
     }
+    /// Answers each request at its head, and reads its body only once it is let.
+    pub async fn early(said: fn(&Got) -> String, go: watch::Receiver<bool>) -> Self {
+        let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (addr, seen, cut) = (l.local_addr().unwrap(), Seen::default(), Seen::default());
+        let all = [seen.clone(), cut.clone()];
+        actix_rt::spawn(async move {
+            for connection in 0.. {
+                let Ok((mut s, _)) = l.accept().await else { return };
+                let ([seen, cut], mut go) = (all.clone(), go.clone());
+                actix_rt::spawn(async move {
+                    let mut b = Vec::new();
+                    while let Some(head) = read_head(&mut s, &mut b).await {
+                        let mut g = Got { connection, head, body: vec![] };
+                        let _ = s.write_all(said(&g).as_bytes()).await;
+                        let _ = go.wait_for(|g| *g).await;
+                        let Some((body, whole)) = read_body(&mut s, &mut b, &g.head, false).await else { return };
+                        g.body = body;
+                        (if whole { &seen } else { &cut }).lock().unwrap().push(g);
+                    }
+                });
+            }
+        });
+        Replica { addr, seen, cut }
+    }
     pub fn count(&self) -> usize {
         self.seen.lock().unwrap().len()
     }
@@ -152,12 +181,16 @@
     r.map(|n| format!("id: {n}\ndata: piece {n}\n\n")).collect()
 }
 
-async fn talk(mut s: TcpStream, connection: usize, seen: Seen, script: impl Fn(usize, &Got) -> Vec<Act>) {
+async fn talk(mut s: TcpStream, connection: usize, [seen, cut]: [Seen; 2], script: impl Fn(usize, &Got) -> Vec<Act>) {
     let mut b = Vec::new();
     loop {
         let Some(head) = read_head(&mut s, &mut b).await else { return };
-        let Some(body) = read_body(&mut s, &mut b, &head, false).await else { return };
-        let g = Got { connection, head, body: body.0 };
+        let Some((body, whole)) = read_body(&mut s, &mut b, &head, false).await else { return };
+        let g = Got { connection, head, body };
+        if !whole {
+            cut.lock().unwrap().push(g);
+            return;
+        }
         let n = {
             let mut all = seen.lock().unwrap();
             all.push(g.clone());
@@ -172,6 +205,12 @@
                     let _ = s.shutdown().await;
                     return;
                 }
+                Act::CloseUntilLeft(n) => {
+                    let _ = s.shutdown().await;
+                    let _ = s.read_to_end(&mut vec![]).await;
+                    n.notify_one();
+                    return;
+                }
                 Act::Reset => {
                     let _ = socket2::SockRef::from(&s).set_linger(Some(Duration::ZERO));
                     return;
@@ -285,6 +324,10 @@
     }
     /// The same within these bounds.
     pub async fn within(bounds: Bounds, lane: Lane, replicas: &[SocketAddr]) -> Self {
+        Self::of(bounds, NOT_YET, lane, replicas).await
+    }
+    /// The same; what comes before it may serve waits so long.
+    pub async fn of(bounds: Bounds, not_yet: Ms, lane: Lane, replicas: &[SocketAddr]) -> Self {
         let mut b = Proxy::new("edge-1".into(), "z".into(), "edge".into(), 1, 1);
         b.set_bounds(bounds, Default::default());
         let ids: Vec<String> = (0..replicas.len()).map(|i| format!("r{i}")).collect();
@@ -309,8 +352,13 @@
         let (front, ready) = (bound(), bound());
         let (addr, ready_addr) = (front.local_addr().unwrap(), ready.local_addr().unwrap());
         let stopping = Arc::new(Stopping::default());
-        let f =
-            Front { brain: brain.clone(), dialect: Arc::new(Plain), stopping: stopping.clone(), ready: ready_addr.to_string() };
+        let f = Front {
+            brain: brain.clone(),
+            dialect: Arc::new(Plain),
+            stopping: stopping.clone(),
+            ready: ready_addr.to_string(),
+            not_yet,
+        };
         let agent = nowhere().to_string();
         let actor = ProxyActor::new("edge-1", "127.0.0.1:1", &agent, brain.clone()).start();
         let server = edge_proxy::serve(f, actor, vec![front, ready]).unwrap();
@@ -332,6 +380,10 @@
         let all = hold(&self.brain).hello(clock::now()).tallies.0;
         all.iter().fold((0, 0, 0), |a, t| (a.0 + t.sent, a.1 + t.ok, a.2 + t.failed))
     }
+    /// Waits until nothing is open: channels to replicas rest, and the next request may take them.
+    pub async fn rests(&self) {
+        self.until(|e| e.stopping.open() == 0).await;
+    }
     pub async fn until(&self, what: impl Fn(&Edge) -> bool) {
         let looked = async {
             while !what(self) {
