Remember accepted values that were replaced beside the value, and accept their repeats

Cause: whether a configuration that is repeated late once stood was known from digests that each daemon kept in memory of what it saw stand.

Ruled out: writing down locally what is seen (one that was cut off never sees it); a key of its own for the history (two writes, a crash between them acknowledges what never stood, or forgets); answering unknown (the loser of a race would repeat for good).

Now the slot, its messages and its row carry the digests of the last 128 accepted values; the owner answers a repeat as the version that it was.

`stood` was part of the brain's face and is gone; the test that asked it now sends the repeat itself, and its rival.

--- a/control-daemon/src/disk.rs
+++ b/control-daemon/src/disk.rs
@@ -8,13 +8,13 @@
 use error_stack::{Report, ResultExt};
 use rusqlite::{Connection, OptionalExtension, params};
 use tokio::sync::oneshot;
-use wire_messages::{Blob, Slot};
+use wire_messages::{Blob, List, Slot};
 
 /// The file under the data folder.
 const FILE: &str = "control.sqlite";
 /// Version of the database's layout. Layout 1 was written without a number and is the same; a newer one is not
 /// touched, as a daemon that guesses could lose what it confirmed.
-const LAYOUT: i64 = 3;
+const LAYOUT: i64 = 4;
 
 /// How a disk stands to its member epoch, as stored; 0: it has not caught up, or has no place.
 const VOTES: u8 = 1;
@@ -127,13 +127,18 @@
         CREATE TABLE IF NOT EXISTS members (one INTEGER PRIMARY KEY CHECK (one = 1), me INTEGER NOT NULL, voters TEXT NOT NULL, voting INTEGER NOT NULL,
             before INTEGER NOT NULL DEFAULT 0);
         CREATE TABLE IF NOT EXISTS slots (key TEXT PRIMARY KEY, promised INTEGER NOT NULL, epoch INTEGER NOT NULL,
-            version INTEGER NOT NULL, committed INTEGER NOT NULL, value BLOB NOT NULL) WITHOUT ROWID;";
+            version INTEGER NOT NULL, committed INTEGER NOT NULL, value BLOB NOT NULL, past BLOB NOT NULL DEFAULT x'') WITHOUT ROWID;";
     c.execute_batch(setup).change_context_lazy(step("set the database up"))?;
-    let has_before = "SELECT count(*) FROM pragma_table_info('members') WHERE name = 'before'";
-    let has_before: i64 = c.query_row(has_before, [], |r| r.get(0)).change_context_lazy(step("read the layout"))?;
-    if has_before == 0 {
-        c.execute_batch("ALTER TABLE members ADD COLUMN before INTEGER NOT NULL DEFAULT 0")
-            .change_context_lazy(step("take over the members"))?;
+    // What former layouts lack; each part may be there already where an earlier opening ended midway.
+    for (table, column, shape) in
+        [("members", "before", "INTEGER NOT NULL DEFAULT 0"), ("slots", "past", "BLOB NOT NULL DEFAULT x''")]
+    {
+        let has = "SELECT count(*) FROM pragma_table_info(?1) WHERE name = ?2";
+        let has: i64 = c.query_row(has, [table, column], |r| r.get(0)).change_context_lazy(step("read the layout"))?;
+        if has == 0 {
+            c.execute_batch(&format!("ALTER TABLE {table} ADD COLUMN {column} {shape}"))
+                .change_context_lazy(step("take a former layout over"))?;
+        }
     }
     c.pragma_update(None, "user_version", LAYOUT).change_context_lazy(step("write the layout"))?;
     let sound: String = c.query_row("PRAGMA quick_check", [], |r| r.get(0)).change_context_lazy(step("check the database"))?;
@@ -168,7 +173,7 @@
         let (_, voters) = members::of_bytes(voters.as_bytes()).unwrap_or_default();
         rows.push(Row::Members { me, before, voters, voting: voting == VOTES, left: voting == LEFT });
     }
-    let mut q = c.prepare("SELECT key, promised, epoch, version, committed, value FROM slots")?;
+    let mut q = c.prepare("SELECT key, promised, epoch, version, committed, value, past FROM slots")?;
     let slots = q.query_map([], |r| {
         Ok(Slot {
             key: r.get::<_, String>(0)?.into(),
@@ -177,6 +182,7 @@
             version: r.get(3)?,
             committed: r.get(4)?,
             value: Blob(r.get(5)?),
+            past: digests(&r.get::<_, Vec<u8>>(6)?),
         })
     })?;
     for s in slots {
@@ -185,13 +191,22 @@
     Ok(rows)
 }
 
+/// Digests as they are stored, one behind the other.
+fn digests(b: &[u8]) -> List<u64> {
+    let (all, _) = b.as_chunks();
+    List(all.iter().map(|d| u64::from_be_bytes(*d)).collect())
+}
+
 fn write(c: &mut Connection, rows: &[Row]) -> rusqlite::Result<()> {
     let t = c.transaction()?;
     for r in rows {
         match r {
             Row::Slot(s) => {
-                let sql = "INSERT OR REPLACE INTO slots VALUES (?1, ?2, ?3, ?4, ?5, ?6)";
-                t.prepare_cached(sql)?.execute(params![s.key.0, s.promised, s.epoch, s.version, s.committed, s.value.0])?;
+                let sql = "INSERT OR REPLACE INTO slots (key, promised, epoch, version, committed, value, past)
+                    VALUES (?1, ?2, ?3, ?4, ?5, ?6, ?7)";
+                let past: Vec<u8> = s.past.iter().flat_map(|d| d.to_be_bytes()).collect();
+                let row = params![s.key.0, s.promised, s.epoch, s.version, s.committed, s.value.0, past];
+                t.prepare_cached(sql)?.execute(row)?;
             }
             Row::Members { me, before, voters, voting, left } => {
                 let voting = if *voting { VOTES } else { u8::from(*left) * LEFT };
--- a/control-daemon/tests/disk.rs
+++ b/control-daemon/tests/disk.rs
@@ -10,7 +10,7 @@
 use coordination::Row;
 use googletest::prelude::*;
 use rusqlite::Connection;
-use wire_messages::{Blob, Slot, Voter};
+use wire_messages::{Blob, List, Slot, Voter};
 
 /// Bytes that a disk writes whole.
 const SECTOR: usize = 512;
@@ -163,15 +163,18 @@
     let _ = fs::remove_dir_all(&dir);
 }
 
-/// A folder of the layout before voters had zones is taken over with its members.
+/// A folder of the layout before voters had zones and keys a past is taken over with its members and values.
 #[gtest]
-fn members_of_the_former_layout_are_taken_over() {
+fn what_a_former_layout_held_is_taken_over() {
     let dir = folder("former");
     fs::create_dir_all(&dir).unwrap();
     let c = Connection::open(dir.join("control.sqlite")).unwrap();
     let old = r#"CREATE TABLE disk (id INTEGER NOT NULL); INSERT INTO disk VALUES (9);
         CREATE TABLE members (one INTEGER PRIMARY KEY CHECK (one = 1), me INTEGER NOT NULL, voters TEXT NOT NULL, voting INTEGER NOT NULL);
-        INSERT INTO members VALUES (1, 2, '[["c1",9,"127.0.0.1:1"]]', 1); PRAGMA user_version = 2;"#;
+        INSERT INTO members VALUES (1, 2, '[["c1",9,"127.0.0.1:1"]]', 1); PRAGMA user_version = 2;
+        CREATE TABLE slots (key TEXT PRIMARY KEY, promised INTEGER NOT NULL, epoch INTEGER NOT NULL, version INTEGER NOT NULL,
+            committed INTEGER NOT NULL, value BLOB NOT NULL) WITHOUT ROWID;
+        INSERT INTO slots VALUES ('a', 0, 0, 1, 0, x'01');"#;
     c.execute_batch(old).unwrap();
     drop(c);
     let disk = Disk::start(dir.clone(), 0);
@@ -179,11 +182,13 @@
     expect_that!((id, blank), eq((9, false)));
     let voter = Voter { name: "c1".into(), disk: 9, addr: "127.0.0.1:1".into(), ..Voter::default() };
     let row = |before, voter: &Voter| Row::Members { me: 2, before, voters: vec![voter.clone()], voting: true, left: false };
-    expect_that!(rows, container_eq([row(0, &voter)]));
+    expect_that!(rows, container_eq([row(0, &voter), slot("a", 1, 1)]));
     // What is written now comes back whole.
     let now = row(3, &Voter { zone: "z".into(), since: 2, ..voter });
-    block(disk.sync(vec![now.clone()])).unwrap();
+    let Row::Slot(s) = slot("a", 2, 1) else { return };
+    let next = Row::Slot(Slot { past: List(vec![7, u64::MAX]), ..s });
+    block(disk.sync(vec![now.clone(), next.clone()])).unwrap();
     let (.., rows) = block(disk.open()).unwrap();
-    expect_that!(rows, container_eq([now]));
+    expect_that!(rows, container_eq([now, next]));
     let _ = fs::remove_dir_all(&dir);
 }
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -14,7 +14,6 @@
     Beat, Blob, Change, Demand, Forward, Forwarded, Genesis, List, Msg, Name, News, Node, Permit, Poll, Slots, SlotsAsk, Tally,
     Voter,
 };
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     Effect, Effects, Ms, Row, WriteOutcome,
@@ -25,8 +24,8 @@
     events,
     health::Health,
     limits::{
-        ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET,
-        LIST_CALM, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING, STANDING_EVERY,
+        ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LIST_CALM,
+        LOOP_EVERY, LOOP_RESTS, NEWCOMER, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING, STANDING_EVERY,
     },
     members as seats,
     membership::{CONTROL, EDGE, Membership},
@@ -138,9 +137,8 @@
     pub regs: Registers,
     pub mship: Membership,
     board: Board,
-    /// The spec as last read, and the releases and digests of documents that stood.
+    /// The spec as last read.
     spec: Option<Arc<Spec>>,
-    stood: BTreeMap<u64, u64>,
     started: Ms,
     run: u64,
     seq: u64,
@@ -246,7 +244,6 @@
             mship,
             board: Board::default(),
             spec: None,
-            stood: BTreeMap::new(),
             started: now,
             run: born,
             seq: 0,
@@ -300,15 +297,6 @@
     fn read_spec(&mut self) {
         let Some(c) = self.board.get(SPEC).filter(|c| !c.value.0.is_empty()) else { return };
         self.spec = (self.p.reader)(&c.value.0).map(Arc::new);
-        let release = self.spec.as_ref().map_or(0, |s| s.release);
-        self.stood.insert(release, xxh3_64(&c.value.0));
-        while self.stood.len() > DOCUMENTS {
-            self.stood.pop_first();
-        }
-    }
-    /// Whether this very document stood once, as far as this daemon saw.
-    pub fn stood(&self, release: u64, document: &[u8]) -> bool {
-        self.stood.get(&release) == Some(&xxh3_64(document))
     }
     /// Whether this very disk is a voter's.
     fn named(&self) -> bool {
@@ -520,7 +508,7 @@
             Msg::Promise(m) => self.regs.on_promise(from, m, now, &mut out),
             Msg::Accept(m) => self.regs.on_accept(addr, m, &mut out),
             Msg::Accepted(m) => self.regs.on_accepted(from, m, now, &mut out),
-            Msg::Commit(m) => self.regs.on_commit(&m.change, &mut out),
+            Msg::Commit(m) => self.regs.on_commit(&m.change, &m.past, &mut out),
             Msg::Renew(m) => self.regs.on_renew(addr, m, now, &mut out),
             Msg::Renewed(m) => self.regs.on_renewed(from, m, now, &mut out),
             Msg::Forward(m) => self.on_forward(addr, m, now, &mut out),
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -36,8 +36,9 @@
 pub const WRITE_LIMIT: Ms = 2_000;
 /// ms. A daemon that passed a write on waits a little longer than the owner does.
 pub const FORWARD_LIMIT: Ms = 2_500;
-/// Documents of the operator whose digests are remembered: one repeated late is known to have stood.
-pub const DOCUMENTS: usize = 64;
+/// Accepted values of an operator's key whose digests are kept beside the one that replaced them: an order that is
+/// repeated late is known to have stood. 8 bytes each; at the quickest storm that was met, a change each 80 ms, ten seconds.
+pub const PAST_VALUES: usize = 128;
 /// ms. A control daemon tells callers of edges only when every agent had three turns to poll it: a short list would
 /// send everybody to a few edges.
 pub const KNOWS_FLEET: Ms = 1_500;
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -17,7 +17,7 @@
     board::{SpecReader, own_spec},
     effect::{note, send},
     events,
-    limits::{BEAT_EVERY, PERMIT_MARGIN, RENEW_EVERY, RESEND, WRITE_LIMIT, WRITES_WAITING},
+    limits::{BEAT_EVERY, PAST_VALUES, PERMIT_MARGIN, RENEW_EVERY, RESEND, WRITE_LIMIT, WRITES_WAITING},
     order::weight,
 };
 
@@ -35,6 +35,11 @@
     key.starts_with(DUTY) || key.starts_with(CONTEXT)
 }
 
+/// Keys that operators write, and may write again without having heard of the first time.
+fn remembered(key: &str) -> bool {
+    !leased(key) && key != MEMBERS
+}
+
 /// The key by which the agreed order of a key's owners goes.
 fn seat(key: &str) -> Cow<'_, str> {
     key.strip_prefix(CONTEXT).map_or(Cow::Borrowed(key), |s| format!("{DUTY}{s}").into())
@@ -70,6 +75,7 @@
 struct Write {
     version: u64,
     value: Blob,
+    past: List<u64>,
     acks: BTreeSet<Name>,
     token: Option<u64>,
     expect: Expect,
@@ -228,7 +234,7 @@
     }
     /// What is had of each key, without the values.
     pub fn have(&self) -> List<Slot> {
-        let bare = |s: &Slot| Slot { key: s.key.clone(), value: Blob::default(), ..*s };
+        let bare = |s: &Slot| Slot { key: s.key.clone(), value: Blob::default(), past: List::default(), ..*s };
         self.slots.values().map(bare).collect()
     }
     /// Slots in which this daemon differs from one that has `have`.
@@ -345,7 +351,7 @@
         a.ok = 1;
         // A delayed copy of an older write of the same owner must not put the newer one back.
         if (m.epoch, m.version) >= (s.epoch, s.version) {
-            (s.promised, s.epoch, s.version, s.value) = (m.epoch, m.epoch, m.version, m.value);
+            (s.promised, s.epoch, s.version, s.value, s.past) = (m.epoch, m.epoch, m.version, m.value, m.past);
         }
         let slot = s.clone();
         // This version was known to be committed before something newer, which no majority took, stood in its place.
@@ -356,13 +362,14 @@
     }
 
     /// Learns a committed value.
-    pub fn on_commit(&mut self, c: &Change, out: &mut Effects) {
+    pub fn on_commit(&mut self, c: &Change, past: &[u64], out: &mut Effects) {
         self.highest = self.highest.max(c.epoch);
         let s = self.slot(&c.key);
         if (c.epoch, c.version) < (s.epoch, s.version) || (s.epoch, s.version, s.committed) == (c.epoch, c.version, c.version) {
             return;
         }
         (s.epoch, s.version, s.committed, s.value) = (c.epoch, c.version, c.version, c.value.clone());
+        s.past = List(past.to_vec());
         let slot = s.clone();
         out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then: vec![] });
         self.fresh.push(c.clone());
@@ -500,10 +507,12 @@
             if s.version != version || version == 0 {
                 continue;
             }
-            let m = Accept { key: h.key.clone(), epoch: o.epoch, version, value: s.value.clone(), me };
+            let (value, past) = (s.value.clone(), s.past.clone());
+            let m = Accept { key: h.key.clone(), epoch: o.epoch, version, value, past, me };
             o.write = Some(Write {
                 version,
                 value: s.value,
+                past: s.past,
                 acks: BTreeSet::new(),
                 token: None,
                 expect: Expect::Any,
@@ -532,12 +541,15 @@
             // stands already is what was asked for.
             let stands = self.slots.get(key).is_some_and(|s| s.version == version && version > 0 && value == Some(&s.value));
             let repeats = stands && if let Expect::Version(v) = expect { v + 1 == version } else { true };
-            if fits && !reads && !repeats {
+            let stood = value.and_then(|v| self.stood(key, version, expect, v));
+            if fits && !reads && !repeats && stood.is_none() {
+                let past = self.past_of_next(key, version);
                 let Some(o) = self.own.get_mut(key) else { return };
                 let Some(Ask { token, value: Some(value), .. }) = o.waiting.pop_front() else { return };
                 let (acks, token) = (BTreeSet::new(), Some(token));
-                let w = Write { version: version + 1, value, acks, token, expect, at, sent: now };
-                let m = Accept { key: key.clone(), epoch, version: w.version, value: w.value.clone(), me };
+                let w = Write { version: version + 1, value, past, acks, token, expect, at, sent: now };
+                let (value, past) = (w.value.clone(), w.past.clone());
+                let m = Accept { key: key.clone(), epoch, version: w.version, value, past, me };
                 o.write = Some(w);
                 return self.spread(m, out);
             }
@@ -548,11 +560,40 @@
                 return self.confirm(key, at, now, out);
             }
             let Some(a) = self.own.get_mut(key).and_then(|o| o.waiting.pop_front()) else { return };
-            let outcome = if reads || repeats { WriteOutcome::Accepted(version) } else { WriteOutcome::Conflict(version) };
+            let outcome = match stood {
+                _ if reads || repeats => WriteOutcome::Accepted(version),
+                Some(v) => WriteOutcome::Accepted(v),
+                None => WriteOutcome::Conflict(version),
+            };
             out.push(Effect::Answer { token: a.token, outcome });
         }
     }
 
+    /// As which version a value stood that has been replaced since. It has lost no race: whoever sends it again did not
+    /// hear that it was accepted. What is compared with nothing is an order of its own each time.
+    fn stood(&self, key: &Name, version: u64, expect: Expect, value: &Blob) -> Option<u64> {
+        // Long documents are not read through where there is nothing to compare with.
+        let past = &self.slots.get(key).filter(|s| s.version == version && !s.past.is_empty() && expect != Expect::Any)?.past;
+        let digest = xxh3_64(&value.0);
+        let back = past.iter().rev().position(|d| *d == digest)? as u64 + 1;
+        let was = version.checked_sub(back)?;
+        match expect {
+            Expect::Any => None,
+            Expect::Version(v) => (v + 1 == was).then_some(was),
+            Expect::Release(_) => Some(was),
+        }
+    }
+    /// What stood before the version after the one that stands. It goes with the value itself, under the same majority:
+    /// a record of its own could be there without the value, or lack it.
+    fn past_of_next(&self, key: &Name, version: u64) -> List<u64> {
+        let kept = |s: &&Slot| remembered(key) && s.version == version && version > 0;
+        let Some(s) = self.slots.get(key).filter(kept) else { return List::default() };
+        let mut past = s.past.0.clone();
+        past.push(xxh3_64(&s.value.0));
+        past.drain(..past.len().saturating_sub(PAST_VALUES));
+        List(past)
+    }
+
     /// Asks the voters whether a key is still this daemon's own.
     fn confirm(&mut self, key: &Name, since: Ms, now: Ms, out: &mut Effects) {
         let Some(o) = self.own.get_mut(key) else { return };
@@ -594,17 +635,19 @@
         // What is known to be committed stands on a majority already; each later owner meets it there.
         if best.committed == best.version {
             if best.version > 0 {
-                self.on_commit(&change(&best), out);
+                self.on_commit(&change(&best), &best.past, out);
             }
             self.advance(&key, now, out);
             return;
         }
         // Whatever a majority may have taken is written again under the new epoch before anything else:
         // a write whose owner died between two disks ends here, one way for everybody.
-        let m = Accept { key: key.clone(), epoch: o.epoch, version: best.version, value: best.value.clone(), me };
+        let (value, past) = (best.value.clone(), best.past.clone());
+        let m = Accept { key: key.clone(), epoch: o.epoch, version: best.version, value, past, me };
         o.write = Some(Write {
             version: best.version,
             value: best.value,
+            past: best.past,
             acks: BTreeSet::new(),
             token: None,
             expect: Expect::Any,
@@ -641,11 +684,12 @@
             out.push(note(events::ACCEPTED, &self.name, format!("{} version {}", m.key, w.version)));
             out.push(Effect::Answer { token, outcome: WriteOutcome::Accepted(w.version) });
         }
-        self.on_commit(&c, out);
+        self.on_commit(&c, &w.past, out);
+        let news = Commit { change: c, past: w.past };
         for v in self.voters.iter().filter(|v| v.name != self.name) {
-            out.push(send(&self.addr(v), Commit { change: c.clone() }));
+            out.push(send(&self.addr(v), news.clone()));
         }
-        out.extend(self.followers.iter().map(|a| send(a, Commit { change: c.clone() })));
+        out.extend(self.followers.iter().map(|a| send(a, news.clone())));
         self.advance(&m.key, now, out);
     }
 
@@ -693,6 +737,7 @@
             m.promised = m.promised.max(s.promised);
             if (s.epoch, s.version) > (m.epoch, m.version) {
                 (m.epoch, m.version, m.value, m.committed) = (s.epoch, s.version, s.value.clone(), s.committed);
+                m.past = s.past.clone();
                 if s.committed == s.version {
                     let c = change(s);
                     self.fresh.push(c);
@@ -704,7 +749,7 @@
     /// Learns what another daemon knows to be committed.
     pub fn mend(&mut self, slots: &[Slot], out: &mut Effects) {
         for s in slots.iter().filter(|s| s.committed == s.version && s.version > 0) {
-            self.on_commit(&change(s), out);
+            self.on_commit(&change(s), &s.past, out);
         }
     }
 
@@ -791,7 +836,8 @@
         }
         let Some(w) = o.write.as_mut().filter(|w| now.saturating_sub(w.sent) >= RESEND) else { return };
         w.sent = now;
-        let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value: w.value.clone(), me };
+        let (value, past) = (w.value.clone(), w.past.clone());
+        let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value, past, me };
         self.spread(m, out);
     }
 }
--- a/coordination/src/register/tests.rs
+++ b/coordination/src/register/tests.rs
@@ -118,7 +118,7 @@
                     Msg::Promise(m) => n.on_promise(&addr, m, now, &mut out),
                     Msg::Accept(m) => n.on_accept(&addr, m, &mut out),
                     Msg::Accepted(m) => n.on_accepted(&addr, m, now, &mut out),
-                    Msg::Commit(m) => n.on_commit(&m.change, &mut out),
+                    Msg::Commit(m) => n.on_commit(&m.change, &m.past, &mut out),
                     _ => {}
                 }
                 self.carry(to, out);
--- a/coordination/tests/expect.rs
+++ b/coordination/tests/expect.rs
@@ -61,9 +61,9 @@
     f.run(1_000);
     for i in 0..3 {
         expect_that!(f.brain(i).unwrap().spec().map(|s| s.release), some(eq(8)));
-        // A repeat that comes after its successor is known to have stood.
-        expect_true!(f.brain(i).unwrap().stood(3, &document(3, 1)));
-        expect_false!(f.brain(i).unwrap().stood(3, &document(3, 2)));
+        // A repeat that comes after its successor is accepted as the version that it was; what lost is refused again.
+        expect_that!(put(f, i, Expect::Release(0), &document(3, 1)), some(eq(WriteOutcome::Accepted(1))));
+        expect_that!(put(f, i, Expect::Release(0), &document(3, 2)), some(eq(WriteOutcome::Conflict(2))));
     }
 }
 
--- /dev/null
+++ b/coordination/tests/repeats.rs
@@ -0,0 +1,147 @@
+//! Releases that were accepted and then replaced are sent again: they are acknowledged as the version that they were,
+//! whatever became of the daemons that saw them stand.
+
+mod fleet;
+
+use coordination::{WriteOutcome, control::SPEC, limits::PAST_VALUES, register::Expect};
+use fleet::Fleet;
+use googletest::prelude::*;
+
+/// How many releases are put, each on top of the one before.
+const RELEASES: u64 = 6;
+
+/// A document of a release, in the product's own spelling; `mark` tells two of one release apart.
+fn document(release: u64, mark: u64) -> Vec<u8> {
+    let s = serde_json::json!({"zones": [], "tiers": [], "services": [], "canary_percent": 10, "bake_ms": mark,
+        "release": release});
+    serde_json::to_vec(&s).unwrap()
+}
+fn put(f: &mut Fleet, i: usize, release: u64, mark: u64) -> Option<WriteOutcome> {
+    let now = f.now;
+    let e = Expect::Release(release - 1);
+    let (t, out) = f.all[i].brain.as_mut().unwrap().write(SPEC, e, document(release, mark), now);
+    f.carry(i, out);
+    f.until(4_000, |f| f.ends.contains_key(&(i, t)));
+    f.ends.get(&(i, t)).map(|e| e.1)
+}
+/// Sends it until it has a clear answer.
+fn clear(f: &mut Fleet, i: usize, release: u64, mark: u64) -> Option<WriteOutcome> {
+    for _ in 0..20 {
+        match put(f, i, release, mark) {
+            Some(e @ (WriteOutcome::Accepted(_) | WriteOutcome::Conflict(_))) => return Some(e),
+            _ => f.run(200),
+        }
+    }
+    None
+}
+fn settle(f: &mut Fleet) {
+    let all = |f: &Fleet| (0..3).all(|i| f.brain(i).is_some_and(|b| b.settled()));
+    f.until(20_000, all).expect("the fleet settles");
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Calm,
+    AllKilled,
+    OwnerKilled,
+    /// One hears nothing while the later releases are accepted.
+    OneCutOff,
+    /// Each disk is lost, one after the other.
+    DisksLost,
+}
+use Trouble::*;
+
+#[gtest]
+fn a_release_that_was_accepted_and_replaced_is_acknowledged_again() {
+    for seed in 0..25u64 {
+        let f = &mut Fleet::founded(seed, 3, |i| format!("r{i}"));
+        settle(f);
+        let t = [Calm, AllKilled, OwnerKilled, OneCutOff, DisksLost][seed as usize % 5];
+        let cut = f.rng.usize(..3);
+        let mut at = f.rng.usize(..3);
+        for r in 1..=RELEASES {
+            if r == 3 && matches!(t, OneCutOff) {
+                f.cut.insert(fleet::addr(cut));
+                f.run(2_000);
+                at = (cut + 1) % 3;
+            }
+            expect_that!(clear(f, at, r, 0), some(eq(WriteOutcome::Accepted(r))), "seed {seed}, {t:?}");
+            // The loser of a race under the same number.
+            expect_that!(clear(f, at, r, 1), some(eq(WriteOutcome::Conflict(r))), "seed {seed}, {t:?}");
+        }
+        f.cut.clear();
+        let owner = (0..3).find(|i| f.brain(*i).unwrap().regs.holds(SPEC, f.now).is_some());
+        let gone = match t {
+            AllKilled => vec![0, 1, 2],
+            OwnerKilled => owner.into_iter().collect(),
+            _ => vec![],
+        };
+        gone.iter().for_each(|i| f.kill(*i));
+        f.run(300);
+        gone.iter().for_each(|i| f.start(*i));
+        for i in (0..3).filter(|_| matches!(t, DisksLost)) {
+            f.wipe(i);
+            f.run(600);
+            f.start(i);
+            f.until(10_000, |f| f.voting().len() == 3).expect("it votes again");
+            settle(f);
+        }
+        settle(f);
+        for (r, i) in (1..=RELEASES).flat_map(|r| (0..3).map(move |i| (r, i))) {
+            let told = format!("seed {seed}, {t:?}: release {r} at {i}");
+            expect_that!(clear(f, i, r, 0), some(eq(WriteOutcome::Accepted(r))), "{told}");
+            expect_that!(clear(f, i, r, 1), some(eq(WriteOutcome::Conflict(RELEASES))), "{told}, the loser");
+        }
+    }
+}
+
+/// What is remembered has a bound; within it the oldest is known as well as the newest.
+#[gtest]
+fn as_many_releases_are_remembered_as_the_bound_says() {
+    let f = &mut Fleet::founded(1, 3, |i| format!("r{i}"));
+    settle(f);
+    let most = PAST_VALUES as u64;
+    for r in 1..=most + 2 {
+        expect_that!(clear(f, 0, r, 0), some(eq(WriteOutcome::Accepted(r))));
+    }
+    expect_that!(clear(f, 1, 1, 0), some(eq(WriteOutcome::Conflict(most + 2))));
+    for r in [2, 3, most, most + 1, most + 2] {
+        expect_that!(clear(f, 1, r, 0), some(eq(WriteOutcome::Accepted(r))));
+    }
+    // Edges have no use for it: what goes to them is the value alone.
+    let slot = f.brain(0).unwrap().regs.keys().find(|s| &*s.key == SPEC).unwrap();
+    expect_that!(slot.past.len(), eq(PAST_VALUES));
+}
+
+/// What is compared with nothing is a new order each time, also where its value stood once: a zone that was given back
+/// is evacuated again.
+#[gtest]
+fn an_order_that_is_compared_with_nothing_is_never_taken_for_a_former_one() {
+    let f = &mut Fleet::founded(1, 3, |i| format!("r{i}"));
+    settle(f);
+    for n in 1..=6u64 {
+        let w = f.write(n as usize % 3, "zone/z1", None, &[n as u8 % 2]).unwrap();
+        f.until(4_000, |f| f.ends.contains_key(&w));
+        expect_that!(f.ends.get(&w).map(|e| e.1), some(eq(WriteOutcome::Accepted(n))));
+    }
+}
+
+/// A write that names the version it replaces is known again as just the one after it.
+#[gtest]
+fn a_write_on_a_version_is_acknowledged_again_as_the_one_after_it() {
+    let f = &mut Fleet::founded(1, 3, |i| format!("r{i}"));
+    settle(f);
+    let ask = |f: &mut Fleet, on: u64, value: u8| {
+        let w = f.write(on as usize % 3, "plan/s", Some(on), &[value]).unwrap();
+        f.until(4_000, |f| f.ends.contains_key(&w));
+        f.ends.get(&w).map(|e| e.1)
+    };
+    for on in 0..4 {
+        expect_that!(ask(f, on, on as u8), some(eq(WriteOutcome::Accepted(on + 1))));
+    }
+    for on in 0..4 {
+        expect_that!(ask(f, on, on as u8), some(eq(WriteOutcome::Accepted(on + 1))));
+    }
+    // The value stood, but not as this version.
+    expect_that!(ask(f, 2, 0), some(eq(WriteOutcome::Conflict(4))));
+}
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -41,8 +41,8 @@
     Heard { node: u32, beat: u32, age: u16 }
     /// A committed value of a key. `epoch` orders owners, `version` orders values.
     Change { key: Name, epoch: u64, version: u64, value: Blob }
-    /// A voter's whole knowledge of a key.
-    Slot { key: Name, promised: u64, epoch: u64, version: u64, committed: u64, value: Blob }
+    /// A voter's whole knowledge of a key. `past`: digests of the accepted values that this one replaced, newest last.
+    Slot { key: Name, promised: u64, epoch: u64, version: u64, committed: u64, value: Blob, past: List<u64> }
     /// What a duty holder lets an edge do for a while: the record it may follow and the canary's share.
     Permit { service: Name, epoch: u64, version: u64, canary_share: u32, ttl: u32 }
     /// A permit as an agent hands it to its proxy: both read the same machine's clock, so it ends at `until`.
@@ -72,9 +72,9 @@
     1u8 Beat { me: u32, disk: u64, zone: Name, blank: u8, digest: u64 }
     2u8 Prepare { key: Name, epoch: u64, me: u32 }
     3u8 Promise { epoch: u64, me: u32, ok: u8, wait: u32, slot: Slot }
-    4u8 Accept { key: Name, epoch: u64, version: u64, value: Blob, me: u32 }
+    4u8 Accept { key: Name, epoch: u64, version: u64, value: Blob, past: List<u64>, me: u32 }
     5u8 Accepted { key: Name, epoch: u64, version: u64, promised: u64, me: u32, ok: u8 }
-    6u8 Commit { change: Change }
+    6u8 Commit { change: Change, past: List<u64> }
     7u8 Renew { keys: List<Held>, sent: u64, me: u32 }
     8u8 Renewed { keys: List<Held>, sent: u64, me: u32 }
     /// `mode`: what `expect` is compared with; 0 the version that stands, 1 nothing, 2 the release of the standing
