--- a/coordination/src/proxy/news.rs
+++ b/coordination/src/proxy/news.rs
@@ -1,6 +1,6 @@
 //! What the agent beside a proxy says, and what it is told.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 use remote_calls::{ContextRecord, PathSpec, RolloutRecord};
 use wire_messages::{Board as BoardMsg, Demand as DemandMsg, List, Name, Open, ProxyHello, Readings, Tally};
@@ -48,13 +48,14 @@
         let spec = self.board.get(SPEC).filter(|c| !c.value.0.is_empty());
         // Documents grow long and records change often: each is read once per change of its own.
         if let Some(c) = spec.filter(|c| stamp(c) != self.read) {
-            let s = (self.reader)(&c.value.0);
+            let mut s = (self.reader)(&c.value.0);
             self.read = stamp(c);
-            self.paths = Paths::new(s.as_ref().map_or(&[], |s| &s.paths));
+            // Tenants bring paths by the ten thousand: the index alone has them.
+            self.paths = Paths::new(s.as_mut().map_or(vec![], |s| std::mem::take(&mut s.paths)));
             for v in s.iter().flat_map(|s| &s.services) {
                 v.engine.iter().for_each(|e| self.placement.set_engine(&v.name, e));
             }
-            self.spec = s;
+            self.spec = s.map(Arc::new);
         }
         self.leaving = self.board.under(LEAVING).map(|(r, _)| r.to_string()).collect();
         let changed: Vec<(String, (u64, u64))> = self
--- a/coordination/src/proxy/place.rs
+++ b/coordination/src/proxy/place.rs
@@ -1,6 +1,6 @@
 //! Callers that name a service: where they should go, and the places of their requests.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 use remote_calls::{Fault, GroupRole, LaneSpec, NominateRequest, Nomination, Outcome, RunRequest, ServiceSpec, Spec};
 use wire_messages::Node;
@@ -62,7 +62,7 @@
         Ok(open)
     }
 
-    fn allowed(&mut self, now: Ms) -> Result<Spec, Fault> {
+    fn allowed(&mut self, now: Ms) -> Result<Arc<Spec>, Fault> {
         // The rule is read with the clock at hand: a process that slept finds it lapsed.
         if self.rule == RULE_NONE || now >= self.until {
             return Err(self.reject("no_rule", "check_rule", "this edge may not serve now"));
