--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -8,7 +8,10 @@
 mod place;
 mod reports;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+};
 
 use remote_calls::{Fault, GroupRole, ReplicaReport, RolloutRecord, Spec};
 use wire_messages::{Lent, Name, Node};
@@ -128,7 +131,7 @@
     http: Name,
     born: u64,
     board: Board,
-    spec: Option<Spec>,
+    spec: Option<Arc<Spec>>,
     records: BTreeMap<String, (u64, u64, RolloutRecord)>,
     leaving: BTreeSet<String>,
     evacuated: BTreeSet<String>,
