Send callers beyond their region only within the homes of their host's lanes

Cause: where a zone and a region have one live edge the directory told of all edges, homes or not. Ruled out: placement (the bodies went to replicas inside the homes), a spec not known to the directory (released long before). Change: the wider list holds the caller's own region and the regions that every lane of the host names; all edges only where nothing binds, no region suits all lanes, or no edge is there. The new test of resolution.rs fails without the change.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -30,6 +30,7 @@
     members as seats,
     membership::{CONTROL, EDGE, Membership},
     order::{agreed, weight},
+    pass::host_name,
     regions,
     register::{CONTEXT, DUTY, Expect, MEMBERS, Registers},
     rollout::{Inputs, Loop, first_record},
@@ -1278,8 +1279,17 @@
 
     // ---- looking ----
 
+    /// Regions in which every lane of a host may be carried. None: all, as nothing binds or no region suits all lanes.
+    fn homes(&self, host: &str) -> Option<BTreeSet<&str>> {
+        let host = host_name(host);
+        let lanes = self.spec.iter().flat_map(|s| &s.paths).filter(|p| p.host.eq_ignore_ascii_case(host) && !p.homes.is_empty());
+        let homes = lanes.map(|p| p.homes.iter().map(String::as_str).collect::<BTreeSet<&str>>());
+        homes.reduce(|a, b| a.intersection(&b).copied().collect()).filter(|h| !h.is_empty())
+    }
+
     /// Addresses of edges for a caller of a host in a place: near ones first, but never only one of many, as that one
-    /// may just have gone. None: this daemon does not know the fleet yet, or nobody serves.
+    /// may just have gone; beyond its region only where the host's lanes may be carried, if any edge is there. None: this
+    /// daemon does not know the fleet yet, or nobody serves.
     pub fn edges_near(&self, host: &str, zone: &str, region: &str, now: Ms) -> Option<Vec<String>> {
         if now.saturating_sub(self.started) < KNOWS_FLEET {
             return None;
@@ -1293,7 +1303,13 @@
         let home = |n: &Node| regions::region(&self.p.regions, &n.zone) == region;
         let near: [Vec<&Node>; 2] =
             [all.iter().filter(|n| &*n.zone == zone).copied().collect(), all.iter().filter(|n| home(n)).copied().collect()];
-        let some = near.into_iter().find(|v| v.len() > 1).unwrap_or(all);
+        let some = near.into_iter().find(|v| v.len() > 1).unwrap_or_else(|| {
+            // Its body is not carried where it has no home for the sake of a choice.
+            let Some(homes) = self.homes(host) else { return all };
+            let fits = |n: &&&Node| home(n) || homes.contains(regions::region(&self.p.regions, &n.zone));
+            let some: Vec<&Node> = all.iter().filter(fits).copied().collect();
+            if some.is_empty() { all } else { some }
+        });
         let some = agreed(host, some, |n| &n.name).into_iter().take(ADDRESSES).map(|n| n.http.to_string());
         Some(some.collect()).filter(|v: &Vec<String>| !v.is_empty())
     }
--- a/coordination/src/pass.rs
+++ b/coordination/src/pass.rs
@@ -64,6 +64,11 @@
     Dropped,
 }
 
+/// A host as lanes name it: a port in it names the edge, not the lane.
+pub fn host_name(host: &str) -> &str {
+    host.rsplit_once(':').filter(|(_, p)| p.bytes().all(|b| b.is_ascii_digit())).map_or(host, |(h, _)| h)
+}
+
 /// Index of a spec's paths: the longest prefix that begins a path wins.
 #[derive(Clone, Debug, Default)]
 pub struct Paths {
@@ -84,10 +89,8 @@
         Paths { hosts }
     }
     pub fn find(&self, host: &str, path: &str) -> Option<std::sync::Arc<PathSpec>> {
-        // A port in the host names the edge, not the lane.
-        let name = host.rsplit_once(':').filter(|(_, p)| p.bytes().all(|b| b.is_ascii_digit())).map_or(host, |(h, _)| h);
         let path = path.split(['?', '#']).next().unwrap_or(path);
-        let v = self.hosts.get(&name.to_ascii_lowercase())?;
+        let v = self.hosts.get(&host_name(host).to_ascii_lowercase())?;
         v.iter().find(|p| path.starts_with(p.prefix.as_str())).cloned()
     }
 }
--- a/coordination/tests/resolution.rs
+++ b/coordination/tests/resolution.rs
@@ -5,11 +5,13 @@
 use coordination::{
     Effect, Effects, Ms,
     agent::Agent,
-    control::{Control, ControlParams},
+    control::{Control, ControlParams, SPEC},
     limits::{KNOWS_FLEET, NODE_GONE, POLL_EVERY, RULE_LIFE, SHUFFLE_EVERY, TICK},
+    register::Expect,
     wire::{Msg, Name, Node, ProxyHello},
 };
 use googletest::prelude::*;
+use serde_json::{Value, json};
 
 /// ms. Proxies speak to their agents this often.
 const HELLO: Ms = 200;
@@ -65,7 +67,15 @@
     fn deliver(&mut self, from: Name, out: Effects) {
         let mut all: Vec<(Name, Effect)> = out.into_iter().map(|e| (from.clone(), e)).collect();
         while let Some((from, e)) = all.pop() {
-            let Effect::Send { to, msg } = e else { continue };
+            let (to, msg) = match e {
+                Effect::Send { to, msg } => (to, msg),
+                // The disk takes everything at once.
+                Effect::Persist { then, .. } => {
+                    all.extend(then.into_iter().map(|e| (from.clone(), e)));
+                    continue;
+                }
+                _ => continue,
+            };
             let more = match (&*to, self.agents.get_mut(&to)) {
                 ("c", _) => self.control.on_msg(&from, &from, msg, self.now),
                 (_, Some(a)) if !self.frozen.contains(&to) => a.on_msg(&from, &from, msg, self.now),
@@ -93,12 +103,28 @@
             }
         }
     }
-    fn near(&self, zone: &str, region: &str) -> Option<BTreeSet<String>> {
-        let all = self.control.edges_near("host", zone, region, self.now)?;
+    fn near(&self, host: &str, zone: &str, region: &str) -> Option<BTreeSet<String>> {
+        let all = self.control.edges_near(host, zone, region, self.now)?;
         Some(all.into_iter().collect())
     }
     fn told(&self, zone: &str, region: &str) -> Vec<String> {
-        self.near(zone, region).unwrap_or_default().into_iter().map(|h| h[2..].to_string()).collect()
+        self.told_for("host", zone, region)
+    }
+    fn told_for(&self, host: &str, zone: &str, region: &str) -> Vec<String> {
+        self.near(host, zone, region).unwrap_or_default().into_iter().map(|h| h[2..].to_string()).collect()
+    }
+    /// A spec of lanes, each a host and its homes, as its owner learns it.
+    fn spec(&mut self, lanes: &[(&str, &[&str])]) {
+        let path = |(i, (host, homes)): (usize, &(&str, &[&str]))| {
+            json!({"lane": format!("l{i}"), "host": host, "prefix": format!("/{i}/"), "kind": "once", "time_limit_ms": 1_000,
+                "expected_ms": 100, "homes": homes, "split": []})
+        };
+        let paths: Vec<Value> = lanes.iter().enumerate().map(path).collect();
+        let spec = json!({"zones": [], "tiers": [], "services": [], "canary_percent": 10, "bake_ms": 0, "paths": paths});
+        let (_, out) = self.control.write(SPEC, Expect::Any, spec.to_string().into_bytes(), self.now);
+        self.deliver("c".into(), out);
+        self.run(1_000);
+        assert!(self.control.spec().is_some());
     }
 }
 fn names(all: &[&str]) -> Vec<String> {
@@ -108,7 +134,7 @@
 #[gtest]
 fn a_caller_is_told_of_its_zone_then_of_its_region_then_of_all() {
     let mut l = Land::new();
-    expect_that!(l.near("a1", "a"), none());
+    expect_that!(l.near("host", "a1", "a"), none());
     l.run(2 * KNOWS_FLEET);
     expect_that!(l.told("a1", "a"), eq(&names(&["a1-0", "a1-1"])));
     expect_that!(l.told("b2", "b"), eq(&names(&["b2-0", "b2-1"])));
@@ -137,6 +163,40 @@
     expect_that!(l.told("b1", "b"), eq(&names(&["b1-1", "b1-9"])));
 }
 
+// A caller's body must not be carried where its lane has no home, so a region with one edge left is no reason to send
+// its callers anywhere.
+#[gtest]
+fn a_caller_of_a_host_with_homes_is_told_of_its_own_region_and_of_those() {
+    let mut l = Land::new();
+    l.run(2 * KNOWS_FLEET);
+    let gone = |l: &mut Land, n: &[&str]| {
+        l.frozen = n.iter().map(|n| Name::from(*n)).collect();
+        l.run(NODE_GONE + 2 * POLL_EVERY);
+    };
+    l.spec(&[
+        ("b", &["b"]),
+        ("ab", &["a", "b"]),
+        ("c", &["c"]),
+        ("two", &["a"]),
+        ("two", &["a", "b"]),
+        ("apart", &["a"]),
+        ("apart", &["b"]),
+    ]);
+    gone(&mut l, &["a1-0", "a2-0", "a2-1"]);
+    // One edge of region a is left.
+    expect_that!(l.told_for("b", "a1", "a"), eq(&names(&["a1-1", "b1-0", "b1-1", "b2-0", "b2-1"])));
+    expect_that!(l.told_for("two", "a1", "a"), eq(&names(&["a1-1"])));
+    expect_that!(l.told_for("C", "a1", "a"), eq(&names(&["a1-1"])));
+    expect_that!(l.told_for("two:80", "b1", "b"), eq(&names(&["b1-0", "b1-1"])));
+    // Where nothing binds, or no place is right for all lanes, all are better than one.
+    for host in ["free", "apart"] {
+        expect_that!(l.told_for(host, "a1", "a").len(), eq(5), "{host}");
+    }
+    // None is left where the lane may be carried: what it asks for can't be served either, but it is told so.
+    gone(&mut l, &["a1-0", "a1-1", "a2-0", "a2-1"]);
+    expect_that!(l.told_for("two", "a1", "a"), eq(&names(&["b1-0", "b1-1", "b2-0", "b2-1"])));
+}
+
 #[gtest]
 fn an_edge_whose_proxy_is_silent_is_left_out_until_it_speaks() {
     let mut l = Land::new();
