Have the database alone before anything is read from it, also on a restart

Cause: a daemon that starts on a folder with a log read the layout's number before it asked for the exclusive mode; SQLite then opens the log's index as shared memory and keeps it so, against what the code says and what holds on the first start. Found by a stand-in disk without shared memory, on which the second opening failed. Only the first start was tested.

Before: `there_is_no_shared_memory`, with a second opening added, met `control.sqlite-shm`; after: the two files only.

--- a/control-daemon/src/disk.rs
+++ b/control-daemon/src/disk.rs
@@ -115,13 +115,15 @@
     std::fs::create_dir_all(folder).change_context(DiskFault("make the data folder"))?;
     let step = |s: &'static str| move || DiskFault(s);
     let c = Connection::open(folder.join(FILE)).change_context_lazy(step("open the database"))?;
+    // Before anything is read and before the journal is named: the log's index then stays in this process and is no
+    // shared memory, also where the log is there already.
+    c.execute_batch("PRAGMA locking_mode=EXCLUSIVE").change_context_lazy(step("have the database alone"))?;
     let found: i64 = c.query_row("PRAGMA user_version", [], |r| r.get(0)).change_context_lazy(step("read the layout"))?;
     if found > LAYOUT {
         let m = format!("it has layout {found}, this daemon writes {LAYOUT}");
         return Err(Report::new(DiskFault("take over the data folder")).attach(m));
     }
-    // Exclusive before the journal is named: the log's index then stays in this process and is no shared memory.
-    let setup = "PRAGMA locking_mode=EXCLUSIVE; PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL;
+    let setup = "PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL;
         PRAGMA wal_autocheckpoint=256; PRAGMA cache_size=-256; PRAGMA temp_store=MEMORY;
         CREATE TABLE IF NOT EXISTS disk (id INTEGER NOT NULL);
         CREATE TABLE IF NOT EXISTS members (one INTEGER PRIMARY KEY CHECK (one = 1), me INTEGER NOT NULL, voters TEXT NOT NULL, voting INTEGER NOT NULL,
--- a/control-daemon/tests/disk.rs
+++ b/control-daemon/tests/disk.rs
@@ -142,8 +142,19 @@
     let disk = Disk::start(dir.clone(), 0);
     block(disk.open()).unwrap();
     block(disk.sync(vec![slot("a", 1, 10)])).unwrap();
+    let names = || files(&dir).into_keys().collect::<Vec<String>>();
+    let wanted = ["control.sqlite".to_string(), LOG.to_string()];
+    expect_that!(names(), container_eq(wanted.clone()));
+    // Nor is there once the folder is opened again, with a log in it.
+    let left = files(&dir);
+    let dir = folder("shared-again");
+    fs::create_dir_all(&dir).unwrap();
+    left.iter().for_each(|(n, b)| fs::write(dir.join(n), b).unwrap());
+    let disk = Disk::start(dir.clone(), 0);
+    block(disk.open()).unwrap();
+    block(disk.sync(vec![slot("a", 2, 10)])).unwrap();
     let names: Vec<String> = files(&dir).into_keys().collect();
-    expect_that!(names, container_eq(["control.sqlite".to_string(), LOG.to_string()]));
+    expect_that!(names, container_eq(wanted));
     let _ = fs::remove_dir_all(&dir);
 }
 
