--- a/control-daemon/src/disk.rs
+++ b/control-daemon/src/disk.rs
@@ -2,11 +2,18 @@
 //! together are synced together.
 
 use daemon_parts::limits::DISK_BUFFER;
-use std::{path::PathBuf, sync::mpsc, thread};
+use std::{
+    ffi::CStr,
+    fs, io,
+    os::unix::fs::FileExt,
+    path::{Path, PathBuf},
+    sync::mpsc,
+    thread,
+};
 
 use coordination::{Row, members};
 use error_stack::{Report, ResultExt};
-use rusqlite::{Connection, OptionalExtension, params};
+use rusqlite::{Connection, OpenFlags, OptionalExtension, params};
 use tokio::sync::oneshot;
 use wire_messages::{Blob, List, Slot};
 
@@ -16,6 +23,11 @@
 /// touched, as a daemon that guesses could lose what it confirmed.
 const LAYOUT: i64 = 4;
 
+/// The files beside the database, in the order in which they outrank it: what they hold is taken over into it.
+const BESIDE: [&str; 2] = ["-journal", "-wal"];
+/// Bytes that are written anew at a time.
+const ANEW: usize = 1 << 16;
+
 /// How a disk stands to its member epoch, as stored; 0: it has not caught up, or has no place.
 const VOTES: u8 = 1;
 const LEFT: u8 = 2;
@@ -35,6 +47,51 @@
 /// The disk's own number, whether it was blank, and what it held.
 pub type Held = (u64, bool, Vec<Row>);
 
+/// What the data folder lies on: the machine's file system, or a stand-in for it.
+#[derive(Clone, Copy)]
+pub struct Storage {
+    /// SQLite's way to files; none: its own.
+    pub vfs: Option<&'static CStr>,
+    /// Makes a folder whose name lasts.
+    pub make: fn(&Path) -> io::Result<()>,
+    /// Has the names in a folder last.
+    pub sync_names: fn(&Path) -> io::Result<()>,
+    /// Writes what a file reads as once more, if it is there, and syncs it.
+    pub write_anew: fn(&Path) -> io::Result<()>,
+}
+
+impl Default for Storage {
+    fn default() -> Self {
+        Storage { vfs: None, make, sync_names, write_anew }
+    }
+}
+
+fn make(folder: &Path) -> io::Result<()> {
+    let missing: Vec<&Path> = folder.ancestors().take_while(|p| !p.as_os_str().is_empty() && !p.exists()).collect();
+    fs::create_dir_all(folder)?;
+    // A new folder's name is kept by the one above it.
+    missing.iter().filter_map(|p| p.parent()).filter(|p| !p.as_os_str().is_empty()).try_for_each(sync_names)
+}
+fn sync_names(folder: &Path) -> io::Result<()> {
+    fs::File::open(folder)?.sync_all()
+}
+
+fn write_anew(file: &Path) -> io::Result<()> {
+    let f = match fs::OpenOptions::new().read(true).write(true).open(file) {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(()),
+        f => f?,
+    };
+    let (mut part, mut at) = (vec![0; ANEW], 0);
+    loop {
+        let n = f.read_at(&mut part, at)?;
+        if n == 0 {
+            return f.sync_all();
+        }
+        f.write_all_at(&part[..n], at)?;
+        at += n as u64;
+    }
+}
+
 enum Command {
     Sync(Vec<Row>, oneshot::Sender<Done<()>>),
     Open(oneshot::Sender<Done<Held>>),
@@ -46,8 +103,11 @@
 
 impl Disk {
     pub fn start(folder: PathBuf, limit: u64) -> Self {
+        Self::start_on(Storage::default(), folder, limit)
+    }
+    pub fn start_on(storage: Storage, folder: PathBuf, limit: u64) -> Self {
         let (s, r) = mpsc::sync_channel(DISK_BUFFER);
-        thread::spawn(move || work(folder, limit, r));
+        thread::spawn(move || work(storage, folder, limit, r));
         Disk(s)
     }
     pub fn sync(&self, rows: Vec<Row>) -> impl Future<Output = Done<()>> + use<> {
@@ -71,7 +131,7 @@
     }
 }
 
-fn work(folder: PathBuf, limit: u64, r: mpsc::Receiver<Command>) {
+fn work(storage: Storage, folder: PathBuf, limit: u64, r: mpsc::Receiver<Command>) {
     let mut db: Option<Connection> = None;
     while let Ok(first) = r.recv() {
         let mut rows = Vec::new();
@@ -86,7 +146,7 @@
                 }
                 Command::Open(s) => {
                     db = None;
-                    let opened = open(&folder, limit);
+                    let opened = open(storage, &folder, limit);
                     let _ = s.send(opened.map(|(c, held)| {
                         db = Some(c);
                         held
@@ -111,10 +171,21 @@
     }
 }
 
-fn open(folder: &PathBuf, limit: u64) -> Done<(Connection, Held)> {
-    std::fs::create_dir_all(folder).change_context(DiskFault("make the data folder"))?;
+fn open(storage: Storage, folder: &Path, limit: u64) -> Done<(Connection, Held)> {
+    (storage.make)(folder).change_context(DiskFault("make the data folder"))?;
     let step = |s: &'static str| move || DiskFault(s);
-    let c = Connection::open(folder.join(FILE)).change_context_lazy(step("open the database"))?;
+    // After a sync that failed, files read as if it had not: the machine holds those bytes for written and no later sync
+    // sees to them. What is read here is told to others, so it must be on the disk. Files beside first: a torn database
+    // is made whole from them.
+    for beside in BESIDE.into_iter().chain([""]) {
+        (storage.write_anew)(&folder.join(format!("{FILE}{beside}"))).change_context(DiskFault("write a file anew"))?;
+    }
+    let (file, flags) = (folder.join(FILE), OpenFlags::default());
+    let c = match storage.vfs {
+        Some(v) => Connection::open_with_flags_and_vfs(file, flags, v),
+        None => Connection::open_with_flags(file, flags),
+    };
+    let c = c.change_context_lazy(step("open the database"))?;
     // Before anything is read and before the journal is named: the log's index then stays in this process and is no
     // shared memory, also where the log is there already.
     c.execute_batch("PRAGMA locking_mode=EXCLUSIVE").change_context_lazy(step("have the database alone"))?;
@@ -123,7 +194,11 @@
         let m = format!("it has layout {found}, this daemon writes {LAYOUT}");
         return Err(Report::new(DiskFault("take over the data folder")).attach(m));
     }
-    let setup = "PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL;
+    let journal = name_journal(&c).change_context(DiskFault("name the journal"))?;
+    if journal != ["wal"] {
+        return Err(Report::new(DiskFault("keep a log")).attach(format!("it would keep {journal:?}")));
+    }
+    let setup = "PRAGMA synchronous=FULL;
         PRAGMA wal_autocheckpoint=256; PRAGMA cache_size=-256; PRAGMA temp_store=MEMORY;
         CREATE TABLE IF NOT EXISTS disk (id INTEGER NOT NULL);
         CREATE TABLE IF NOT EXISTS members (one INTEGER PRIMARY KEY CHECK (one = 1), me INTEGER NOT NULL, voters TEXT NOT NULL, voting INTEGER NOT NULL,
@@ -160,12 +235,18 @@
     c.execute_batch(&format!("BEGIN; DELETE FROM disk; INSERT INTO disk VALUES ({id}); COMMIT"))
         .change_context_lazy(step("write the disk's number"))?;
     // The log is made anew at each opening: its name must last as long as what is written to it.
-    let dir = std::fs::File::open(folder).and_then(|d| d.sync_all());
-    dir.change_context(DiskFault("sync the data folder"))?;
+    (storage.sync_names)(folder).change_context(DiskFault("sync the data folder"))?;
     let rows = read(&c).change_context(DiskFault("read the state"))?;
     Ok((c, (id, blank, rows)))
 }
 
+/// Has the database keep a log. SQLite tells the mode before it has written it, so the statement is run to its end: with a
+/// fault behind its answer the database would go on with a journal whose removal nobody syncs, and which may come back
+/// after a loss of power and undo what was confirmed.
+fn name_journal(c: &Connection) -> rusqlite::Result<Vec<String>> {
+    c.prepare("PRAGMA journal_mode=WAL")?.query_map([], |r| r.get(0))?.collect()
+}
+
 fn read(c: &Connection) -> rusqlite::Result<Vec<Row>> {
     let mut rows = Vec::new();
     let members = c.query_row("SELECT me, voters, voting, before FROM members", [], |r| {
