Repeat orders of before too where operators' changes meet trouble

200 fleets of six changes: after each, one of the earlier acknowledged specs or plans is sent again to any daemon until the answer is clear, and must be accepted as the version that it was.

--- a/coordination/tests/operators.rs
+++ b/coordination/tests/operators.rs
@@ -132,6 +132,7 @@
     for seed in 0..200 {
         let f = &mut settled(seed);
         let (mut release, mut plan) = (0, 0);
+        let mut taken: Vec<(Order, u64)> = vec![];
         for n in 0..6u64 {
             let t = *f.rng.choice(&TROUBLES).unwrap();
             let order = match f.rng.u8(..3) {
@@ -164,6 +165,13 @@
                 expect_that!(again, not(some(matches_pattern!(WriteOutcome::Conflict(_)))), "{told}");
             }
             expect_that!(newest(f, order.key), some(eq(WriteOutcome::Accepted(v))), "{told}");
+            // One of before, which others may have replaced since and whose sender only now sends it again.
+            if order.expect != Expect::Any {
+                taken.push((order, v));
+            }
+            if let Some((old, v)) = f.rng.choice(&taken).cloned() {
+                expect_that!(clear(f, &old), some(eq(WriteOutcome::Accepted(v))), "{told}, then again {old:?}");
+            }
             f.run(100);
         }
     }
