--- a/coordination/tests/chaos.rs
+++ b/coordination/tests/chaos.rs
@@ -71,6 +71,20 @@
             self.asked.insert(w, (expect, value));
         }
     }
+    /// Sends a write of before until it has a clear answer.
+    fn again(&mut self, version: u64, value: &[u8]) -> Option<WriteOutcome> {
+        for _ in 0..20 {
+            let up = self.up();
+            let &i = self.f.rng.choice(&up)?;
+            let w = self.f.write(i, "spec", Some(version - 1), value)?;
+            self.f.until(4_000, |f| f.ends.contains_key(&w));
+            match self.f.ends.get(&w) {
+                Some((_, e @ (WriteOutcome::Accepted(_) | WriteOutcome::Conflict(_)))) => return Some(*e),
+                _ => self.f.run(200),
+            }
+        }
+        None
+    }
     fn step(&mut self, n: u64, lose: usize) {
         let up = self.up();
         match self.f.rng.u8(..10) {
@@ -186,6 +200,11 @@
         // It still takes writes.
         let took = r.f.put("spec", b"last", 8_000);
         expect_that!(took, some(anything()), "seed {seed}: no write is taken any more");
+        // Whoever sends again what was accepted is told so, whatever has replaced it and whoever remembers it.
+        for (v, value) in r.accepted.clone() {
+            let again = r.again(v, &value);
+            expect_that!(again, some(eq(WriteOutcome::Accepted(v))), "seed {seed}: version {v} sent again");
+        }
         longest = longest.max(took.unwrap_or(0));
         accepted += newest;
     }
