Split the registers by topic: voter, owner, who votes, and what time brings

Pure moves out of the one file of 850 lines into its folder; functions that another part calls are `pub(super)` now, the test names what it used through the file's own imports.

--- /dev/null
+++ b/coordination/src/register/owner.rs
@@ -0,0 +1,299 @@
+//! What an owner does with a key: takes it, writes and tells one by one, and gives it up.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use wire_messages::{Accept, Accepted, Blob, Change, Commit, Held, List, Name, Prepare, Promise, Release, Renew, Renewed, Slot};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Ask, EPOCHS, Expect, Moved, Own, Phase, Registers, Write, change, leased, remembered};
+use crate::{
+    Effect, Effects, Ms, Row, WriteOutcome,
+    effect::{note, send},
+    events,
+    limits::{PAST_VALUES, RESEND, WRITES_WAITING},
+};
+
+impl Registers {
+    pub(super) fn spread(&self, m: impl Into<wire_messages::Msg>, out: &mut Effects) {
+        let m = m.into();
+        out.extend(self.voters.iter().map(|v| send(&self.addr(v), m.clone())));
+    }
+
+    /// Starts to take a key.
+    pub(super) fn take(&mut self, key: &Name, now: Ms, out: &mut Effects) {
+        let epoch = self.next_epoch();
+        let old = self.own.remove(key);
+        let (waiting, not_before) = old.map_or((VecDeque::new(), 0), |o| (o.waiting, o.not_before));
+        let phase = Phase::Asking { promises: BTreeSet::new(), best: Slot::default(), sent: now };
+        let o = Own { epoch, phase, write: None, waiting, not_before, outbid: false, renewed: BTreeMap::new(), asked: 0 };
+        self.own.insert(key.clone(), o);
+        if now >= not_before {
+            self.prepare(key, epoch, out);
+        }
+    }
+
+    /// Asks for promises once the epoch is on this daemon's own disk: after a crash it would take the same one
+    /// again, and two writes under one epoch and version could not be told apart.
+    pub(super) fn prepare(&self, key: &Name, epoch: u64, out: &mut Effects) {
+        let row = Slot { key: EPOCHS.into(), promised: self.highest, ..Slot::default() };
+        let mut then = vec![];
+        self.spread(Prepare { key: key.clone(), epoch, me: self.me }, &mut then);
+        out.push(Effect::Persist { rows: vec![Row::Slot(row)], then });
+    }
+
+    /// Gives up a key: what was offered and what waited goes to the next owner. What was offered may stand by then; it
+    /// is not left to what the next owner commits, who may never see it and have nothing to write.
+    pub(super) fn give_up(&mut self, key: &Name, out: &mut Effects) {
+        let Some(o) = self.own.remove(key) else { return };
+        if let Some(w) = o.write
+            && let Some(token) = w.token
+        {
+            let (value, offered) = (Some(w.value), Some(w.version));
+            self.moved.push(Moved { token, key: key.clone(), expect: w.expect, value, at: w.at, offered });
+        }
+        if let (Phase::Holding { .. }, true) = (&o.phase, leased(key)) {
+            self.spread(Release { keys: List(vec![Held { key: key.clone(), epoch: o.epoch }]) }, out);
+        }
+        let moved =
+            |a: Ask| Moved { token: a.token, key: key.clone(), expect: a.expect, value: a.value, at: a.at, offered: None };
+        self.moved.extend(o.waiting.into_iter().map(moved));
+    }
+
+    /// Offers a write to a key that this daemon owns or is taking.
+    pub fn propose(&mut self, token: u64, key: &Name, expect: impl Into<Expect>, value: Blob, now: Ms, out: &mut Effects) {
+        self.ask(Ask { token, expect: expect.into(), value: Some(value), at: now }, key, now, out);
+    }
+    /// Asks for the newest version of a key that this daemon owns or is taking.
+    pub fn read(&mut self, token: u64, key: &Name, now: Ms, out: &mut Effects) {
+        self.ask(Ask { token, expect: Expect::Any, value: None, at: now }, key, now, out);
+    }
+
+    fn ask(&mut self, a: Ask, key: &Name, now: Ms, out: &mut Effects) {
+        let token = a.token;
+        if !self.voting {
+            out.push(Effect::Answer { token, outcome: WriteOutcome::NotAccepted("this daemon does not vote") });
+            return;
+        }
+        if !self.own.contains_key(key) {
+            self.take(key, now, out);
+        }
+        let Some(o) = self.own.get_mut(key) else { return };
+        if o.waiting.len() >= WRITES_WAITING {
+            out.push(Effect::Answer { token, outcome: WriteOutcome::NotAccepted("too many writes wait for this key") });
+            return;
+        }
+        o.waiting.push_back(a);
+        self.advance(key, now, out);
+    }
+
+    /// Writes again what stands where another daemon has something newer that no majority took: an owner that died
+    /// left it there, and the daemon takes nothing older in its stead.
+    pub fn write_again(&mut self, have: &[Slot], now: Ms, out: &mut Effects) {
+        for h in have.iter().filter(|h| h.committed != h.version) {
+            let Some(s) = self.slots.get(&h.key).filter(|s| (h.epoch, h.version) > (s.epoch, s.version)).cloned() else {
+                continue;
+            };
+            let me = self.me;
+            let Some(o) = self.own.get_mut(&h.key).filter(|o| o.write.is_none() && o.epoch > h.epoch) else { continue };
+            let Phase::Holding { version } = o.phase else { continue };
+            if s.version != version || version == 0 {
+                continue;
+            }
+            let (value, past) = (s.value.clone(), s.past.clone());
+            let m = Accept { key: h.key.clone(), epoch: o.epoch, version, value, past, me };
+            o.write = Some(Write {
+                version,
+                value: s.value,
+                past: s.past,
+                acks: BTreeSet::new(),
+                token: None,
+                expect: Expect::Any,
+                at: now,
+                sent: now,
+            });
+            self.spread(m, out);
+        }
+    }
+
+    /// Works through what waits for a key, until a write is under way or the voters must be asked first.
+    pub(super) fn advance(&mut self, key: &Name, now: Ms, out: &mut Effects) {
+        let me = self.me;
+        loop {
+            let Some(o) = self.own.get(key).filter(|o| o.write.is_none()) else { return };
+            let (Phase::Holding { version }, Some(a)) = (&o.phase, o.waiting.front()) else { return };
+            let (version, epoch, at, expect) = (*version, o.epoch, a.at, a.expect);
+            let fits = match expect {
+                Expect::Any => true,
+                Expect::Version(v) => v == version,
+                Expect::Release(r) => r == self.release(key, version),
+            };
+            let value = self.own.get(key).and_then(|o| o.waiting.front()).and_then(|a| a.value.as_ref());
+            let reads = value.is_none();
+            // An operator that got no clear answer repeats its order, and a daemon a write whose owner went: that it
+            // stands already is what was asked for.
+            let stands = self.slots.get(key).is_some_and(|s| s.version == version && version > 0 && value == Some(&s.value));
+            let repeats = stands && if let Expect::Version(v) = expect { v + 1 == version } else { true };
+            let stood = value.and_then(|v| self.stood(key, version, expect, v));
+            if fits && !reads && !repeats && stood.is_none() {
+                let past = self.past_of_next(key, version);
+                let Some(o) = self.own.get_mut(key) else { return };
+                let Some(Ask { token, value: Some(value), .. }) = o.waiting.pop_front() else { return };
+                let (acks, token) = (BTreeSet::new(), Some(token));
+                let w = Write { version: version + 1, value, past, acks, token, expect, at, sent: now };
+                let (value, past) = (w.value.clone(), w.past.clone());
+                let m = Accept { key: key.clone(), epoch, version: w.version, value, past, me };
+                o.write = Some(w);
+                return self.spread(m, out);
+            }
+            // What stands is told only by an owner that a majority confirmed since it was asked: one that was deposed
+            // without having heard of it would tell of an older value.
+            let confirmed = self.own.get(key).and_then(|o| self.confirmed(o));
+            if confirmed.is_none_or(|t| t < at) {
+                return self.confirm(key, at, now, out);
+            }
+            let Some(a) = self.own.get_mut(key).and_then(|o| o.waiting.pop_front()) else { return };
+            let outcome = match stood {
+                _ if reads || repeats => WriteOutcome::Accepted(version),
+                Some(v) => WriteOutcome::Accepted(v),
+                None => WriteOutcome::Conflict(version),
+            };
+            out.push(Effect::Answer { token: a.token, outcome });
+        }
+    }
+
+    /// As which version a value stood that has been replaced since. It has lost no race: whoever sends it again did not
+    /// hear that it was accepted. What is compared with nothing is an order of its own each time.
+    fn stood(&self, key: &Name, version: u64, expect: Expect, value: &Blob) -> Option<u64> {
+        // Long documents are not read through where there is nothing to compare with.
+        let past = &self.slots.get(key).filter(|s| s.version == version && !s.past.is_empty() && expect != Expect::Any)?.past;
+        let digest = xxh3_64(&value.0);
+        let back = past.iter().rev().position(|d| *d == digest)? as u64 + 1;
+        let was = version.checked_sub(back)?;
+        match expect {
+            Expect::Any => None,
+            Expect::Version(v) => (v + 1 == was).then_some(was),
+            Expect::Release(_) => Some(was),
+        }
+    }
+    /// What stood before the version after the one that stands. It goes with the value itself, under the same majority:
+    /// a record of its own could be there without the value, or lack it.
+    fn past_of_next(&self, key: &Name, version: u64) -> List<u64> {
+        let kept = |s: &&Slot| remembered(key) && s.version == version && version > 0;
+        let Some(s) = self.slots.get(key).filter(kept) else { return List::default() };
+        let mut past = s.past.0.clone();
+        past.push(xxh3_64(&s.value.0));
+        past.drain(..past.len().saturating_sub(PAST_VALUES));
+        List(past)
+    }
+
+    /// Asks the voters whether a key is still this daemon's own.
+    fn confirm(&mut self, key: &Name, since: Ms, now: Ms, out: &mut Effects) {
+        let Some(o) = self.own.get_mut(key) else { return };
+        if o.asked >= since && now.saturating_sub(o.asked) < RESEND {
+            return;
+        }
+        o.asked = now;
+        let keys = List(vec![Held { key: key.clone(), epoch: o.epoch }]);
+        self.spread(Renew { keys, sent: now, me: self.me }, out);
+    }
+
+    pub fn on_promise(&mut self, from: &Name, m: Promise, now: Ms, out: &mut Effects) {
+        self.highest = self.highest.max(m.slot.promised);
+        let (key, need, me) = (m.slot.key.clone(), self.majority(), self.me);
+        let known = self.voters.iter().any(|v| v.name == *from);
+        let own = self.slots.get(&key);
+        let Some(o) = self.own.get_mut(&key) else { return };
+        if m.epoch != o.epoch || m.me != me || !known {
+            return;
+        }
+        let Phase::Asking { promises, best, .. } = &mut o.phase else { return };
+        if m.ok == 0 {
+            o.outbid |= m.slot.promised > o.epoch;
+            o.not_before = o.not_before.max(now + u64::from(m.wait).max(RESEND / 2));
+            return;
+        }
+        promises.insert(from.clone());
+        // What this daemon has itself counts though its own promise may be the last to come: it compares with that.
+        let rank = |s: &Slot| (s.epoch, s.version, s.committed);
+        if let Some(s) = own.into_iter().chain([&m.slot]).max_by_key(|s| rank(s)).filter(|s| rank(s) > rank(best)) {
+            *best = s.clone();
+        }
+        if promises.len() < need {
+            return;
+        }
+        let best = best.clone();
+        o.phase = Phase::Holding { version: best.version };
+        out.push(note(events::OWNER, &self.name, format!("{key} epoch {} version {}", o.epoch, best.version)));
+        // What is known to be committed stands on a majority already; each later owner meets it there.
+        if best.committed == best.version {
+            if best.version > 0 {
+                self.on_commit(&change(&best), &best.past, out);
+            }
+            self.advance(&key, now, out);
+            return;
+        }
+        // Whatever a majority may have taken is written again under the new epoch before anything else:
+        // a write whose owner died between two disks ends here, one way for everybody.
+        let (value, past) = (best.value.clone(), best.past.clone());
+        let m = Accept { key: key.clone(), epoch: o.epoch, version: best.version, value, past, me };
+        o.write = Some(Write {
+            version: best.version,
+            value: best.value,
+            past: best.past,
+            acks: BTreeSet::new(),
+            token: None,
+            expect: Expect::Any,
+            at: now,
+            sent: now,
+        });
+        self.spread(m, out);
+    }
+
+    pub fn on_accepted(&mut self, from: &Name, m: Accepted, now: Ms, out: &mut Effects) {
+        self.highest = self.highest.max(m.promised);
+        let need = self.majority();
+        let known = self.voters.iter().any(|v| v.name == *from);
+        let Some(o) = self.own.get_mut(&m.key) else { return };
+        if m.epoch != o.epoch || m.me != self.me || !known {
+            return;
+        }
+        if m.ok == 0 {
+            if m.promised > o.epoch {
+                out.push(note(events::DEPOSED, from, format!("{} epoch {}", m.key, o.epoch)));
+                self.give_up(&m.key, out);
+            }
+            return;
+        }
+        let Some(w) = o.write.as_mut().filter(|w| w.version == m.version) else { return };
+        w.acks.insert(from.clone());
+        if w.acks.len() < need {
+            return;
+        }
+        let Some(w) = o.write.take() else { return };
+        o.phase = Phase::Holding { version: w.version };
+        let c = Change { key: m.key.clone(), epoch: o.epoch, version: w.version, value: w.value };
+        if let Some(token) = w.token {
+            out.push(note(events::ACCEPTED, &self.name, format!("{} version {}", m.key, w.version)));
+            out.push(Effect::Answer { token, outcome: WriteOutcome::Accepted(w.version) });
+        }
+        self.on_commit(&c, &w.past, out);
+        let news = Commit { change: c, past: w.past };
+        for v in self.voters.iter().filter(|v| v.name != self.name) {
+            out.push(send(&self.addr(v), news.clone()));
+        }
+        out.extend(self.followers.iter().map(|a| send(a, news.clone())));
+        self.advance(&m.key, now, out);
+    }
+
+    pub fn on_renewed(&mut self, from: &Name, m: Renewed, now: Ms, out: &mut Effects) {
+        if m.me != self.me || !self.voters.iter().any(|v| v.name == *from) {
+            return;
+        }
+        for h in m.keys {
+            let Some(o) = self.own.get_mut(&h.key).filter(|o| o.epoch == h.epoch) else { continue };
+            let t = o.renewed.entry(from.clone()).or_insert(0);
+            *t = (*t).max(m.sent);
+            self.advance(&h.key, now, out);
+        }
+    }
+}
--- a/coordination/src/register/tests.rs
+++ b/coordination/src/register/tests.rs
@@ -2,7 +2,7 @@
 use wire_messages::Msg;
 
 use super::*;
-use crate::limits::PERMIT;
+use crate::{Effect, Effects, WriteOutcome, limits::PERMIT};
 
 const NODES: usize = 3;
 
--- /dev/null
+++ b/coordination/src/register/voter.rs
@@ -0,0 +1,128 @@
+//! What a voter does with a key: promises, accepts, learns what is committed, and lets a holder keep a duty.
+
+use wire_messages::{Accept, Accepted, Change, List, Name, Prepare, Promise, Release, Renew, Renewed, Slot};
+
+use super::{Registers, change, leased};
+use crate::{Effect, Effects, Ms, Row, effect::send};
+
+impl Registers {
+    pub fn on_prepare(&mut self, to: &Name, m: Prepare, now: Ms, out: &mut Effects) {
+        let me = self.me;
+        self.highest = self.highest.max(m.epoch);
+        // A disk that may lack what it once confirmed must not vote, and other member epochs count other votes.
+        if !self.voting || m.me != me {
+            if m.me < me {
+                out.push(send(to, Promise { epoch: m.epoch, me, ok: 0, wait: 0, slot: Slot { key: m.key, ..Slot::default() } }));
+            }
+            return;
+        }
+        let wait = self.keeps_out(&m.key, to, now);
+        let s = self.slot(&m.key);
+        if wait > 0 || m.epoch < s.promised {
+            let slot = s.clone();
+            out.push(send(to, Promise { epoch: m.epoch, me, ok: 0, wait: wait as u32, slot }));
+            return;
+        }
+        s.promised = m.epoch;
+        let slot = s.clone();
+        // Its own promise tells this daemon that the key is no longer its own.
+        if self.own.get(&m.key).is_some_and(|o| o.epoch < m.epoch) {
+            self.give_up(&m.key, out);
+        }
+        let then = vec![send(to, Promise { epoch: m.epoch, me, ok: 1, wait: 0, slot: slot.clone() })];
+        out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then });
+    }
+
+    /// ms. For how long nobody but the holder may take the key, as this voter let it keep a duty or may have.
+    fn keeps_out(&self, key: &Name, from: &Name, now: Ms) -> Ms {
+        if !leased(key) {
+            return 0;
+        }
+        let granted = self.grants.get(key).filter(|g| g.0 != *from).map_or(0, |g| g.2);
+        granted.max(self.abstain_until).saturating_sub(now)
+    }
+
+    pub fn on_accept(&mut self, to: &Name, m: Accept, out: &mut Effects) {
+        let me = self.me;
+        self.highest = self.highest.max(m.epoch);
+        if !self.voting || m.me != me {
+            return;
+        }
+        let s = self.slot(&m.key);
+        let mut a = Accepted { key: m.key.clone(), epoch: m.epoch, version: m.version, promised: s.promised, me, ok: 0 };
+        if m.epoch < s.promised {
+            out.push(send(to, a));
+            return;
+        }
+        a.ok = 1;
+        // A delayed copy of an older write of the same owner must not put the newer one back.
+        if (m.epoch, m.version) >= (s.epoch, s.version) {
+            (s.promised, s.epoch, s.version, s.value, s.past) = (m.epoch, m.epoch, m.version, m.value, m.past);
+        }
+        let slot = s.clone();
+        // This version was known to be committed before something newer, which no majority took, stood in its place.
+        if slot.committed == slot.version && slot.epoch == m.epoch {
+            self.fresh.push(change(&slot));
+        }
+        out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then: vec![send(to, a)] });
+    }
+
+    /// Learns a committed value.
+    pub fn on_commit(&mut self, c: &Change, past: &[u64], out: &mut Effects) {
+        self.highest = self.highest.max(c.epoch);
+        let s = self.slot(&c.key);
+        if (c.epoch, c.version) < (s.epoch, s.version) || (s.epoch, s.version, s.committed) == (c.epoch, c.version, c.version) {
+            return;
+        }
+        (s.epoch, s.version, s.committed, s.value) = (c.epoch, c.version, c.version, c.value.clone());
+        s.past = List(past.to_vec());
+        let slot = s.clone();
+        out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then: vec![] });
+        self.fresh.push(c.clone());
+    }
+
+    pub fn on_renew(&mut self, to: &Name, m: Renew, now: Ms, out: &mut Effects) {
+        if !self.voting || m.me != self.me {
+            return;
+        }
+        let (mut keys, mut rows) = (List::default(), vec![]);
+        for h in m.keys {
+            let promised = self.slots.get(&h.key).map_or(0, |s| s.promised);
+            // Told at once: a holder whom nobody renews any more must not rest on a key that nobody else takes.
+            if promised > h.epoch {
+                out.push(send(to, Accepted { key: h.key, epoch: h.epoch, version: 0, promised, me: self.me, ok: 0 }));
+                continue;
+            }
+            // An owner that others made one without this voter: it may need its word once one of those is gone.
+            if promised < h.epoch {
+                if self.keeps_out(&h.key, to, now) > 0 {
+                    continue;
+                }
+                self.highest = self.highest.max(h.epoch);
+                if self.own.get(&h.key).is_some_and(|o| o.epoch < h.epoch) {
+                    self.give_up(&h.key, out);
+                }
+                let s = self.slot(&h.key);
+                s.promised = h.epoch;
+                rows.push(Row::Slot(s.clone()));
+            }
+            self.grants.insert(h.key.clone(), (to.clone(), h.epoch, now + self.permit));
+            keys.0.push(h);
+        }
+        let told = send(to, Renewed { keys, sent: m.sent, me: self.me });
+        if rows.is_empty() {
+            return out.push(told);
+        }
+        out.push(Effect::Persist { rows, then: vec![told] });
+    }
+
+    /// A holder has given its duties up: nobody need wait its permits out.
+    pub fn on_release(&mut self, from: &Name, m: Release) {
+        for h in m.keys {
+            // A renewal of a later ownership stands.
+            if self.grants.get(&h.key).is_some_and(|g| g.0 == *from && g.1 <= h.epoch) {
+                self.grants.remove(&h.key);
+            }
+        }
+    }
+}
