Make a write of what may stand already in one place

Taking a key and writing again for a voter that was left behind built the same write twice. No behaviour changes; tests of coordination pass.

--- a/coordination/src/register/owner.rs
+++ b/coordination/src/register/owner.rs
@@ -13,6 +13,14 @@
     limits::{PAST_VALUES, RESEND, WRITES_WAITING},
 };
 
+impl Write {
+    /// A value that may stand already, and that nobody waits for.
+    fn again(s: &Slot, now: Ms) -> Self {
+        let (acks, token, expect) = (BTreeSet::new(), None, Expect::Any);
+        Write { version: s.version, value: s.value.clone(), past: s.past.clone(), acks, token, expect, at: now, sent: now }
+    }
+}
+
 impl Registers {
     pub(super) fn spread(&self, m: impl Into<wire_messages::Msg>, out: &mut Effects) {
         let m = m.into();
@@ -99,19 +107,9 @@
             if s.version != version || version == 0 {
                 continue;
             }
-            let (value, past) = (s.value.clone(), s.past.clone());
-            let m = Accept { key: h.key.clone(), epoch: o.epoch, version, value, past, me };
-            o.write = Some(Write {
-                version,
-                value: s.value,
-                past: s.past,
-                acks: BTreeSet::new(),
-                token: None,
-                expect: Expect::Any,
-                at: now,
-                sent: now,
-            });
-            self.spread(m, out);
+            let epoch = o.epoch;
+            o.write = Some(Write::again(&s, now));
+            self.spread(Accept { key: s.key, epoch, version, value: s.value, past: s.past, me }, out);
         }
     }
 
@@ -234,19 +232,9 @@
         }
         // Whatever a majority may have taken is written again under the new epoch before anything else:
         // a write whose owner died between two disks ends here, one way for everybody.
-        let (value, past) = (best.value.clone(), best.past.clone());
-        let m = Accept { key: key.clone(), epoch: o.epoch, version: best.version, value, past, me };
-        o.write = Some(Write {
-            version: best.version,
-            value: best.value,
-            past: best.past,
-            acks: BTreeSet::new(),
-            token: None,
-            expect: Expect::Any,
-            at: now,
-            sent: now,
-        });
-        self.spread(m, out);
+        let epoch = o.epoch;
+        o.write = Some(Write::again(&best, now));
+        self.spread(Accept { key, epoch, version: best.version, value: best.value, past: best.past, me }, out);
     }
 
     pub fn on_accepted(&mut self, from: &Name, m: Accepted, now: Ms, out: &mut Effects) {
