Compare times to first pieces lane by lane, not over a mix of lanes

What is kept on the old side is new to the new one, so its cold requests are the long prompts too; the mixes differ, not the version.

Now each time is held against the mean of its own lane, and the excess is summed over lanes.

Before: the new unit test's first case was judged Bad. After: Fine, and versions slow on one lane or a little seen on each are Bad.

--- a/coordination/src/health/beside.rs
+++ b/coordination/src/health/beside.rs
@@ -88,16 +88,37 @@
             for warm in [true, false] {
                 let of = |mine| self.within(now, w, |c| on(c, mine) && c.2 == warm);
                 let (n, o) = (of(true), of(false));
-                // Without a like cache on the other side nothing can be said about slowness.
-                let known = n.firsts.min(o.firsts) >= SLOW_FIRSTS;
-                let mean = |c: super::Counts| c.first_log as f64 / c.firsts as f64;
-                let late = known && mean(n) - mean(o) >= SLOW_DOUBLINGS;
-                if late || o.ended >= SLOW_FIRSTS && unlike((n.ended, n.slow), (o.ended, o.slow)) {
+                if o.ended >= SLOW_FIRSTS && unlike((n.ended, n.slow), (o.ended, o.slow)) {
                     return Verdict::Bad;
                 }
             }
         }
-        Verdict::Fine
+        match even.map(|t| now.saturating_sub(t).min(LONG_WINDOW)) {
+            Some(w) if [true, false].into_iter().any(|warm| self.late(new, warm, w, now)) => Verdict::Bad,
+            _ => Verdict::Fine,
+        }
+    }
+
+    /// Whether `new`'s first pieces come late on a lane, or over all lanes. Each time is held against those of its own
+    /// lane: caches that are new are cold for other prompts than those that are old, so that mixes of lanes differ.
+    fn late(&self, new: &str, warm: bool, w: Ms, now: Ms) -> bool {
+        let late = |(firsts, over): (u64, f64)| firsts >= SLOW_FIRSTS && over >= SLOW_DOUBLINGS * firsts as f64;
+        let (mut firsts, mut over) = (0, 0.0);
+        for l in self.lanes(new) {
+            let of = |mine: bool| self.within(now, w, |c| (&*c.0 == new) == mine && c.1 == *l && c.2 == warm);
+            let (n, o) = (of(true), of(false));
+            // Without a like cache on the other side nothing can be said about slowness.
+            if n.firsts == 0 || o.firsts < SLOW_FIRSTS.min(n.firsts) {
+                continue;
+            }
+            let mean = o.first_log as f64 / o.firsts as f64;
+            let more = n.first_log as f64 - mean * n.firsts as f64;
+            if o.firsts >= SLOW_FIRSTS && late((n.firsts, more)) {
+                return true;
+            }
+            (firsts, over) = (firsts + n.firsts, over + more);
+        }
+        late((firsts, over))
     }
 
     /// Whether too little of `new` has failed to condemn it and too much to trust it.
--- a/coordination/src/health/tests.rs
+++ b/coordination/src/health/tests.rs
@@ -56,3 +56,38 @@
     (0..400).for_each(|i| h.tick(i * 250));
     expect_that!(h.judge("v2", "v1", 100_000), eq(Verdict::Fine));
 }
+
+/// First pieces on a lane, each after so many ms.
+fn firsts(v: &str, lane: &str, warm: bool, n: u64, ms: Ms) -> Tally {
+    Tally { firsts: n, first_log: n * log_ms(ms), ..tally(v, lane, warm, n, 0, 0) }
+}
+
+fn beside(rows: &[Tally]) -> Verdict {
+    let mut h = Health::default();
+    h.restart(0);
+    h.feed(&"e1".into(), 1, &[]);
+    h.feed(&"e1".into(), 1, rows);
+    h.judge_beside("v2", Some(0), 2_000)
+}
+
+#[gtest]
+fn times_are_compared_lane_by_lane_though_a_new_version_meets_another_mix_with_cold_caches() {
+    // What is kept on the old side is new to the new one: its cold requests are the long prompts too.
+    let mix = [
+        firsts("v1", "long", true, 60, 60),
+        firsts("v1", "long", false, 6, 400),
+        firsts("v1", "short", false, 240, 90),
+        firsts("v2", "long", false, 9, 400),
+        firsts("v2", "short", false, 4, 90),
+    ];
+    expect_that!(beside(&mix), eq(Verdict::Fine));
+    // One lane is slow.
+    let lane = [mix[1].clone(), mix[2].clone(), firsts("v2", "long", false, 9, 400), firsts("v2", "short", false, 14, 270)];
+    expect_that!(beside(&lane), eq(Verdict::Bad));
+    // All are, each with too few to tell by itself.
+    let each = (0..6).flat_map(|l| {
+        let ms = 50 << l;
+        [firsts("v1", &format!("l{l}"), false, 12, ms), firsts("v2", &format!("l{l}"), false, 3, 4 * ms)]
+    });
+    expect_that!(beside(&each.collect::<Vec<_>>()), eq(Verdict::Bad));
+}
