--- a/coordination/src/pass.rs
+++ b/coordination/src/pass.rs
@@ -64,6 +64,11 @@
     Dropped,
 }
 
+/// A host as lanes name it: a port in it names the edge, not the lane.
+pub fn host_name(host: &str) -> &str {
+    host.rsplit_once(':').filter(|(_, p)| p.bytes().all(|b| b.is_ascii_digit())).map_or(host, |(h, _)| h)
+}
+
 /// Index of a spec's paths: the longest prefix that begins a path wins.
 #[derive(Clone, Debug, Default)]
 pub struct Paths {
@@ -71,20 +76,21 @@
 }
 
 impl Paths {
-    pub fn new(all: &[PathSpec]) -> Self {
+    pub fn new(all: Vec<PathSpec>) -> Self {
         let mut hosts: BTreeMap<String, Vec<std::sync::Arc<PathSpec>>> = BTreeMap::new();
         for p in all {
-            hosts.entry(p.host.to_ascii_lowercase()).or_default().push(std::sync::Arc::new(p.clone()));
+            hosts.entry(p.host.to_ascii_lowercase()).or_default().push(std::sync::Arc::new(p));
         }
         // Longest first: the first that fits wins.
-        hosts.values_mut().for_each(|v| v.sort_by_key(|p| std::cmp::Reverse(p.prefix.len())));
+        hosts.values_mut().for_each(|v| {
+            v.sort_by_key(|p| std::cmp::Reverse(p.prefix.len()));
+            v.shrink_to_fit();
+        });
         Paths { hosts }
     }
     pub fn find(&self, host: &str, path: &str) -> Option<std::sync::Arc<PathSpec>> {
-        // A port in the host names the edge, not the lane.
-        let name = host.rsplit_once(':').filter(|(_, p)| p.bytes().all(|b| b.is_ascii_digit())).map_or(host, |(h, _)| h);
         let path = path.split(['?', '#']).next().unwrap_or(path);
-        let v = self.hosts.get(&name.to_ascii_lowercase())?;
+        let v = self.hosts.get(&host_name(host).to_ascii_lowercase())?;
         v.iter().find(|p| path.starts_with(p.prefix.as_str())).cloned()
     }
 }
