--- a/coordination/tests/feed.rs
+++ b/coordination/tests/feed.rs
@@ -240,3 +240,20 @@
         expect_that!(l.far, le(2 * EDGES * LONG), "seed {seed}: at most one copy each comes from afar");
     }
 }
+
+#[gtest]
+fn questions_that_waited_on_their_way_are_answered_at_length_once() {
+    for seed in 0..3 {
+        let mut l = Land::new(seed);
+        // So short that daemons take the edges for followers all along.
+        l.cut.set(Some(2));
+        l.run(PUSHED_TO + 100);
+        l.put();
+        l.run(1_200);
+        l.heal();
+        l.run(5_000);
+        // Each of the four daemons elsewhere once, though two or three questions of each edge had waited at each.
+        expect_that!(l.far, le(4 * 2 * EDGES * LONG * 11 / 10), "seed {seed}");
+        expect_true!(l.edges.values().all(|e| e.had.is_some()), "seed {seed}");
+    }
+}
