--- a/coordination/examples/slopes/main.rs
+++ b/coordination/examples/slopes/main.rs
@@ -2,6 +2,7 @@
 //! very state machines that the daemons run. Prints a table and its slopes; docs/CAPACITY.md is written from it.
 //!
 //!     cargo run --release -p coordination --example slopes -- [--edges 22,44,88,176,352] [--paths 1500] [--busy 1500]
+//!         [--each 10] [--services 9]
 
 mod meter;
 mod world;
@@ -9,7 +10,7 @@
 use std::collections::BTreeSet;
 
 use meter::{Meter, ROLES, Role, Way, line};
-use world::{CONTROLS, Size, World};
+use world::{CONTROLS, SERVICES, Size, World};
 
 #[global_allocator]
 static HEAP: meter::Counting = meter::Counting;
@@ -18,7 +19,7 @@
 const SETTLE: u64 = 30;
 const PHASE: u64 = 20;
 
-const PHASES: [&str; 6] = ["quiet", "spec changed", "replica gone", "control lost", "region cut", "region back"];
+const PHASES: [&str; 7] = ["quiet", "spec changed", "replica gone", "replicas flap", "control lost", "region cut", "region back"];
 
 /// A figure of one fleet.
 type Row = (String, f64);
@@ -84,6 +85,12 @@
                 w.set_list(&BTreeSet::from([0]));
                 w.run(PHASE * 1_000);
             }
+            "replicas flap" => {
+                for i in 0..PHASE {
+                    w.set_list(&BTreeSet::from([i as usize % 2]));
+                    w.run(1_000);
+                }
+            }
             "control lost" => {
                 w.lose(1);
                 w.run(PHASE * 1_000);
@@ -102,6 +109,7 @@
         out.push((format!("{phase}: requests not admitted, %"), no as f64 * 100.0 / p.max(1) as f64));
     }
     out.push(("faults".into(), w.faults as f64));
+    out.push(("longest value B".into(), w.longest_value() as f64));
     let state = w.weigh();
     ROLES.iter().zip(state).for_each(|(r, b)| out.push((format!("{r:?} state KB"), b as f64 / 1_024.0)));
     out
@@ -112,14 +120,17 @@
     let arg = |n: &str| args.iter().position(|a| a == n).and_then(|i| args.get(i + 1)).cloned();
     let edges = numbers(&arg("--edges").unwrap_or("22,44,88,176,352".into()));
     let one = |n: &str, d: usize| arg(n).and_then(|v| v.parse().ok()).unwrap_or(d);
-    let (paths, busy) = (one("--paths", 1_500), one("--busy", 1_500));
+    let (paths, busy, services) = (one("--paths", 1_500), one("--busy", 1_500), one("--services", SERVICES));
+    let each = arg("--each").and_then(|v| v.parse().ok());
     let mut all: Vec<Vec<Row>> = vec![];
     for e in &edges {
         let began = std::time::Instant::now();
-        all.push(fleet(&Size { edges: *e, paths, busy: busy.min(paths) }));
+        all.push(fleet(&Size { edges: *e, paths, busy: busy.min(paths), each, services }));
         eprintln!("{e} edges took {:.1} s", began.elapsed().as_secs_f64());
     }
-    println!("{paths} paths, {busy} busy; a second and a daemon of the role where nothing else is said");
+    println!(
+        "{paths} paths, {busy} busy, {services} services, {each:?} replicas to an edge; a second and a daemon of the role where nothing else is said"
+    );
     println!(
         "{:58} {} {:>12} {:>12}",
         "figure",
--- a/coordination/examples/slopes/world.rs
+++ b/coordination/examples/slopes/world.rs
@@ -49,11 +49,14 @@
     pub paths: usize,
     /// Paths that have traffic.
     pub busy: usize,
+    /// Replicas to an edge; none: as many as the whole fleet has.
+    pub each: Option<usize>,
+    pub services: usize,
 }
 
 impl Size {
     pub fn replicas(&self) -> usize {
-        (WHOLE.1 * self.edges / WHOLE.0).max(SERVICES)
+        self.each.map_or(WHOLE.1 * self.edges / WHOLE.0, |n| n * self.edges).max(self.services)
     }
     fn rate(&self) -> f64 {
         WHOLE.2 * self.edges as f64 / WHOLE.0 as f64
@@ -208,7 +211,7 @@
         let all = (0..n).filter(|i| !without.contains(i)).map(|i| {
             let z = zone_of(i, n);
             json!({"id": format!("replica-{i:04}"), "zone": format!("zone-{z}"), "addr": format!("10.3.{}.{}:9000", i / 250, i % 250),
-                "service": format!("model-{}", i % SERVICES), "version": "v1", "state": "running", "slots": 128,
+                "service": format!("model-{}", i % self.size.services), "version": "v1", "state": "running", "slots": 128,
                 "loaded": true})
         });
         self.list = json!({"replicas": all.collect::<Vec<_>>()}).to_string().into_bytes();
@@ -224,10 +227,10 @@
                 json!({"lane": format!("lane-{i:05}"), "host": format!("tenant-{}.example", i / 3),
                     "prefix": format!("/v1/part-{}/", i % 3), "kind": kinds[i % 2], "time_limit_ms": 60_000,
                     "expected_ms": 1_500 + self.release % 2, "gap_ms": 42, "rank": i % 5, "rounds": 2, "affinity": i % 2 == 0,
-                    "homes": homes, "split": [{"service": format!("model-{}", i % SERVICES), "weight": 1}]})
+                    "homes": homes, "split": [{"service": format!("model-{}", i % self.size.services), "weight": 1}]})
             })
             .collect();
-        let services: Vec<_> = (0..SERVICES)
+        let services: Vec<_> = (0..self.size.services)
             .map(|i| {
                 json!({"name": format!("model-{i}"), "version": "", "mode": "placed", "lanes": [], "zones": [],
                     "engine": {"slots": 128, "cache_tokens": 2_000_000, "channels": 400, "cold_ms": 3_000, "cold_rate": 26.0}})
@@ -464,6 +467,12 @@
         self.controls.iter().flatten_brains().filter(|c| c.regs.voting).count()
     }
 
+    /// Bytes of the longest value besides the spec's.
+    pub fn longest_value(&self) -> usize {
+        let rows = self.controls.iter().flatten_brains().flat_map(|c| c.board().rows());
+        rows.filter(|c| &*c.key != SPEC).map(|c| c.value.0.len()).max().unwrap_or(0)
+    }
+
     /// Mean bytes on the heap of one daemon of each role: what is free once it is gone.
     pub fn weigh(&mut self) -> [usize; 3] {
         let mut sums = [(0, 0); 3];
