Pack records that are long: one of 3,000 replicas could not reach an edge in a frame's time

Cause: a record of a service tells every replica twice, in JSON: some hundreds of KB at 3,000 replicas, sent whole to every edge at each change, and by all control daemons to one that starts. A record of 3,000 is over 375,000 bytes before and under 125,000 after, by its test. Short values stay JSON, and long JSON is still read.

--- a/coordination/src/board.rs
+++ b/coordination/src/board.rs
@@ -6,7 +6,7 @@
 use wire_messages::{Change, Name, Range};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::limits::RANGES;
+use crate::{limits::RANGES, packed};
 
 /// Reads the operator's document, as it is kept under its key, into a spec.
 pub type SpecReader = fn(&[u8]) -> Option<Spec>;
@@ -38,10 +38,10 @@
     pub fn rows(&self) -> impl Iterator<Item = &Change> {
         self.rows.values()
     }
-    /// The value of a key, read as JSON; none if there is none or it was cleared.
+    /// The value of a key, as daemons write it; none if there is none or it was cleared.
     pub fn read<T: serde::de::DeserializeOwned>(&self, key: &str) -> Option<T> {
         let c = self.rows.get(key).filter(|c| !c.value.0.is_empty())?;
-        serde_json::from_slice(&c.value.0).ok()
+        packed::of_bytes(&c.value.0)
     }
     /// Values of all keys that begin with `head`, with the rest of the key.
     pub fn under<'a>(&'a self, head: &'a str) -> impl Iterator<Item = (&'a str, &'a Change)> {
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -31,7 +31,7 @@
     members as seats,
     membership::{CONTROL, EDGE, Membership},
     order::{agreed, weight},
-    regions,
+    packed, regions,
     register::{CONTEXT, DUTY, Expect, MEMBERS, Registers},
     rollout::{Inputs, Loop, first_record},
 };
@@ -840,10 +840,10 @@
                 asked: &asked,
                 young: now.saturating_sub(d.since) < DEMAND_OLD,
             };
-            let old: Option<ContextRecord> = stands.and_then(|c| serde_json::from_slice(&c.value.0).ok());
+            let old: Option<ContextRecord> = stands.and_then(|c| packed::of_bytes(&c.value.0));
             let none = || ContextRecord { service: s.name.clone(), version: r.stable.clone(), parts: vec![] };
             let next = context::decide(old.as_ref().unwrap_or(&none()), &i);
-            let Some(v) = serde_json::to_vec(&next).ok().filter(|_| old.as_ref() != Some(&next)) else { continue };
+            let Some(v) = packed::to_bytes(&next).filter(|_| old.as_ref() != Some(&next)) else { continue };
             d.wrote = now;
             let (was, n) = (old.map_or(0, |o| o.parts.len()), next.parts.len());
             out.push(note(events::CONTEXT_MOVED, &s.name, format!("{was} to {n} copies")));
@@ -904,7 +904,7 @@
     fn read_rollout(&mut self, c: &Change) {
         if let Some(s) = c.key.strip_prefix(DUTY) {
             self.records.remove(s);
-            self.records.extend(serde_json::from_slice(&c.value.0).ok().map(|r| (s.to_string(), Arc::new(r))));
+            self.records.extend(packed::of_bytes(&c.value.0).map(|r| (s.to_string(), Arc::new(r))));
         } else if let Some(s) = c.key.strip_prefix(PLAN) {
             self.plans.remove(s);
             self.plans.extend(serde_json::from_slice(&c.value.0).ok().map(|p| (s.to_string(), (c.version, p))));
@@ -1255,7 +1255,7 @@
                 out.push(note(e, &s.name, a.clone()));
             }
             let changed = next != *old || self.board.get(&key).is_none();
-            if changed && let Ok(v) = serde_json::to_vec(&next) {
+            if changed && let Some(v) = packed::to_bytes(&next) {
                 self.token += 1;
                 let t = self.token;
                 self.writing.insert(t, s.name.clone());
@@ -1335,14 +1335,14 @@
             spec_version: a.seen.iter().find(|c| &*c.key == SPEC).map_or(0, |c| c.version),
             versions: a.seen.iter().map(|c| KeyVersion { key: c.key.to_string(), version: c.version }).collect(),
         });
-        let contexts = self.board.under(CONTEXT).filter_map(|(_, c)| serde_json::from_slice(&c.value.0).ok());
-        let rollouts = self.board.under(DUTY).filter_map(|(_, c)| serde_json::from_slice(&c.value.0).ok());
+        let contexts = self.board.under(CONTEXT).filter_map(|(_, c)| packed::of_bytes(&c.value.0));
+        let rollouts = self.board.under(DUTY).filter_map(|(_, c)| packed::of_bytes(&c.value.0));
         let zones = self.spec.as_ref().map_or(vec![], |s| s.zones.clone());
         let heard = || self.agents.values().filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE).flat_map(|a| &a.opens);
         let homes: BTreeMap<String, String> = self
             .board
             .under(DUTY)
-            .filter_map(|(_, c)| serde_json::from_slice::<RolloutRecord>(&c.value.0).ok())
+            .filter_map(|(_, c)| packed::of_bytes::<RolloutRecord>(&c.value.0))
             .flat_map(|r| r.replicas)
             .map(|p| (p.id, p.zone))
             .collect();
@@ -1381,7 +1381,7 @@
     /// Whether the platform has this replica, as far as this daemon or the records tell.
     pub fn knows_replica(&self, id: &str) -> bool {
         let listed = self.platform.as_ref().is_some_and(|l| l.replicas.iter().any(|r| r.id == id));
-        let mut rows = self.board.under(DUTY).filter_map(|(_, c)| serde_json::from_slice::<RolloutRecord>(&c.value.0).ok());
+        let mut rows = self.board.under(DUTY).filter_map(|(_, c)| packed::of_bytes::<RolloutRecord>(&c.value.0));
         listed || rows.any(|r| r.replicas.iter().any(|p| p.id == id))
     }
     /// Services whose tallies this daemon keeps.
@@ -1393,7 +1393,7 @@
         self.loops.get(service).map_or((0, 0), |l| l.health.sent(version))
     }
     pub fn counters(&self) -> Vec<(&'static str, u64)> {
-        let copies = self.board.under(CONTEXT).filter_map(|(_, c)| serde_json::from_slice::<ContextRecord>(&c.value.0).ok());
+        let copies = self.board.under(CONTEXT).filter_map(|(_, c)| packed::of_bytes::<ContextRecord>(&c.value.0));
         vec![
             ("context_copies", copies.map(|r| r.parts.len() as u64).sum()),
             ("feed_place", self.seq),
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod members;
 pub mod membership;
 pub mod order;
+pub mod packed;
 pub mod pass;
 pub mod pass_stream;
 pub mod placement;
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -43,6 +43,10 @@
 pub const KNOWS_FLEET: Ms = 1_500;
 /// Addresses of edges in one answer to a caller.
 pub const ADDRESSES: usize = 64;
+/// Bytes. A value that is as long is packed: below, packing saves less than it costs on every edge.
+pub const PACKED_FROM: usize = 4 << 10;
+/// Bytes that a packed value may unpack to: forty times the record of the largest fleet.
+pub const UNPACKED_MAX: usize = 32 << 20;
 /// Writes that may wait for one key; operators racing are a handful.
 pub const WRITES_WAITING: usize = 32;
 /// ms. Agents ask each control daemon for news this often; news is also pushed.
--- /dev/null
+++ b/coordination/src/packed.rs
@@ -0,0 +1,40 @@
+//! Values that daemons write for each other: JSON, packed where it is long. A record of thousands of replicas goes to
+//! every edge at each change of one of them.
+
+use std::io::{Read, Write};
+
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::limits::{PACKED_FROM, UNPACKED_MAX};
+
+/// Begins a packed value; no JSON begins so.
+const PACKED: u8 = 0;
+
+/// The value as it is kept and sent; none if it cannot be written.
+pub fn to_bytes<T: Serialize>(v: &T) -> Option<Vec<u8>> {
+    let json = serde_json::to_vec(v).ok()?;
+    if json.len() < PACKED_FROM {
+        return Some(json);
+    }
+    let mut e = DeflateEncoder::new(vec![PACKED], Compression::fast());
+    e.write_all(&json).ok()?;
+    e.finish().ok()
+}
+
+/// The value that stands in the bytes, packed or not.
+pub fn of_bytes<T: DeserializeOwned>(b: &[u8]) -> Option<T> {
+    if b.first() != Some(&PACKED) {
+        return serde_json::from_slice(b).ok();
+    }
+    let mut json = Vec::new();
+    // A few bytes may unpack to any number.
+    let n = DeflateDecoder::new(&b[1..]).take(UNPACKED_MAX as u64 + 1).read_to_end(&mut json).ok()?;
+    if n > UNPACKED_MAX {
+        return None;
+    }
+    serde_json::from_slice(&json).ok()
+}
+
+#[cfg(test)]
+mod tests;
