Don't send an agent long news again behind those that are still on their way

Cause: each question of an agent was answered by all that it had not said to have, also while that was on its way. A link of 10 Mbit/s shared by several daemons takes longer for a long frame than the 400 ms between two questions: the buffer to each edge filled up. Now news to an agent are taken to arrive at 256 bytes a ms. Until then what is under way is not sent again, and the feed's place that the agent is told stays where it says that it is; permits go out all the same. Short news take no time, nothing changes for them. Tests: a frame of 600 KB is paced and comes again where it was lost; short news do not wait behind it.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -26,7 +26,7 @@
     health::Health,
     limits::{
         ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET,
-        LIST_CALM, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING, STANDING_EVERY,
+        LIST_CALM, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING, STANDING_EVERY,
     },
     members as seats,
     membership::{CONTROL, EDGE, Membership},
@@ -108,6 +108,8 @@
     count: u64,
     opens: Opens,
     seen: Vec<Change>,
+    /// Up to which place of the feed values are on their way to it, and until when they may take.
+    told: (u64, Ms),
 }
 
 /// Streams by replica and version.
@@ -709,7 +711,7 @@
         let name = m.node.name.clone();
         let mut old = self.agents.remove(&name);
         let same = old.as_ref().filter(|a| a.node.born == m.node.born);
-        let count = same.map_or(0, |a| a.count);
+        let (count, told) = same.map_or((0, (0, 0)), |a| (a.count, a.told));
         // What changed since a count that an earlier life of this daemon had is not enough to know anything by; nor is
         // an agent's word before its proxy has spoken.
         let tells = m.life > 0 && (m.run, m.choice) == (self.run, self.choice) && m.since <= count && count <= m.count;
@@ -732,13 +734,20 @@
         self.mship.hear(&m.node, now, out);
         let full = m.run != self.run;
         let after = if full { 0 } else { m.after };
+        // What takes long to arrive is not sent again behind itself: an edge that asks more often than its link carries
+        // the answers would never be told anything.
+        let under_way = now < told.1 && after < told.0;
         let count = if tells { m.count } else { count };
         let seen = match old {
             Some(a) if m.news == 0 && a.node.born == m.node.born => a.seen,
             _ => m.seen.0,
         };
-        let a = Agent { node: m.node, at: now, sent: m.sent, after, count, opens, seen };
-        out.push(self.news(addr, &a, full, now));
+        // Its place in the feed stays where it says that it is.
+        let (after, upto) = if under_way { (told.0, after) } else { (after, self.seq) };
+        let mut a = Agent { node: m.node, at: now, sent: m.sent, after, count, opens, seen, told };
+        if !(under_way && full) {
+            self.tell(addr, &mut a, upto, full, now, out);
+        }
         self.agents.insert(name, a);
     }
 
@@ -852,27 +861,33 @@
         }
     }
 
-    fn news(&self, to: &Name, a: &Agent, full: bool, now: Ms) -> Effect {
+    /// Sends an agent its news, and keeps in mind how long they may take.
+    fn tell(&self, to: &Name, a: &mut Agent, upto: u64, full: bool, now: Ms, out: &mut Effects) {
+        let m = News { upto, ..self.news(a, full, now) };
+        let bytes: usize = m.changes.iter().map(|c| c.value.0.len()).sum();
+        // Behind what is still on its way.
+        a.told = (self.seq, now.max(a.told.1) + bytes as Ms / NEWS_PACE);
+        out.push(send(to, m));
+    }
+
+    fn news(&self, a: &Agent, full: bool, now: Ms) -> News {
         let new = self.feed.iter().filter(|(_, s)| **s > a.after);
         // What it has by other ways is not sent again.
         let lacks = |c: &&Change| a.seen.iter().find(|s| s.key == c.key).is_none_or(|s| stamp(s) < stamp(c));
         let changes = new.filter_map(|(k, _)| self.board.get(k)).filter(lacks).cloned().collect();
-        send(
-            to,
-            News {
-                sent: a.sent,
-                run: self.run,
-                upto: self.seq,
-                count: a.count,
-                choice: self.choice,
-                counts: self.counts.keys().cloned().collect(),
-                full: full.into(),
-                settled: self.settled.into(),
-                voters: self.regs.voters.len() as u32,
-                changes,
-                permits: self.permits(now),
-            },
-        )
+        News {
+            sent: a.sent,
+            run: self.run,
+            upto: self.seq,
+            count: a.count,
+            choice: self.choice,
+            counts: self.counts.keys().cloned().collect(),
+            full: full.into(),
+            settled: self.settled.into(),
+            voters: self.regs.voters.len() as u32,
+            changes,
+            permits: self.permits(now),
+        }
     }
 
     /// Permits under the duties held here. They end no later than the duty's own permit, because an
@@ -936,7 +951,8 @@
         let pushes = self.pushes(now);
         let mut agents = std::mem::take(&mut self.agents);
         for a in agents.values_mut().filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE && pushes(&a.node)) {
-            out.push(self.news(&a.node.addr, a, false, now));
+            let to = a.node.addr.clone();
+            self.tell(&to, a, self.seq, false, now, out);
             // Taken for arrived; where it is not, the agent's next question says so.
             a.after = self.seq;
         }
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -43,6 +43,9 @@
 pub const KNOWS_FLEET: Ms = 1_500;
 /// Addresses of edges in one answer to a caller.
 pub const ADDRESSES: usize = 64;
+/// Bytes a ms. News to an agent are taken to arrive at this pace: an edge's link of 10 Mbit/s, shared by the daemons that
+/// send it news. What is short, as nearly all is, arrives at once.
+pub const NEWS_PACE: Ms = 256;
 /// Bytes. A value that is as long is packed: below, packing saves less than it costs on every edge.
 pub const PACKED_FROM: usize = 4 << 10;
 /// Bytes that a packed value may unpack to: forty times the record of the largest fleet.
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -1,9 +1,11 @@
 //! What news costs: a long value travels to those that lack it, once, and nobody asks all others for it.
 
 use coordination::{
-    Effect,
+    Effect, Ms,
     agent::{Agent, RULE_ALL},
+    control::{Control, ControlParams},
     limits::{MISSED, POLL_EVERY, TICK},
+    register::Expect,
     wire::{Blob, Change, Digests, List, Msg, Name, News, Node, Permit, Poll, ProxyHello, Reading, Readings, Shuffle, Tally},
 };
 use googletest::prelude::*;
@@ -230,3 +232,100 @@
     says(&mut a, "c1", 2, &["s2"], 50);
     expect_that!(told(&mut a, 500)[0], eq(&("c1".into(), 2, name(&["s2"]))));
 }
+
+/// A control daemon that is the only voter, and what it sends to others than itself.
+struct Alone {
+    c: Control,
+    now: Ms,
+}
+
+impl Alone {
+    fn new() -> Self {
+        let p = ControlParams {
+            name: "c".into(),
+            zone: "z".into(),
+            addr: "c".into(),
+            http: "".into(),
+            members: vec!["c".into()],
+            seeds: vec![],
+            regions: Default::default(),
+            reader: coordination::board::own_spec,
+            founding: false,
+            bounds: Default::default(),
+        };
+        let mut a = Alone { c: Control::new(p, 7, vec![], 1, 0), now: 0 };
+        (0..200).for_each(|_| drop(a.tick()));
+        a
+    }
+    fn carry(&mut self, mut out: Vec<Effect>) -> Vec<News> {
+        let mut news = vec![];
+        while let Some(e) = out.pop() {
+            match e {
+                Effect::Send { to, msg } if &*to == "c" => out.extend(self.c.on_msg(&to, &to, msg, self.now)),
+                Effect::Send { msg: Msg::News(m), .. } => news.push(m),
+                Effect::Persist { then, .. } => out.extend(then),
+                _ => {}
+            }
+        }
+        news
+    }
+    fn tick(&mut self) -> Vec<News> {
+        self.now += TICK;
+        let out = self.c.tick(self.now);
+        self.carry(out)
+    }
+    fn write(&mut self, key: &str, bytes: usize) -> Vec<News> {
+        let (_, out) = self.c.write(key, Expect::Any, vec![7; bytes], self.now);
+        self.carry(out)
+    }
+    /// The answers to an agent's question, which has the feed of `run` up to a place.
+    fn poll(&mut self, run: u64, after: u64) -> Vec<News> {
+        let m = Poll { node: node("e", 2), sent: self.now, run, after, ..Poll::default() };
+        let out = self.c.on_msg(&"e".into(), &"e".into(), m.into(), self.now);
+        self.carry(out)
+    }
+}
+fn values(all: &[News]) -> usize {
+    all.iter().flat_map(|m| m.changes.iter()).map(|c| c.value.0.len()).sum()
+}
+
+// At 299 machines and 3,000 replicas each question of an edge that was still to be told anything was answered by a frame
+// of all that there is, behind those that were on their way: 278 MB stood in control daemons' buffers.
+#[gtest]
+fn a_frame_that_takes_long_is_not_sent_again_behind_itself() {
+    const FRAME: usize = 600_000;
+    let mut a = Alone::new();
+    a.write("plan/s", FRAME);
+    let (began, mut sent) = (a.now, 0);
+    while a.now < began + 10_000 {
+        sent += values(&a.poll(0, 0));
+        a.tick();
+    }
+    let pace = 10_000 * coordination::limits::NEWS_PACE as usize;
+    // One that was lost is sent again.
+    expect_that!(sent, all![ge(2 * FRAME), le(pace + FRAME)]);
+}
+
+#[gtest]
+fn short_news_do_not_wait_behind_long_ones_and_its_place_in_the_feed_is_never_ahead_of_what_came() {
+    let mut a = Alone::new();
+    let first = a.poll(0, 0);
+    let (run, place) = (first[0].run, first[0].upto);
+    expect_that!(values(&a.write("plan/s", 600_000)), eq(600_000));
+    let mut sent = 0;
+    for i in 0..10 {
+        a.tick();
+        let all = a.poll(run, place);
+        sent += values(&all);
+        // It hears its permits all the same, and is not told that it has what may still be lost.
+        expect_that!(all.len(), eq(1));
+        expect_that!(all[0].upto, eq(place), "at {i}");
+    }
+    expect_that!(sent, eq(0));
+    expect_that!(values(&a.write("zone/z", 5)), eq(5));
+    // What was lost comes once more, after the time that it would have taken.
+    a.now += 3_000;
+    let again = a.poll(run, place);
+    expect_that!(values(&again), eq(600_005));
+    expect_that!(values(&a.poll(run, again[0].upto)), eq(0));
+}
