Let the nearest control daemon alone tell an agent long values, others only where it does not

Cause: each change of a record went to every edge two or three times: by the daemon of its zone, by the first in the agreed order, which may stand in another region, and by all whom the edge asked before it could say that it had it. Now values of 4 KB and more come from one daemon: of the edge's zone, else of its region. Others leave them to it for 800 ms, or until the edge says that it lacks what stood 800 ms ago, so that a record that never rests reaches an edge that its daemon does not. The feed's place that an agent is told is never beyond what is left out. Short values go as before. Ruled out: pushing from one daemon for short values too (a spec's or evacuation's way must not hang on one daemon for 800 ms). Tests: who pushes; that others do after 800 ms; that a value which changes five times a second is no more than 2.4 s old.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -26,7 +26,8 @@
     health::Health,
     limits::{
         ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET,
-        LIST_CALM, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING, STANDING_EVERY,
+        LIST_CALM, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_ELSEWHERE, NEWS_LONG, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE, PEER_GONE,
+        READING, STANDING_EVERY,
     },
     members as seats,
     membership::{CONTROL, EDGE, Membership},
@@ -112,6 +113,26 @@
     told: (u64, Ms),
 }
 
+/// A key's newest place in the feed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fed {
+    place: u64,
+    /// When its changes of late began, which version stood then, and which where those before them began: an agent that
+    /// has not even that one is not told by the daemon that pushes to it.
+    began: Ms,
+    stood: u64,
+    before: u64,
+}
+
+impl Fed {
+    fn moves(self, place: u64, stood: u64, now: Ms) -> Fed {
+        match now.saturating_sub(self.began) < NEWS_ELSEWHERE {
+            true => Fed { place, ..self },
+            false => Fed { place, began: now, stood, before: self.stood },
+        }
+    }
+}
+
 /// Streams by replica and version.
 type Opens = BTreeMap<(Name, Name), u32>;
 
@@ -147,7 +168,7 @@
     run: u64,
     seq: u64,
     /// The feed: each key's newest place in it. Older places are never needed again.
-    feed: BTreeMap<Name, u64>,
+    feed: BTreeMap<Name, Fed>,
     peers: BTreeMap<Name, Peer>,
     agents: BTreeMap<Name, Agent>,
     /// Writes passed on, by the token they went under.
@@ -863,22 +884,47 @@
 
     /// Sends an agent its news, and keeps in mind how long they may take.
     fn tell(&self, to: &Name, a: &mut Agent, upto: u64, full: bool, now: Ms, out: &mut Effects) {
-        let m = News { upto, ..self.news(a, full, now) };
+        let mut m = self.news(a, full, now);
         let bytes: usize = m.changes.iter().map(|c| c.value.0.len()).sum();
         // Behind what is still on its way.
-        a.told = (self.seq, now.max(a.told.1) + bytes as Ms / NEWS_PACE);
+        a.told = (m.upto, now.max(a.told.1) + bytes as Ms / NEWS_PACE);
+        m.upto = m.upto.min(upto);
         out.push(send(to, m));
     }
 
+    /// Places of the feed whose long values an agent is about to have from the daemon that pushes them to it.
+    fn left_to_others(&self, a: &Agent, now: Ms) -> BTreeSet<u64> {
+        let long = |k: &Name| self.board.get(k).is_some_and(|c| c.value.0.len() >= NEWS_LONG);
+        let has = |k: &Name| a.seen.iter().find(|c| c.key == *k).map_or(0, |c| c.version);
+        let fresh = |(k, f): &(&Name, &Fed)| {
+            f.place > a.after && now.saturating_sub(f.began) < NEWS_ELSEWHERE && long(k) && has(k) >= f.before
+        };
+        let places: BTreeSet<u64> = self.feed.iter().filter(fresh).map(|(_, f)| f.place).collect();
+        if places.is_empty() || self.first_for(&a.node, now) { BTreeSet::new() } else { places }
+    }
+
+    /// Whether this daemon is the one that pushes long values to an agent: one of its zone, else of its region, else any;
+    /// of several the first in the agreed order.
+    fn first_for(&self, a: &Node, now: Ms) -> bool {
+        let live = self.live(now);
+        let peers = self.peers.iter().map(|(n, p)| (n, &p.beat.zone)).chain([(&self.p.name, &self.p.zone)]);
+        let home = regions::region(&self.p.regions, &a.zone);
+        let near = |z: &Name| (*z == a.zone, regions::region(&self.p.regions, z) == home);
+        let first = peers.filter(|(n, _)| live(n)).max_by_key(|(n, z)| (near(z), weight(&a.name, n)));
+        first.is_none_or(|(n, _)| *n == self.p.name)
+    }
+
     fn news(&self, a: &Agent, full: bool, now: Ms) -> News {
-        let new = self.feed.iter().filter(|(_, s)| **s > a.after);
+        let elsewhere = if full { BTreeSet::new() } else { self.left_to_others(a, now) };
+        let new = self.feed.iter().filter(|(_, f)| f.place > a.after && !elsewhere.contains(&f.place));
         // What it has by other ways is not sent again.
         let lacks = |c: &&Change| a.seen.iter().find(|s| s.key == c.key).is_none_or(|s| stamp(s) < stamp(c));
         let changes = new.filter_map(|(k, _)| self.board.get(k)).filter(lacks).cloned().collect();
         News {
             sent: a.sent,
             run: self.run,
-            upto: self.seq,
+            // Never beyond what it is not told.
+            upto: elsewhere.first().map_or(self.seq, |s| s - 1),
             count: a.count,
             choice: self.choice,
             counts: self.counts.keys().cloned().collect(),
@@ -931,6 +977,7 @@
         let fresh = std::mem::take(&mut self.regs.fresh);
         let (mut new, mut read) = (false, false);
         for c in fresh {
+            let stood = self.board.get(&c.key).map_or(0, |o| o.version);
             if self.board.merge(&c) {
                 read |= &*c.key == SPEC;
                 self.read_rollout(&c);
@@ -938,7 +985,8 @@
                     out.push(note(events::LEAVING, r, ""));
                 }
                 self.seq += 1;
-                self.feed.insert(c.key.clone(), self.seq);
+                let fed = self.feed.entry(c.key.clone()).or_default();
+                *fed = fed.moves(self.seq, stood, now);
                 new = true;
             }
         }
@@ -954,7 +1002,7 @@
             let to = a.node.addr.clone();
             self.tell(&to, a, self.seq, false, now, out);
             // Taken for arrived; where it is not, the agent's next question says so.
-            a.after = self.seq;
+            a.after = a.told.0;
         }
         self.agents = agents;
     }
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -46,6 +46,10 @@
 /// Bytes a ms. News to an agent are taken to arrive at this pace: an edge's link of 10 Mbit/s, shared by the daemons that
 /// send it news. What is short, as nearly all is, arrives at once.
 pub const NEWS_PACE: Ms = 256;
+/// Bytes. A value that is as long is pushed to an agent by one daemon only, the nearest.
+pub const NEWS_LONG: usize = 4 << 10;
+/// ms. Others leave it to that one for so long: it takes a tenth of that, or cannot reach the agent.
+pub const NEWS_ELSEWHERE: Ms = 2 * POLL_EVERY;
 /// Bytes. A value that is as long is packed: below, packing saves less than it costs on every edge.
 pub const PACKED_FROM: usize = 4 << 10;
 /// Bytes that a packed value may unpack to: forty times the record of the largest fleet.
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -4,9 +4,11 @@
     Effect, Ms,
     agent::{Agent, RULE_ALL},
     control::{Control, ControlParams},
-    limits::{MISSED, POLL_EVERY, TICK},
+    limits::{MISSED, NEWS_ELSEWHERE, POLL_EVERY, TICK},
     register::Expect,
-    wire::{Blob, Change, Digests, List, Msg, Name, News, Node, Permit, Poll, ProxyHello, Reading, Readings, Shuffle, Tally},
+    wire::{
+        Beat, Blob, Change, Digests, List, Msg, Name, News, Node, Permit, Poll, ProxyHello, Reading, Readings, Shuffle, Tally,
+    },
 };
 use googletest::prelude::*;
 
@@ -237,6 +239,8 @@
 struct Alone {
     c: Control,
     now: Ms,
+    /// Of the agent that asks it.
+    zone: &'static str,
 }
 
 impl Alone {
@@ -253,7 +257,7 @@
             founding: false,
             bounds: Default::default(),
         };
-        let mut a = Alone { c: Control::new(p, 7, vec![], 1, 0), now: 0 };
+        let mut a = Alone { c: Control::new(p, 7, vec![], 1, 0), now: 0, zone: "z" };
         (0..200).for_each(|_| drop(a.tick()));
         a
     }
@@ -280,7 +284,8 @@
     }
     /// The answers to an agent's question, which has the feed of `run` up to a place.
     fn poll(&mut self, run: u64, after: u64) -> Vec<News> {
-        let m = Poll { node: node("e", 2), sent: self.now, run, after, ..Poll::default() };
+        let node = Node { zone: self.zone.into(), ..node("e", 2) };
+        let m = Poll { node, sent: self.now, run, after, ..Poll::default() };
         let out = self.c.on_msg(&"e".into(), &"e".into(), m.into(), self.now);
         self.carry(out)
     }
@@ -329,3 +334,59 @@
     expect_that!(values(&again), eq(600_005));
     expect_that!(values(&a.poll(run, again[0].upto)), eq(0));
 }
+
+/// Another control daemon lives in the zone `y`.
+fn beside(a: &mut Alone) {
+    let m = Beat { me: 1, disk: 8, zone: "y".into(), ..Beat::default() };
+    let out = a.c.on_msg(&"d".into(), &"d".into(), m.into(), a.now);
+    a.carry(out);
+}
+
+#[gtest]
+fn a_long_value_is_pushed_by_the_nearest_daemon_and_by_others_only_if_that_does_not_tell_it() {
+    for (zone, near) in [("z", true), ("y", false)] {
+        let mut a = Alone::new();
+        a.zone = zone;
+        let first = a.poll(0, 0);
+        let (run, place) = (first[0].run, first[0].upto);
+        beside(&mut a);
+        let pushed = values(&a.write("plan/s", LONG));
+        expect_that!(pushed, eq(if near { LONG } else { 0 }), "zone {zone}");
+        // A short value goes to whom it went to before, and is not taken for all that there is.
+        let (began, mut sent, mut at) = (a.now, pushed, place);
+        while sent == 0 && a.now < began + 5_000 {
+            beside(&mut a);
+            a.tick();
+            let all = a.poll(run, at);
+            expect_that!(all.len(), eq(1));
+            at = all[0].upto;
+            sent += values(&all);
+        }
+        expect_that!(sent, eq(LONG));
+        expect_that!(a.now - began, le(if near { 0 } else { NEWS_ELSEWHERE + TICK }));
+    }
+}
+
+// A record that changes all the time must not be left to a daemon that does not reach the edge.
+#[gtest]
+fn a_long_value_that_never_rests_reaches_an_edge_that_its_nearest_daemon_does_not() {
+    let mut a = Alone::new();
+    a.zone = "y";
+    let first = a.poll(0, 0);
+    let (run, mut at) = (first[0].run, first[0].upto);
+    let (mut last, mut longest) = (a.now, 0);
+    for turn in 0..200 {
+        beside(&mut a);
+        let mut all = if turn % 4 == 0 { a.write("plan/s", LONG + turn) } else { vec![] };
+        a.tick();
+        at = all.last().map_or(at, |m| m.upto);
+        all.extend(a.poll(run, at));
+        at = at.max(all[all.len() - 1].upto);
+        if values(&all) > 0 {
+            longest = longest.max(a.now - last);
+            last = a.now;
+        }
+    }
+    expect_that!(longest, le(3 * NEWS_ELSEWHERE));
+    expect_that!(last, ge(a.now - 3 * NEWS_ELSEWHERE));
+}
