--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -14,7 +14,6 @@
     Beat, Blob, Change, Demand, Forward, Forwarded, Genesis, List, Msg, Name, News, Node, Permit, Poll, Slots, SlotsAsk, Tally,
     Voter,
 };
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     Effect, Effects, Ms, Row, WriteOutcome,
@@ -25,14 +24,16 @@
     events,
     health::Health,
     limits::{
-        ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET,
-        LIST_CALM, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_ELSEWHERE, NEWS_LONG, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE, PEER_GONE,
-        READING, STANDING_EVERY,
+        ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LIST_CALM,
+        LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_ELSEWHERE, NEWS_LONG, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING,
+        STANDING_EVERY,
     },
     members as seats,
     membership::{CONTROL, EDGE, Membership},
     order::{agreed, weight},
-    packed, regions,
+    packed,
+    pass::host_name,
+    regions,
     register::{CONTEXT, DUTY, Expect, MEMBERS, Registers},
     rollout::{Inputs, Loop, first_record},
 };
@@ -161,9 +162,8 @@
     pub regs: Registers,
     pub mship: Membership,
     board: Board,
-    /// The spec as last read, and the releases and digests of documents that stood.
+    /// The spec as last read.
     spec: Option<Arc<Spec>>,
-    stood: BTreeMap<u64, u64>,
     started: Ms,
     run: u64,
     seq: u64,
@@ -269,7 +269,6 @@
             mship,
             board: Board::default(),
             spec: None,
-            stood: BTreeMap::new(),
             started: now,
             run: born,
             seq: 0,
@@ -323,15 +322,6 @@
     fn read_spec(&mut self) {
         let Some(c) = self.board.get(SPEC).filter(|c| !c.value.0.is_empty()) else { return };
         self.spec = (self.p.reader)(&c.value.0).map(Arc::new);
-        let release = self.spec.as_ref().map_or(0, |s| s.release);
-        self.stood.insert(release, xxh3_64(&c.value.0));
-        while self.stood.len() > DOCUMENTS {
-            self.stood.pop_first();
-        }
-    }
-    /// Whether this very document stood once, as far as this daemon saw.
-    pub fn stood(&self, release: u64, document: &[u8]) -> bool {
-        self.stood.get(&release) == Some(&xxh3_64(document))
     }
     /// Whether this very disk is a voter's.
     fn named(&self) -> bool {
@@ -543,7 +533,7 @@
             Msg::Promise(m) => self.regs.on_promise(from, m, now, &mut out),
             Msg::Accept(m) => self.regs.on_accept(addr, m, &mut out),
             Msg::Accepted(m) => self.regs.on_accepted(from, m, now, &mut out),
-            Msg::Commit(m) => self.regs.on_commit(&m.change, &mut out),
+            Msg::Commit(m) => self.regs.on_commit(&m.change, &m.past, &mut out),
             Msg::Renew(m) => self.regs.on_renew(addr, m, now, &mut out),
             Msg::Renewed(m) => self.regs.on_renewed(from, m, now, &mut out),
             Msg::Forward(m) => self.on_forward(addr, m, now, &mut out),
@@ -1354,8 +1344,17 @@
 
     // ---- looking ----
 
+    /// Regions in which every lane of a host may be carried. None: all, as nothing binds or no region suits all lanes.
+    fn homes(&self, host: &str) -> Option<BTreeSet<&str>> {
+        let host = host_name(host);
+        let lanes = self.spec.iter().flat_map(|s| &s.paths).filter(|p| p.host.eq_ignore_ascii_case(host) && !p.homes.is_empty());
+        let homes = lanes.map(|p| p.homes.iter().map(String::as_str).collect::<BTreeSet<&str>>());
+        homes.reduce(|a, b| a.intersection(&b).copied().collect()).filter(|h| !h.is_empty())
+    }
+
     /// Addresses of edges for a caller of a host in a place: near ones first, but never only one of many, as that one
-    /// may just have gone. None: this daemon does not know the fleet yet, or nobody serves.
+    /// may just have gone; beyond its region only where the host's lanes may be carried, if any edge is there. None: this
+    /// daemon does not know the fleet yet, or nobody serves.
     pub fn edges_near(&self, host: &str, zone: &str, region: &str, now: Ms) -> Option<Vec<String>> {
         if now.saturating_sub(self.started) < KNOWS_FLEET {
             return None;
@@ -1369,7 +1368,13 @@
         let home = |n: &Node| regions::region(&self.p.regions, &n.zone) == region;
         let near: [Vec<&Node>; 2] =
             [all.iter().filter(|n| &*n.zone == zone).copied().collect(), all.iter().filter(|n| home(n)).copied().collect()];
-        let some = near.into_iter().find(|v| v.len() > 1).unwrap_or(all);
+        let some = near.into_iter().find(|v| v.len() > 1).unwrap_or_else(|| {
+            // Its body is not carried where it has no home for the sake of a choice.
+            let Some(homes) = self.homes(host) else { return all };
+            let fits = |n: &&&Node| home(n) || homes.contains(regions::region(&self.p.regions, &n.zone));
+            let some: Vec<&Node> = all.iter().filter(fits).copied().collect();
+            if some.is_empty() { all } else { some }
+        });
         let some = agreed(host, some, |n| &n.name).into_iter().take(ADDRESSES).map(|n| n.http.to_string());
         Some(some.collect()).filter(|v: &Vec<String>| !v.is_empty())
     }
