--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -25,8 +25,8 @@
     health::Health,
     limits::{
         ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LIST_CALM,
-        LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_ELSEWHERE, NEWS_LONG, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING,
-        STANDING_EVERY,
+        LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, PUSH_TAKES, PUSHED_TO,
+        READING, STANDING_EVERY,
     },
     members as seats,
     membership::{CONTROL, EDGE, Membership},
@@ -104,6 +104,10 @@
 struct Agent {
     node: Node,
     at: Ms,
+    /// Since when it has spoken without a gap, and whether its last question came right behind the one before, though
+    /// it had been sent long after it: both waited on the way, and what the first asked for is under way.
+    since: Ms,
+    waited: bool,
     sent: u64,
     after: u64,
     /// Its counts are here up to this one.
@@ -127,7 +131,7 @@
 
 impl Fed {
     fn moves(self, place: u64, stood: u64, now: Ms) -> Fed {
-        match now.saturating_sub(self.began) < NEWS_ELSEWHERE {
+        match now.saturating_sub(self.began) < PUSH_TAKES {
             true => Fed { place, ..self },
             false => Fed { place, began: now, stood, before: self.stood },
         }
@@ -723,6 +727,8 @@
         let mut old = self.agents.remove(&name);
         let same = old.as_ref().filter(|a| a.node.born == m.node.born);
         let (count, told) = same.map_or((0, (0, 0)), |a| (a.count, a.told));
+        let since = same.filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE).map_or(now, |a| a.since);
+        let waited = same.is_some_and(|a| m.sent.saturating_sub(a.sent) > 2 * now.saturating_sub(a.at));
         // What changed since a count that an earlier life of this daemon had is not enough to know anything by; nor is
         // an agent's word before its proxy has spoken.
         let tells = m.life > 0 && (m.run, m.choice) == (self.run, self.choice) && m.since <= count && count <= m.count;
@@ -755,7 +761,7 @@
         };
         // Its place in the feed stays where it says that it is.
         let (after, upto) = if under_way { (told.0, after) } else { (after, self.seq) };
-        let mut a = Agent { node: m.node, at: now, sent: m.sent, after, count, opens, seen, told };
+        let mut a = Agent { node: m.node, at: now, since, waited, sent: m.sent, after, count, opens, seen, told };
         if !(under_way && full) {
             self.tell(addr, &mut a, upto, full, now, out);
         }
@@ -882,46 +888,49 @@
         out.push(send(to, m));
     }
 
-    /// Places of the feed whose long values an agent is about to have from the daemon that pushes them to it.
-    fn left_to_others(&self, a: &Agent, now: Ms) -> BTreeSet<u64> {
-        let long = |k: &Name| self.board.get(k).is_some_and(|c| c.value.0.len() >= NEWS_LONG);
-        let has = |k: &Name| a.seen.iter().find(|c| c.key == *k).map_or(0, |c| c.version);
-        let fresh = |(k, f): &(&Name, &Fed)| {
-            f.place > a.after && now.saturating_sub(f.began) < NEWS_ELSEWHERE && long(k) && has(k) >= f.before
-        };
-        let places: BTreeSet<u64> = self.feed.iter().filter(fresh).map(|(_, f)| f.place).collect();
-        if places.is_empty() || self.first_for(&a.node, now) { BTreeSet::new() } else { places }
-    }
-
-    /// Whether this daemon is the one that pushes long values to an agent: one of its zone, else of its region, else any;
-    /// of several the first in the agreed order.
+    /// Whether this daemon is the one that tells an agent long values: one of its zone, else of its region, else any; of
+    /// several the first in the agreed order.
     fn first_for(&self, a: &Node, now: Ms) -> bool {
-        let live = self.live(now);
-        let peers = self.peers.iter().map(|(n, p)| (n, &p.beat.zone)).chain([(&self.p.name, &self.p.zone)]);
+        let zone = |n: &Name| self.peers.get(n).map_or(&self.p.zone, |p| &p.beat.zone);
         let home = regions::region(&self.p.regions, &a.zone);
-        let near = |z: &Name| (*z == a.zone, regions::region(&self.p.regions, z) == home);
-        let first = peers.filter(|(n, _)| live(n)).max_by_key(|(n, z)| (near(z), weight(&a.name, n)));
-        first.is_none_or(|(n, _)| *n == self.p.name)
+        let near = |n: &Name| (*zone(n) == a.zone, regions::region(&self.p.regions, zone(n)) == home);
+        let tellers = self.tellers(now);
+        tellers.iter().max_by_key(|n| (near(n), weight(&a.name, n))).is_none_or(|n| *n == self.p.name)
     }
 
     fn news(&self, a: &Agent, full: bool, now: Ms) -> News {
-        let elsewhere = if full { BTreeSet::new() } else { self.left_to_others(a, now) };
-        let new = self.feed.iter().filter(|(_, f)| f.place > a.after && !elsewhere.contains(&f.place));
+        let new = self.feed.iter().filter(|(_, f)| f.place > a.after).filter_map(|(k, f)| Some((self.board.get(k)?, *f)));
         // What it has by other ways is not sent again.
-        let lacks = |c: &&Change| a.seen.iter().find(|s| s.key == c.key).is_none_or(|s| stamp(s) < stamp(c));
-        let changes = new.filter_map(|(k, _)| self.board.get(k)).filter(lacks).cloned().collect();
+        let has = |c: &Change| a.seen.iter().find(|s| s.key == c.key);
+        let lacks = |c: &Change| has(c).is_none_or(|s| stamp(s) < stamp(c));
+        // Nor what is long and most likely on its way: as an answer to an earlier question, or from a daemon nearby, which
+        // may have been cut off with the agent until just now.
+        let far = regions::region(&self.p.regions, &a.node.zone) != regions::region(&self.p.regions, &self.p.zone);
+        let lately = |at: Ms| now.saturating_sub(at) < PUSH_TAKES;
+        let waits = !full && (a.waited || (far && lately(a.since)));
+        let first = OnceCell::new();
+        let others = || !full && !*first.get_or_init(|| self.first_for(&a.node, now));
+        let served = |c: &Change, f: Fed| lately(f.began) && has(c).map_or(0, |s| s.version) >= f.before;
+        let comes = |c: &Change, f: Fed| c.value.0.len() > LONG_VALUE && (waits || (served(c, f) && others()));
+        let (mut upto, mut changes) = (self.seq, vec![]);
+        for (c, f) in new.filter(|(c, _)| lacks(c)) {
+            if comes(c, f) {
+                upto = upto.min(f.place - 1);
+            } else {
+                changes.push(c.clone());
+            }
+        }
         News {
             sent: a.sent,
             run: self.run,
-            // Never beyond what it is not told.
-            upto: elsewhere.first().map_or(self.seq, |s| s - 1),
+            upto,
             count: a.count,
             choice: self.choice,
             counts: self.counts.keys().cloned().collect(),
             full: full.into(),
             settled: self.settled.into(),
             voters: self.regs.voters.len() as u32,
-            changes,
+            changes: List(changes),
             permits: self.permits(now),
         }
     }
@@ -986,9 +995,9 @@
         if !new {
             return;
         }
-        let pushes = self.pushes(now);
+        let tellers = self.tellers(now);
         let mut agents = std::mem::take(&mut self.agents);
-        for a in agents.values_mut().filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE && pushes(&a.node)) {
+        for a in agents.values_mut().filter(|a| now.saturating_sub(a.at) <= PUSHED_TO && self.pushes(&a.node, &tellers)) {
             let to = a.node.addr.clone();
             self.tell(&to, a, self.seq, false, now, out);
             // Taken for arrived; where it is not, the agent's next question says so.
@@ -997,16 +1006,24 @@
         self.agents = agents;
     }
 
-    /// Whom this daemon pushes news to: agents of its zone, and those that come to it in the agreed order. All
-    /// others have it from other daemons, or ask.
-    fn pushes(&self, now: Ms) -> impl Fn(&Node) -> bool + use<> {
+    /// Whether this daemon pushes news to an agent: to those of its zone, and to those that come to it in the agreed order
+    /// of the live daemons of their region, or of all where their region has none. All others have it from other daemons,
+    /// or ask.
+    fn pushes(&self, a: &Node, live: &[Name]) -> bool {
+        let region = |zone| regions::region(&self.p.regions, zone);
+        // The way between regions is dear.
+        let near = |n: &&Name| {
+            let zone = self.peers.get(*n).map_or(&self.p.zone, |p| &p.beat.zone);
+            region(zone) == region(&a.zone)
+        };
+        let by = |n: &&Name| weight(&a.name, n);
+        let first = live.iter().filter(near).max_by_key(by).or_else(|| live.iter().max_by_key(by));
+        a.zone == self.p.zone || first.is_none_or(|n| *n == self.p.name)
+    }
+    /// Daemons that news may be had from.
+    fn tellers(&self, now: Ms) -> Vec<Name> {
         let live = self.live(now);
-        let names: Vec<Name> = self.peers.keys().chain([&self.p.name]).filter(|n| live(n)).cloned().collect();
-        let (me, zone) = (self.p.name.clone(), self.p.zone.clone());
-        move |a: &Node| {
-            let first = names.iter().max_by_key(|n| weight(&a.name, n));
-            a.zone == zone || first.is_none_or(|n| *n == me)
-        }
+        self.peers.keys().chain([&self.p.name]).filter(|n| live(n)).cloned().collect()
     }
 
     fn finish(&mut self, now: Ms, mut out: Effects) -> Effects {
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -47,10 +47,6 @@
 /// Bytes a ms. News to an agent are taken to arrive at this pace: an edge's link of 10 Mbit/s, shared by the daemons that
 /// send it news. What is short, as nearly all is, arrives at once.
 pub const NEWS_PACE: Ms = 256;
-/// Bytes. A value that is as long is pushed to an agent by one daemon only, the nearest.
-pub const NEWS_LONG: usize = 4 << 10;
-/// ms. Others leave it to that one for so long: it takes a tenth of that, or cannot reach the agent.
-pub const NEWS_ELSEWHERE: Ms = 2 * POLL_EVERY;
 /// Bytes. A value that is as long is packed: below, packing saves less than it costs on every edge.
 pub const PACKED_FROM: usize = 4 << 10;
 /// Bytes that a packed value may unpack to: forty times the record of the largest fleet.
@@ -67,8 +63,16 @@
 pub const COUNTS_LEFT: Ms = 10_000;
 /// ms for each edge that is known. An agent that has just started asks again so soon, while it may serve nobody.
 pub const START_POLL: Ms = 20;
-/// ms. Agents that polled within this are pushed to.
+/// ms. Agents that polled within this are counted as followers.
 pub const FOLLOWER_GONE: Ms = 3_000;
+/// ms. They are pushed to if they polled within this, two questions' time: who is cut off asks when it is back, and what
+/// was pushed meanwhile would come then as a flood.
+pub const PUSHED_TO: Ms = 1_000;
+/// Bytes. A longer value is let come to an agent from one daemon: to send it is dearer than to wait.
+pub const LONG_VALUE: usize = 1_000;
+/// ms. News is pushed to an agent within this, also a long spec over a slow link and by a busy daemon; after it whichever
+/// daemon is asked tells, well before a change must be in force.
+pub const PUSH_TAKES: Ms = 1_000;
 /// ms. Shuffle between neighbours.
 pub const SHUFFLE_EVERY: Ms = 250;
 /// Of so many shuffles one goes to a neighbour in any region, the others stay in the own one if it is large.
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -4,7 +4,7 @@
     Effect, Ms,
     agent::{Agent, RULE_ALL},
     control::{Control, ControlParams},
-    limits::{MISSED, NEWS_ELSEWHERE, POLL_EVERY, TICK},
+    limits::{MISSED, POLL_EVERY, PUSH_TAKES, TICK},
     register::Expect,
     wire::{
         Beat, Blob, Change, Digests, List, Msg, Name, News, Node, Permit, Poll, ProxyHello, Reading, Readings, Shuffle, Tally,
@@ -363,7 +363,7 @@
             sent += values(&all);
         }
         expect_that!(sent, eq(LONG));
-        expect_that!(a.now - began, le(if near { 0 } else { NEWS_ELSEWHERE + TICK }));
+        expect_that!(a.now - began, le(if near { 0 } else { PUSH_TAKES + TICK }));
     }
 }
 
@@ -387,6 +387,6 @@
             last = a.now;
         }
     }
-    expect_that!(longest, le(3 * NEWS_ELSEWHERE));
-    expect_that!(last, ge(a.now - 3 * NEWS_ELSEWHERE));
+    expect_that!(longest, le(3 * PUSH_TAKES));
+    expect_that!(last, ge(a.now - 3 * PUSH_TAKES));
 }
