Split the control daemon's brain by topic: writes, voters, polls, feed, contexts, duties, back ends, resolution, looks

Pure moves: apart from module lines the same lines as before, but for the region of a zone, which the contexts spelled out again and now call. coordination's tests pass on it; the wire's codes of writes stay where they were, as apart they looked like a copy.

--- /dev/null
+++ b/coordination/src/control/polls.rs
@@ -0,0 +1,106 @@
+//! What agents tell: their counts, and whose tallies are kept here.
+
+use super::*;
+
+impl Control {
+    pub(super) fn on_poll(&mut self, addr: &Name, m: Poll, now: Ms, out: &mut Effects) {
+        let name = m.node.name.clone();
+        let mut old = self.agents.remove(&name);
+        let same = old.as_ref().filter(|a| a.node.born == m.node.born);
+        let (count, told) = same.map_or((0, (0, 0)), |a| (a.count, a.told));
+        let since = same.filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE).map_or(now, |a| a.since);
+        let waited = same.is_some_and(|a| m.sent.saturating_sub(a.sent) > 2 * now.saturating_sub(a.at));
+        // What changed since a count that an earlier life of this daemon had is not enough to know anything by; nor is
+        // an agent's word before its proxy has spoken.
+        let tells = m.life > 0 && (m.run, m.choice) == (self.run, self.choice) && m.since <= count && count <= m.count;
+        let mut opens = old.as_mut().map_or_else(Opens::new, |a| std::mem::take(&mut a.opens));
+        if tells {
+            self.count(&name, m.life, m.tallies, now);
+            if m.since == 0 {
+                opens.clear();
+            }
+            for o in m.opens.0 {
+                let at = (o.replica, o.version);
+                if o.streams > 0 {
+                    opens.insert(at, o.streams)
+                } else {
+                    opens.remove(&at)
+                };
+            }
+        }
+        // Told first hand: rumours of a large fleet take longer.
+        self.mship.hear(&m.node, now, out);
+        let full = m.run != self.run;
+        let after = if full { 0 } else { m.after };
+        // What takes long to arrive is not sent again behind itself: an edge that asks more often than its link carries
+        // the answers would never be told anything.
+        let under_way = now < told.1 && after < told.0;
+        let count = if tells { m.count } else { count };
+        let seen = match old {
+            Some(a) if m.news == 0 && a.node.born == m.node.born => a.seen,
+            _ => m.seen.0,
+        };
+        // Its place in the feed stays where it says that it is.
+        let (after, upto) = if under_way { (told.0, after) } else { (after, self.seq) };
+        let mut a = Agent { node: m.node, at: now, since, waited, sent: m.sent, after, count, opens, seen, told };
+        if !(under_way && full) {
+            self.tell(addr, &mut a, upto, full, now, out);
+        }
+        self.agents.insert(name, a);
+    }
+
+    /// Chooses whose tallies are kept: of services whose duty this daemon holds or is the next to take. Whoever takes a
+    /// duty over so judges by evidence at once, and all others need not hear every edge's every count.
+    pub(super) fn choose(&mut self, now: Ms, live: &dyn Fn(&str) -> bool) {
+        let Some(spec) = self.spec() else { return };
+        let me = &self.p.name;
+        let mut changed = false;
+        for s in &spec.services {
+            let key = format!("{DUTY}{}", s.name);
+            // One that stands by may step in as a voter before the duty is free to take.
+            let others = self.regs.voters.iter().filter(|v| v.name != *me && live(&v.name));
+            let next = others.filter(|v| weight(&key, &v.name) > weight(&key, me)).count() < COUNTERS;
+            if next || self.regs.holds(&key, now).is_some() {
+                changed |= self.counts.insert(s.name.as_str().into(), now).is_none();
+            }
+        }
+        // A voter that is silent for a moment changes nothing: a choice costs every edge's every count.
+        let loops = &mut self.loops;
+        self.counts.retain(|s, at| {
+            let keep = now.saturating_sub(*at) < COUNTS_LEFT;
+            if !keep {
+                // What came in the meantime would seem to have come at once.
+                loops.get_mut(&**s).into_iter().for_each(|l| l.health = Health::default());
+            }
+            changed |= !keep;
+            keep
+        });
+        if changed {
+            self.choice += 1;
+            self.agents.values_mut().for_each(|a| a.count = 0);
+        }
+    }
+
+    fn count(&mut self, source: &Name, life: u64, tallies: List<Tally>, now: Ms) {
+        let mut by: BTreeMap<Name, Vec<Tally>> = BTreeMap::new();
+        // Services without a count yet are told too: a source is known from its first word on.
+        for s in self.counts.keys() {
+            by.insert(s.clone(), vec![]);
+        }
+        let kept = tallies.0.into_iter().filter(|t| self.counts.contains_key(&t.service));
+        kept.for_each(|t| by.entry(t.service.clone()).or_default().push(t));
+        for (s, v) in by {
+            self.loops.entry(s.to_string()).or_insert_with(|| Loop::new(now)).health.feed(source, life, &v);
+        }
+    }
+
+    /// Services whose tallies this daemon keeps.
+    pub fn counts(&self) -> impl Iterator<Item = &str> {
+        self.counts.keys().map(|s| &**s)
+    }
+
+    /// Requests sent that this daemon has counted: of a service, and of one of its versions.
+    pub fn counted(&self, service: &str, version: &str) -> (u64, u64) {
+        self.loops.get(service).map_or((0, 0), |l| l.health.sent(version))
+    }
+}
--- /dev/null
+++ b/coordination/src/control/voters.rs
@@ -0,0 +1,248 @@
+//! Beats and voters: who votes, who is read before it does, and whose place another takes.
+
+use super::*;
+
+impl Control {
+    /// Whether this very disk is a voter's.
+    pub(super) fn named(&self) -> bool {
+        self.regs.voters.iter().any(|v| v.disk == self.disk)
+    }
+
+    pub(super) fn live(&self, now: Ms) -> impl Fn(&str) -> bool + use<> {
+        let mut names: BTreeSet<Name> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE && p.beat.blank == VOTES && p.beat.me == self.regs.me)
+            .map(|(n, _)| n.clone())
+            .collect();
+        if !self.going && self.disk_ok {
+            names.insert(self.p.name.clone());
+        }
+        move |n| names.contains(n)
+    }
+
+    pub(super) fn on_beat(&mut self, from: &Name, addr: &Name, m: Beat, now: Ms, out: &mut Effects) {
+        self.regs.set_addr(from, addr);
+        self.heard.insert(m.disk, now);
+        let blank = m.blank == BLANK || m.blank == FOUNDING;
+        let same = m.digest == self.regs.digest();
+        if m.blank == VOTES && m.me == self.regs.me && same {
+            self.met.insert(from.clone());
+        }
+        let pair = (m.digest, self.regs.digest());
+        // What is on its way to either differs in one beat; what was missed differs in the next one too.
+        let missed = !same && (!self.met.contains(from) || self.differed.insert(from.clone(), pair) == Some(pair));
+        let behind = m.me > self.regs.me || (m.blank == VOTES && missed);
+        if behind && !blank && now >= self.next_ask {
+            self.next_ask = now + BEAT_EVERY / 4;
+            out.push(send(addr, SlotsAsk { me: self.regs.me, have: self.regs.have() }));
+        }
+        // The first voters are offered again to a member that was named among them but has not stored it.
+        if blank && self.regs.me == 1 && self.regs.voters.iter().any(|v| v.disk == m.disk) {
+            out.push(send(addr, Genesis { voters: List(self.regs.voters.clone()) }));
+        }
+        // Who is new, or was gone, learns of this daemon at once.
+        if self.peers.get(from).is_none_or(|p| now.saturating_sub(p.at) > PEER_GONE || p.beat.disk != m.disk) {
+            self.next_beat = now;
+        }
+        self.peers.insert(from.clone(), Peer { at: now, beat: m, addr: addr.clone() });
+    }
+
+    /// Tells its slots, once all that it has voted is on its disk: an earlier member epoch must not come back here
+    /// after a newcomer has counted on it to be over.
+    pub(super) fn on_slots_ask(&mut self, addr: &Name, m: SlotsAsk, now: Ms, out: &mut Effects) {
+        self.regs.write_again(&m.have, now, out);
+        let r = &self.regs;
+        let slots = r.slots_beyond(&m.have);
+        let m = Slots {
+            me: r.me,
+            voting: if r.voting { 1 } else { u8::from(r.left) * 2 },
+            before: r.before,
+            voters: List(r.voters.clone()),
+            slots,
+        };
+        out.push(Effect::Persist { rows: vec![], then: vec![send(addr, m)] });
+    }
+
+    pub(super) fn on_genesis(&mut self, m: Genesis, out: &mut Effects) {
+        // Only a disk that is blank and named takes it; a later blank disk has another number.
+        if self.regs.me == 0 && m.voters.iter().any(|v| v.disk == self.disk) {
+            self.begin(m.voters.0, out);
+        }
+    }
+
+    fn begin(&mut self, voters: Vec<Voter>, out: &mut Effects) {
+        self.regs.follow(1, 0, voters, out);
+        // Nobody ever voted before: there is no permit to wait out.
+        self.regs.no_permits_before();
+        self.regs.voting = true;
+        // Until others know that it votes they take its keys.
+        self.next_beat = 0;
+        out.push(note(events::GENESIS, &self.p.name, ""));
+        out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
+    }
+
+    pub(super) fn on_slots(&mut self, from: &Name, m: Slots, now: Ms, out: &mut Effects) {
+        self.regs.mend(&m.slots, out);
+        self.follow_members(out);
+        // The first voters stand under no key.
+        if self.regs.me == 0 && m.me == 1 && m.voters.iter().any(|v| v.disk == self.disk) {
+            self.begin(m.voters.0, out);
+        } else if m.me > self.regs.me {
+            self.follow(m.me, m.before, m.voters.0, out);
+        }
+        if m.me != self.regs.me {
+            return;
+        }
+        if m.voting == 1 {
+            self.met.insert(from.clone());
+        }
+        if self.regs.voting || !self.named() || m.voting == 0 {
+            return;
+        }
+        let mut rows = self.regs.catch_up(&m.slots);
+        self.caught.insert(from.clone());
+        if self.caught.len() >= self.to_read() {
+            self.regs.vote(now);
+            self.next_beat = 0;
+            out.push(note(events::VOTING, &self.p.name, format!("member epoch {}", self.regs.me)));
+        }
+        rows.push(self.regs.members_row());
+        out.push(Effect::Persist { rows, then: vec![] });
+    }
+
+    /// How many voters that have closed the member epoch before must be read: a majority of its voters, so that nothing
+    /// more can be taken under it, and whatever was taken stands with one of those. Who voted in it or has itself read
+    /// so many counts. Where their number is not known, all others.
+    fn to_read(&self) -> usize {
+        match self.regs.before {
+            0 => self.regs.voters.len() - 1,
+            n => n as usize / 2 + 1,
+        }
+    }
+
+    /// Adopts voters that were committed under the members' key.
+    pub(super) fn follow_members(&mut self, out: &mut Effects) {
+        let Some(c) = self.regs.fresh.iter().filter(|c| &*c.key == MEMBERS).max_by_key(|c| c.version).cloned() else { return };
+        let (Some((before, voters)), me) = (seats::of_bytes(&c.value.0), c.version as u32 + 1) else { return };
+        self.follow(me, before, voters, out);
+    }
+
+    fn follow(&mut self, me: u32, before: u32, voters: Vec<Voter>, out: &mut Effects) {
+        if me <= self.regs.me {
+            return;
+        }
+        // Whoever lost its place and was given one again may lack what was taken in between.
+        let kept = voters.iter().any(|v| v.disk == self.disk && v.since <= self.regs.me);
+        let left = !kept && self.regs.voting && me == self.regs.me + 1;
+        self.regs.follow(me, before, voters, out);
+        self.regs.voting &= kept;
+        self.regs.left = left;
+        self.caught.clear();
+        // Until others know that it counts the same votes it is not live to them.
+        (self.next_meet, self.next_beat, self.changed) = (0, 0, self.clock);
+        out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
+    }
+
+    /// Gives lost voters' places to others, and adds voters where there are too few, if this daemon is the one to.
+    pub(super) fn mend_seats(&mut self, now: Ms, live: &dyn Fn(&str) -> bool, out: &mut Effects) {
+        if now < self.next_seats || !self.regs.voting {
+            return;
+        }
+        self.next_seats = now + 2 * BEAT_EVERY;
+        self.heard.retain(|_, t| now.saturating_sub(*t) < NODE_FORGOTTEN);
+        let mine = self.regs.first(MEMBERS, live).is_some_and(|v| v.name == self.p.name);
+        // One that has just started has not heard the others yet.
+        if !mine || now.saturating_sub(self.started) < 2 * PEER_GONE || self.regs.busy(MEMBERS) {
+            return;
+        }
+        let fresh = || self.peers.iter().filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE);
+        let votes = |v: &Voter| v.name == self.p.name || live(&v.name);
+        let me = self.regs.me;
+        // A newcomer is still reading: another change would have it begin anew.
+        let reads = |p: &Peer| p.beat.blank == BEHIND && self.regs.voters.iter().any(|v| v.disk == p.beat.disk && v.since == me);
+        if now.saturating_sub(self.changed) < READING && fresh().any(|(_, p)| reads(p)) {
+            return;
+        }
+        let free = |p: &Peer| {
+            matches!(p.beat.blank, BLANK | FOUNDING | NEW | STANDS_BY) && !self.regs.voters.iter().any(|v| v.disk == p.beat.disk)
+        };
+        let candidates = fresh().filter(|(_, p)| free(p)).map(|(n, p)| {
+            let v = Voter { name: n.clone(), disk: p.beat.disk, addr: p.addr.clone(), zone: p.beat.zone.clone(), since: me + 1 };
+            (v, p.beat.blank != STANDS_BY)
+        });
+        let silent = |v: &Voter| match v.disk == self.disk {
+            true => 0,
+            false => now.saturating_sub(self.heard.get(&v.disk).copied().unwrap_or(self.started)),
+        };
+        let s = seats::Seats {
+            voters: &self.regs.voters,
+            silent: &silent,
+            candidates: candidates.collect(),
+            regions: &self.p.regions,
+            bounds: &self.p.bounds,
+            live: &votes,
+        };
+        let Some(next) = seats::next(&s) else { return };
+        let names: Vec<&str> = next.iter().map(|v| &*v.name).collect();
+        out.push(note(events::PLACE_GIVEN, &self.p.name, names.join(" ")));
+        let value = seats::to_bytes(self.regs.voters.len() as u32, &next);
+        self.regs.propose(NOBODY, &MEMBERS.into(), Expect::Version(u64::from(me) - 1), value, now, out);
+    }
+
+    /// What a daemon that does not vote yet does about it.
+    pub(super) fn meet(&mut self, now: Ms, out: &mut Effects) {
+        if self.regs.voting || now < self.next_meet {
+            return;
+        }
+        self.next_meet = now + BEAT_EVERY;
+        if self.named() {
+            let ask = SlotsAsk { me: self.regs.me, have: self.regs.have() };
+            // Also those that have just lost their places: what they voted may stand with them alone.
+            let mut to: BTreeMap<Name, Name> = self.regs.voters.iter().map(|v| (v.name.clone(), self.regs.addr(v))).collect();
+            let fresh = self.peers.iter().filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE);
+            to.extend(fresh.map(|(n, p)| (n.clone(), p.addr.clone())));
+            to.retain(|n, _| *n != self.p.name && !self.caught.contains(n));
+            out.extend(to.values().map(|a| send(a, ask.clone())));
+            return;
+        }
+        let fresh: Vec<(&Name, &Peer)> = self.peers.iter().filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE).collect();
+        if let Some(voters) = self.founders(&fresh) {
+            // Others store it when this daemon's next beats tell them. Should it crash before it is synced here, it
+            // learns it from them, or writes the same again: it takes nothing but the same disks.
+            self.begin(voters, out);
+        }
+    }
+
+    /// The first voters, once all of them are here with blank disks and this daemon is the one to write them down:
+    /// the first by name where names are given, else the one at the first of the seeds.
+    fn founders(&self, fresh: &[(&Name, &Peer)]) -> Option<Vec<Voter>> {
+        if self.regs.me > 0 {
+            return None;
+        }
+        let (name, addr, zone) = (self.p.name.clone(), self.p.addr.clone(), self.p.zone.clone());
+        let me = Voter { name, disk: self.disk, addr, zone, since: 1 };
+        let voter = |(n, p): &(&Name, &Peer)| Voter {
+            name: (*n).clone(),
+            disk: p.beat.disk,
+            addr: p.addr.clone(),
+            zone: p.beat.zone.clone(),
+            since: 1,
+        };
+        let (own, places, state): (&Name, Vec<&Name>, u8) = match self.p.members.is_empty() {
+            false => (&self.p.name, self.p.members.iter().collect(), BLANK),
+            true => (&self.p.addr, self.regs.voters.iter().map(|v| &v.addr).collect(), FOUNDING),
+        };
+        if places.iter().min() != Some(&own) {
+            return None;
+        }
+        let named = !self.p.members.is_empty();
+        let others = places.iter().filter(|p| **p != own).map(|place| {
+            let here = fresh.iter().find(|(n, p)| p.beat.blank == state && if named { n == place } else { p.addr == **place });
+            here.map(voter)
+        });
+        let mut voters = others.collect::<Option<Vec<_>>>()?;
+        voters.insert(0, me);
+        Some(voters)
+    }
+}
