--- a/fleet-simulator/src/figures.rs
+++ b/fleet-simulator/src/figures.rs
@@ -97,6 +97,7 @@
         self.add("engine: shared tokens asked, thousands", asked as f64 / 1e3);
         self.add("engine: shared tokens read first, thousands", h.shared_read as f64 / 1e3);
         self.add("engine: shared tokens read again, thousands", h.shared_again as f64 / 1e3);
+        self.share("engine: channels opened, % of requests", h.opened as usize, h.passes.len());
         self.share("engine: shared tokens read again, % of asked", h.shared_again as usize, asked as usize);
         self.0.entry("engine: tokens kept, thousands".into()).or_default().extend(h.kept_tokens.iter().map(|n| *n as f64 / 1e3));
         self.add("engine: requests put back", h.put_back as f64);
--- a/fleet-simulator/src/history.rs
+++ b/fleet-simulator/src/history.rs
@@ -232,6 +232,9 @@
     pub passes: Vec<Pass>,
     #[serde(default)]
     pub shared_read: u64,
+    /// Channels that proxies opened to engines.
+    #[serde(default)]
+    pub opened: u64,
     #[serde(default)]
     pub shared_again: u64,
     #[serde(default)]
--- a/fleet-simulator/src/world/engine.rs
+++ b/fleet-simulator/src/world/engine.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use coordination::{
+    limits::{CHANNEL_RESTS, OPENING_MS},
     pass::{Ask, PassEnd, Told as Heard},
     placement::shared,
 };
@@ -50,6 +51,8 @@
     /// Shared parts that some replica has read.
     read: BTreeSet<u64>,
     section: Option<Arc<EngineSection>>,
+    /// By edge and replica: when channels came to rest that may be taken again.
+    channels: BTreeMap<(usize, String), Vec<Ms>>,
 }
 
 pub(super) enum EngineEv {
@@ -170,7 +173,8 @@
                 w.seen.near = self.d.region(&there) == self.d.region(&e.zone);
                 let (round, here) = (w.tried.len(), e.zone.clone());
                 w.placed = Some(placed);
-                let ms = self.latency(&here, &there);
+                let opens = self.opens_channel(way);
+                let ms = self.latency(&here, &there) + if opens { self.opening(&here, &there) } else { 0 };
                 self.after(ms, Ev::Engine(EngineEv::Call { way, round }));
             }
             Admit::Reject(x) => self.engine_over(way, &x.code),
@@ -178,6 +182,20 @@
         }
     }
 
+    /// Takes a channel that rests, if there is one; whether one must be opened.
+    fn opens_channel(&mut self, way: u64) -> bool {
+        let Some(w) = self.engines.ways.get(&way) else { return true };
+        let rests = self.engines.channels.entry((w.edge, w.seen.replica.clone())).or_default();
+        rests.retain(|t| self.now - t <= CHANNEL_RESTS);
+        let opens = rests.pop().is_none();
+        self.h.opened += u64::from(opens);
+        opens
+    }
+    /// ms that opening a channel takes: the way there and back, and the replica's work on it.
+    fn opening(&mut self, here: &str, there: &str) -> Ms {
+        self.latency(here, there) + self.latency(here, there) + OPENING_MS as Ms
+    }
+
     fn engine_call(&mut self, way: u64, round: usize) {
         let Some((edge, p)) = self.engines.ways.get(&way).and_then(|w| Some((w.edge, w.placed.clone()?))) else { return };
         let e = self.machine(To::Proxy(edge));
@@ -317,6 +335,8 @@
             b.passed(p, if spared { PassEnd::Answered } else { how }, now);
         }
         if how == PassEnd::Answered {
+            let rests = (edge, placed.map_or(String::new(), |p| p.replica));
+            self.engines.channels.entry(rests).or_default().push(self.now);
             return self.engine_over(way, "answered");
         }
         let Some(w) = self.engines.ways.get_mut(&way) else { return };
@@ -360,6 +380,7 @@
     /// A replica ended, and with it all that it ran and kept.
     pub(super) fn engine_down(&mut self, id: &str) {
         self.engines.by.remove(id);
+        self.engines.channels.retain(|k, _| k.1 != id);
         let lost = self.engines.ways.iter().filter(|(_, w)| w.seen.replica == id && w.placed.is_some());
         let lost: Vec<(u64, usize)> = lost.map(|(n, w)| (*n, w.tried.len())).collect();
         for (way, round) in lost {
@@ -368,6 +389,7 @@
     }
     /// A proxy ended: its callers know at once.
     pub(super) fn engine_edge_down(&mut self, at: usize) {
+        self.engines.channels.retain(|k, _| k.0 != at);
         let all: Vec<u64> = self.engines.ways.iter().filter(|(_, w)| w.edge == at).map(|(n, _)| *n).collect();
         all.into_iter().for_each(|w| self.engine_over(w, "edge_lost"));
     }
