--- a/coordination/examples/slopes/main.rs
+++ b/coordination/examples/slopes/main.rs
@@ -1,9 +1,13 @@
 //! What fleets of rising size cost, by role: messages, bytes, processor time and state, in virtual time, by the
 //! very state machines that the daemons run. Prints a table and its slopes; docs/CAPACITY.md is written from it.
 //!
-//!     cargo run --release -p coordination --example slopes -- [--edges 22,44,88,176,352] [--paths 1500] [--busy 1500]
+//! With `--day` it plays a day of one fleet, pressed into a minute: machines that fail and start again, specs, and the loss
+//! of a rack, a zone and a region's ways.
+//!
+//!     cargo run --release -p coordination --example slopes -- [--day] [--edges 22,44,88,176,352] [--paths 1500] [--busy 1500]
 
 mod meter;
+mod target;
 mod world;
 
 use std::collections::BTreeSet;
@@ -113,6 +117,9 @@
     let edges = numbers(&arg("--edges").unwrap_or("22,44,88,176,352".into()));
     let one = |n: &str, d: usize| arg(n).and_then(|v| v.parse().ok()).unwrap_or(d);
     let (paths, busy) = (one("--paths", 1_500), one("--busy", 1_500));
+    if args.iter().any(|a| a == "--day") {
+        return target::run(&Size { edges: edges[0], paths, busy: busy.min(paths) });
+    }
     let mut all: Vec<Vec<Row>> = vec![];
     for e in &edges {
         let began = std::time::Instant::now();
--- a/coordination/examples/slopes/world.rs
+++ b/coordination/examples/slopes/world.rs
@@ -25,6 +25,8 @@
 
 use crate::meter::{Meter, ROLES, Role, Way, cpu, held};
 
+mod day;
+
 /// Edges, replicas and requests a second of the whole fleet.
 pub const WHOLE: (usize, usize, f64) = (352, 600, 2_600.0);
 /// Daemons for control.
