--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -14,7 +14,6 @@
     Beat, Blob, Change, Demand, Forward, Forwarded, Genesis, List, Msg, Name, News, Node, Permit, Poll, Slots, SlotsAsk, Tally,
     Voter,
 };
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     Effect, Effects, Ms, Row, WriteOutcome,
@@ -25,12 +24,14 @@
     events,
     health::Health,
     limits::{
-        ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DOCUMENTS, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET,
-        LIST_CALM, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING, STANDING_EVERY,
+        ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LIST_CALM,
+        LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, PUSH_TAKES, PUSHED_TO, READING,
+        STANDING_EVERY,
     },
     members as seats,
     membership::{CONTROL, EDGE, Membership},
     order::{agreed, weight},
+    pass::host_name,
     regions,
     register::{CONTEXT, DUTY, Expect, MEMBERS, Registers},
     rollout::{Inputs, Loop, first_record},
@@ -102,6 +103,10 @@
 struct Agent {
     node: Node,
     at: Ms,
+    /// Since when it has spoken without a gap, and whether its last question came right behind the one before, though
+    /// it had been sent long after it: both waited on the way, and what the first asked for is under way.
+    since: Ms,
+    waited: bool,
     sent: u64,
     after: u64,
     /// Its counts are here up to this one.
@@ -138,14 +143,13 @@
     pub regs: Registers,
     pub mship: Membership,
     board: Board,
-    /// The spec as last read, and the releases and digests of documents that stood.
+    /// The spec as last read.
     spec: Option<Arc<Spec>>,
-    stood: BTreeMap<u64, u64>,
     started: Ms,
     run: u64,
     seq: u64,
-    /// The feed: each key's newest place in it. Older places are never needed again.
-    feed: BTreeMap<Name, u64>,
+    /// The feed: each key's newest place in it, and since when. Older places are never needed again.
+    feed: BTreeMap<Name, (u64, Ms)>,
     peers: BTreeMap<Name, Peer>,
     agents: BTreeMap<Name, Agent>,
     /// Writes passed on, by the token they went under.
@@ -246,7 +250,6 @@
             mship,
             board: Board::default(),
             spec: None,
-            stood: BTreeMap::new(),
             started: now,
             run: born,
             seq: 0,
@@ -300,15 +303,6 @@
     fn read_spec(&mut self) {
         let Some(c) = self.board.get(SPEC).filter(|c| !c.value.0.is_empty()) else { return };
         self.spec = (self.p.reader)(&c.value.0).map(Arc::new);
-        let release = self.spec.as_ref().map_or(0, |s| s.release);
-        self.stood.insert(release, xxh3_64(&c.value.0));
-        while self.stood.len() > DOCUMENTS {
-            self.stood.pop_first();
-        }
-    }
-    /// Whether this very document stood once, as far as this daemon saw.
-    pub fn stood(&self, release: u64, document: &[u8]) -> bool {
-        self.stood.get(&release) == Some(&xxh3_64(document))
     }
     /// Whether this very disk is a voter's.
     fn named(&self) -> bool {
@@ -520,7 +514,7 @@
             Msg::Promise(m) => self.regs.on_promise(from, m, now, &mut out),
             Msg::Accept(m) => self.regs.on_accept(addr, m, &mut out),
             Msg::Accepted(m) => self.regs.on_accepted(from, m, now, &mut out),
-            Msg::Commit(m) => self.regs.on_commit(&m.change, &mut out),
+            Msg::Commit(m) => self.regs.on_commit(&m.change, &m.past, &mut out),
             Msg::Renew(m) => self.regs.on_renew(addr, m, now, &mut out),
             Msg::Renewed(m) => self.regs.on_renewed(from, m, now, &mut out),
             Msg::Forward(m) => self.on_forward(addr, m, now, &mut out),
@@ -710,6 +704,8 @@
         let mut old = self.agents.remove(&name);
         let same = old.as_ref().filter(|a| a.node.born == m.node.born);
         let count = same.map_or(0, |a| a.count);
+        let since = same.filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE).map_or(now, |a| a.since);
+        let waited = same.is_some_and(|a| m.sent.saturating_sub(a.sent) > 2 * now.saturating_sub(a.at));
         // What changed since a count that an earlier life of this daemon had is not enough to know anything by; nor is
         // an agent's word before its proxy has spoken.
         let tells = m.life > 0 && (m.run, m.choice) == (self.run, self.choice) && m.since <= count && count <= m.count;
@@ -737,8 +733,9 @@
             Some(a) if m.news == 0 && a.node.born == m.node.born => a.seen,
             _ => m.seen.0,
         };
-        let a = Agent { node: m.node, at: now, sent: m.sent, after, count, opens, seen };
-        out.push(self.news(addr, &a, full, now));
+        let a = Agent { node: m.node, at: now, since, waited, sent: m.sent, after, count, opens, seen };
+        let pushes = self.pushes(&a.node, &self.tellers(now));
+        out.push(self.news(addr, &a, full, pushes, now));
         self.agents.insert(name, a);
     }
 
@@ -852,24 +849,38 @@
         }
     }
 
-    fn news(&self, to: &Name, a: &Agent, full: bool, now: Ms) -> Effect {
-        let new = self.feed.iter().filter(|(_, s)| **s > a.after);
+    /// `pushes`: this daemon is one of those from which the agent has its news.
+    fn news(&self, to: &Name, a: &Agent, full: bool, pushes: bool, now: Ms) -> Effect {
+        let new = self.feed.iter().filter(|(_, (s, _))| *s > a.after).filter_map(|(k, at)| Some((self.board.get(k)?, *at)));
         // What it has by other ways is not sent again.
-        let lacks = |c: &&Change| a.seen.iter().find(|s| s.key == c.key).is_none_or(|s| stamp(s) < stamp(c));
-        let changes = new.filter_map(|(k, _)| self.board.get(k)).filter(lacks).cloned().collect();
+        let lacks = |c: &Change| a.seen.iter().find(|s| s.key == c.key).is_none_or(|s| stamp(s) < stamp(c));
+        // Nor what is long and most likely on its way: as an answer to an earlier question, or from a daemon nearby, which
+        // may have been cut off with the agent until just now.
+        let far = regions::region(&self.p.regions, &a.node.zone) != regions::region(&self.p.regions, &self.p.zone);
+        let lately = |at: Ms| now.saturating_sub(at) < PUSH_TAKES;
+        let waits = !full && (a.waited || (far && lately(a.since)));
+        let comes = |c: &Change, at: Ms| c.value.0.len() > LONG_VALUE && (waits || (!full && !pushes && lately(at)));
+        let (mut upto, mut changes) = (self.seq, vec![]);
+        for (c, (place, at)) in new.filter(|(c, _)| lacks(c)) {
+            if comes(c, at) {
+                upto = upto.min(place - 1);
+            } else {
+                changes.push(c.clone());
+            }
+        }
         send(
             to,
             News {
                 sent: a.sent,
                 run: self.run,
-                upto: self.seq,
+                upto,
                 count: a.count,
                 choice: self.choice,
                 counts: self.counts.keys().cloned().collect(),
                 full: full.into(),
                 settled: self.settled.into(),
                 voters: self.regs.voters.len() as u32,
-                changes,
+                changes: List(changes),
                 permits: self.permits(now),
             },
         )
@@ -923,7 +934,7 @@
                     out.push(note(events::LEAVING, r, ""));
                 }
                 self.seq += 1;
-                self.feed.insert(c.key.clone(), self.seq);
+                self.feed.insert(c.key.clone(), (self.seq, now));
                 new = true;
             }
         }
@@ -933,26 +944,34 @@
         if !new {
             return;
         }
-        let pushes = self.pushes(now);
+        let tellers = self.tellers(now);
         let mut agents = std::mem::take(&mut self.agents);
-        for a in agents.values_mut().filter(|a| now.saturating_sub(a.at) <= FOLLOWER_GONE && pushes(&a.node)) {
-            out.push(self.news(&a.node.addr, a, false, now));
+        for a in agents.values_mut().filter(|a| now.saturating_sub(a.at) <= PUSHED_TO && self.pushes(&a.node, &tellers)) {
+            out.push(self.news(&a.node.addr, a, false, true, now));
             // Taken for arrived; where it is not, the agent's next question says so.
             a.after = self.seq;
         }
         self.agents = agents;
     }
 
-    /// Whom this daemon pushes news to: agents of its zone, and those that come to it in the agreed order. All
-    /// others have it from other daemons, or ask.
-    fn pushes(&self, now: Ms) -> impl Fn(&Node) -> bool + use<> {
+    /// Whether this daemon pushes news to an agent: to those of its zone, and to those that come to it in the agreed order
+    /// of the live daemons of their region, or of all where their region has none. All others have it from other daemons,
+    /// or ask.
+    fn pushes(&self, a: &Node, live: &[Name]) -> bool {
+        let region = |zone| regions::region(&self.p.regions, zone);
+        // The way between regions is dear.
+        let near = |n: &&Name| {
+            let zone = self.peers.get(*n).map_or(&self.p.zone, |p| &p.beat.zone);
+            region(zone) == region(&a.zone)
+        };
+        let by = |n: &&Name| weight(&a.name, n);
+        let first = live.iter().filter(near).max_by_key(by).or_else(|| live.iter().max_by_key(by));
+        a.zone == self.p.zone || first.is_none_or(|n| *n == self.p.name)
+    }
+    /// Daemons that news may be had from.
+    fn tellers(&self, now: Ms) -> Vec<Name> {
         let live = self.live(now);
-        let names: Vec<Name> = self.peers.keys().chain([&self.p.name]).filter(|n| live(n)).cloned().collect();
-        let (me, zone) = (self.p.name.clone(), self.p.zone.clone());
-        move |a: &Node| {
-            let first = names.iter().max_by_key(|n| weight(&a.name, n));
-            a.zone == zone || first.is_none_or(|n| *n == me)
-        }
+        self.peers.keys().chain([&self.p.name]).filter(|n| live(n)).cloned().collect()
     }
 
     fn finish(&mut self, now: Ms, mut out: Effects) -> Effects {
@@ -1290,8 +1309,17 @@
 
     // ---- looking ----
 
+    /// Regions in which every lane of a host may be carried. None: all, as nothing binds or no region suits all lanes.
+    fn homes(&self, host: &str) -> Option<BTreeSet<&str>> {
+        let host = host_name(host);
+        let lanes = self.spec.iter().flat_map(|s| &s.paths).filter(|p| p.host.eq_ignore_ascii_case(host) && !p.homes.is_empty());
+        let homes = lanes.map(|p| p.homes.iter().map(String::as_str).collect::<BTreeSet<&str>>());
+        homes.reduce(|a, b| a.intersection(&b).copied().collect()).filter(|h| !h.is_empty())
+    }
+
     /// Addresses of edges for a caller of a host in a place: near ones first, but never only one of many, as that one
-    /// may just have gone. None: this daemon does not know the fleet yet, or nobody serves.
+    /// may just have gone; beyond its region only where the host's lanes may be carried, if any edge is there. None: this
+    /// daemon does not know the fleet yet, or nobody serves.
     pub fn edges_near(&self, host: &str, zone: &str, region: &str, now: Ms) -> Option<Vec<String>> {
         if now.saturating_sub(self.started) < KNOWS_FLEET {
             return None;
@@ -1305,7 +1333,13 @@
         let home = |n: &Node| regions::region(&self.p.regions, &n.zone) == region;
         let near: [Vec<&Node>; 2] =
             [all.iter().filter(|n| &*n.zone == zone).copied().collect(), all.iter().filter(|n| home(n)).copied().collect()];
-        let some = near.into_iter().find(|v| v.len() > 1).unwrap_or(all);
+        let some = near.into_iter().find(|v| v.len() > 1).unwrap_or_else(|| {
+            // Its body is not carried where it has no home for the sake of a choice.
+            let Some(homes) = self.homes(host) else { return all };
+            let fits = |n: &&&Node| home(n) || homes.contains(regions::region(&self.p.regions, &n.zone));
+            let some: Vec<&Node> = all.iter().filter(fits).copied().collect();
+            if some.is_empty() { all } else { some }
+        });
         let some = agreed(host, some, |n| &n.name).into_iter().take(ADDRESSES).map(|n| n.http.to_string());
         Some(some.collect()).filter(|v: &Vec<String>| !v.is_empty())
     }
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -36,8 +36,9 @@
 pub const WRITE_LIMIT: Ms = 2_000;
 /// ms. A daemon that passed a write on waits a little longer than the owner does.
 pub const FORWARD_LIMIT: Ms = 2_500;
-/// Documents of the operator whose digests are remembered: one repeated late is known to have stood.
-pub const DOCUMENTS: usize = 64;
+/// Accepted values of an operator's key whose digests are kept beside the one that replaced them: an order that is
+/// repeated late is known to have stood. 8 bytes each; at the quickest storm that was met, a change each 80 ms, ten seconds.
+pub const PAST_VALUES: usize = 128;
 /// ms. A control daemon tells callers of edges only when every agent had three turns to poll it: a short list would
 /// send everybody to a few edges.
 pub const KNOWS_FLEET: Ms = 1_500;
@@ -55,8 +56,16 @@
 pub const COUNTS_LEFT: Ms = 10_000;
 /// ms for each edge that is known. An agent that has just started asks again so soon, while it may serve nobody.
 pub const START_POLL: Ms = 20;
-/// ms. Agents that polled within this are pushed to.
+/// ms. Agents that polled within this are counted as followers.
 pub const FOLLOWER_GONE: Ms = 3_000;
+/// ms. They are pushed to if they polled within this, two questions' time: who is cut off asks when it is back, and what
+/// was pushed meanwhile would come then as a flood.
+pub const PUSHED_TO: Ms = 1_000;
+/// Bytes. A longer value is let come to an agent from one daemon: to send it is dearer than to wait.
+pub const LONG_VALUE: usize = 1_000;
+/// ms. News is pushed to an agent within this, also a long spec over a slow link and by a busy daemon; after it whichever
+/// daemon is asked tells, well before a change must be in force.
+pub const PUSH_TAKES: Ms = 1_000;
 /// ms. Shuffle between neighbours.
 pub const SHUFFLE_EVERY: Ms = 250;
 /// Of so many shuffles one goes to a neighbour in any region, the others stay in the own one if it is large.
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -7,20 +7,21 @@
     collections::{BTreeMap, BTreeSet, VecDeque},
 };
 
-use wire_messages::{
-    Accept, Accepted, Blob, Change, Commit, Held, List, Name, Prepare, Promise, Release, Renew, Renewed, Slot, Voter,
-};
+use wire_messages::{Blob, Change, List, Name, Slot, Voter};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    Effect, Effects, Ms, Row, WriteOutcome,
+    Ms, Row,
     board::{SpecReader, own_spec},
-    effect::{note, send},
-    events,
-    limits::{BEAT_EVERY, PERMIT_MARGIN, RENEW_EVERY, RESEND, WRITE_LIMIT, WRITES_WAITING},
+    limits::PERMIT_MARGIN,
     order::weight,
 };
 
+mod owner;
+mod seats;
+mod turn;
+mod voter;
+
 /// Keys of duties begin with this; their owner runs the rollout of the service named behind it.
 pub const DUTY: &str = "rollout/";
 /// Keys of services' copies of shared context. They come with the duty: the same daemon owns both, under permits alike.
@@ -35,6 +36,11 @@
     key.starts_with(DUTY) || key.starts_with(CONTEXT)
 }
 
+/// Keys that operators write, and may write again without having heard of the first time.
+fn remembered(key: &str) -> bool {
+    !leased(key) && key != MEMBERS
+}
+
 /// The key by which the agreed order of a key's owners goes.
 fn seat(key: &str) -> Cow<'_, str> {
     key.strip_prefix(CONTEXT).map_or(Cow::Borrowed(key), |s| format!("{DUTY}{s}").into())
@@ -70,6 +76,7 @@
 struct Write {
     version: u64,
     value: Blob,
+    past: List<u64>,
     acks: BTreeSet<Name>,
     token: Option<u64>,
     expect: Expect,
@@ -228,7 +235,7 @@
     }
     /// What is had of each key, without the values.
     pub fn have(&self) -> List<Slot> {
-        let bare = |s: &Slot| Slot { key: s.key.clone(), value: Blob::default(), ..*s };
+        let bare = |s: &Slot| Slot { key: s.key.clone(), value: Blob::default(), past: List::default(), ..*s };
         self.slots.values().map(bare).collect()
     }
     /// Slots in which this daemon differs from one that has `have`.
@@ -291,509 +298,6 @@
     fn slot(&mut self, key: &Name) -> &mut Slot {
         self.slots.entry(key.clone()).or_insert_with(|| Slot { key: key.clone(), ..Slot::default() })
     }
-
-    // ---- as a voter ----
-
-    pub fn on_prepare(&mut self, to: &Name, m: Prepare, now: Ms, out: &mut Effects) {
-        let me = self.me;
-        self.highest = self.highest.max(m.epoch);
-        // A disk that may lack what it once confirmed must not vote, and other member epochs count other votes.
-        if !self.voting || m.me != me {
-            if m.me < me {
-                out.push(send(to, Promise { epoch: m.epoch, me, ok: 0, wait: 0, slot: Slot { key: m.key, ..Slot::default() } }));
-            }
-            return;
-        }
-        let wait = self.keeps_out(&m.key, to, now);
-        let s = self.slot(&m.key);
-        if wait > 0 || m.epoch < s.promised {
-            let slot = s.clone();
-            out.push(send(to, Promise { epoch: m.epoch, me, ok: 0, wait: wait as u32, slot }));
-            return;
-        }
-        s.promised = m.epoch;
-        let slot = s.clone();
-        // Its own promise tells this daemon that the key is no longer its own.
-        if self.own.get(&m.key).is_some_and(|o| o.epoch < m.epoch) {
-            self.give_up(&m.key, out);
-        }
-        let then = vec![send(to, Promise { epoch: m.epoch, me, ok: 1, wait: 0, slot: slot.clone() })];
-        out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then });
-    }
-
-    /// ms. For how long nobody but the holder may take the key, as this voter let it keep a duty or may have.
-    fn keeps_out(&self, key: &Name, from: &Name, now: Ms) -> Ms {
-        if !leased(key) {
-            return 0;
-        }
-        let granted = self.grants.get(key).filter(|g| g.0 != *from).map_or(0, |g| g.2);
-        granted.max(self.abstain_until).saturating_sub(now)
-    }
-
-    pub fn on_accept(&mut self, to: &Name, m: Accept, out: &mut Effects) {
-        let me = self.me;
-        self.highest = self.highest.max(m.epoch);
-        if !self.voting || m.me != me {
-            return;
-        }
-        let s = self.slot(&m.key);
-        let mut a = Accepted { key: m.key.clone(), epoch: m.epoch, version: m.version, promised: s.promised, me, ok: 0 };
-        if m.epoch < s.promised {
-            out.push(send(to, a));
-            return;
-        }
-        a.ok = 1;
-        // A delayed copy of an older write of the same owner must not put the newer one back.
-        if (m.epoch, m.version) >= (s.epoch, s.version) {
-            (s.promised, s.epoch, s.version, s.value) = (m.epoch, m.epoch, m.version, m.value);
-        }
-        let slot = s.clone();
-        // This version was known to be committed before something newer, which no majority took, stood in its place.
-        if slot.committed == slot.version && slot.epoch == m.epoch {
-            self.fresh.push(change(&slot));
-        }
-        out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then: vec![send(to, a)] });
-    }
-
-    /// Learns a committed value.
-    pub fn on_commit(&mut self, c: &Change, out: &mut Effects) {
-        self.highest = self.highest.max(c.epoch);
-        let s = self.slot(&c.key);
-        if (c.epoch, c.version) < (s.epoch, s.version) || (s.epoch, s.version, s.committed) == (c.epoch, c.version, c.version) {
-            return;
-        }
-        (s.epoch, s.version, s.committed, s.value) = (c.epoch, c.version, c.version, c.value.clone());
-        let slot = s.clone();
-        out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then: vec![] });
-        self.fresh.push(c.clone());
-    }
-
-    pub fn on_renew(&mut self, to: &Name, m: Renew, now: Ms, out: &mut Effects) {
-        if !self.voting || m.me != self.me {
-            return;
-        }
-        let (mut keys, mut rows) = (List::default(), vec![]);
-        for h in m.keys {
-            let promised = self.slots.get(&h.key).map_or(0, |s| s.promised);
-            // Told at once: a holder whom nobody renews any more must not rest on a key that nobody else takes.
-            if promised > h.epoch {
-                out.push(send(to, Accepted { key: h.key, epoch: h.epoch, version: 0, promised, me: self.me, ok: 0 }));
-                continue;
-            }
-            // An owner that others made one without this voter: it may need its word once one of those is gone.
-            if promised < h.epoch {
-                if self.keeps_out(&h.key, to, now) > 0 {
-                    continue;
-                }
-                self.highest = self.highest.max(h.epoch);
-                if self.own.get(&h.key).is_some_and(|o| o.epoch < h.epoch) {
-                    self.give_up(&h.key, out);
-                }
-                let s = self.slot(&h.key);
-                s.promised = h.epoch;
-                rows.push(Row::Slot(s.clone()));
-            }
-            self.grants.insert(h.key.clone(), (to.clone(), h.epoch, now + self.permit));
-            keys.0.push(h);
-        }
-        let told = send(to, Renewed { keys, sent: m.sent, me: self.me });
-        if rows.is_empty() {
-            return out.push(told);
-        }
-        out.push(Effect::Persist { rows, then: vec![told] });
-    }
-
-    /// A holder has given its duties up: nobody need wait its permits out.
-    pub fn on_release(&mut self, from: &Name, m: Release) {
-        for h in m.keys {
-            // A renewal of a later ownership stands.
-            if self.grants.get(&h.key).is_some_and(|g| g.0 == *from && g.1 <= h.epoch) {
-                self.grants.remove(&h.key);
-            }
-        }
-    }
-
-    // ---- as an owner ----
-
-    fn spread(&self, m: impl Into<wire_messages::Msg>, out: &mut Effects) {
-        let m = m.into();
-        out.extend(self.voters.iter().map(|v| send(&self.addr(v), m.clone())));
-    }
-
-    /// Starts to take a key.
-    fn take(&mut self, key: &Name, now: Ms, out: &mut Effects) {
-        let epoch = self.next_epoch();
-        let old = self.own.remove(key);
-        let (waiting, not_before) = old.map_or((VecDeque::new(), 0), |o| (o.waiting, o.not_before));
-        let phase = Phase::Asking { promises: BTreeSet::new(), best: Slot::default(), sent: now };
-        let o = Own { epoch, phase, write: None, waiting, not_before, outbid: false, renewed: BTreeMap::new(), asked: 0 };
-        self.own.insert(key.clone(), o);
-        if now >= not_before {
-            self.prepare(key, epoch, out);
-        }
-    }
-
-    /// Asks for promises once the epoch is on this daemon's own disk: after a crash it would take the same one
-    /// again, and two writes under one epoch and version could not be told apart.
-    fn prepare(&self, key: &Name, epoch: u64, out: &mut Effects) {
-        let row = Slot { key: EPOCHS.into(), promised: self.highest, ..Slot::default() };
-        let mut then = vec![];
-        self.spread(Prepare { key: key.clone(), epoch, me: self.me }, &mut then);
-        out.push(Effect::Persist { rows: vec![Row::Slot(row)], then });
-    }
-
-    /// Gives up a key: what was offered and what waited goes to the next owner. What was offered may stand by then; it
-    /// is not left to what the next owner commits, who may never see it and have nothing to write.
-    fn give_up(&mut self, key: &Name, out: &mut Effects) {
-        let Some(o) = self.own.remove(key) else { return };
-        if let Some(w) = o.write
-            && let Some(token) = w.token
-        {
-            let (value, offered) = (Some(w.value), Some(w.version));
-            self.moved.push(Moved { token, key: key.clone(), expect: w.expect, value, at: w.at, offered });
-        }
-        if let (Phase::Holding { .. }, true) = (&o.phase, leased(key)) {
-            self.spread(Release { keys: List(vec![Held { key: key.clone(), epoch: o.epoch }]) }, out);
-        }
-        let moved =
-            |a: Ask| Moved { token: a.token, key: key.clone(), expect: a.expect, value: a.value, at: a.at, offered: None };
-        self.moved.extend(o.waiting.into_iter().map(moved));
-    }
-
-    /// Offers a write to a key that this daemon owns or is taking.
-    pub fn propose(&mut self, token: u64, key: &Name, expect: impl Into<Expect>, value: Blob, now: Ms, out: &mut Effects) {
-        self.ask(Ask { token, expect: expect.into(), value: Some(value), at: now }, key, now, out);
-    }
-    /// Asks for the newest version of a key that this daemon owns or is taking.
-    pub fn read(&mut self, token: u64, key: &Name, now: Ms, out: &mut Effects) {
-        self.ask(Ask { token, expect: Expect::Any, value: None, at: now }, key, now, out);
-    }
-
-    fn ask(&mut self, a: Ask, key: &Name, now: Ms, out: &mut Effects) {
-        let token = a.token;
-        if !self.voting {
-            out.push(Effect::Answer { token, outcome: WriteOutcome::NotAccepted("this daemon does not vote") });
-            return;
-        }
-        if !self.own.contains_key(key) {
-            self.take(key, now, out);
-        }
-        let Some(o) = self.own.get_mut(key) else { return };
-        if o.waiting.len() >= WRITES_WAITING {
-            out.push(Effect::Answer { token, outcome: WriteOutcome::NotAccepted("too many writes wait for this key") });
-            return;
-        }
-        o.waiting.push_back(a);
-        self.advance(key, now, out);
-    }
-
-    /// Writes again what stands where another daemon has something newer that no majority took: an owner that died
-    /// left it there, and the daemon takes nothing older in its stead.
-    pub fn write_again(&mut self, have: &[Slot], now: Ms, out: &mut Effects) {
-        for h in have.iter().filter(|h| h.committed != h.version) {
-            let Some(s) = self.slots.get(&h.key).filter(|s| (h.epoch, h.version) > (s.epoch, s.version)).cloned() else {
-                continue;
-            };
-            let me = self.me;
-            let Some(o) = self.own.get_mut(&h.key).filter(|o| o.write.is_none() && o.epoch > h.epoch) else { continue };
-            let Phase::Holding { version } = o.phase else { continue };
-            if s.version != version || version == 0 {
-                continue;
-            }
-            let m = Accept { key: h.key.clone(), epoch: o.epoch, version, value: s.value.clone(), me };
-            o.write = Some(Write {
-                version,
-                value: s.value,
-                acks: BTreeSet::new(),
-                token: None,
-                expect: Expect::Any,
-                at: now,
-                sent: now,
-            });
-            self.spread(m, out);
-        }
-    }
-
-    /// Works through what waits for a key, until a write is under way or the voters must be asked first.
-    fn advance(&mut self, key: &Name, now: Ms, out: &mut Effects) {
-        let me = self.me;
-        loop {
-            let Some(o) = self.own.get(key).filter(|o| o.write.is_none()) else { return };
-            let (Phase::Holding { version }, Some(a)) = (&o.phase, o.waiting.front()) else { return };
-            let (version, epoch, at, expect) = (*version, o.epoch, a.at, a.expect);
-            let fits = match expect {
-                Expect::Any => true,
-                Expect::Version(v) => v == version,
-                Expect::Release(r) => r == self.release(key, version),
-            };
-            let value = self.own.get(key).and_then(|o| o.waiting.front()).and_then(|a| a.value.as_ref());
-            let reads = value.is_none();
-            // An operator that got no clear answer repeats its order, and a daemon a write whose owner went: that it
-            // stands already is what was asked for.
-            let stands = self.slots.get(key).is_some_and(|s| s.version == version && version > 0 && value == Some(&s.value));
-            let repeats = stands && if let Expect::Version(v) = expect { v + 1 == version } else { true };
-            if fits && !reads && !repeats {
-                let Some(o) = self.own.get_mut(key) else { return };
-                let Some(Ask { token, value: Some(value), .. }) = o.waiting.pop_front() else { return };
-                let (acks, token) = (BTreeSet::new(), Some(token));
-                let w = Write { version: version + 1, value, acks, token, expect, at, sent: now };
-                let m = Accept { key: key.clone(), epoch, version: w.version, value: w.value.clone(), me };
-                o.write = Some(w);
-                return self.spread(m, out);
-            }
-            // What stands is told only by an owner that a majority confirmed since it was asked: one that was deposed
-            // without having heard of it would tell of an older value.
-            let confirmed = self.own.get(key).and_then(|o| self.confirmed(o));
-            if confirmed.is_none_or(|t| t < at) {
-                return self.confirm(key, at, now, out);
-            }
-            let Some(a) = self.own.get_mut(key).and_then(|o| o.waiting.pop_front()) else { return };
-            let outcome = if reads || repeats { WriteOutcome::Accepted(version) } else { WriteOutcome::Conflict(version) };
-            out.push(Effect::Answer { token: a.token, outcome });
-        }
-    }
-
-    /// Asks the voters whether a key is still this daemon's own.
-    fn confirm(&mut self, key: &Name, since: Ms, now: Ms, out: &mut Effects) {
-        let Some(o) = self.own.get_mut(key) else { return };
-        if o.asked >= since && now.saturating_sub(o.asked) < RESEND {
-            return;
-        }
-        o.asked = now;
-        let keys = List(vec![Held { key: key.clone(), epoch: o.epoch }]);
-        self.spread(Renew { keys, sent: now, me: self.me }, out);
-    }
-
-    pub fn on_promise(&mut self, from: &Name, m: Promise, now: Ms, out: &mut Effects) {
-        self.highest = self.highest.max(m.slot.promised);
-        let (key, need, me) = (m.slot.key.clone(), self.majority(), self.me);
-        let known = self.voters.iter().any(|v| v.name == *from);
-        let own = self.slots.get(&key);
-        let Some(o) = self.own.get_mut(&key) else { return };
-        if m.epoch != o.epoch || m.me != me || !known {
-            return;
-        }
-        let Phase::Asking { promises, best, .. } = &mut o.phase else { return };
-        if m.ok == 0 {
-            o.outbid |= m.slot.promised > o.epoch;
-            o.not_before = o.not_before.max(now + u64::from(m.wait).max(RESEND / 2));
-            return;
-        }
-        promises.insert(from.clone());
-        // What this daemon has itself counts though its own promise may be the last to come: it compares with that.
-        let rank = |s: &Slot| (s.epoch, s.version, s.committed);
-        if let Some(s) = own.into_iter().chain([&m.slot]).max_by_key(|s| rank(s)).filter(|s| rank(s) > rank(best)) {
-            *best = s.clone();
-        }
-        if promises.len() < need {
-            return;
-        }
-        let best = best.clone();
-        o.phase = Phase::Holding { version: best.version };
-        out.push(note(events::OWNER, &self.name, format!("{key} epoch {} version {}", o.epoch, best.version)));
-        // What is known to be committed stands on a majority already; each later owner meets it there.
-        if best.committed == best.version {
-            if best.version > 0 {
-                self.on_commit(&change(&best), out);
-            }
-            self.advance(&key, now, out);
-            return;
-        }
-        // Whatever a majority may have taken is written again under the new epoch before anything else:
-        // a write whose owner died between two disks ends here, one way for everybody.
-        let m = Accept { key: key.clone(), epoch: o.epoch, version: best.version, value: best.value.clone(), me };
-        o.write = Some(Write {
-            version: best.version,
-            value: best.value,
-            acks: BTreeSet::new(),
-            token: None,
-            expect: Expect::Any,
-            at: now,
-            sent: now,
-        });
-        self.spread(m, out);
-    }
-
-    pub fn on_accepted(&mut self, from: &Name, m: Accepted, now: Ms, out: &mut Effects) {
-        self.highest = self.highest.max(m.promised);
-        let need = self.majority();
-        let known = self.voters.iter().any(|v| v.name == *from);
-        let Some(o) = self.own.get_mut(&m.key) else { return };
-        if m.epoch != o.epoch || m.me != self.me || !known {
-            return;
-        }
-        if m.ok == 0 {
-            if m.promised > o.epoch {
-                out.push(note(events::DEPOSED, from, format!("{} epoch {}", m.key, o.epoch)));
-                self.give_up(&m.key, out);
-            }
-            return;
-        }
-        let Some(w) = o.write.as_mut().filter(|w| w.version == m.version) else { return };
-        w.acks.insert(from.clone());
-        if w.acks.len() < need {
-            return;
-        }
-        let Some(w) = o.write.take() else { return };
-        o.phase = Phase::Holding { version: w.version };
-        let c = Change { key: m.key.clone(), epoch: o.epoch, version: w.version, value: w.value };
-        if let Some(token) = w.token {
-            out.push(note(events::ACCEPTED, &self.name, format!("{} version {}", m.key, w.version)));
-            out.push(Effect::Answer { token, outcome: WriteOutcome::Accepted(w.version) });
-        }
-        self.on_commit(&c, out);
-        for v in self.voters.iter().filter(|v| v.name != self.name) {
-            out.push(send(&self.addr(v), Commit { change: c.clone() }));
-        }
-        out.extend(self.followers.iter().map(|a| send(a, Commit { change: c.clone() })));
-        self.advance(&m.key, now, out);
-    }
-
-    pub fn on_renewed(&mut self, from: &Name, m: Renewed, now: Ms, out: &mut Effects) {
-        if m.me != self.me || !self.voters.iter().any(|v| v.name == *from) {
-            return;
-        }
-        for h in m.keys {
-            let Some(o) = self.own.get_mut(&h.key).filter(|o| o.epoch == h.epoch) else { continue };
-            let t = o.renewed.entry(from.clone()).or_insert(0);
-            *t = (*t).max(m.sent);
-            self.advance(&h.key, now, out);
-        }
-    }
-
-    // ---- members ----
-
-    /// Marks a blank disk as one of those that found the system: under member epoch 0 the voters are the places of
-    /// those who will, with disks that nobody knows yet.
-    pub fn found_with(&mut self, places: &[Name]) {
-        let mut places = places.to_vec();
-        places.sort();
-        places.dedup();
-        self.voters = places.into_iter().map(|addr| Voter { addr, ..Voter::default() }).collect();
-    }
-
-    /// Follows a member epoch. Everything owned is given up: its votes were counted over other voters.
-    pub fn follow(&mut self, me: u32, before: u32, voters: Vec<Voter>, out: &mut Effects) {
-        if me <= self.me {
-            return;
-        }
-        let keys: Vec<Name> = self.own.keys().cloned().collect();
-        keys.iter().for_each(|k| self.give_up(k, out));
-        (self.me, self.before, self.voters) = (me, before, voters);
-        out.push(note(events::MEMBERS, &self.name, format!("epoch {me}")));
-    }
-    pub fn members_row(&self) -> Row {
-        Row::Members { me: self.me, before: self.before, voters: self.voters.clone(), voting: self.voting, left: self.left }
-    }
-    /// Takes over another voter's slots: the newest accepted value and the highest promise of each key.
-    pub fn catch_up(&mut self, slots: &[Slot]) -> Vec<Row> {
-        for s in slots {
-            self.highest = self.highest.max(s.promised);
-            let m = self.slot(&s.key);
-            m.promised = m.promised.max(s.promised);
-            if (s.epoch, s.version) > (m.epoch, m.version) {
-                (m.epoch, m.version, m.value, m.committed) = (s.epoch, s.version, s.value.clone(), s.committed);
-                if s.committed == s.version {
-                    let c = change(s);
-                    self.fresh.push(c);
-                }
-            }
-        }
-        self.slots.values().cloned().map(Row::Slot).collect()
-    }
-    /// Learns what another daemon knows to be committed.
-    pub fn mend(&mut self, slots: &[Slot], out: &mut Effects) {
-        for s in slots.iter().filter(|s| s.committed == s.version && s.version > 0) {
-            self.on_commit(&change(s), out);
-        }
-    }
-
-    // ---- time ----
-
-    /// Takes, hands over, resends, renews and times out. `wanted`: keys that must have an owner.
-    pub fn tick(&mut self, now: Ms, live: &dyn Fn(&str) -> bool, wanted: &[Name], out: &mut Effects) {
-        if !self.voting {
-            return;
-        }
-        // Whose a key is changes with the voters that live, which beats tell; what is owned here is seen to each time.
-        let look = now >= self.next_look;
-        let keys: BTreeSet<Name> = if look {
-            self.next_look = now + BEAT_EVERY / 2;
-            self.slots.keys().chain(wanted).chain(self.own.keys()).cloned().collect()
-        } else {
-            let at_work = |o: &Own| o.write.is_some() || !o.waiting.is_empty() || matches!(o.phase, Phase::Asking { .. });
-            self.own.iter().filter(|(k, o)| leased(k) || at_work(o)).map(|(k, _)| k.clone()).collect()
-        };
-        let mut renew = List::default();
-        for key in keys {
-            let mine = self.first(&key, live).is_some_and(|v| v.name == self.name);
-            let Some(o) = self.own.get_mut(&key) else {
-                if mine {
-                    self.take(&key, now, out);
-                }
-                continue;
-            };
-            if !mine && o.write.is_none() {
-                self.give_up(&key, out);
-                continue;
-            }
-            self.time_out(&key, now, out);
-            self.resend(&key, now, out);
-            if let Some(o) = self.own.get(&key)
-                && let Phase::Holding { .. } = o.phase
-                && leased(&key)
-            {
-                renew.0.push(Held { key, epoch: o.epoch });
-            }
-        }
-        if now >= self.next_renew && !renew.is_empty() {
-            self.next_renew = now + RENEW_EVERY;
-            self.spread(Renew { keys: renew, sent: now, me: self.me }, out);
-        }
-    }
-
-    fn time_out(&mut self, key: &Name, now: Ms, out: &mut Effects) {
-        let Some(o) = self.own.get_mut(key) else { return };
-        if let Some(w) = o.write.as_mut().filter(|w| now.saturating_sub(w.at) > WRITE_LIMIT)
-            && let Some(token) = w.token.take()
-        {
-            out.push(note(events::WRITE_UNKNOWN, &self.name, format!("{key} version {}", w.version)));
-            out.push(Effect::Answer { token, outcome: WriteOutcome::Unknown });
-        }
-        let no = WriteOutcome::NotAccepted("no majority of disks answered in time");
-        o.waiting.retain(|a| {
-            let keep = now.saturating_sub(a.at) <= WRITE_LIMIT;
-            if !keep {
-                out.push(Effect::Answer { token: a.token, outcome: no });
-            }
-            keep
-        });
-    }
-
-    fn resend(&mut self, key: &Name, now: Ms, out: &mut Effects) {
-        let me = self.me;
-        let Some(o) = self.own.get_mut(key) else { return };
-        if let Phase::Asking { sent, .. } = &o.phase {
-            if now < o.not_before || now.saturating_sub(*sent) < RESEND {
-                return;
-            }
-            if o.outbid {
-                return self.take(key, now, out);
-            }
-            let epoch = o.epoch;
-            if let Phase::Asking { sent, .. } = &mut o.phase {
-                *sent = now;
-            }
-            return self.prepare(key, epoch, out);
-        }
-        if o.write.is_none() && !o.waiting.is_empty() {
-            return self.advance(key, now, out);
-        }
-        let Some(w) = o.write.as_mut().filter(|w| now.saturating_sub(w.sent) >= RESEND) else { return };
-        w.sent = now;
-        let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value: w.value.clone(), me };
-        self.spread(m, out);
-    }
 }
 
 fn change(s: &Slot) -> Change {
--- a/coordination/src/register/tests.rs
+++ b/coordination/src/register/tests.rs
@@ -2,7 +2,7 @@
 use wire_messages::Msg;
 
 use super::*;
-use crate::limits::PERMIT;
+use crate::{Effect, Effects, WriteOutcome, limits::PERMIT};
 
 const NODES: usize = 3;
 
@@ -118,7 +118,7 @@
                     Msg::Promise(m) => n.on_promise(&addr, m, now, &mut out),
                     Msg::Accept(m) => n.on_accept(&addr, m, &mut out),
                     Msg::Accepted(m) => n.on_accepted(&addr, m, now, &mut out),
-                    Msg::Commit(m) => n.on_commit(&m.change, &mut out),
+                    Msg::Commit(m) => n.on_commit(&m.change, &m.past, &mut out),
                     _ => {}
                 }
                 self.carry(to, out);
--- a/edge-proxy/tests/limits.rs
+++ b/edge-proxy/tests/limits.rs
@@ -5,9 +5,11 @@
 
 use std::sync::Arc;
 
-use coordination::Ms;
-use daemon_parts::limits::{DOWNSTREAM_HEAD, DOWNSTREAM_IDLE, LATE_SLACK, UPLOAD_KEPT};
-use edge_proxy::downstream::State;
+use coordination::{Ms, bounds::Bounds};
+use daemon_parts::limits::{
+    DOWNSTREAM_HEAD, DOWNSTREAM_IDLE, DOWNSTREAM_LATE, DOWNSTREAM_LOOK, DOWNSTREAM_SLEPT, LATE_SLACK, UNREACHED_MOST, UPLOAD_KEPT,
+};
+use edge_proxy::downstream::{Looks, State};
 use googletest::prelude::*;
 use remote_calls::DownstreamLimits;
 use support::*;
@@ -21,6 +23,8 @@
 }
 /// Time enough that nothing ends by itself in a test.
 const AMPLE: Ms = 3_600_000;
+/// Time that runs out in a test, and is enough to reach a replica on a machine that is busy.
+const RUNS_OUT: Ms = 1_500;
 
 // ---- size ----
 
@@ -59,7 +63,9 @@
             // Its end is never sent: too much is too much before it.
             let a = ask(&e, chunked(most + 1)).await;
             expect_that!((a.status, a.header("seal"), a.body.contains("not_run")), eq((413, None, true)), "{most}");
-            // No replica has got a whole request of it.
+            // What flowed was cut off at its replica, which is waited for; no replica has got a whole request of it.
+            let flowed = usize::from(most > UPLOAD_KEPT);
+            e.until(|_| r.cut.lock().unwrap().len() == flowed).await;
             expect_that!((r.count(), e.open(), e.tallies().2), eq((2, 0, 0)));
         }
     });
@@ -85,7 +91,7 @@
 fn a_resting_channel_ends_by_the_spec_of_now() {
     run(async {
         let r = Replica::plain("x").await;
-        let lane = |idle| Lane { limits: limits(0, 0, 40, idle), ..Lane::of("once", 1) };
+        let lane = |ms| Lane { limits: limits(0, 0, ms, ms), ..Lane::of("once", 1) };
         let e = Edge::start(lane(AMPLE), &[r.addr]).await;
         let mut d = Downstream::to(e.addr).await;
         for round in ["a", "b"] {
@@ -94,6 +100,8 @@
         }
         e.set_spec(2, &lane(40));
         expect_that!(d.end().await, eq(""));
+        // A machine that is busy may take longer than that over a head: others have their time again.
+        e.set_spec(3, &lane(AMPLE));
         expect_that!(ask(&e, request("c", "q")).await.status, eq(200));
     });
 }
@@ -117,6 +125,39 @@
     expect_that!(State::Carries(1_000).woke(500_000), eq(State::Carries(1_000)));
 }
 
+#[gtest]
+fn a_process_that_was_kept_from_running_tells_an_end_before_it_closes() {
+    let l = limits(0, 0, 100, 100);
+    const ENDS: Ms = 1_000 + LATE_SLACK;
+    // A look at this time, so long after the one before.
+    let look = |at: Ms, gone: Ms| {
+        let mut looks = Looks::new(at - gone);
+        looks.at(at);
+        looks
+    };
+    let carries = State::Carries(1_000);
+    // Looks in time: closed once its time and the slack are over, and not before.
+    expect_that!(look(ENDS - 1, DOWNSTREAM_LOOK).over(carries, &l, false), eq((false, false)));
+    expect_that!(look(ENDS, DOWNSTREAM_LOOK).over(carries, &l, false), eq((true, true)));
+    // Its time and the slack may have ended in one pause: whoever answers it has had no turn yet, but has one before
+    // the next look, however late that comes.
+    for gone in [DOWNSTREAM_LATE + 1, 2 * DOWNSTREAM_LOOK, DOWNSTREAM_SLEPT + 1, 60_000] {
+        let late = look(ENDS + gone, gone);
+        expect_that!(late.over(late.state(carries), &l, false), eq((true, false)), "{gone}");
+        expect_that!(late.over(late.state(carries), &l, true), eq((true, true)), "{gone}");
+    }
+    // Nor does what rests stay for ever where each look comes after a sleep.
+    let mut looks = look(10_000, DOWNSTREAM_SLEPT + 1);
+    expect_that!(looks.state(State::Rests(0)), eq(State::Rests(10_000)));
+    looks.at(10_000 + DOWNSTREAM_SLEPT + 1);
+    expect_that!(looks.state(State::Rests(10_000)), eq(State::Rests(10_000)));
+    expect_that!(looks.over(State::Rests(10_000), &l, false), eq((true, true)));
+    // Who rests or has begun nothing is closed by the look itself: nobody else would answer.
+    for s in [State::New(0), State::Rests(0)] {
+        expect_that!(look(1_000, 2 * DOWNSTREAM_LOOK).over(s, &l, false), eq((true, true)));
+    }
+}
+
 #[gtest]
 fn a_body_that_does_not_come_in_time_is_told_so() {
     run(async {
@@ -153,7 +194,7 @@
         for kind in ["once", "stream", "stream_resumable"] {
             let m = much.clone();
             let r = Replica::start(move |_, g| vec![say(stream(g)), say(&*m)]).await;
-            let e = Edge::start(Lane { time_limit: 300, ..Lane::of(kind, 1) }, &[r.addr]).await;
+            let e = Edge::start(Lane { time_limit: RUNS_OUT, ..Lane::of(kind, 1) }, &[r.addr]).await;
             let mut d = Downstream::to(e.addr).await;
             d.send(request("a", "q")).await;
             e.until(|_| r.count() == 1).await;
@@ -200,16 +241,31 @@
 }
 
 #[gtest]
-fn a_replica_that_is_another_gets_nothing_more() {
+fn another_replica_in_its_place_costs_no_round_and_gets_nothing_more() {
     run(async {
-        let other = Replica::start(|_, g| vec![say(answer(g, "421 Misdirected", "Content-Length: 0\r\n", ""))]).await;
-        let r = Replica::plain("x").await;
-        let e = Edge::start(Lane::of("once", 2), &[other.addr, r.addr]).await;
-        for i in 0..8 {
-            expect_that!(ask(&e, request(&format!("a{i}"), "q")).await.status, eq(200));
+        let another = |_: usize, g: &Got| vec![say(answer(g, "421 Misdirected", "Content-Length: 0\r\n", ""))];
+        for (kind, rounds) in [("once", 1), ("once", 2), ("stream", 1), ("repeatable", 1), ("stream_resumable", 1)] {
+            let (other, r) = (Replica::start(another).await, Replica::plain("x").await);
+            let e = Edge::start(Lane::of(kind, rounds), &[other.addr, r.addr]).await;
+            for i in 0..8 {
+                expect_that!(ask(&e, request(&format!("a{i}"), "q")).await.status, eq(200), "{kind} {rounds}");
+            }
+            expect_that!((other.count(), r.count()), eq((1, 8)), "{kind} {rounds}");
+        }
+        // What it costs is an arrival: it is drawn on the budget.
+        let (other, r) = (Replica::start(another).await, Replica::plain("x").await);
+        let none = Bounds { retry_share: 0.0, retry_slack: 0.0, ..Bounds::default() };
+        let e = Edge::within(none, Lane::of("once", 1), &[other.addr, r.addr]).await;
+        let a = ask(&e, request("a", "q")).await;
+        expect_that!((a.status, a.body.contains("not_run"), other.count(), r.count()), eq((503, true, 1, 0)));
+        // And it is not looked for without end.
+        let mut others = vec![];
+        for _ in 0..UNREACHED_MOST + 3 {
+            others.push(Replica::start(another).await);
         }
-        expect_that!(other.count(), le(1));
-        expect_that!(r.count(), eq(8));
+        let e = Edge::start(Lane::of("once", 1), &others.iter().map(|r| r.addr).collect::<Vec<_>>()).await;
+        expect_that!(ask(&e, request("a", "q")).await.status, eq(503));
+        expect_that!(others.iter().map(Replica::count).sum::<usize>(), eq(UNREACHED_MOST as usize + 1));
     });
 }
 
@@ -225,7 +281,7 @@
             Replica::start(|_, _| vec![say("HTTP/1.1 200 OK\r\nRound: another\r\nSeal: s1\r\nContent-Length: 1\r\n\r\nx")]).await;
         let full = Replica::start(|_, g| vec![say(answer(g, "429 Full", "Not-Run: 1\r\nContent-Length: 0\r\n", ""))]).await;
         for (addr, status) in [(silent.addr, 504), (foreign.addr, 502), (full.addr, 429), (nowhere(), 503)] {
-            let e = Edge::start(Lane { time_limit: 60, ..Lane::of("once", 1) }, &[addr]).await;
+            let e = Edge::start(Lane { time_limit: RUNS_OUT, ..Lane::of("once", 1) }, &[addr]).await;
             let a = ask(&e, request("a", "q")).await;
             expect_that!((a.status, a.header("seal")), eq((status, None)));
         }
--- a/fleet-simulator/src/world/daemons.rs
+++ b/fleet-simulator/src/world/daemons.rs
@@ -87,6 +87,10 @@
                 for m in told {
                     self.post_agent(i, m.into());
                 }
+                let asked: Vec<_> = self.edges[i].proxy.iter_mut().flat_map(|p| p.demands(now)).collect();
+                for m in asked {
+                    self.post_agent(i, m.into());
+                }
                 if now >= self.edges[i].next_hello {
                     self.edges[i].next_hello = now + HELLO_EVERY;
                     self.post_agent(i, hello.into());
