--- a/coordination/src/proxy/counts.rs
+++ b/coordination/src/proxy/counts.rs
@@ -58,6 +58,12 @@
         if let Some(s) = self.seen.get_mut(&p.replica) {
             s.since = s.since.saturating_sub(1);
         }
+        // What came by host and path has told its replica's row already.
+        match e {
+            Ended::Answered if p.flight == 0 => self.placement.trust(&p.replica),
+            Ended::Failed if p.flight == 0 => self.placement.doubt(&p.replica, now.saturating_sub(p.at), now),
+            _ => {}
+        }
         match e {
             Ended::Answered => self.tally(p, 1),
             Ended::Slow => {
