Take no uncompared write that may have waited while a daemon stood still

Cause: an evacuation (or a leaving notice) is written over whatever stands. One that lay unread in a daemon's sockets while that stood still was taken as new when it woke, though the operator had gone on to another daemon after a second of silence, had it accepted there and taken it back: the zone was evacuated again by nobody's wish. Read in the code before, never tested.

Now a daemon that had no tick for a second rejects such writes for half a second from when it wakes, its own calls and those passed on to it; whoever still waits asks again. Writes that are compared with a version or release were never in danger.

Ruled out: what it had already taken or passed on before it stood still (80 of the test's 120 runs, owner or asker): the owner is deposed and the asker's limit is over.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -25,7 +25,7 @@
     health::Health,
     limits::{
         ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LIST_CALM,
-        LOOP_EVERY, LOOP_RESTS, NEWCOMER, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING, STANDING_EVERY,
+        LOOP_EVERY, LOOP_RESTS, NEWCOMER, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, READING, STANDING_EVERY, STOOD_STILL, WAKES_FOR,
     },
     members as seats,
     membership::{CONTROL, EDGE, Membership},
@@ -181,6 +181,9 @@
     settled: bool,
     next_beat: Ms,
     next_loop: Ms,
+    /// When it last ticked, and until when it takes nothing that may have waited for it while it stood still.
+    ticked: Ms,
+    wakes: Ms,
     next_meet: Ms,
     /// The time of the last tick, and when the voters last changed.
     clock: Ms,
@@ -274,6 +277,8 @@
             settled: false,
             next_beat: 0,
             next_loop: 0,
+            ticked: now,
+            wakes: 0,
             next_meet: 0,
             clock: now,
             changed: now,
@@ -339,8 +344,21 @@
         (t, self.finish(now, out))
     }
 
+    /// Whether this daemon stood still until just now: what it reads may have waited for long, and whoever sent it has
+    /// gone to others since. A write that is compared with nothing would undo what was written meanwhile.
+    fn woke(&mut self, now: Ms) -> bool {
+        if now.saturating_sub(self.ticked) > STOOD_STILL {
+            self.wakes = now + WAKES_FOR;
+        }
+        now < self.wakes
+    }
+
     /// Takes a write, or a reading where nothing is expected, to the key's owner.
     fn offer(&mut self, token: u64, key: &Name, expect: Option<Expect>, value: Blob, now: Ms, out: &mut Effects) {
+        if self.woke(now) && expect == Some(Expect::Any) {
+            let outcome = WriteOutcome::NotAccepted("this daemon stood still until just now; ask again");
+            return out.push(Effect::Answer { token, outcome });
+        }
         let p = Passed { token, key: key.clone(), expect, value, to: Name::default(), until: now + FORWARD_LIMIT, again: None };
         self.pass(p, now, out);
     }
@@ -432,6 +450,10 @@
     }
 
     fn on_forward(&mut self, from: &Name, m: Forward, now: Ms, out: &mut Effects) {
+        if self.woke(now) && m.mode == BY_NOTHING {
+            let why = "the daemon asked stood still until just now".into();
+            return out.push(send(from, Forwarded { token: m.token, code: NOT_OWNER, version: 0, why }));
+        }
         // The second copy would lose against the first, and its asker be told of a conflict with itself.
         if self.taken.insert((from.clone(), m.token), now).is_some() {
             return;
@@ -502,6 +524,7 @@
     // ---- events ----
 
     pub fn on_msg(&mut self, from: &Name, addr: &Name, msg: Msg, now: Ms) -> Effects {
+        self.woke(now);
         let mut out = Vec::new();
         match msg {
             Msg::Beat(m) => self.on_beat(from, addr, m, now, &mut out),
@@ -1005,6 +1028,8 @@
     // ---- time ----
 
     pub fn tick(&mut self, now: Ms) -> Effects {
+        self.woke(now);
+        self.ticked = now;
         let mut out = Vec::new();
         self.clock = now;
         self.mship.tick(now, &mut out);
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -36,6 +36,10 @@
 pub const WRITE_LIMIT: Ms = 2_000;
 /// ms. A daemon that passed a write on waits a little longer than the owner does.
 pub const FORWARD_LIMIT: Ms = 2_500;
+/// ms without a tick after which a daemon takes itself to have stood still: whoever asked it goes on to another after a
+/// second of silence. And for how long from its waking it takes nothing that may have waited in its sockets.
+pub const STOOD_STILL: Ms = 1_000;
+pub const WAKES_FOR: Ms = 500;
 /// Accepted values of an operator's key whose digests are kept beside the one that replaced them: an order that is
 /// repeated late is known to have stood. 8 bytes each; at the quickest storm that was met, a change each 80 ms, ten seconds.
 pub const PAST_VALUES: usize = 128;
--- a/coordination/tests/fleet/mod.rs
+++ b/coordination/tests/fleet/mod.rs
@@ -19,6 +19,8 @@
     pub life: u64,
     /// Until when its disk ends nothing.
     pub hung: Ms,
+    /// Until when it stands still; what reaches it waits in its sockets.
+    pub frozen: Ms,
     /// What waits for its disk: it is synced together, as the shell does.
     buffer: Vec<(Vec<Row>, Effects)>,
     working: bool,
@@ -118,6 +120,7 @@
             disk_id,
             life: 0,
             hung: 0,
+            frozen: 0,
             buffer: vec![],
             working: false,
             since: 0,
@@ -209,6 +212,13 @@
     }
 
     fn handle(&mut self, ev: Ev) {
+        let at = match &ev {
+            Ev::Deliver { to, .. } => self.all.iter().position(|d| d.p.addr == *to),
+            Ev::Synced { at, .. } => Some(*at),
+        };
+        if let Some(ms) = at.map(|i| self.all[i].frozen.saturating_sub(self.now)).filter(|ms| *ms > 0) {
+            return self.at(ms, ev);
+        }
         match ev {
             Ev::Deliver { to, from, addr, msg } => {
                 let Some(i) = self.all.iter().position(|d| d.p.addr == to && d.brain.is_some()) else { return };
@@ -244,7 +254,7 @@
             for i in 0..self.all.len() {
                 let now = self.now;
                 let d = &mut self.all[i];
-                if d.next_tick > now {
+                if d.next_tick > now || d.frozen > now {
                     continue;
                 }
                 d.next_tick = now + TICK;
--- a/coordination/tests/operators.rs
+++ b/coordination/tests/operators.rs
@@ -3,7 +3,7 @@
 
 mod fleet;
 
-use coordination::{Ms, WriteOutcome, control::SPEC, register::Expect};
+use coordination::{Ms, WriteOutcome, control::SPEC, limits::FORWARD_LIMIT, register::Expect};
 use fleet::Fleet;
 use googletest::prelude::*;
 
@@ -237,3 +237,48 @@
         }
     }
 }
+
+/// A daemon that has an evacuation on its way, or unread in its sockets, stands still; the operator goes on to others, and
+/// takes the evacuation back before it wakes.
+#[gtest]
+fn an_evacuation_that_was_taken_back_does_not_come_back_from_a_daemon_that_stood_still() {
+    let on = Order { key: ZONE, expect: Expect::Any, value: b"on".to_vec() };
+    let off = Order { value: b"off".to_vec(), ..on.clone() };
+    for seed in 0..120u64 {
+        let mut f = settled(seed);
+        expect_that!(clear(&mut f, &off), some(matches_pattern!(WriteOutcome::Accepted(_))), "seed {seed}");
+        let owner = (0..f.all.len()).find(|i| f.brain(*i).is_some_and(|b| b.regs.holds(ZONE, f.now).is_some()));
+        let asked = f.rng.usize(..f.all.len());
+        // Either whoever was asked stands still, or who owns the key: before or after it took it or told of it.
+        let (unread, still) = (seed % 3 == 2, if seed % 3 == 1 { owner.unwrap_or(asked) } else { asked });
+        if !unread {
+            send(&mut f, asked, &on);
+            let ms = f.rng.u64(..60);
+            f.run(ms);
+        }
+        let ms = f.rng.u64(9_000..20_000);
+        f.all[still].frozen = f.now + ms;
+        let others: Vec<usize> = up(&f).into_iter().filter(|i| *i != still).collect();
+        for o in [&on, &off] {
+            let took = (0..200).any(|_| {
+                let at = *f.rng.choice(&others).unwrap();
+                let w = send(&mut f, at, o);
+                matches!(end(&mut f, w), Some(WriteOutcome::Accepted(_)))
+            });
+            expect_true!(took, "seed {seed}");
+            // It lasts for longer than any daemon tries to have it accepted.
+            f.run(FORWARD_LIMIT);
+        }
+        let wakes = f.all[still].frozen;
+        expect_that!(wakes, gt(f.now), "seed {seed}: it woke too soon to show anything");
+        f.run(wakes.saturating_sub(f.now));
+        if unread {
+            send(&mut f, still, &on);
+        }
+        f.run(20_000);
+        for i in up(&f) {
+            let value = f.held(i, ZONE).map(|h| String::from_utf8(h.1).unwrap());
+            expect_that!(value.as_deref(), some(eq("off")), "seed {seed}, daemon {i}, {still} stood still");
+        }
+    }
+}
