--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -26,7 +26,7 @@
     limits::{
         ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LIST_CALM,
         LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, PUSH_TAKES, PUSHED_TO,
-        READING, STANDING_EVERY,
+        READING, STANDING_EVERY, STOOD_STILL, WAKES_FOR,
     },
     members as seats,
     membership::{CONTROL, EDGE, Membership},
@@ -190,6 +190,9 @@
     settled: bool,
     next_beat: Ms,
     next_loop: Ms,
+    /// When it last ticked, and until when it takes nothing that may have waited for it while it stood still.
+    ticked: Ms,
+    wakes: Ms,
     next_meet: Ms,
     /// The time of the last tick, and when the voters last changed.
     clock: Ms,
@@ -266,6 +269,8 @@
             settled: false,
             next_beat: 0,
             next_loop: 0,
+            ticked: now,
+            wakes: 0,
             next_meet: 0,
             clock: now,
             changed: now,
@@ -299,6 +304,7 @@
     }
 
     pub fn on_msg(&mut self, from: &Name, addr: &Name, msg: Msg, now: Ms) -> Effects {
+        self.woke(now);
         let mut out = Vec::new();
         match msg {
             Msg::Beat(m) => self.on_beat(from, addr, m, now, &mut out),
@@ -350,6 +356,8 @@
     }
 
     pub fn tick(&mut self, now: Ms) -> Effects {
+        self.woke(now);
+        self.ticked = now;
         let mut out = Vec::new();
         self.clock = now;
         self.mship.tick(now, &mut out);
--- a/coordination/src/control/writes.rs
+++ b/coordination/src/control/writes.rs
@@ -36,8 +36,21 @@
         (t, self.finish(now, out))
     }
 
+    /// Whether this daemon stood still until just now: what it reads may have waited for long, and whoever sent it has
+    /// gone to others since. A write that is compared with nothing would undo what was written meanwhile.
+    pub(super) fn woke(&mut self, now: Ms) -> bool {
+        if now.saturating_sub(self.ticked) > STOOD_STILL {
+            self.wakes = now + WAKES_FOR;
+        }
+        now < self.wakes
+    }
+
     /// Takes a write, or a reading where nothing is expected, to the key's owner.
     fn offer(&mut self, token: u64, key: &Name, expect: Option<Expect>, value: Blob, now: Ms, out: &mut Effects) {
+        if self.woke(now) && expect == Some(Expect::Any) {
+            let outcome = WriteOutcome::NotAccepted("this daemon stood still until just now; ask again");
+            return out.push(Effect::Answer { token, outcome });
+        }
         let p = Passed { token, key: key.clone(), expect, value, to: Name::default(), until: now + FORWARD_LIMIT, again: None };
         self.pass(p, now, out);
     }
@@ -130,6 +143,10 @@
     }
 
     pub(super) fn on_forward(&mut self, from: &Name, m: Forward, now: Ms, out: &mut Effects) {
+        if self.woke(now) && m.mode == BY_NOTHING {
+            let why = "the daemon asked stood still until just now".into();
+            return out.push(send(from, Forwarded { token: m.token, code: NOT_OWNER, version: 0, why }));
+        }
         // The second copy would lose against the first, and its asker be told of a conflict with itself.
         if self.taken.insert((from.clone(), m.token), now).is_some() {
             return;
