--- a/coordination/tests/counts.rs
+++ b/coordination/tests/counts.rs
@@ -15,7 +15,7 @@
 use googletest::prelude::*;
 use remote_calls::PlatformList;
 use serde_json::json;
-use wire_messages::{Msg, Name, Node};
+use wire_messages::{Envelope, Msg, Name, Node, encode};
 
 /// Lanes and replicas.
 const LANES: usize = 40;
@@ -38,6 +38,8 @@
     /// Tallies and opens told in polls; the longest poll's.
     told: usize,
     longest: usize,
+    /// Polls' bytes on the wire.
+    polled: usize,
     cut: bool,
     /// Nothing ends: what is open stays so.
     held: bool,
@@ -88,6 +90,7 @@
             passed: 0,
             told: 0,
             longest: 0,
+            polled: 0,
             cut: false,
             held: false,
         }
@@ -122,6 +125,8 @@
         if let Msg::Poll(m) = &msg {
             let n = m.tallies.len() + m.opens.len();
             (self.told, self.longest) = (self.told + n, self.longest.max(n));
+            let (from, addr) = (Name::from(from), Name::from(from));
+            self.polled += encode(&Envelope { from, addr, msg: msg.clone() }).map_or(0, |b| b.len());
         }
         let own = from == &**to;
         if !own && (self.rng.u32(..100) < self.lost || (self.cut && (from == "c" || &**to == "c"))) {
@@ -325,6 +330,18 @@
     expect_that!(b.told, le(160));
 }
 
+#[gtest]
+fn polls_of_a_daemon_in_calm_take_few_bytes_and_each_request_few_more() {
+    for (rate, most) in [(0, 220), (2, 420), (20, 1_400)] {
+        let mut b = Bench::ready(1);
+        b.run(20_000, 40);
+        b.run(4_500, 0);
+        b.polled = 0;
+        b.run(20_000, rate);
+        expect_that!(b.polled / 20, le(most), "bytes a second at {rate} requests a second");
+    }
+}
+
 #[gtest]
 fn a_list_that_has_not_changed_for_a_while_is_calm() {
     let list = |state: &str| -> PlatformList {
--- a/wire-messages/src/fields.rs
+++ b/wire-messages/src/fields.rs
@@ -147,3 +147,43 @@
         self.0.iter().try_for_each(|x| x.write_options(w, e, ()))
     }
 }
+
+/// Whole numbers that are small most of the time: seven bits a byte, the lowest first, as LEB128 has it.
+pub(crate) mod varint {
+    use super::*;
+
+    /// Bits that a byte carries, and the mark that another follows.
+    const BITS: u32 = 7;
+    const MORE: u8 = 1 << BITS;
+
+    #[binrw::parser(reader)]
+    pub fn read() -> BinResult<u64> {
+        let mut n = 0u64;
+        for at in (0..u64::BITS).step_by(BITS as usize) {
+            let b = u8::read(reader)?;
+            let part = u64::from(b & !MORE);
+            // What does not fit was not written by `write`, nor was a number longer than it must be.
+            if (part << at) >> at != part || (b == 0 && at > 0) {
+                break;
+            }
+            n |= part << at;
+            if b & MORE == 0 {
+                return Ok(n);
+            }
+        }
+        Err(binrw::Error::AssertFail { pos: reader.stream_position()?, message: "no whole number of 64 bits".into() })
+    }
+
+    #[binrw::writer(writer)]
+    pub fn write(n: &u64) -> BinResult<()> {
+        let mut n = *n;
+        while n >= u64::from(MORE) {
+            (n as u8 | MORE).write(writer)?;
+            n >>= BITS;
+        }
+        (n as u8).write(writer)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/wire-messages/src/fields/tests.rs
@@ -0,0 +1,46 @@
+use std::io::Cursor;
+
+use super::varint;
+use crate::*;
+
+fn written(n: u64) -> Vec<u8> {
+    let mut c = Cursor::new(vec![]);
+    varint::write(&n, &mut c, binrw::Endian::Big, ()).unwrap();
+    c.into_inner()
+}
+fn read(b: &[u8]) -> Option<u64> {
+    varint::read(&mut Cursor::new(b), binrw::Endian::Big, ()).ok()
+}
+
+#[test]
+fn a_varint_comes_back_and_takes_a_byte_for_each_seven_bits() {
+    let edges = (0..64).flat_map(|i| [(1u64 << i) - 1, 1 << i, (1 << i) + 1]).chain([u64::MAX]);
+    for n in edges {
+        let b = written(n);
+        assert_eq!(b.len(), (u64::BITS - (n | 1).leading_zeros()).div_ceil(7) as usize, "{n}");
+        assert_eq!(read(&b), Some(n), "{n}");
+        assert!((0..b.len()).all(|i| read(&b[..i]).is_none()), "{n} cut short");
+    }
+}
+
+#[test]
+fn a_varint_is_written_in_one_way_only() {
+    // Longer than it must be, more than 64 bits, and without an end.
+    for b in [vec![0x80, 0], vec![0xff, 0x80, 0], [vec![0xff; 9], vec![2]].concat(), vec![0x80; 11], vec![0xff; 11]] {
+        assert_eq!(read(&b), None, "{b:?}");
+    }
+}
+
+#[test]
+fn a_tally_returns_whole_whatever_its_counts() {
+    for n in [0, 1, 127, 128, 1 << 40, u64::MAX] {
+        let counts =
+            Tally { sent: n, ok: n / 2, failed: n / 3, slow: n / 5, firsts: n / 7, first_log: n / 11, ..Tally::default() };
+        let t = Tally { failed_on: !n, new_ended: n / 13, new_failed: n / 17, new_slow: n / 19, ..counts };
+        let poll = Poll { sent: n, after: n / 2, since: n / 3, count: !n, tallies: List(vec![t]), ..Poll::default() };
+        let e = Envelope { from: "e".into(), addr: "e".into(), msg: poll.into() };
+        let v = encode(&e).unwrap();
+        assert_eq!(decode(&v[4..]), Ok(e.clone()));
+        assert!((4..v.len()).all(|i| decode(&v[4..i]).is_err()), "{n} cut short");
+    }
+}
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -2,23 +2,23 @@
 
 use binrw::binrw;
 
-use crate::{Blob, List, Name};
+use crate::{Blob, List, Name, varint};
 
-/// Parts that stand inside messages.
+/// Parts that stand inside messages. Numbers `as varint` are small most of the time.
 macro_rules! parts {
-    ($($(#[$d:meta])* $n:ident { $($f:ident: $t:ty),* $(,)? })*) => { $(
+    ($($(#[$d:meta])* $n:ident { $($f:ident: $t:ty $(as $how:ident)?),* $(,)? })*) => { $(
         $(#[$d])*
         #[binrw]
         #[brw(big)]
         #[derive(Clone, Debug, Default, PartialEq, Eq)]
-        pub struct $n { $(pub $f: $t),* }
+        pub struct $n { $($(#[br(parse_with = $how::read)] #[bw(write_with = $how::write)])? pub $f: $t),* }
     )* };
 }
 
 /// Messages: the parts above plus a tag in `Msg`.
 macro_rules! messages {
-    ($($(#[$d:meta])* $tag:literal $n:ident { $($f:ident: $t:ty),* $(,)? })*) => {
-        parts! { $($(#[$d])* $n { $($f: $t),* })* }
+    ($($(#[$d:meta])* $tag:literal $n:ident { $($f:ident: $t:ty $(as $how:ident)?),* $(,)? })*) => {
+        parts! { $($(#[$d])* $n { $($f: $t $(as $how)?),* })* }
         /// All that one process may say to another.
         #[binrw]
         #[brw(big)]
@@ -52,7 +52,7 @@
     /// Cumulative counts since the proxy's start; `new_` ones are of its last half minute, for a daemon that
     /// hears this proxy for the first time. `firsts`: first pieces, `first_log`: the sum of their times' logarithms;
     /// `failed_on`: bits of the replicas that failed.
-    Tally { service: Name, version: Name, lane: Name, warm: u8, group: u8, sent: u64, ok: u64, failed: u64, slow: u64, firsts: u64, first_log: u64, failed_on: u64, new_ended: u64, new_failed: u64, new_slow: u64 }
+    Tally { service: Name, version: Name, lane: Name, warm: u8, group: u8, sent: u64 as varint, ok: u64 as varint, failed: u64 as varint, slow: u64 as varint, firsts: u64 as varint, first_log: u64 as varint, failed_on: u64 as varint, new_ended: u64 as varint, new_failed: u64 as varint, new_slow: u64 as varint }
     /// Streams a proxy still has open on a replica's version.
     Open { replica: Name, version: Name, streams: u32 }
     /// A voter: its name, its disk, where it answers and stands, and the member epoch since which it has its place.
@@ -96,7 +96,7 @@
     /// `news`: `seen` is new, else it is as the daemon last heard it. Tallies and opens are those that
     /// changed after the agent's `since`th count, up to its `count`th; all of them after none. Tallies are of the services in
     /// the daemon's `choice`th list of those that it counts.
-    20u8 Poll { node: Node, life: u64, sent: u64, run: u64, after: u64, since: u64, count: u64, choice: u32, tallies: List<Tally>, opens: List<Open>, news: u8, seen: List<Change> }
+    20u8 Poll { node: Node, life: u64, sent: u64 as varint, run: u64, after: u64 as varint, since: u64 as varint, count: u64 as varint, choice: u32, tallies: List<Tally>, opens: List<Open>, news: u8, seen: List<Change> }
     /// `full`: a frame of all keys, not a piece of the feed. `count`: up to which of the agent's counts the sender has them.
     /// `counts`: the services whose tallies the sender keeps, its `choice`th list of them.
     21u8 News { sent: u64, run: u64, upto: u64, count: u64, choice: u32, counts: List<Name>, full: u8, settled: u8, voters: u32, changes: List<Change>, permits: List<Permit> }
