--- a/wire-messages/src/fields.rs
+++ b/wire-messages/src/fields.rs
@@ -6,6 +6,12 @@
 
 use crate::{MAX_FRAME, MAX_LIST, MAX_NAME};
 
+/// How many follow, as a varint. It is held against its limit before anything is read for it.
+fn read_count<R: io::Read + io::Seek>(r: &mut R, e: Endian, what: &str, most: usize) -> BinResult<usize> {
+    let n = usize::try_from(varint::read(r, e, ())?).unwrap_or(usize::MAX);
+    if n > most { Err(too_long(r.stream_position()?, what, n)) } else { Ok(n) }
+}
+
 fn too_long(at: u64, what: &str, n: usize) -> binrw::Error {
     binrw::Error::AssertFail { pos: at, message: format!("{what} of {n} is over its limit") }
 }
@@ -54,10 +60,7 @@
 impl BinRead for Name {
     type Args<'a> = ();
     fn read_options<R: io::Read + io::Seek>(r: &mut R, e: Endian, _: ()) -> BinResult<Self> {
-        let n = u16::read_options(r, e, ())? as usize;
-        if n > MAX_NAME {
-            return Err(too_long(r.stream_position()?, "name", n));
-        }
+        let n = read_count(r, e, "name", MAX_NAME)?;
         let at = r.stream_position()?;
         String::from_utf8(read_bytes(r, n)?).map(Name).map_err(|e| binrw::Error::Custom { pos: at, err: Box::new(e.to_string()) })
     }
@@ -68,7 +71,7 @@
         if self.0.len() > MAX_NAME {
             return Err(too_long(0, "name", self.0.len()));
         }
-        (self.0.len() as u16).write_options(w, e, ())?;
+        varint::write(&(self.0.len() as u64), w, e, ())?;
         Ok(w.write_all(self.0.as_bytes())?)
     }
 }
@@ -85,17 +88,14 @@
 impl BinRead for Blob {
     type Args<'a> = ();
     fn read_options<R: io::Read + io::Seek>(r: &mut R, e: Endian, _: ()) -> BinResult<Self> {
-        let n = u32::read_options(r, e, ())? as usize;
-        if n > MAX_FRAME {
-            return Err(too_long(r.stream_position()?, "blob", n));
-        }
+        let n = read_count(r, e, "blob", MAX_FRAME)?;
         read_bytes(r, n).map(Blob)
     }
 }
 impl BinWrite for Blob {
     type Args<'a> = ();
     fn write_options<W: io::Write + io::Seek>(&self, w: &mut W, e: Endian, _: ()) -> BinResult<()> {
-        (self.0.len() as u32).write_options(w, e, ())?;
+        varint::write(&(self.0.len() as u64), w, e, ())?;
         Ok(w.write_all(&self.0)?)
     }
 }
@@ -130,10 +130,7 @@
 impl<T: for<'a> BinRead<Args<'a> = ()>> BinRead for List<T> {
     type Args<'a> = ();
     fn read_options<R: io::Read + io::Seek>(r: &mut R, e: Endian, _: ()) -> BinResult<Self> {
-        let n = u32::read_options(r, e, ())? as usize;
-        if n > MAX_LIST {
-            return Err(too_long(r.stream_position()?, "list", n));
-        }
+        let n = read_count(r, e, "list", MAX_LIST)?;
         (0..n).map(|_| T::read_options(r, e, ())).collect::<BinResult<Vec<T>>>().map(List)
     }
 }
@@ -143,7 +140,7 @@
         if self.0.len() > MAX_LIST {
             return Err(too_long(0, "list", self.0.len()));
         }
-        (self.0.len() as u32).write_options(w, e, ())?;
+        varint::write(&(self.0.len() as u64), w, e, ())?;
         self.0.iter().try_for_each(|x| x.write_options(w, e, ()))
     }
 }
--- a/wire-messages/src/fields/tests.rs
+++ b/wire-messages/src/fields/tests.rs
@@ -44,3 +44,24 @@
         assert!((4..v.len()).all(|i| decode(&v[4..i]).is_err()), "{n} cut short");
     }
 }
+
+#[test]
+fn a_length_over_its_limit_is_refused_before_anything_is_read_for_it() {
+    use binrw::{BinRead, BinWrite};
+    let refused = |e: binrw::Error| e.to_string().contains("over its limit");
+    for n in [MAX_NAME + 1, MAX_LIST + 1, MAX_FRAME + 1, usize::MAX] {
+        let mut b = written(n as u64);
+        b.extend([0; 8]);
+        assert_eq!(Name::read_be(&mut Cursor::new(&b)).is_err_and(refused), n > MAX_NAME, "{n}");
+        assert_eq!(List::<u64>::read_be(&mut Cursor::new(&b)).is_err_and(refused), n > MAX_LIST, "{n}");
+        assert_eq!(Blob::read_be(&mut Cursor::new(&b)).is_err_and(refused), n > MAX_FRAME, "{n}");
+    }
+    for n in [0, 1, 127, 128, MAX_NAME] {
+        let name = Name("x".repeat(n));
+        let mut c = Cursor::new(vec![]);
+        name.write_be(&mut c).unwrap();
+        assert_eq!(c.get_ref().len(), n + written(n as u64).len());
+        c.set_position(0);
+        assert_eq!(Name::read_be(&mut c).unwrap(), name);
+    }
+}
