Hold the bytes of a calm daemon's polls to what they are with lengths by varints

Measured 170, 330 and 1,137 bytes a second at 0, 2 and 20 requests a second; with lengths of two and four bytes they were 207, 393 and 1,322, which these bounds do not let pass.

--- a/coordination/tests/counts.rs
+++ b/coordination/tests/counts.rs
@@ -332,7 +332,7 @@
 
 #[gtest]
 fn polls_of_a_daemon_in_calm_take_few_bytes_and_each_request_few_more() {
-    for (rate, most) in [(0, 220), (2, 420), (20, 1_400)] {
+    for (rate, most) in [(0, 180), (2, 345), (20, 1_200)] {
         let mut b = Bench::ready(1);
         b.run(20_000, 40);
         b.run(4_500, 0);
