Send nothing behind a body that its replica has not read yet

Cause: a replica may answer before it reads a body. Its channel counted as resting once the answer had come whole and the body lay in our own socket; the next request was sent behind that body, and after 1.8 s without an acknowledgement (SENT_LIMIT) it ended as lost: 502, unknown, for what runs once. Now a channel that rests is taken only if the system holds nothing of it that has not arrived (TIOCOUTQ). Test: nothing_is_sent_behind_a_body_that_its_replica_has_not_read, two early answers, no load. Ruled out: closing each channel that turned a request away: every rejection would cost an opening. Left: a body that fits the replica's own window and is never read still holds what follows it.

--- a/edge-proxy/src/pool.rs
+++ b/edge-proxy/src/pool.rs
@@ -1,7 +1,14 @@
 //! Channels to replicas: HTTP/1.1 connections, one request at a time each, reused newest first. A channel that
 //! misbehaved is closed: dropping it is enough.
 
-use std::{cell::Cell, cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    os::fd::{AsRawFd, RawFd},
+    rc::Rc,
+    time::Duration,
+};
 
 use actix_rt::task::JoinHandle;
 use coordination::Ms;
@@ -43,6 +50,8 @@
 pub struct Channel {
     send: SendRequest<Upload>,
     io: JoinHandle<()>,
+    /// Its socket, which `io` owns.
+    fd: RawFd,
     counted: Counted,
     /// When its last answer ended.
     rested: Ms,
@@ -107,6 +116,17 @@
             told.and_then(|v| v.split([',', ';']).find_map(|x| x.trim().strip_prefix("timeout=")?.trim().parse::<u64>().ok()));
         self.keep = told.map_or(IDLE_KEPT, |s| s.saturating_mul(1_000).saturating_sub(IDLE_MARGIN).min(IDLE_KEPT));
     }
+    /// Whether all that was sent has arrived. A replica may answer before it reads a body: what is sent behind that waits
+    /// until it is read, and is lost if it never is.
+    fn arrived(&self) -> bool {
+        if self.send.is_closed() {
+            return false;
+        }
+        let mut n: libc::c_int = 0;
+        // SAFETY: the call only fills `n`. The socket is still open: its task runs on this thread, and has not ended.
+        let told = unsafe { libc::ioctl(self.fd, libc::TIOCOUTQ, &raw mut n) };
+        told == 0 && n == 0
+    }
     fn rests(&self, most: Ms, now: Ms) -> bool {
         now.saturating_sub(self.rested) < self.keep.min(most)
     }
@@ -139,7 +159,7 @@
         let p = self.peers.borrow().get(addr)?.clone();
         let mut idle = p.idle.borrow_mut();
         idle.retain(|c| !c.send.is_closed() && c.rests(Ms::MAX, now));
-        let i = idle.iter().rposition(|c| c.send.is_ready() && c.rests(most, now))?;
+        let i = idle.iter().rposition(|c| c.send.is_ready() && c.rests(most, now) && c.arrived())?;
         Some(idle.remove(i))
     }
 
@@ -173,13 +193,14 @@
         };
         let took = clock::now().saturating_sub(at);
         peer.took.set((peer.took.get() * (100 - OPEN_WEIGHT) + took * OPEN_WEIGHT) / 100);
+        let fd = s.as_raw_fd();
         let made = Builder::new().max_buf_size(CHANNEL_BYTES).handshake(TokioIo::new(s)).await;
         let (send, io) = made.map_err(|e| lost(&e))?;
         let io = actix_rt::spawn(async move {
             // What goes wrong shows at the request that it goes wrong for.
             let _ = io.await;
         });
-        Ok((Channel { send, io, counted, rested: at + took, keep: IDLE_KEPT, used: false }, took))
+        Ok((Channel { send, io, fd, counted, rested: at + took, keep: IDLE_KEPT, used: false }, took))
     }
 
     /// Takes back a channel whose answer came whole.
--- a/edge-proxy/tests/rounds.rs
+++ b/edge-proxy/tests/rounds.rs
@@ -141,6 +141,22 @@
     });
 }
 
+#[gtest]
+fn nothing_is_sent_behind_a_body_that_its_replica_has_not_read() {
+    run(async {
+        let full: fn(&Got) -> String = |g| answer(g, "503 Full", "Not-Run: 1\r\nContent-Length: 0\r\n", "");
+        for (said, status) in [(full, 503), (|g| whole(g, "x"), 200)] {
+            let (let_go, go) = watch::channel(false);
+            let r = Replica::early(said, go).await;
+            let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+            for i in 0..3 {
+                expect_that!(ask(&e, request(&format!("a{i}"), &"y".repeat(UPLOAD_KEPT))).await.status, eq(status), "{i}");
+            }
+            let_go.send(true).unwrap();
+        }
+    });
+}
+
 #[gtest]
 fn a_rejection_before_the_body_was_read_sends_the_whole_of_it_elsewhere() {
     run(async {
