--- a/fleet-tools/src/fleet.rs
+++ b/fleet-tools/src/fleet.rs
@@ -13,7 +13,7 @@
 use awc::Client;
 use daemon_parts::{clock, http::call, limits::OPERATOR_LIMIT, operator::Operator};
 use fleet_simulator::history::{History, Run, Told};
-use remote_calls::{Fault, Health, PlatformList, ReplicaRuns, RunState, calls};
+use remote_calls::{Accepted, Fault, Health, PlatformList, ReplicaRuns, RunState, calls};
 
 use crate::{
     deployment::Deployment,
@@ -266,6 +266,17 @@
     pub fn operator(&self) -> Operator {
         Operator { client: self.client.clone(), control: self.control().iter().map(|p| p.http.clone()).collect() }
     }
+    /// Puts the deployment's spec as the first one. As operators do: what became of a write that is unknown is found out
+    /// by sending it again, unchanged.
+    pub async fn configure(&self, limit: Duration) -> Result<Accepted, Fault> {
+        let at = clock::now();
+        loop {
+            match self.operator().put_spec(self.d.spec.clone(), Some(0)).await {
+                Err(f) if f.code == "unknown" && clock::now() - at < limit.as_millis() as u64 => {}
+                r => return r,
+            }
+        }
+    }
     pub async fn behave(&self, b: &[Behaviour]) {
         let Some(p) = self.processes.get("platform") else { return };
         let _ = self.client.put(format!("http://{}{}", p.http, crate::replica::BEHAVE)).send_json(&b).await;
