--- a/wire-messages/src/fields.rs
+++ b/wire-messages/src/fields.rs
@@ -8,7 +8,7 @@
 
 /// How many follow, as a varint. It is held against its limit before anything is read for it.
 fn read_count<R: io::Read + io::Seek>(r: &mut R, e: Endian, what: &str, most: usize) -> BinResult<usize> {
-    let n = usize::try_from(varint::read(r, e, ())?).unwrap_or(usize::MAX);
+    let n = usize::try_from(Varint::read_options(r, e, ())?.0).unwrap_or(usize::MAX);
     if n > most { Err(too_long(r.stream_position()?, what, n)) } else { Ok(n) }
 }
 
@@ -71,7 +71,7 @@
         if self.0.len() > MAX_NAME {
             return Err(too_long(0, "name", self.0.len()));
         }
-        varint::write(&(self.0.len() as u64), w, e, ())?;
+        Varint(self.0.len() as u64).write_options(w, e, ())?;
         Ok(w.write_all(self.0.as_bytes())?)
     }
 }
@@ -95,7 +95,7 @@
 impl BinWrite for Blob {
     type Args<'a> = ();
     fn write_options<W: io::Write + io::Seek>(&self, w: &mut W, e: Endian, _: ()) -> BinResult<()> {
-        varint::write(&(self.0.len() as u64), w, e, ())?;
+        Varint(self.0.len() as u64).write_options(w, e, ())?;
         Ok(w.write_all(&self.0)?)
     }
 }
@@ -140,45 +140,48 @@
         if self.0.len() > MAX_LIST {
             return Err(too_long(0, "list", self.0.len()));
         }
-        varint::write(&(self.0.len() as u64), w, e, ())?;
+        Varint(self.0.len() as u64).write_options(w, e, ())?;
         self.0.iter().try_for_each(|x| x.write_options(w, e, ()))
     }
 }
 
-/// Whole numbers that are small most of the time: seven bits a byte, the lowest first, as LEB128 has it.
-pub(crate) mod varint {
-    use super::*;
+/// A whole number that is small most of the time: seven bits a byte, the lowest first, as LEB128 has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Varint(pub u64);
 
+impl Varint {
     /// Bits that a byte carries, and the mark that another follows.
     const BITS: u32 = 7;
-    const MORE: u8 = 1 << BITS;
-
-    #[binrw::parser(reader)]
-    pub fn read() -> BinResult<u64> {
+    const MORE: u8 = 1 << Self::BITS;
+}
+impl BinRead for Varint {
+    type Args<'a> = ();
+    fn read_options<R: io::Read + io::Seek>(r: &mut R, e: Endian, _: ()) -> BinResult<Self> {
         let mut n = 0u64;
-        for at in (0..u64::BITS).step_by(BITS as usize) {
-            let b = u8::read(reader)?;
-            let part = u64::from(b & !MORE);
-            // What does not fit was not written by `write`, nor was a number longer than it must be.
+        for at in (0..u64::BITS).step_by(Self::BITS as usize) {
+            let b = u8::read_options(r, e, ())?;
+            let part = u64::from(b & !Self::MORE);
+            // What does not fit was not written below, nor was a number longer than it must be.
             if (part << at) >> at != part || (b == 0 && at > 0) {
                 break;
             }
             n |= part << at;
-            if b & MORE == 0 {
-                return Ok(n);
+            if b & Self::MORE == 0 {
+                return Ok(Varint(n));
             }
         }
-        Err(binrw::Error::AssertFail { pos: reader.stream_position()?, message: "no whole number of 64 bits".into() })
+        Err(binrw::Error::AssertFail { pos: r.stream_position()?, message: "no whole number of 64 bits".into() })
     }
-
-    #[binrw::writer(writer)]
-    pub fn write(n: &u64) -> BinResult<()> {
-        let mut n = *n;
-        while n >= u64::from(MORE) {
-            (n as u8 | MORE).write(writer)?;
-            n >>= BITS;
+}
+impl BinWrite for Varint {
+    type Args<'a> = ();
+    fn write_options<W: io::Write + io::Seek>(&self, w: &mut W, e: Endian, _: ()) -> BinResult<()> {
+        let mut n = self.0;
+        while n >= u64::from(Self::MORE) {
+            (n as u8 | Self::MORE).write_options(w, e, ())?;
+            n >>= Self::BITS;
         }
-        (n as u8).write(writer)
+        (n as u8).write_options(w, e, ())
     }
 }
 
--- a/wire-messages/src/fields/tests.rs
+++ b/wire-messages/src/fields/tests.rs
@@ -1,15 +1,17 @@
 use std::io::Cursor;
 
-use super::varint;
+use binrw::{BinRead, BinWrite};
+
+use super::Varint;
 use crate::*;
 
 fn written(n: u64) -> Vec<u8> {
     let mut c = Cursor::new(vec![]);
-    varint::write(&n, &mut c, binrw::Endian::Big, ()).unwrap();
+    Varint(n).write_be(&mut c).unwrap();
     c.into_inner()
 }
 fn read(b: &[u8]) -> Option<u64> {
-    varint::read(&mut Cursor::new(b), binrw::Endian::Big, ()).ok()
+    Varint::read_be(&mut Cursor::new(b)).ok().map(|v| v.0)
 }
 
 #[test]
@@ -47,7 +49,6 @@
 
 #[test]
 fn a_length_over_its_limit_is_refused_before_anything_is_read_for_it() {
-    use binrw::{BinRead, BinWrite};
     let refused = |e: binrw::Error| e.to_string().contains("over its limit");
     for n in [MAX_NAME + 1, MAX_LIST + 1, MAX_FRAME + 1, usize::MAX] {
         let mut b = written(n as u64);
--- a/wire-messages/src/lib.rs
+++ b/wire-messages/src/lib.rs
@@ -5,7 +5,7 @@
 mod frame;
 mod messages;
 
-use fields::varint;
+use fields::Varint;
 pub use fields::{Blob, List, Name};
 pub use frame::{FrameFault, decode, encode, read_length};
 pub use messages::*;
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -2,16 +2,16 @@
 
 use binrw::binrw;
 
-use crate::{Blob, List, Name, varint};
+use crate::{Blob, List, Name, Varint};
 
-/// Parts that stand inside messages. Numbers `as varint` are small most of the time.
+/// Parts that stand inside messages. Numbers `as Varint` are small most of the time.
 macro_rules! parts {
     ($($(#[$d:meta])* $n:ident { $($f:ident: $t:ty $(as $how:ident)?),* $(,)? })*) => { $(
         $(#[$d])*
         #[binrw]
         #[brw(big)]
         #[derive(Clone, Debug, Default, PartialEq, Eq)]
-        pub struct $n { $($(#[br(parse_with = $how::read)] #[bw(write_with = $how::write)])? pub $f: $t),* }
+        pub struct $n { $($(#[br(map = |v: $how| v.0)] #[bw(map = |n: &$t| $how(*n))])? pub $f: $t),* }
     )* };
 }
 
@@ -52,7 +52,7 @@
     /// Cumulative counts since the proxy's start; `new_` ones are of its last half minute, for a daemon that
     /// hears this proxy for the first time. `firsts`: first pieces, `first_log`: the sum of their times' logarithms;
     /// `failed_on`: bits of the replicas that failed.
-    Tally { service: Name, version: Name, lane: Name, warm: u8, group: u8, sent: u64 as varint, ok: u64 as varint, failed: u64 as varint, slow: u64 as varint, firsts: u64 as varint, first_log: u64 as varint, failed_on: u64 as varint, new_ended: u64 as varint, new_failed: u64 as varint, new_slow: u64 as varint }
+    Tally { service: Name, version: Name, lane: Name, warm: u8, group: u8, sent: u64 as Varint, ok: u64 as Varint, failed: u64 as Varint, slow: u64 as Varint, firsts: u64 as Varint, first_log: u64 as Varint, failed_on: u64 as Varint, new_ended: u64 as Varint, new_failed: u64 as Varint, new_slow: u64 as Varint }
     /// Streams a proxy still has open on a replica's version.
     Open { replica: Name, version: Name, streams: u32 }
     /// A voter: its name, its disk, where it answers and stands, and the member epoch since which it has its place.
@@ -96,7 +96,7 @@
     /// `news`: `seen` is new, else it is as the daemon last heard it. Tallies and opens are those that
     /// changed after the agent's `since`th count, up to its `count`th; all of them after none. Tallies are of the services in
     /// the daemon's `choice`th list of those that it counts.
-    20u8 Poll { node: Node, life: u64, sent: u64 as varint, run: u64, after: u64 as varint, since: u64 as varint, count: u64 as varint, choice: u32, tallies: List<Tally>, opens: List<Open>, news: u8, seen: List<Change> }
+    20u8 Poll { node: Node, life: u64, sent: u64 as Varint, run: u64, after: u64 as Varint, since: u64 as Varint, count: u64 as Varint, choice: u32, tallies: List<Tally>, opens: List<Open>, news: u8, seen: List<Change> }
     /// `full`: a frame of all keys, not a piece of the feed. `count`: up to which of the agent's counts the sender has them.
     /// `counts`: the services whose tallies the sender keeps, its `choice`th list of them.
     21u8 News { sent: u64, run: u64, upto: u64, count: u64, choice: u32, counts: List<Name>, full: u8, settled: u8, voters: u32, changes: List<Change>, permits: List<Permit> }
