--- a/fleet-simulator/tests/never.rs
+++ b/fleet-simulator/tests/never.rs
@@ -92,6 +92,10 @@
         ("dentaplan", "placed_faults", 52),
         ("registry", "placed_faults", 26),
         ("registry", "placed_faults", 45),
+        ("registry", "engine_grey", 88),
+        ("registry", "engine_grey", 104),
+        ("dentaplan", "engine_grey", 51),
+        ("dentaplan", "engine_grey", 54),
     ];
     expect_that!(failing(cases), is_empty());
 }
