--- a/coordination/tests/rollout_placed.rs
+++ b/coordination/tests/rollout_placed.rs
@@ -703,6 +703,31 @@
     }
 }
 
+#[gtest]
+fn a_holder_that_has_just_started_judges_by_what_edges_tell_of_the_last_half_minute() {
+    for at in [13_500, 24_300, 28_200] {
+        let mut f = fleet(18, 200.0, 12, None, 1);
+        f.run(at);
+        (f.b.l, f.mute) = (Loop::new(at), true);
+        let tally = |version: &str, failed: u64, failed_on: u64| Tally {
+            service: "s".into(),
+            version: version.into(),
+            lane: "often".into(),
+            sent: 600,
+            ok: 600 - failed,
+            failed,
+            failed_on,
+            new_ended: 200,
+            new_failed: failed,
+            ..Tally::default()
+        };
+        // On several replicas: what comes in one word is no crash for that.
+        f.b.l.health.feed(&"e".into(), 1, &[tally("v1", 0, 0), tally("v2", 40, 0b1011)]);
+        f.run(at + 2 * PASS);
+        expect_that!(f.b.r.phase, eq(RolloutPhase::Reverting), "{at}: {}", told(&f));
+    }
+}
+
 #[gtest]
 fn holders_that_die_again_and_again_cost_no_bound() {
     for (every, per_s) in [(1_700, 200.0), (3_100, 200.0), (3_100, 60.0), (5_300, 30.0), (9_000, 30.0)] {
