Let a new holder of a rollout judge by what edges told of the last half minute

Now the first word's failures bear the replicas that failed, and neither step forgets what a canary under way has shown. Ruled out: nothing; the thresholds of the verdict are untouched.

--- a/coordination/src/health.rs
+++ b/coordination/src/health.rs
@@ -131,7 +131,9 @@
             }
             old.last.insert((n, t.group), c);
             let (ended, failed, slow) = (t.new_ended, t.new_failed, t.new_slow);
-            let recent = Counts { sent: ended, ended, failed, slow, ..Counts::default() };
+            // Which replicas failed is told since the edge's start only; without them what comes in one word is one crash.
+            let failed_on = if failed > 0 { t.failed_on } else { 0 };
+            let recent = Counts { sent: ended, ended, failed, slow, failed_on, ..Counts::default() };
             let d = if first { recent } else { c.minus(before) };
             if d != Counts::default() {
                 let (s, f) = (&mut self.sums[n as usize], self.fresh.entry(n).or_default());
--- a/coordination/src/rollout/placed.rs
+++ b/coordination/src/rollout/placed.rs
@@ -147,7 +147,8 @@
         if old.is_some_and(|o| o.plan == n) {
             return;
         }
-        if old.is_none_or(|o| o.target != p.target) {
+        // A process that has just started was told of the last half minute, which is of the order's own replicas.
+        if fresh && old.is_none_or(|o| o.target != p.target) {
             self.health.restart(now);
         }
         self.placed.taken = Some(Taken::new(n, p, &self.health, fresh, now, wall));
@@ -347,7 +348,10 @@
         if self.canary_at.is_none() {
             // Canary and baseline start in the same record, so that they meet the same traffic.
             (self.canary_at, self.placed.step_at) = (Some(now), now);
-            self.health.restart(now);
+            // A canary that the last holder began goes on, and with it what it showed.
+            if share(s.before, &s.target) == 0 {
+                self.health.restart(now);
+            }
         }
         let warm = !picks.iter().any(|id| s.cold.contains(id.as_str()));
         self.placed.even = warm.then(|| self.placed.even.unwrap_or(now));
