Give old orders no clear answer, fence unconditional ones, and catch up in storms

Causes, found by review and each seen by a test before its mend: - An order older than the 128 remembered changes was refused with a conflict, though it may have been accepted. Such an order now carries the version that stood when it came, and is renewed for 700 ms at most on what another order left.

Codes of peers' states, comparisons and ends become types on the wire. The data folder's layout is 5; digests of a former one are left out, as they tell no release.

--- a/control-daemon/src/disk.rs
+++ b/control-daemon/src/disk.rs
@@ -15,13 +15,17 @@
 use error_stack::{Report, ResultExt};
 use rusqlite::{Connection, OpenFlags, OptionalExtension, params};
 use tokio::sync::oneshot;
-use wire_messages::{Blob, List, Slot};
+use wire_messages::{Blob, List, Replaced, Slot};
 
 /// The file under the data folder.
 const FILE: &str = "control.sqlite";
 /// Version of the database's layout. Layout 1 was written without a number and is the same; a newer one is not
 /// touched, as a daemon that guesses could lose what it confirmed.
-const LAYOUT: i64 = 4;
+const LAYOUT: i64 = 5;
+/// The first layout whose replaced values are told with their releases. What a former one holds of them says too little.
+const LAYOUT_OF_RELEASES: i64 = 5;
+/// Bytes of a replaced value, as stored: its release and its digest.
+const REPLACED_BYTES: usize = 24;
 
 /// The files beside the database, in the order in which they outrank it: what they hold is taken over into it.
 const BESIDE: [&str; 2] = ["-journal", "-wal"];
@@ -217,6 +221,9 @@
                 .change_context_lazy(step("take a former layout over"))?;
         }
     }
+    if found < LAYOUT_OF_RELEASES {
+        c.execute_batch("UPDATE slots SET past = x''").change_context_lazy(step("take a former layout over"))?;
+    }
     c.pragma_update(None, "user_version", LAYOUT).change_context_lazy(step("write the layout"))?;
     let sound: String = c.query_row("PRAGMA quick_check", [], |r| r.get(0)).change_context_lazy(step("check the database"))?;
     if sound != "ok" {
@@ -265,7 +272,7 @@
             version: r.get(3)?,
             committed: r.get(4)?,
             value: Blob(r.get(5)?),
-            past: digests(&r.get::<_, Vec<u8>>(6)?),
+            past: replaced_of_bytes(&r.get::<_, Vec<u8>>(6)?),
         })
     })?;
     for s in slots {
@@ -274,10 +281,19 @@
     Ok(rows)
 }
 
-/// Digests as they are stored, one behind the other.
-fn digests(b: &[u8]) -> List<u64> {
-    let (all, _) = b.as_chunks();
-    List(all.iter().map(|d| u64::from_be_bytes(*d)).collect())
+/// Replaced values as they are stored, one behind the other.
+fn replaced_of_bytes(b: &[u8]) -> List<Replaced> {
+    let (all, _) = b.as_chunks::<REPLACED_BYTES>();
+    let one = |bytes: &[u8; REPLACED_BYTES]| {
+        let (mut release, mut digest) = ([0; 8], [0; 16]);
+        release.copy_from_slice(&bytes[..8]);
+        digest.copy_from_slice(&bytes[8..]);
+        Replaced { release: u64::from_be_bytes(release), digest: u128::from_be_bytes(digest) }
+    };
+    List(all.iter().map(one).collect())
+}
+fn replaced_to_bytes(all: &[Replaced]) -> Vec<u8> {
+    all.iter().flat_map(|r| r.release.to_be_bytes().into_iter().chain(r.digest.to_be_bytes())).collect()
 }
 
 fn write(c: &mut Connection, rows: &[Row]) -> rusqlite::Result<()> {
@@ -287,7 +303,7 @@
             Row::Slot(s) => {
                 let sql = "INSERT OR REPLACE INTO slots (key, promised, epoch, version, committed, value, past)
                     VALUES (?1, ?2, ?3, ?4, ?5, ?6, ?7)";
-                let past: Vec<u8> = s.past.iter().flat_map(|d| d.to_be_bytes()).collect();
+                let past = replaced_to_bytes(&s.past);
                 let row = params![s.key.0, s.promised, s.epoch, s.version, s.committed, s.value.0, past];
                 t.prepare_cached(sql)?.execute(row)?;
             }
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -11,8 +11,8 @@
     PlatformReplica, ReleasePlan, ReplicaReport, RolloutRecord, ServiceMode, Spec, Status, ZoneState, ZoneStreams,
 };
 use wire_messages::{
-    Beat, Blob, Change, Demand, Forward, Forwarded, Genesis, List, Msg, Name, News, Node, Permit, Poll, Slots, SlotsAsk, Tally,
-    Voter,
+    Beat, Blob, Change, Compare, Demand, Forward, ForwardEnd, Forwarded, Genesis, List, Msg, Name, News, Node, PeerState, Permit,
+    Poll, Slots, SlotsAsk, Tally, Voter,
 };
 
 use crate::{
@@ -24,9 +24,9 @@
     events,
     health::Health,
     limits::{
-        ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET, LIST_CALM,
-        LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE, PEER_GONE, PUSH_TAKES, PUSHED_TO,
-        READING, STANDING_EVERY, STOOD_STILL, WAKES_FOR,
+        ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DIFFERS_LONG, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET,
+        LIST_CALM, LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE, ORDER_RENEWED, PEER_GONE,
+        PUSH_TAKES, PUSHED_TO, READING, STANDING_EVERY, STOOD_STILL, WAKES_FOR,
     },
     members as seats,
     membership::{CONTROL, EDGE, Membership},
@@ -51,7 +51,7 @@
 pub use back_ends::calls_share;
 use contexts::ContextDuty;
 use feed::Fed;
-use writes::Passed;
+use writes::{Order, Passed};
 
 /// Key of the operator's spec.
 pub const SPEC: &str = "spec";
@@ -64,30 +64,9 @@
 /// Key of the kill switch.
 pub const KILL: &str = "kill-switch";
 
-/// How a beat's sender stands: it votes, has a blank disk, has not caught up, is going, or has a blank disk and
-/// takes part in the founding; or it has no place among the voters, as an empty machine that has just come or as one
-/// that stands by.
-const VOTES: u8 = 0;
-const BLANK: u8 = 1;
-const BEHIND: u8 = 2;
-const GOING: u8 = 3;
-const FOUNDING: u8 = 4;
-const NEW: u8 = 5;
-const STANDS_BY: u8 = 6;
-
 /// Tokens of writes that nobody waits for.
 const NOBODY: u64 = 0;
 
-/// A write was passed on to a daemon that does not come first for its key, as on the wire; and to one that offered it to
-/// disks and then lost the key.
-const NOT_OWNER: u8 = 4;
-const DEPOSED: u8 = 5;
-/// What a write that was passed on is compared with, as on the wire.
-const BY_VERSION: u8 = 0;
-const BY_NOTHING: u8 = 1;
-const BY_RELEASE: u8 = 2;
-const READS: u8 = 3;
-
 #[derive(Clone, Debug)]
 pub struct ControlParams {
     pub name: Name,
@@ -114,6 +93,16 @@
     addr: Name,
 }
 
+/// A peer holds something else than this daemon does.
+#[derive(Clone, Copy, Debug)]
+struct Difference {
+    /// Its digest and this daemon's own, as they last differed. News on its way differs once only.
+    digests: (u64, u64),
+    /// Since when they have differed without a break, or were last compared: where what both hold keeps changing, no two
+    /// differences are the same, and one of them may lack what changed before.
+    since: Ms,
+}
+
 /// What an agent last said.
 #[derive(Clone, Debug)]
 struct Agent {
@@ -156,6 +145,8 @@
     feed: BTreeMap<Name, Fed>,
     peers: BTreeMap<Name, Peer>,
     agents: BTreeMap<Name, Agent>,
+    /// Orders that are compared with nothing, by the token under which they came.
+    orders: BTreeMap<u64, Order>,
     /// Writes passed on, by the token they went under.
     passed: BTreeMap<u64, Passed>,
     /// Writes that an owner may have taken before they went to another, and as which version, where that is known.
@@ -169,8 +160,8 @@
     met: BTreeSet<Name>,
     /// When each disk was last heard of.
     heard: BTreeMap<u64, Ms>,
-    /// By peer: its digest and this daemon's own, as they last differed. News on its way differs once only.
-    differed: BTreeMap<Name, (u64, u64)>,
+    /// By peer whose digest differs from this daemon's own.
+    differed: BTreeMap<Name, Difference>,
     caught: BTreeSet<Name>,
     loops: BTreeMap<String, Loop>,
     /// Records and plans on the board, by service; plans with their versions.
@@ -246,6 +237,7 @@
             feed: BTreeMap::new(),
             peers: BTreeMap::new(),
             agents: BTreeMap::new(),
+            orders: BTreeMap::new(),
             passed: BTreeMap::new(),
             doubtful: BTreeMap::new(),
             foreign: BTreeMap::new(),
@@ -348,11 +340,14 @@
         self.follow_members(&mut out);
         self.take_moved(now, &mut out);
         self.publish(now, &mut out);
-        let routed = out.into_iter().filter_map(|e| match e {
-            Effect::Answer { token, outcome } => self.route(token, outcome),
-            e => Some(e),
-        });
-        routed.collect()
+        let mut done = Effects::new();
+        for e in out {
+            match e {
+                Effect::Answer { token, outcome } => self.route(token, outcome, now, &mut done),
+                e => done.push(e),
+            }
+        }
+        done
     }
 
     pub fn tick(&mut self, now: Ms) -> Effects {
@@ -389,6 +384,7 @@
         self.mend_seats(now, &live, &mut out);
         self.watch_loops(now, &live, &mut out);
         self.taken.retain(|_, t| now.saturating_sub(*t) < 2 * FORWARD_LIMIT);
+        self.orders.retain(|_, o| o.is_awaited(now));
         self.pass_again(now, &mut out);
         let need = self.regs.voters.len() / 2;
         let was = self.settled;
@@ -424,17 +420,17 @@
             return;
         }
         self.next_beat = now + BEAT_EVERY;
-        let blank = match (self.regs.me, self.regs.voting) {
-            _ if self.going => GOING,
-            (0, _) if !self.regs.voters.is_empty() => FOUNDING,
-            (0, _) => BLANK,
-            (_, true) if self.disk_ok => VOTES,
-            _ if self.named() => BEHIND,
-            _ if self.came_blank && now.saturating_sub(self.started) < NEWCOMER => NEW,
-            _ => STANDS_BY,
+        let state = match (self.regs.me, self.regs.voting) {
+            _ if self.going => PeerState::Going,
+            (0, _) if !self.regs.voters.is_empty() => PeerState::Founding,
+            (0, _) => PeerState::Blank,
+            (_, true) if self.disk_ok => PeerState::Votes,
+            _ if self.named() => PeerState::Behind,
+            _ if self.came_blank && now.saturating_sub(self.started) < NEWCOMER => PeerState::New,
+            _ => PeerState::StandsBy,
         };
         let zone = self.p.zone.clone();
-        let b = Beat { me: self.regs.me, disk: self.disk, zone, blank, digest: self.regs.digest() };
+        let b = Beat { me: self.regs.me, disk: self.disk, zone, state, digest: self.regs.digest() };
         let fresh = || self.peers.iter().filter(|(_, p)| now.saturating_sub(p.at) <= NODE_GONE);
         let votes = |n: &Name| self.regs.voters.iter().any(|v| v.name == *n);
         let mut to: BTreeSet<Name> = self.regs.voters.iter().map(|v| self.regs.addr(v)).collect();
--- a/coordination/src/control/voters.rs
+++ b/coordination/src/control/voters.rs
@@ -12,7 +12,9 @@
         let mut names: BTreeSet<Name> = self
             .peers
             .iter()
-            .filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE && p.beat.blank == VOTES && p.beat.me == self.regs.me)
+            .filter(|(_, p)| {
+                now.saturating_sub(p.at) <= PEER_GONE && p.beat.state == PeerState::Votes && p.beat.me == self.regs.me
+            })
             .map(|(n, _)| n.clone())
             .collect();
         if !self.going && self.disk_ok {
@@ -24,15 +26,16 @@
     pub(super) fn on_beat(&mut self, from: &Name, addr: &Name, m: Beat, now: Ms, out: &mut Effects) {
         self.regs.set_addr(from, addr);
         self.heard.insert(m.disk, now);
-        let blank = m.blank == BLANK || m.blank == FOUNDING;
+        let blank = matches!(m.state, PeerState::Blank | PeerState::Founding);
         let same = m.digest == self.regs.digest();
-        if m.blank == VOTES && m.me == self.regs.me && same {
+        if m.state == PeerState::Votes && m.me == self.regs.me && same {
             self.met.insert(from.clone());
         }
-        let pair = (m.digest, self.regs.digest());
-        // What is on its way to either differs in one beat; what was missed differs in the next one too.
-        let missed = !same && (!self.met.contains(from) || self.differed.insert(from.clone(), pair) == Some(pair));
-        let behind = m.me > self.regs.me || (m.blank == VOTES && missed);
+        let missed = !same && (!self.met.contains(from) || self.still_differs(from, m.digest, now));
+        if same {
+            self.differed.remove(from);
+        }
+        let behind = m.me > self.regs.me || (m.state == PeerState::Votes && missed);
         if behind && !blank && now >= self.next_ask {
             self.next_ask = now + BEAT_EVERY / 4;
             out.push(send(addr, SlotsAsk { me: self.regs.me, have: self.regs.have() }));
@@ -48,6 +51,20 @@
         self.peers.insert(from.clone(), Peer { at: now, beat: m, addr: addr.clone() });
     }
 
+    /// Whether a peer that holds something else than this daemon will not be mended by what is on its way to either: that
+    /// differs in one beat, while what was missed differs in the next one too, or for long.
+    fn still_differs(&mut self, from: &Name, theirs: u64, now: Ms) -> bool {
+        let digests = (theirs, self.regs.digest());
+        let Some(d) = self.differed.get_mut(from) else {
+            self.differed.insert(from.clone(), Difference { digests, since: now });
+            return false;
+        };
+        let long = now.saturating_sub(d.since) >= DIFFERS_LONG;
+        let missed = d.digests == digests || long;
+        *d = Difference { digests, since: if long { now } else { d.since } };
+        missed
+    }
+
     /// Tells its slots, once all that it has voted is on its disk: an earlier member epoch must not come back here
     /// after a newcomer has counted on it to be over.
     pub(super) fn on_slots_ask(&mut self, addr: &Name, m: SlotsAsk, now: Ms, out: &mut Effects) {
@@ -160,16 +177,19 @@
         let votes = |v: &Voter| v.name == self.p.name || live(&v.name);
         let me = self.regs.me;
         // A newcomer is still reading: another change would have it begin anew.
-        let reads = |p: &Peer| p.beat.blank == BEHIND && self.regs.voters.iter().any(|v| v.disk == p.beat.disk && v.since == me);
+        let reads = |p: &Peer| {
+            p.beat.state == PeerState::Behind && self.regs.voters.iter().any(|v| v.disk == p.beat.disk && v.since == me)
+        };
         if now.saturating_sub(self.changed) < READING && fresh().any(|(_, p)| reads(p)) {
             return;
         }
         let free = |p: &Peer| {
-            matches!(p.beat.blank, BLANK | FOUNDING | NEW | STANDS_BY) && !self.regs.voters.iter().any(|v| v.disk == p.beat.disk)
+            matches!(p.beat.state, PeerState::Blank | PeerState::Founding | PeerState::New | PeerState::StandsBy)
+                && !self.regs.voters.iter().any(|v| v.disk == p.beat.disk)
         };
         let candidates = fresh().filter(|(_, p)| free(p)).map(|(n, p)| {
             let v = Voter { name: n.clone(), disk: p.beat.disk, addr: p.addr.clone(), zone: p.beat.zone.clone(), since: me + 1 };
-            (v, p.beat.blank != STANDS_BY)
+            (v, p.beat.state != PeerState::StandsBy)
         });
         let silent = |v: &Voter| match v.disk == self.disk {
             true => 0,
@@ -229,16 +249,16 @@
             zone: p.beat.zone.clone(),
             since: 1,
         };
-        let (own, places, state): (&Name, Vec<&Name>, u8) = match self.p.members.is_empty() {
-            false => (&self.p.name, self.p.members.iter().collect(), BLANK),
-            true => (&self.p.addr, self.regs.voters.iter().map(|v| &v.addr).collect(), FOUNDING),
+        let (own, places, state): (&Name, Vec<&Name>, PeerState) = match self.p.members.is_empty() {
+            false => (&self.p.name, self.p.members.iter().collect(), PeerState::Blank),
+            true => (&self.p.addr, self.regs.voters.iter().map(|v| &v.addr).collect(), PeerState::Founding),
         };
         if places.iter().min() != Some(&own) {
             return None;
         }
         let named = !self.p.members.is_empty();
         let others = places.iter().filter(|p| **p != own).map(|place| {
-            let here = fresh.iter().find(|(n, p)| p.beat.blank == state && if named { n == place } else { p.addr == **place });
+            let here = fresh.iter().find(|(n, p)| p.beat.state == state && if named { n == place } else { p.addr == **place });
             here.map(voter)
         });
         let mut voters = others.collect::<Option<Vec<_>>>()?;
--- a/coordination/src/control/writes.rs
+++ b/coordination/src/control/writes.rs
@@ -2,6 +2,22 @@
 
 use super::*;
 
+/// An order that is compared with nothing, as it came to this daemon.
+#[derive(Clone, Debug)]
+pub(super) struct Order {
+    key: Name,
+    value: Blob,
+    /// Until when it is tried again on what another order left.
+    renewed_until: Ms,
+}
+
+impl Order {
+    /// Whether an answer to it may still come.
+    pub(super) fn is_awaited(&self, now: Ms) -> bool {
+        now < self.renewed_until + 2 * FORWARD_LIMIT
+    }
+}
+
 /// A write or a reading that went to the key's owner.
 #[derive(Clone, Debug)]
 pub(super) struct Passed {
@@ -45,16 +61,45 @@
         now < self.wakes
     }
 
+    /// Whether this daemon stood still until just now: an order that it reads may have waited for long.
+    pub fn stood_still(&mut self, now: Ms) -> bool {
+        self.woke(now)
+    }
+
     /// Takes a write, or a reading where nothing is expected, to the key's owner.
     fn offer(&mut self, token: u64, key: &Name, expect: Option<Expect>, value: Blob, now: Ms, out: &mut Effects) {
-        if self.woke(now) && expect == Some(Expect::Any) {
-            let outcome = WriteOutcome::NotAccepted("this daemon stood still until just now; ask again");
-            return out.push(Effect::Answer { token, outcome });
-        }
+        let expect = match expect {
+            Some(Expect::Any) if self.woke(now) => {
+                let outcome = WriteOutcome::NotAccepted("this daemon stood still until just now; ask again");
+                return out.push(Effect::Answer { token, outcome });
+            }
+            // Wherever it is held up from here on, it does not undo what came after it.
+            Some(Expect::Any) => {
+                let order = Order { key: key.clone(), value: value.clone(), renewed_until: now + ORDER_RENEWED };
+                self.orders.insert(token, order);
+                Some(Expect::Since(self.board.get(key).map_or(0, |c| c.version)))
+            }
+            e => e,
+        };
         let p = Passed { token, key: key.clone(), expect, value, to: Name::default(), until: now + FORWARD_LIMIT, again: None };
         self.pass(p, now, out);
     }
 
+    /// An order whose expectation another order overtook is tried again on what that one left, as long as its sender
+    /// waits here. Gives the outcome to tell where it is not.
+    pub(super) fn renew_order(&mut self, token: u64, outcome: WriteOutcome, now: Ms, out: &mut Effects) -> Option<WriteOutcome> {
+        let Some(order) = self.orders.remove(&token) else { return Some(outcome) };
+        let WriteOutcome::Conflict(version) = outcome else { return Some(outcome) };
+        if now >= order.renewed_until || self.woke(now) {
+            return Some(WriteOutcome::NotAccepted("other orders came first; ask again"));
+        }
+        let (key, value, expect) = (order.key.clone(), order.value.clone(), Some(Expect::Since(version)));
+        self.orders.insert(token, order);
+        let p = Passed { token, key, expect, value, to: Name::default(), until: now + FORWARD_LIMIT, again: None };
+        self.pass(p, now, out);
+        None
+    }
+
     fn pass(&mut self, mut p: Passed, now: Ms, out: &mut Effects) {
         let live = self.live(now);
         let Some(v) = self.regs.first(&p.key, &live) else {
@@ -67,15 +112,16 @@
                 None => self.regs.read(p.token, &p.key, now, out),
             };
         }
-        let (mode, expect) = match p.expect {
-            Some(Expect::Version(v)) => (BY_VERSION, v),
-            Some(Expect::Any) => (BY_NOTHING, 0),
-            Some(Expect::Release(r)) => (BY_RELEASE, r),
-            None => (READS, 0),
+        let (compare, expect) = match p.expect {
+            Some(Expect::Version(v)) => (Compare::Version, v),
+            Some(Expect::Since(v)) => (Compare::Since, v),
+            Some(Expect::Release(r)) => (Compare::Release, r),
+            // What is compared with nothing became `Since` where it came in.
+            Some(Expect::Any) | None => (Compare::Read, 0),
         };
         // Each going has its own token, as an owner takes none twice.
         self.token += 1;
-        let m = Forward { token: self.token, key: p.key.clone(), expect, mode, value: p.value.clone() };
+        let m = Forward { token: self.token, key: p.key.clone(), expect, compare, value: p.value.clone() };
         out.push(send(&self.regs.addr(v), m));
         p.to = v.name.clone();
         self.passed.insert(self.token, p);
@@ -85,8 +131,8 @@
     pub(super) fn take_moved(&mut self, now: Ms, out: &mut Effects) {
         for m in std::mem::take(&mut self.regs.moved) {
             if let Some((to, token)) = self.foreign.remove(&m.token) {
-                let (code, version) = m.offered.map_or((NOT_OWNER, 0), |v| (DEPOSED, v));
-                out.push(send(&to, Forwarded { token, code, version, why: Name::default() }));
+                let (end, version) = m.offered.map_or((ForwardEnd::NotOwner, 0), |v| (ForwardEnd::Deposed, v));
+                out.push(send(&to, Forwarded { token, end, version, why: Name::default() }));
                 continue;
             }
             // A record is worked out anew by whoever holds its duty.
@@ -132,7 +178,11 @@
             if p.again.take().is_none()
                 && let Some(e) = p.expect
             {
-                self.doubt(p.token, if let Expect::Version(v) = e { Some(v + 1) } else { None });
+                let offered = match e {
+                    Expect::Version(v) | Expect::Since(v) => Some(v + 1),
+                    Expect::Any | Expect::Release(_) => None,
+                };
+                self.doubt(p.token, offered);
             }
             if p.until <= now {
                 out.push(Effect::Answer { token: p.token, outcome: WriteOutcome::Unknown });
@@ -143,9 +193,10 @@
     }
 
     pub(super) fn on_forward(&mut self, from: &Name, m: Forward, now: Ms, out: &mut Effects) {
-        if self.woke(now) && m.mode == BY_NOTHING {
-            let why = "the daemon asked stood still until just now".into();
-            return out.push(send(from, Forwarded { token: m.token, code: NOT_OWNER, version: 0, why }));
+        let not_owner =
+            |why: &str| send(from, Forwarded { token: m.token, end: ForwardEnd::NotOwner, version: 0, why: why.into() });
+        if self.woke(now) && m.compare == Compare::Since {
+            return out.push(not_owner("the daemon asked stood still until just now"));
         }
         // The second copy would lose against the first, and its asker be told of a conflict with itself.
         if self.taken.insert((from.clone(), m.token), now).is_some() {
@@ -155,26 +206,24 @@
         let mine = self.regs.first(&m.key, &live).is_some_and(|v| v.name == self.p.name);
         // Passing on a second time could go in circles; the asker looks again instead.
         if !mine {
-            let why = "the daemon asked does not come first for this key".into();
-            out.push(send(from, Forwarded { token: m.token, code: NOT_OWNER, version: 0, why }));
-            return;
+            return out.push(not_owner("the daemon asked does not come first for this key"));
         }
         self.token += 1;
         self.foreign.insert(self.token, (from.clone(), m.token));
-        let e = match m.mode {
-            READS => return self.regs.read(self.token, &m.key, now, out),
-            BY_VERSION => Expect::Version(m.expect),
-            BY_RELEASE => Expect::Release(m.expect),
-            _ => Expect::Any,
+        let e = match m.compare {
+            Compare::Read => return self.regs.read(self.token, &m.key, now, out),
+            Compare::Version => Expect::Version(m.expect),
+            Compare::Since => Expect::Since(m.expect),
+            Compare::Release => Expect::Release(m.expect),
         };
         self.regs.propose(self.token, &m.key, e, m.value, now, out);
     }
 
     /// Routes answers of this daemon's own registers to whoever asked.
-    pub(super) fn route(&mut self, token: u64, outcome: WriteOutcome) -> Option<Effect> {
+    pub(super) fn route(&mut self, token: u64, outcome: WriteOutcome, now: Ms, out: &mut Effects) {
         self.writing.remove(&token);
         if token == NOBODY {
-            return None;
+            return;
         }
         let outcome = match (self.doubtful.remove(&token), outcome) {
             // Another value stands under its very version: it never will.
@@ -183,33 +232,37 @@
             _ => outcome,
         };
         let Some((to, theirs)) = self.foreign.remove(&token) else {
-            return Some(Effect::Answer { token, outcome });
+            let told = self.renew_order(token, outcome, now, out);
+            out.extend(told.map(|outcome| Effect::Answer { token, outcome }));
+            return;
         };
-        let (code, version, why) = match outcome {
-            WriteOutcome::Accepted(v) => (0, v, ""),
-            WriteOutcome::Conflict(v) => (1, v, ""),
-            WriteOutcome::NotAccepted(w) => (2, 0, w),
-            WriteOutcome::Unknown => (3, 0, ""),
+        let (end, version, why) = match outcome {
+            WriteOutcome::Accepted(v) => (ForwardEnd::Accepted, v, ""),
+            WriteOutcome::Conflict(v) => (ForwardEnd::Conflict, v, ""),
+            WriteOutcome::NotAccepted(w) => (ForwardEnd::NotAccepted, 0, w),
+            WriteOutcome::Unknown => (ForwardEnd::Unknown, 0, ""),
         };
-        Some(send(&to, Forwarded { token: theirs, code, version, why: why.into() }))
+        out.push(send(&to, Forwarded { token: theirs, end, version, why: why.into() }));
     }
 
     pub(super) fn on_forwarded(&mut self, m: Forwarded, now: Ms, out: &mut Effects) {
         let Some(mut p) = self.passed.remove(&m.token) else { return };
-        if m.code == DEPOSED {
+        if m.end == ForwardEnd::Deposed {
             self.doubt(p.token, Some(m.version));
         }
         // The two daemons do not see the same ones live yet.
-        if matches!(m.code, NOT_OWNER | DEPOSED) && now + BEAT_EVERY < p.until {
+        if matches!(m.end, ForwardEnd::NotOwner | ForwardEnd::Deposed) && now + BEAT_EVERY < p.until {
             p.again = Some(now + BEAT_EVERY);
             self.passed.insert(m.token, p);
             return;
         }
-        let outcome = match m.code {
-            0 => WriteOutcome::Accepted(m.version),
-            1 => WriteOutcome::Conflict(m.version),
-            2 | NOT_OWNER | DEPOSED => WriteOutcome::NotAccepted("the key's owner did not take it; ask again"),
-            _ => WriteOutcome::Unknown,
+        let outcome = match m.end {
+            ForwardEnd::Accepted => WriteOutcome::Accepted(m.version),
+            ForwardEnd::Conflict => WriteOutcome::Conflict(m.version),
+            ForwardEnd::NotAccepted | ForwardEnd::NotOwner | ForwardEnd::Deposed => {
+                WriteOutcome::NotAccepted("the key's owner did not take it; ask again")
+            }
+            ForwardEnd::Unknown => WriteOutcome::Unknown,
         };
         out.push(Effect::Answer { token: p.token, outcome });
     }
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -41,8 +41,14 @@
 pub const STOOD_STILL: Ms = 1_000;
 pub const WAKES_FOR: Ms = 500;
 /// Accepted values of an operator's key whose digests are kept beside the one that replaced them: an order that is
-/// repeated late is known to have stood. 8 bytes each; at the quickest storm that was met, a change each 80 ms, ten seconds.
-pub const PAST_VALUES: usize = 128;
+/// repeated late is known to have stood. Some 18 bytes each; at the quickest storm that was met, a change each 80 ms, it
+/// reaches back twenty seconds, as long as a machine is cut off. What is older gets no clear answer.
+pub const PAST_VALUES: usize = 256;
+/// ms. An order that is compared with nothing is tried again on what another order left, for so long from its coming:
+/// its sender goes to another daemon after a second without an answer, and may then give the opposite order.
+pub const ORDER_RENEWED: Ms = 700;
+/// ms. Two daemons that hold different things for so long compare them, even where what they hold keeps changing.
+pub const DIFFERS_LONG: Ms = 1_000;
 /// ms. A control daemon tells callers of edges only when every agent had three turns to poll it: a short list would
 /// send everybody to a few edges.
 pub const KNOWS_FLEET: Ms = 1_500;
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -7,7 +7,7 @@
     collections::{BTreeMap, BTreeSet, VecDeque},
 };
 
-use wire_messages::{Blob, Change, List, Name, Slot, Voter};
+use wire_messages::{Blob, Change, List, Name, Replaced, Slot, Voter};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -18,6 +18,7 @@
 };
 
 mod owner;
+mod repeats;
 mod seats;
 mod turn;
 mod voter;
@@ -55,6 +56,8 @@
     Version(u64),
     /// A spec of this release of the operator's; 0: none yet.
     Release(u64),
+    /// This version stood when the order was given. The same value is accepted under any version.
+    Since(u64),
 }
 
 impl From<Option<u64>> for Expect {
@@ -76,7 +79,7 @@
 struct Write {
     version: u64,
     value: Blob,
-    past: List<u64>,
+    past: List<Replaced>,
     acks: BTreeSet<Name>,
     token: Option<u64>,
     expect: Expect,
@@ -153,9 +156,10 @@
     pub moved: Vec<Moved>,
     /// Values newly known to be committed, for the feed.
     pub fresh: Vec<Change>,
-    /// How the operator's document is read, and the release last read from it: its version and the release.
+    /// How the operator's document is read.
     pub reader: SpecReader,
-    release: (u64, u64),
+    /// The release last read from each key's value, with that value's epoch and version.
+    releases: BTreeMap<Name, ((u64, u64), u64)>,
 }
 
 impl Registers {
@@ -182,7 +186,7 @@
             moved: Vec::new(),
             fresh: Vec::new(),
             reader: own_spec,
-            release: (0, 0),
+            releases: BTreeMap::new(),
         };
         for row in rows {
             match row {
@@ -273,18 +277,6 @@
         // A majority of voters keeps others out at least until then.
         self.confirmed(o).map_or(0, |t| t + self.permit - PERMIT_MARGIN)
     }
-    /// The release of the standing spec.
-    fn release(&mut self, key: &Name, version: u64) -> u64 {
-        if version == 0 {
-            return 0;
-        }
-        // Documents grow long: each is read once.
-        if self.release.0 != version {
-            let s = self.slots.get(key).and_then(|s| (self.reader)(&s.value.0));
-            self.release = (version, s.map_or(0, |s| s.release));
-        }
-        self.release.1
-    }
     /// The agreed first live voter for a key.
     pub fn first(&self, key: &str, live: &dyn Fn(&str) -> bool) -> Option<&Voter> {
         let seat = seat(key);
--- a/coordination/src/register/owner.rs
+++ b/coordination/src/register/owner.rs
@@ -3,14 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use wire_messages::{Accept, Accepted, Blob, Change, Commit, Held, List, Name, Prepare, Promise, Release, Renew, Renewed, Slot};
-use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Ask, EPOCHS, Expect, Moved, Own, Phase, Registers, Write, change, leased, remembered};
+use super::{Ask, EPOCHS, Expect, Moved, Own, Phase, Registers, Write, change, leased, repeats::Earlier};
 use crate::{
     Effect, Effects, Ms, Row, WriteOutcome,
     effect::{note, send},
     events,
-    limits::{PAST_VALUES, RESEND, WRITES_WAITING},
+    limits::{RESEND, WRITES_WAITING},
 };
 
 impl Write {
@@ -115,73 +114,62 @@
 
     /// Works through what waits for a key, until a write is under way or the voters must be asked first.
     pub(super) fn advance(&mut self, key: &Name, now: Ms, out: &mut Effects) {
-        let me = self.me;
         loop {
             let Some(o) = self.own.get(key).filter(|o| o.write.is_none()) else { return };
             let (Phase::Holding { version }, Some(a)) = (&o.phase, o.waiting.front()) else { return };
-            let (version, epoch, at, expect) = (*version, o.epoch, a.at, a.expect);
-            let fits = match expect {
-                Expect::Any => true,
-                Expect::Version(v) => v == version,
-                Expect::Release(r) => r == self.release(key, version),
-            };
-            let value = self.own.get(key).and_then(|o| o.waiting.front()).and_then(|a| a.value.as_ref());
-            let reads = value.is_none();
-            // An operator that got no clear answer repeats its order, and a daemon a write whose owner went: that it
-            // stands already is what was asked for.
-            let stands = self.slots.get(key).is_some_and(|s| s.version == version && version > 0 && value == Some(&s.value));
-            let repeats = stands && if let Expect::Version(v) = expect { v + 1 == version } else { true };
-            let stood = value.and_then(|v| self.stood(key, version, expect, v));
-            if fits && !reads && !repeats && stood.is_none() {
-                let past = self.past_of_next(key, version);
-                let Some(o) = self.own.get_mut(key) else { return };
-                let Some(Ask { token, value: Some(value), .. }) = o.waiting.pop_front() else { return };
-                let (acks, token) = (BTreeSet::new(), Some(token));
-                let w = Write { version: version + 1, value, past, acks, token, expect, at, sent: now };
-                let (value, past) = (w.value.clone(), w.past.clone());
-                let m = Accept { key: key.clone(), epoch, version: w.version, value, past, me };
-                o.write = Some(w);
-                return self.spread(m, out);
+            let (version, at, expect) = (*version, a.at, a.expect);
+            let repeats = a.value.as_ref().is_some_and(|v| self.stands(key, version, expect, v));
+            let reads = a.value.is_none();
+            if !reads && !repeats && self.fits(key, version, expect) {
+                return self.write_next(key, version, now, out);
             }
             // What stands is told only by an owner that a majority confirmed since it was asked: one that was deposed
             // without having heard of it would tell of an older value.
-            let confirmed = self.own.get(key).and_then(|o| self.confirmed(o));
-            if confirmed.is_none_or(|t| t < at) {
+            let Some(o) = self.own.get(key) else { return };
+            if self.confirmed(o).is_none_or(|t| t < at) {
                 return self.confirm(key, at, now, out);
             }
             let Some(a) = self.own.get_mut(key).and_then(|o| o.waiting.pop_front()) else { return };
-            let outcome = match stood {
-                _ if reads || repeats => WriteOutcome::Accepted(version),
-                Some(v) => WriteOutcome::Accepted(v),
-                None => WriteOutcome::Conflict(version),
+            let outcome = match a.value {
+                Some(v) if !repeats => match self.earlier(key, version, expect, &v) {
+                    Earlier::Accepted(was) => WriteOutcome::Accepted(was),
+                    Earlier::Never => WriteOutcome::Conflict(version),
+                    Earlier::Forgotten => WriteOutcome::Unknown,
+                },
+                _ => WriteOutcome::Accepted(version),
             };
             out.push(Effect::Answer { token: a.token, outcome });
         }
     }
 
-    /// As which version a value stood that has been replaced since. It has lost no race: whoever sends it again did not
-    /// hear that it was accepted. What is compared with nothing is an order of its own each time.
-    fn stood(&self, key: &Name, version: u64, expect: Expect, value: &Blob) -> Option<u64> {
-        // Long documents are not read through where there is nothing to compare with.
-        let past = &self.slots.get(key).filter(|s| s.version == version && !s.past.is_empty() && expect != Expect::Any)?.past;
-        let digest = xxh3_64(&value.0);
-        let back = past.iter().rev().position(|d| *d == digest)? as u64 + 1;
-        let was = version.checked_sub(back)?;
+    /// Whether what a write expects stands.
+    fn fits(&mut self, key: &Name, version: u64, expect: Expect) -> bool {
         match expect {
-            Expect::Any => None,
-            Expect::Version(v) => (v + 1 == was).then_some(was),
-            Expect::Release(_) => Some(was),
+            Expect::Any => true,
+            Expect::Version(v) | Expect::Since(v) => v == version,
+            Expect::Release(r) => self.release(key, version) == Some(r),
         }
     }
-    /// What stood before the version after the one that stands. It goes with the value itself, under the same majority:
-    /// a record of its own could be there without the value, or lack it.
-    fn past_of_next(&self, key: &Name, version: u64) -> List<u64> {
-        let kept = |s: &&Slot| remembered(key) && s.version == version && version > 0;
-        let Some(s) = self.slots.get(key).filter(kept) else { return List::default() };
-        let mut past = s.past.0.clone();
-        past.push(xxh3_64(&s.value.0));
-        past.drain(..past.len().saturating_sub(PAST_VALUES));
-        List(past)
+
+    /// Whether a write's value stands already, as what the write would have made of it. An operator that got no clear
+    /// answer repeats its order, and a daemon a write whose owner went.
+    fn stands(&self, key: &Name, version: u64, expect: Expect, value: &Blob) -> bool {
+        let same = self.slots.get(key).is_some_and(|s| s.version == version && version > 0 && s.value == *value);
+        same && if let Expect::Version(v) = expect { v + 1 == version } else { true }
+    }
+
+    /// Offers the first write that waits to the voters' disks.
+    fn write_next(&mut self, key: &Name, version: u64, now: Ms, out: &mut Effects) {
+        let past = self.past_of_next(key, version);
+        let me = self.me;
+        let Some(o) = self.own.get_mut(key) else { return };
+        let Some(Ask { token, expect, value: Some(value), at }) = o.waiting.pop_front() else { return };
+        let (acks, token) = (BTreeSet::new(), Some(token));
+        let w = Write { version: version + 1, value, past, acks, token, expect, at, sent: now };
+        let (value, past) = (w.value.clone(), w.past.clone());
+        let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value, past, me };
+        o.write = Some(w);
+        self.spread(m, out);
     }
 
     /// Asks the voters whether a key is still this daemon's own.
--- a/coordination/src/register/voter.rs
+++ b/coordination/src/register/voter.rs
@@ -1,6 +1,6 @@
 //! What a voter does with a key: promises, accepts, learns what is committed, and lets a holder keep a duty.
 
-use wire_messages::{Accept, Accepted, Change, List, Name, Prepare, Promise, Release, Renew, Renewed, Slot};
+use wire_messages::{Accept, Accepted, Change, List, Name, Prepare, Promise, Release, Renew, Renewed, Replaced, Slot};
 
 use super::{Registers, change, leased};
 use crate::{Effect, Effects, Ms, Row, effect::send};
@@ -50,7 +50,9 @@
         }
         let s = self.slot(&m.key);
         let mut a = Accepted { key: m.key.clone(), epoch: m.epoch, version: m.version, promised: s.promised, me, ok: 0 };
-        if m.epoch < s.promised {
+        // A value of a later epoch may be known here without a promise: what is not stored is not acknowledged.
+        if m.epoch < s.promised.max(s.epoch) {
+            a.promised = s.promised.max(s.epoch);
             out.push(send(to, a));
             return;
         }
@@ -68,7 +70,7 @@
     }
 
     /// Learns a committed value.
-    pub fn on_commit(&mut self, c: &Change, past: &[u64], out: &mut Effects) {
+    pub fn on_commit(&mut self, c: &Change, past: &[Replaced], out: &mut Effects) {
         self.highest = self.highest.max(c.epoch);
         let s = self.slot(&c.key);
         if (c.epoch, c.version) < (s.epoch, s.version) || (s.epoch, s.version, s.committed) == (c.epoch, c.version, c.version) {
--- a/coordination/tests/operators.rs
+++ b/coordination/tests/operators.rs
@@ -290,3 +290,39 @@
         }
     }
 }
+
+/// A daemon that is cut off has an evacuation on its way to the key's owner and goes on trying; the operator goes to
+/// others, and has taken the evacuation back by the time that the daemon reaches the owner.
+#[gtest]
+fn an_evacuation_that_was_taken_back_does_not_come_back_from_a_daemon_that_was_cut_off() {
+    let on = Order { key: ZONE, expect: Expect::Any, value: b"on".to_vec() };
+    let off = Order { value: b"off".to_vec(), ..on.clone() };
+    let mut late = 0;
+    for seed in 0..150u64 {
+        let mut f = settled(seed);
+        expect_that!(clear(&mut f, &off), some(matches_pattern!(WriteOutcome::Accepted(_))), "seed {seed}");
+        let owner = (0..f.all.len()).find(|i| f.brain(*i).is_some_and(|b| b.regs.holds(ZONE, f.now).is_some()));
+        let others: Vec<usize> = up(&f).into_iter().filter(|i| Some(*i) != owner).collect();
+        let cut = *f.rng.choice(&others).unwrap();
+        let near: Vec<usize> = up(&f).into_iter().filter(|i| *i != cut).collect();
+        let from = f.now;
+        f.cut.insert(fleet::addr(cut));
+        send(&mut f, cut, &on);
+        let ms = f.rng.u64(..300);
+        f.run(ms);
+        for o in [&on, &off] {
+            let at = *f.rng.choice(&near).unwrap();
+            let w = send(&mut f, at, o);
+            expect_that!(end(&mut f, w), some(matches_pattern!(WriteOutcome::Accepted(_))), "seed {seed}");
+        }
+        // It still tries then.
+        late += u64::from(f.now < from + FORWARD_LIMIT);
+        f.cut.clear();
+        f.run(8_000);
+        for i in up(&f) {
+            let value = f.held(i, ZONE).map(|h| String::from_utf8(h.1).unwrap());
+            expect_that!(value.as_deref(), some(eq("off")), "seed {seed}, daemon {i}, {cut} was cut off");
+        }
+    }
+    expect_that!(late, gt(140));
+}
--- a/wire-messages/src/lib.rs
+++ b/wire-messages/src/lib.rs
@@ -12,7 +12,7 @@
 
 /// Version of the messages. It rises with every change to one of them; processes of different versions do not
 /// read each other, so a fleet is upgraded edge by edge and voter by voter (docs/operators.md).
-pub const WIRE: u16 = 11;
+pub const WIRE: u16 = 12;
 /// Largest frame a peer may send, in bytes: the largest document that operators may send, and all other keys.
 pub const MAX_FRAME: usize = 8 << 20;
 /// Largest name, in bytes: names are machine, key and version labels.
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -41,8 +41,10 @@
     Heard { node: u32, beat: u32, age: u16 }
     /// A committed value of a key. `epoch` orders owners, `version` orders values.
     Change { key: Name, epoch: u64, version: u64, value: Blob }
-    /// A voter's whole knowledge of a key. `past`: digests of the accepted values that this one replaced, newest last.
-    Slot { key: Name, promised: u64, epoch: u64, version: u64, committed: u64, value: Blob, past: List<u64> }
+    /// A value that was accepted and then replaced: the release that it told, if it told one, and its digest.
+    Replaced { release: u64 as Varint, digest: u128 }
+    /// A voter's whole knowledge of a key. `past`: the accepted values that this one replaced, newest last.
+    Slot { key: Name, promised: u64, epoch: u64, version: u64, committed: u64, value: Blob, past: List<Replaced> }
     /// What a duty holder lets an edge do for a while: the record it may follow and the canary's share.
     Permit { service: Name, epoch: u64, version: u64, canary_share: u32, ttl: u32 }
     /// A permit as an agent hands it to its proxy: both read the same machine's clock, so it ends at `until`.
@@ -67,22 +69,73 @@
     Held { key: Name, epoch: u64 }
 }
 
+/// How a control daemon stands to the voters.
+#[binrw]
+#[brw(repr = u8)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PeerState {
+    /// It votes.
+    #[default]
+    Votes,
+    /// Its disk is blank.
+    Blank,
+    /// It has a place among the voters and has not caught up.
+    Behind,
+    /// It is about to stop.
+    Going,
+    /// Its disk is blank and it takes part in founding the system.
+    Founding,
+    /// It has no place among the voters: an empty machine that has just come.
+    New,
+    /// It has no place among the voters and follows what is committed.
+    StandsBy,
+}
+
+/// What a forwarded write's `expect` is compared with.
+#[binrw]
+#[brw(repr = u8)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Compare {
+    /// The version that stands.
+    #[default]
+    Version,
+    /// The version that stood when the order was given; a value that stands already is accepted under any version.
+    Since,
+    /// The release of the document that stands.
+    Release,
+    /// Nothing, and nothing is written: the newest version is asked for.
+    Read,
+}
+
+/// What became of a forwarded write or reading.
+#[binrw]
+#[brw(repr = u8)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ForwardEnd {
+    #[default]
+    Accepted,
+    Conflict,
+    NotAccepted,
+    Unknown,
+    /// Not accepted, as the daemon is not the key's owner.
+    NotOwner,
+    /// Offered to disks as the version told, by an owner that then lost the key.
+    Deposed,
+}
+
 messages! {
     /// Liveness between control daemons; also what each has committed, so that a missed commit is mended.
-    1u8 Beat { me: u32, disk: u64, zone: Name, blank: u8, digest: u64 }
+    1u8 Beat { me: u32, disk: u64, zone: Name, state: PeerState, digest: u64 }
     2u8 Prepare { key: Name, epoch: u64, me: u32 }
     3u8 Promise { epoch: u64, me: u32, ok: u8, wait: u32, slot: Slot }
-    4u8 Accept { key: Name, epoch: u64, version: u64, value: Blob, past: List<u64>, me: u32 }
+    4u8 Accept { key: Name, epoch: u64, version: u64, value: Blob, past: List<Replaced>, me: u32 }
     5u8 Accepted { key: Name, epoch: u64, version: u64, promised: u64, me: u32, ok: u8 }
-    6u8 Commit { change: Change, past: List<u64> }
+    6u8 Commit { change: Change, past: List<Replaced> }
     7u8 Renew { keys: List<Held>, sent: u64, me: u32 }
     8u8 Renewed { keys: List<Held>, sent: u64, me: u32 }
-    /// `mode`: what `expect` is compared with; 0 the version that stands, 1 nothing, 2 the release of the standing
-    /// spec, 3 nothing and nothing is written: the newest version is asked for.
-    9u8 Forward { token: u64, key: Name, expect: u64, mode: u8, value: Blob }
-    /// `code`: 0 accepted, 1 conflict, 2 not accepted, 3 unknown, 4 not accepted as the daemon is not the key's owner,
-    /// 5 offered to disks as `version` by an owner that then lost the key.
-    10u8 Forwarded { token: u64, code: u8, version: u64, why: Name }
+    /// A write or a reading on its way to the key's owner. `expect` is compared as `compare` says.
+    9u8 Forward { token: u64, key: Name, expect: u64, compare: Compare, value: Blob }
+    10u8 Forwarded { token: u64, end: ForwardEnd, version: u64, why: Name }
     /// The first voters, offered once while every disk is blank.
     11u8 Genesis { voters: List<Voter> }
     /// A starter or newcomer asks for the slots in which a voter differs from what it has, without their values.
