--- a/control-daemon/src/http.rs
+++ b/control-daemon/src/http.rs
@@ -88,6 +88,7 @@
 }
 
 async fn spec_get(b: Brain) -> Reply {
+    newest(&b, SPEC).await?;
     let (version, spec) = look(&b, |c, _| (c.board().get(SPEC).map_or(0, |c| c.version), c.spec())).await?;
     Ok(HttpResponse::Ok().json(SpecState { version, spec: spec.map(|s| Spec::clone(&s)) }))
 }
@@ -97,16 +98,31 @@
     s.ok_or_else(|| Fault::new("no_spec", "read_spec", "no spec has been accepted yet").retry(1_000).into())
 }
 
+/// Checks that the spec has something of a name. A daemon that may have missed the newest spec says no to nobody.
+async fn require(b: &Brain, what: &str, name: &str, has: impl Fn(&Spec, &str) -> bool) -> Result<(), Answer> {
+    if has(&*spec_of(b).await?, name) {
+        return Ok(());
+    }
+    newest(b, SPEC).await?;
+    if has(&*spec_of(b).await?, name) { Ok(()) } else { Err(unknown(what, name)) }
+}
+
+fn has_service(s: &Spec, name: &str) -> bool {
+    s.services.iter().any(|v| v.name == name)
+}
+
+fn has_zone(s: &Spec, name: &str) -> bool {
+    s.zones.iter().any(|z| z.name == name)
+}
+
 fn unknown(what: &str, name: &str) -> Answer {
     Fault::new("not_found", "check_request", format!("the spec has no {what} {name}")).field(what).into()
 }
 
 async fn plan_put(b: Brain, at: web::Path<String>, q: web::Json<PlanPut>) -> Reply {
     let bad = |f: &str, m: &str| Answer::from(Fault::new("bad_plan", "check_plan", m).field(format!("plan.{f}")));
-    let (s, p) = (spec_of(&b).await?, &q.plan);
-    if !s.services.iter().any(|v| v.name == *at) {
-        return Err(unknown("service", &at));
-    }
+    let p = &q.plan;
+    require(&b, "service", &at, has_service).await?;
     if p.service != *at {
         return Err(bad("service", "is not the service in the path"));
     }
@@ -121,20 +137,16 @@
 }
 
 async fn plan_get(b: Brain, at: web::Path<String>) -> Reply {
-    let s = spec_of(&b).await?;
-    if !s.services.iter().any(|v| v.name == *at) {
-        return Err(unknown("service", &at));
-    }
+    require(&b, "service", &at, has_service).await?;
     let key = format!("{PLAN}{at}");
+    newest(&b, &key).await?;
     let (version, plan) =
         look(&b, move |c, _| (c.board().get(&key).map_or(0, |c| c.version), c.board().read::<ReleasePlan>(&key))).await?;
     Ok(HttpResponse::Ok().json(PlanState { version, plan }))
 }
 
 async fn zone_put(b: Brain, at: web::Path<String>, q: web::Json<ZoneState>) -> Reply {
-    if !spec_of(&b).await?.zones.iter().any(|z| z.name == *at) {
-        return Err(unknown("zone", &at));
-    }
+    require(&b, "zone", &at, has_zone).await?;
     if q.zone != *at {
         return Err(Fault::new("bad_request", "check_request", "is not the zone in the path").field("zone").into());
     }
@@ -151,6 +163,8 @@
             let id = q.id.clone();
             let known = look(&b, move |c, _| c.knows_replica(&id)).await?;
             if !known {
+                // One that is cut off may only not have heard of it.
+                newest(&b, SPEC).await?;
                 return Err(unknown("replica", &q.id));
             }
             write(&b, format!("{LEAVING}{}", q.id), None, &true).await
