--- a/coordination/src/register/tests.rs
+++ b/coordination/src/register/tests.rs
@@ -1,5 +1,5 @@
 use googletest::prelude::*;
-use wire_messages::Msg;
+use wire_messages::{Held, Msg};
 
 use super::*;
 use crate::{Effect, Effects, WriteOutcome, limits::PERMIT};
@@ -353,4 +353,111 @@
     expect_that!((n.release(&"a".into(), 1), n.release(&"a".into(), 2)), eq((None, Some(12))));
 }
 
+/// A vote that was given on a disk which has been lost since must not be counted with those of the voters of now: the
+/// newcomer in its place has read the others, and lacks what was under way.
+#[gtest]
+fn votes_of_another_member_epoch_are_not_counted() {
+    let key: Name = "k".into();
+    // The owner's own vote is there; the second would be a majority.
+    let owner = || {
+        let mut n = voter(0);
+        let mut out = vec![];
+        n.propose(7, &key, None, Blob("value".into()), 1, &mut out);
+        let sends = synced(&mut vec![], out);
+        let own = sends.iter().find(|s| s.0 == name(0)).unwrap().1.clone();
+        let mut out = vec![];
+        if let Msg::Prepare(m) = own {
+            n.on_prepare(&name(0), m, 1, &mut out);
+        }
+        let Msg::Promise(promise) = synced(&mut vec![], out)[0].1.clone() else { unreachable!() };
+        n.on_promise(&name(0), promise.clone(), 1, &mut vec![]);
+        (n, promise)
+    };
+    let holds = |n: &Registers| matches!(n.own.get(&key).map(|o| &o.phase), Some(Phase::Holding { .. }));
+    let (n, promise) = owner();
+    for (me, from, counts) in [(1, 1, true), (0, 1, false), (2, 1, false), (1, 0, false), (1, 9, false)] {
+        let mut n = n.clone();
+        n.on_promise(&name(from), wire_messages::Promise { me, ..promise.clone() }, 1, &mut vec![]);
+        expect_that!(holds(&n), eq(counts), "a promise of member epoch {me} by {from}");
+    }
+    let (mut n, promise) = owner();
+    n.on_promise(&name(1), promise.clone(), 1, &mut vec![]);
+    let ack = |me, epoch, version| wire_messages::Accepted { key: key.clone(), epoch, version, promised: 0, me, ok: 1 };
+    n.on_accepted(&name(0), ack(1, promise.epoch, 1), 1, &mut vec![]);
+    let all = [(1, promise.epoch, 1, 1, true), (0, promise.epoch, 1, 1, false), (2, promise.epoch, 1, 1, false)];
+    let rest = [(1, promise.epoch - 1, 1, 1, false), (1, promise.epoch, 2, 1, false), (1, promise.epoch, 1, 9, false)];
+    for (me, epoch, version, from, counts) in all.into_iter().chain(rest) {
+        let (mut n, mut out) = (n.clone(), vec![]);
+        n.on_accepted(&name(from), ack(me, epoch, version), 1, &mut out);
+        let told = out.iter().any(|e| matches!(e, Effect::Answer { outcome: WriteOutcome::Accepted(1), .. }));
+        expect_that!(told, eq(counts), "version {version} under {epoch} in member epoch {me} by {from}");
+    }
+    // Nor does a voter take part in another member epoch than its own.
+    for me in [0, 2] {
+        let (mut n, mut out) = (voter(1), vec![]);
+        n.on_accept(&name(0), wire_messages::Accept { me, ..accept("k", 5, 1, "value") }, &mut out);
+        n.on_renew(
+            &name(0),
+            wire_messages::Renew { keys: List(vec![Held { key: key.clone(), epoch: 5 }]), sent: 1, me },
+            1,
+            &mut out,
+        );
+        n.on_prepare(&name(0), wire_messages::Prepare { key: key.clone(), epoch: 5, me }, 1, &mut out);
+        let sends = synced(&mut vec![], out);
+        let taken = sends.iter().any(|(_, m)| !matches!(m, Msg::Promise(wire_messages::Promise { ok: 0, .. })));
+        expect_that!(taken, eq(false), "member epoch {me}");
+        expect_that!(n.slots.get(&key).map_or(0, |s| s.epoch), eq(0));
+    }
+}
+
+/// A reading is confirmed by a majority that answered a question asked since it came; whoever has promised another owner
+/// confirms nothing.
+#[gtest]
+fn a_reading_waits_for_a_majority_that_was_asked_since() {
+    let key: Name = "k".into();
+    let mut n = voter(0);
+    n.on_commit(&Change { key: key.clone(), epoch: 5, version: 3, value: Blob("value".into()) }, &[], &mut vec![]);
+    let phase = Phase::Holding { version: 3 };
+    let own = Own {
+        epoch: 7,
+        phase,
+        write: None,
+        waiting: VecDeque::new(),
+        not_before: 0,
+        outbid: false,
+        renewed: BTreeMap::new(),
+        asked: 0,
+    };
+    n.own.insert(key.clone(), own);
+    let mut out = vec![];
+    n.read(9, &key, 100, &mut out);
+    let renewed = |n: &mut Registers, from: usize, epoch, sent, me| {
+        let m = wire_messages::Renewed { keys: List(vec![Held { key: key.clone(), epoch }]), sent, me };
+        let mut out = vec![];
+        n.on_renewed(&name(from), m, 101, &mut out);
+        out.iter().any(|e| matches!(e, Effect::Answer { token: 9, outcome: WriteOutcome::Accepted(3) }))
+    };
+    let mut told = |from, epoch, sent, me| renewed(&mut n, from, epoch, sent, me);
+    expect_that!(told(0, 7, 100, 1), eq(false), "one is no majority");
+    expect_that!(told(1, 7, 99, 1), eq(false), "asked before the reading came");
+    expect_that!(told(1, 6, 100, 1), eq(false), "another ownership");
+    expect_that!(told(1, 7, 100, 2), eq(false), "another member epoch");
+    expect_that!(told(9, 7, 100, 1), eq(false), "no voter");
+    expect_that!(told(2, 7, 100, 1), eq(true));
+    // A voter that has promised another owner says so and keeps no later one out.
+    let mut v = voter(1);
+    v.slot(&key).promised = 8;
+    let mut out = vec![];
+    v.on_renew(
+        &name(0),
+        wire_messages::Renew { keys: List(vec![Held { key: key.clone(), epoch: 7 }]), sent: 100, me: 1 },
+        1,
+        &mut out,
+    );
+    let sends = synced(&mut vec![], out);
+    let denied = sends.iter().any(|(_, m)| matches!(m, Msg::Accepted(a) if a.ok == 0 && a.promised == 8));
+    let confirmed = sends.iter().any(|(_, m)| matches!(m, Msg::Renewed(r) if !r.keys.is_empty()));
+    expect_that!((denied, confirmed), eq((true, false)));
+}
+
 mod explore;
--- a/coordination/tests/fleet/mod.rs
+++ b/coordination/tests/fleet/mod.rs
@@ -40,6 +40,8 @@
 
 /// Decides a message's fate: `false` loses it.
 type Sieve = Box<dyn Fn(&Name, &Name, &Msg) -> bool>;
+/// Changes a message before a daemon of this member epoch reads it.
+type Change = Box<dyn Fn(u32, &mut Msg)>;
 
 pub struct Fleet {
     pub now: Ms,
@@ -50,6 +52,7 @@
     /// Addresses that neither send nor are reached.
     pub cut: BTreeSet<Name>,
     pub sieve: Sieve,
+    pub change: Option<Change>,
     /// Ends of writes, by daemon and token: when, and how.
     pub ends: BTreeMap<(usize, u64), (Ms, WriteOutcome)>,
     /// ms of a message's way, at most.
@@ -81,6 +84,7 @@
             rng: fastrand::Rng::with_seed(seed),
             cut: BTreeSet::new(),
             sieve: Box::new(|_, _, _| true),
+            change: None,
             ends: BTreeMap::new(),
             way: 40,
             tokens: 0,
@@ -220,10 +224,13 @@
             return self.at(ms, ev);
         }
         match ev {
-            Ev::Deliver { to, from, addr, msg } => {
+            Ev::Deliver { to, from, addr, mut msg } => {
                 let Some(i) = self.all.iter().position(|d| d.p.addr == to && d.brain.is_some()) else { return };
                 let now = self.now;
                 let Some(b) = self.all[i].brain.as_mut() else { return };
+                if let Some(change) = &self.change {
+                    change(b.regs.me, &mut msg);
+                }
                 let out = b.on_msg(&from, &addr, *msg, now);
                 self.carry(i, out);
             }
