--- a/control-daemon/src/actor.rs
+++ b/control-daemon/src/actor.rs
@@ -187,7 +187,7 @@
     fn order(&mut self, service: String, epoch: u64, until: Ms, order: Order, ctx: &mut Context<Self>) {
         // The process may have slept between the decision and here.
         if clock::now() >= until {
-            event(events::PERMIT_LAPSED, &service, "an order was dropped");
+            event(events::LEASE_LAPSED, &service, "an order was dropped");
             return;
         }
         let text = format!("{order:?}");
--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -1,10 +1,10 @@
 //! An edge agent's brain: membership, the feeds of the control daemons merged into one board, mending
-//! with neighbours, permits, the rule its proxy serves under, and claims.
+//! with neighbours, leases, the rule its proxy serves under, and claims.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use wire_messages::{
-    Board as BoardMsg, Change, ClaimAsk, ClaimTold, Demand, Digests, Lent, List, Mend, Msg, Name, News, Node, Open, Permit, Poll,
+    Board as BoardMsg, Change, ClaimAsk, ClaimTold, Demand, Digests, Lease, Lent, List, Mend, Msg, Name, News, Node, Open, Poll,
     ProxyHello, Readings, Tally,
 };
 
@@ -15,14 +15,14 @@
     effect::{note, send},
     events,
     limits::{
-        COUNTS_KEPT, HEALTH_WINDOWS, KNOWS_EDGES, MET, MISSED, NODE_GONE, PERMIT, POLL_EVERY, REPAIR_EVERY, RULE_LIFE,
+        COUNTS_KEPT, HEALTH_WINDOWS, KNOWS_EDGES, LEASE, MET, MISSED, NODE_GONE, POLL_EVERY, REPAIR_EVERY, RULE_LIFE,
         STABLE_BOUND, START_POLL, TICK,
     },
     membership::{CONTROL, EDGE, Membership},
     regions::{Regions, region},
 };
 
-/// What a proxy may do: reject everything, stable versions only, or all that permits allow.
+/// What a proxy may do: reject everything, stable versions only, or all that leases allow.
 pub const RULE_NONE: u8 = 0;
 pub const RULE_STABLE: u8 = 1;
 pub const RULE_ALL: u8 = 2;
@@ -48,9 +48,9 @@
     framed: bool,
     /// Digest of the places that it was last told, when, and of those that it answered to.
     told: (Ms, u64),
-    /// When it was last asked, and when it last answered with a permit: it holds a duty.
+    /// When it was last asked, and when it last answered with a lease: it holds a duty.
     asked: Ms,
-    permits: Ms,
+    leases: Ms,
     knows: Option<u64>,
     /// Up to which count it has this agent's counts, by its own word; and to what it last answered.
     has: u64,
@@ -121,8 +121,8 @@
     board: Board,
     sources: BTreeMap<Name, Source>,
     voters: usize,
-    permits: BTreeMap<Name, (Permit, Ms)>,
-    /// By service: the daemon that last lent a permit under its duty.
+    leases: BTreeMap<Name, (Lease, Ms)>,
+    /// By service: the daemon that last lent a lease under its duty.
     holders: BTreeMap<Name, Name>,
     proxy: Option<Proxy>,
     /// Counts the hellos; and the last count that brought an end which is forgotten here.
@@ -154,7 +154,7 @@
             board: Board::default(),
             sources: BTreeMap::new(),
             voters: 0,
-            permits: BTreeMap::new(),
+            leases: BTreeMap::new(),
             holders: BTreeMap::new(),
             proxy: None,
             change: 0,
@@ -330,16 +330,16 @@
                 self.fresh.push(c);
             }
         }
-        if !m.permits.is_empty() {
-            s.permits = now;
+        if !m.leases.is_empty() {
+            s.leases = now;
         }
-        for p in m.permits.0 {
+        for p in m.leases.0 {
             let until = m.sent + Ms::from(p.ttl);
-            let newer = self.permits.get(&p.service).is_none_or(|(o, u)| (o.epoch, *u) <= (p.epoch, until));
-            // A permit of a lower epoch is a former holder's: it grants nothing any more.
+            let newer = self.leases.get(&p.service).is_none_or(|(o, u)| (o.epoch, *u) <= (p.epoch, until));
+            // A lease of a lower epoch is a former holder's: it grants nothing any more.
             if newer {
                 self.holders.insert(p.service.clone(), from.clone());
-                self.permits.insert(p.service.clone(), (p, until));
+                self.leases.insert(p.service.clone(), (p, until));
             }
         }
         if !self.ready && voters > 0 && self.sources.values().filter(|s| s.framed).count() >= self.majority() {
@@ -401,7 +401,7 @@
         let mut sent: Vec<Ms> = self.sources.values().map(|s| s.sent).collect();
         sent.sort_unstable_by(|a, b| b.cmp(a));
         let at = sent.get(self.majority() - 1).copied().unwrap_or(0);
-        let until = at + PERMIT;
+        let until = at + LEASE;
         let hears = self.ready && self.voters > 0 && at > 0 && until > now;
         if hears {
             self.heard = at;
@@ -433,15 +433,14 @@
         let until = self.judge(now, out);
         let fresh = std::mem::take(&mut self.fresh);
         let nodes = self.mship.live(EDGE).chain([self.mship.me()]).cloned().collect();
-        let permits =
-            self.permits.values().filter(|(_, u)| *u > now).map(|(p, u)| Lent { permit: p.clone(), until: *u }).collect();
+        let leases = self.leases.values().filter(|(_, u)| *u > now).map(|(p, u)| Lent { lease: p.clone(), until: *u }).collect();
         let Some(p) = self.proxy.as_mut() else { return };
         let full = !p.full;
         p.full = true;
         let changes = if full { self.board.rows().cloned().collect() } else { List(fresh) };
         self.next_board = now + RULE_LIFE / 5;
         let (life, heard) = (p.life, p.heard);
-        out.push(send(&p.addr, BoardMsg { life, heard, rule: self.rule, until, full: full.into(), changes, permits, nodes }));
+        out.push(send(&p.addr, BoardMsg { life, heard, rule: self.rule, until, full: full.into(), changes, leases, nodes }));
     }
 
     pub fn tick(&mut self, now: Ms) -> Effects {
@@ -502,7 +501,7 @@
             // Bytes to other regions are dear, and only a duty's holder acts by counts: the others there are asked half
             // as often, but told at once what is new.
             let near = self.mship.near(n);
-            let holds = now.saturating_sub(s.permits) <= PERMIT;
+            let holds = now.saturating_sub(s.leases) <= LEASE;
             if self.ready && !near && !holds && !news && now < s.asked + 2 * POLL_EVERY {
                 continue;
             }
--- a/coordination/src/bounds.rs
+++ b/coordination/src/bounds.rs
@@ -1,11 +1,11 @@
 //! What operators promise their callers, as times, shares and rates. Shells read them from their params; state
-//! machines derive permits, lapses, drains and budgets from them.
+//! machines derive leases, lapses, drains and budgets from them.
 
 use serde::Deserialize;
 
 use crate::{
     Ms,
-    limits::{PERMIT, PERMITS_IN_CONTACT},
+    limits::{LEASE, LEASES_IN_CONTACT},
 };
 
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -46,9 +46,9 @@
 }
 
 impl Bounds {
-    /// ms. Life of a permit.
-    pub fn permit(&self) -> Ms {
-        PERMIT.min(self.contact / PERMITS_IN_CONTACT)
+    /// ms. Life of a lease.
+    pub fn lease(&self) -> Ms {
+        LEASE.min(self.contact / LEASES_IN_CONTACT)
     }
 }
 
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -11,7 +11,7 @@
     PlatformReplica, ReleasePlan, ReplicaReport, RolloutRecord, ServiceMode, Spec, Status, ZoneState, ZoneStreams,
 };
 use wire_messages::{
-    Beat, Blob, Change, Compare, Demand, Forward, ForwardEnd, Forwarded, Genesis, List, Msg, Name, News, Node, PeerState, Permit,
+    Beat, Blob, Change, Compare, Demand, Forward, ForwardEnd, Forwarded, Genesis, Lease, List, Msg, Name, News, Node, PeerState,
     Poll, Slots, SlotsAsk, Tally, Voter,
 };
 
@@ -214,7 +214,7 @@
         };
         let mut mship = Membership::new(me, p.seeds.clone(), born);
         mship.set_regions(p.regions.clone());
-        let mut regs = Registers::new(p.name.clone(), rows, p.bounds.permit(), now);
+        let mut regs = Registers::new(p.name.clone(), rows, p.bounds.lease(), now);
         regs.set_addr(&p.name, &p.addr);
         regs.reader = p.reader;
         // Kept on disk: a founder that is started again is no longer told that it founds, nor with whom.
@@ -398,7 +398,7 @@
     }
 
     /// Raises the alert when a loop that this daemon should run has not run for long: no platform list, no
-    /// permit, a kill switch left on.
+    /// lease, a kill switch left on.
     fn watch_loops(&mut self, now: Ms, live: &dyn Fn(&str) -> bool, out: &mut Effects) {
         let spec = self.spec();
         for s in spec.iter().flat_map(|s| &s.services) {
--- a/coordination/src/control/feed.rs
+++ b/coordination/src/control/feed.rs
@@ -132,13 +132,13 @@
             settled: self.settled.into(),
             voters: self.regs.voters.len() as u32,
             changes: List(changes),
-            permits: self.permits(now),
+            leases: self.leases(now),
         }
     }
 
-    /// Permits under the duties held here. They end no later than the duty's own permit, because an
+    /// Leases under the duties held here. They end no later than the duty's own lease, because an
     /// agent counts `ttl` from before its question was even sent.
-    fn permits(&self, now: Ms) -> List<Permit> {
+    fn leases(&self, now: Ms) -> List<Lease> {
         if !self.settled || self.killed() {
             return List::default();
         }
@@ -151,8 +151,8 @@
             let heard = self.loops.get(s).is_some_and(|l| l.heard);
             let most = self.spec.as_ref().map_or(0, |s| s.canary_percent);
             let share = group.filter(|_| heard).map_or(0, |g| g.share_percent.min(most));
-            let ttl = (until - now).min(self.p.bounds.permit()) as u32;
-            Some(Permit { service: s.into(), epoch, version: c.version, canary_share: share, ttl })
+            let ttl = (until - now).min(self.p.bounds.lease()) as u32;
+            Some(Lease { service: s.into(), epoch, version: c.version, canary_share: share, ttl })
         });
         rows.collect()
     }
--- a/coordination/src/control/voters.rs
+++ b/coordination/src/control/voters.rs
@@ -90,8 +90,8 @@
 
     fn begin(&mut self, voters: Vec<Voter>, out: &mut Effects) {
         self.regs.follow(1, 0, voters, out);
-        // Nobody ever voted before: there is no permit to wait out.
-        self.regs.no_permits_before();
+        // Nobody ever voted before: there is no lease to wait out.
+        self.regs.no_leases_before();
         self.regs.voting = true;
         // Until others know that it votes they take its keys.
         self.next_beat = 0;
--- a/coordination/src/events.rs
+++ b/coordination/src/events.rs
@@ -42,7 +42,7 @@
     206 PLACE_GIVEN Warn "Daemons without a vote are given places of voters; the new voters are named."
     210 OWNER Info "This daemon owns a key under a new epoch."
     211 DEPOSED Info "Another daemon owns the key under a higher epoch."
-    212 PERMIT_LAPSED Warn "A duty's permit had run out when an order was to go; the order was dropped."
+    212 LEASE_LAPSED Warn "A duty's lease had run out when an order was to go; the order was dropped."
     213 SETTLED Info "Everything this daemon holds is known to be committed."
     220 ACCEPTED Info "A write is synced on a majority of disks."
     221 WRITE_UNKNOWN Warn "A write's outcome could not be known in time."
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -8,10 +8,10 @@
 pub const BEAT_EVERY: Ms = 200;
 /// ms. Silence after which a control daemon counts as gone; above five beats, so that one slow disk sync is no death.
 pub const PEER_GONE: Ms = 1_100;
-/// ms. Life of a permit at most: the brief's evacuation and canary bounds are 5 s, so a lapse leaves 2 s to act.
-pub const PERMIT: Ms = 3_000;
-/// Permits in a contact bound: a duty whose holder died is taken over, one permit later, well within it.
-pub const PERMITS_IN_CONTACT: Ms = 2;
+/// ms. Life of a lease at most: the brief's evacuation and canary bounds are 5 s, so a lapse leaves 2 s to act.
+pub const LEASE: Ms = 3_000;
+/// Leases in a contact bound: a duty whose holder died is taken over, one lease later, well within it.
+pub const LEASES_IN_CONTACT: Ms = 2;
 /// Voters at least, where there are so many daemons: one of them may be lost.
 pub const VOTERS_LEAST: usize = 3;
 /// Voters where there are enough daemons, unless the losses to be borne ask for more: a zone and a disk may be lost.
@@ -26,10 +26,10 @@
 pub const READING: Ms = 3_000;
 /// ms. A sync that takes longer is a disk that does not work: others take over what this daemon owns.
 pub const SYNC_LATE: Ms = 1_000;
-/// ms. Duty holders renew three times within a permit's life.
+/// ms. Duty holders renew three times within a lease's life.
 pub const RENEW_EVERY: Ms = 700;
 /// ms. A holder stops this long before voters do, covering clock rates that differ by up to 5%.
-pub const PERMIT_MARGIN: Ms = 200;
+pub const LEASE_MARGIN: Ms = 200;
 /// ms. Resend of prepares and accepts that were not answered.
 pub const RESEND: Ms = 400;
 /// ms. An operator's write is answered by then: accepted, not accepted or unknown.
@@ -237,7 +237,7 @@
 pub const AFFINITY_BUSY: u32 = 75;
 /// Percent. KV cache fuller than this takes a replica out for requests without a prefix there.
 pub const KV_FULL: u32 = 95;
-/// ms. A place chosen longer ago is chosen again before a call: the process slept, permits may have lapsed.
+/// ms. A place chosen longer ago is chosen again before a call: the process slept, leases may have lapsed.
 pub const PLACE_OLD: Ms = 300;
 /// Percent of first rounds that may be second rounds.
 pub const SECOND_ROUNDS: u64 = 5;
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -139,7 +139,7 @@
     until: Ms,
     /// It has had its agent's whole board in this life; what changed since is not enough to serve by.
     whole: bool,
-    permits: BTreeMap<String, Lent>,
+    leases: BTreeMap<String, Lent>,
     nodes: Vec<Node>,
     seen: BTreeMap<String, Seen>,
     open: BTreeMap<(String, String), u32>,
@@ -209,7 +209,7 @@
             rule: RULE_NONE,
             until: 0,
             whole: false,
-            permits: BTreeMap::new(),
+            leases: BTreeMap::new(),
             nodes: Vec::new(),
             seen: BTreeMap::new(),
             open: BTreeMap::new(),
--- a/coordination/src/proxy/news.rs
+++ b/coordination/src/proxy/news.rs
@@ -33,10 +33,10 @@
         for c in &m.changes.0 {
             new |= self.board.merge(c);
         }
-        for p in m.permits.0 {
-            let k = p.permit.service.to_string();
-            if self.permits.get(&k).is_none_or(|o| (o.permit.epoch, o.until) <= (p.permit.epoch, p.until)) {
-                self.permits.insert(k, p);
+        for p in m.leases.0 {
+            let k = p.lease.service.to_string();
+            if self.leases.get(&k).is_none_or(|o| (o.lease.epoch, o.until) <= (p.lease.epoch, p.until)) {
+                self.leases.insert(k, p);
             }
         }
         if new {
--- a/coordination/src/proxy/reports.rs
+++ b/coordination/src/proxy/reports.rs
@@ -167,17 +167,16 @@
         fit.iter().max_by_key(|(s, f)| key(s, *f)).map(|(s, _)| *s)
     }
 
-    /// Groups in the order they are tried: by share, within permits.
+    /// Groups in the order they are tried: by share, within leases.
     pub(super) fn groups(&mut self, service: &str, now: Ms) -> Vec<Group> {
         let Some((epoch, version, r)) = self.records.get(service) else { return vec![] };
-        let permit = self.permits.get(service).filter(|p| p.until > now && self.rule == RULE_ALL);
-        // The canary's permit must be for this very record or a later one of the same holder.
-        let share =
-            permit.filter(|p| p.permit.epoch >= *epoch && p.permit.version >= *version).map_or(0, |p| p.permit.canary_share);
+        let lease = self.leases.get(service).filter(|p| p.until > now && self.rule == RULE_ALL);
+        // The canary's lease must be for this very record or a later one of the same holder.
+        let share = lease.filter(|p| p.lease.epoch >= *epoch && p.lease.version >= *version).map_or(0, |p| p.lease.canary_share);
         let under = share > 0 && self.shares.get(service).is_some_and(|s| *s >= 100);
         let new = |v: &str| v != r.stable;
-        // A version that is not the stable one needs a permit at all times, and shares only what it may.
-        let capped = |v: &str| new(v) && (permit.is_none() || self.suspects.get(v).is_some_and(|t| *t > now));
+        // A version that is not the stable one needs a lease at all times, and shares only what it may.
+        let capped = |v: &str| new(v) && (lease.is_none() || self.suspects.get(v).is_some_and(|t| *t > now));
         let mut first = vec![];
         let mut rest = vec![];
         for g in r.groups.iter().filter(|g| g.share_percent > 0) {
@@ -199,7 +198,7 @@
             let g = rest.remove(i);
             rest.insert(0, g);
         }
-        // While nothing permits more, the stable version goes on wherever it is loaded, but for where its replicas may be
+        // While nothing leases more, the stable version goes on wherever it is loaded, but for where its replicas may be
         // stopped at any moment: a flag stands only if what has the share was found good.
         if rest.is_empty() {
             rest.extend(r.groups.iter().filter(|g| g.version == r.stable && !g.allow_unload));
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -1,6 +1,6 @@
 //! Key registers. Each key has one owner under a rising epoch; the owner has a value synced on a
-//! majority of the voters' disks before it answers. Keys of duties also carry a permit: voters let no
-//! other daemon take such a key while its holder's permit runs.
+//! majority of the voters' disks before it answers. Keys of duties also carry a lease: voters let no
+//! other daemon take such a key while its holder's lease runs.
 
 use std::{
     borrow::Cow,
@@ -13,7 +13,7 @@
 use crate::{
     Ms, Row,
     board::{SpecReader, own_spec},
-    limits::PERMIT_MARGIN,
+    limits::LEASE_MARGIN,
     order::weight,
 };
 
@@ -25,7 +25,7 @@
 
 /// Keys of duties begin with this; their owner runs the rollout of the service named behind it.
 pub const DUTY: &str = "rollout/";
-/// Keys of services' copies of shared context. They come with the duty: the same daemon owns both, under permits alike.
+/// Keys of services' copies of shared context. They come with the duty: the same daemon owns both, under leases alike.
 pub const CONTEXT: &str = "context/";
 /// The voters themselves are a key.
 pub const MEMBERS: &str = "members";
@@ -119,7 +119,7 @@
     phase: Phase,
     write: Option<Write>,
     waiting: VecDeque<Ask>,
-    /// Not before then: somebody's permit still runs, or a rival was ahead.
+    /// Not before then: somebody's lease still runs, or a rival was ahead.
     not_before: Ms,
     /// A voter has promised a higher epoch: this one cannot win any more.
     outbid: bool,
@@ -141,8 +141,8 @@
     pub left: bool,
     /// Control daemons that do not vote: they are told what is committed.
     pub followers: Vec<Name>,
-    /// ms. Life of a permit.
-    permit: Ms,
+    /// ms. Life of a lease.
+    lease: Ms,
     addrs: BTreeMap<Name, Name>,
     slots: BTreeMap<Name, Slot>,
     own: BTreeMap<Name, Own>,
@@ -163,8 +163,8 @@
 }
 
 impl Registers {
-    /// `permit`: the life of one, in ms.
-    pub fn new(name: Name, rows: Vec<Row>, permit: Ms, now: Ms) -> Self {
+    /// `lease`: the life of one, in ms.
+    pub fn new(name: Name, rows: Vec<Row>, lease: Ms, now: Ms) -> Self {
         let mut r = Registers {
             name,
             me: 0,
@@ -173,13 +173,13 @@
             voting: false,
             left: false,
             followers: Vec::new(),
-            permit,
+            lease,
             addrs: BTreeMap::new(),
             slots: BTreeMap::new(),
             own: BTreeMap::new(),
             grants: BTreeMap::new(),
-            // A voter that has just started has forgotten whom it let keep a duty; it waits those permits out.
-            abstain_until: now + permit,
+            // A voter that has just started has forgotten whom it let keep a duty; it waits those leases out.
+            abstain_until: now + lease,
             highest: 0,
             next_renew: 0,
             next_look: 0,
@@ -209,10 +209,10 @@
     /// Votes from now on. It does not know whom others let keep a duty before they told it what they have.
     pub fn vote(&mut self, now: Ms) {
         self.voting = true;
-        self.abstain_until = self.abstain_until.max(now + self.permit);
+        self.abstain_until = self.abstain_until.max(now + self.lease);
     }
     /// No voter has let anybody keep a duty in any life.
-    pub fn no_permits_before(&mut self) {
+    pub fn no_leases_before(&mut self) {
         self.abstain_until = 0;
     }
     pub fn set_addr(&mut self, name: &Name, addr: &Name) {
@@ -264,7 +264,7 @@
         if !leased(key) {
             return Some((o.epoch, Ms::MAX));
         }
-        let until = self.permit_until(o);
+        let until = self.lease_until(o);
         (until > now).then_some((o.epoch, until))
     }
     /// When a majority of voters was last asked, that has answered since, whether the key is still owned here.
@@ -273,9 +273,9 @@
         at.sort_unstable_by(|a, b| b.cmp(a));
         at.get(self.majority().wrapping_sub(1)).copied()
     }
-    fn permit_until(&self, o: &Own) -> Ms {
+    fn lease_until(&self, o: &Own) -> Ms {
         // A majority of voters keeps others out at least until then.
-        self.confirmed(o).map_or(0, |t| t + self.permit - PERMIT_MARGIN)
+        self.confirmed(o).map_or(0, |t| t + self.lease - LEASE_MARGIN)
     }
     /// The agreed first live voter for a key.
     pub fn first(&self, key: &str, live: &dyn Fn(&str) -> bool) -> Option<&Voter> {
--- a/coordination/src/register/tests/explore.rs
+++ b/coordination/src/register/tests/explore.rs
@@ -110,7 +110,7 @@
     fn new(without: Without, crashes: u32, copies: u32, calls: &[(usize, Request)]) -> Self {
         let node = |i| {
             let mut regs = voter(i);
-            regs.no_permits_before();
+            regs.no_leases_before();
             if without == Without::Majority {
                 regs.voters.retain(|v| v.name == name(i));
             }
@@ -264,8 +264,8 @@
         let step = self.step;
         let node = self.node(at);
         node.unsynced.clear();
-        node.regs = Registers::new(name(at), node.disk.values().cloned().collect(), PERMIT, step);
-        node.regs.no_permits_before();
+        node.regs = Registers::new(name(at), node.disk.values().cloned().collect(), LEASE, step);
+        node.regs.no_leases_before();
         node.regs.fresh.clear();
         node.seal();
         for i in 0..NODES {
--- a/coordination/src/register/turn.rs
+++ b/coordination/src/register/turn.rs
@@ -1,4 +1,4 @@
-//! What time brings: keys are taken and handed over, messages sent again, permits renewed and writes given up.
+//! What time brings: keys are taken and handed over, messages sent again, leases renewed and writes given up.
 
 use std::collections::BTreeSet;
 
--- a/coordination/src/register/voter.rs
+++ b/coordination/src/register/voter.rs
@@ -108,7 +108,7 @@
                 s.promised = h.epoch;
                 rows.push(Row::Slot(s.clone()));
             }
-            self.grants.insert(h.key.clone(), (to.clone(), h.epoch, now + self.permit));
+            self.grants.insert(h.key.clone(), (to.clone(), h.epoch, now + self.lease));
             keys.0.push(h);
         }
         let told = send(to, Renewed { keys, sent: m.sent, me: self.me });
@@ -118,7 +118,7 @@
         out.push(Effect::Persist { rows, then: vec![told] });
     }
 
-    /// A holder has given its duties up: nobody need wait its permits out.
+    /// A holder has given its duties up: nobody need wait its leases out.
     pub fn on_release(&mut self, from: &Name, m: Release) {
         for h in m.keys {
             // A renewal of a later ownership stands.
--- a/coordination/src/rollout.rs
+++ b/coordination/src/rollout.rs
@@ -428,7 +428,7 @@
         self.enter(r, RolloutPhase::Reverting, now);
     }
 
-    /// Unloads `target`, what is no longer wanted, once it carries nothing. The flag that permits it is
+    /// Unloads `target`, what is no longer wanted, once it carries nothing. The flag that leases it is
     /// set here, because the rollout was completed or reverted, and cleared when nothing reports it.
     fn unload(&mut self, r: &mut RolloutRecord, v: &View, out: &mut Vec<Order>) {
         let now = v.i.now;
@@ -545,7 +545,7 @@
         if self.health.fails(&r.stable, now) {
             r.alerts.push("stable_fails".into());
         }
-        // A version nobody wants and no rollout accounts for: it stays until a flag permits its unload.
+        // A version nobody wants and no rollout accounts for: it stays until a flag leases its unload.
         let wanted = |x: &str| x == r.stable || Some(x) == r.target.as_deref();
         let stray = v.up.iter().filter_map(|p| v.report(&p.id)).flat_map(|p| &p.loaded).any(|l| !wanted(&l.version));
         if stray {
--- a/coordination/tests/context_duty.rs
+++ b/coordination/tests/context_duty.rs
@@ -198,7 +198,7 @@
 }
 
 #[gtest]
-fn a_holder_that_is_cut_off_decides_no_more_once_its_permit_is_over() {
+fn a_holder_that_is_cut_off_decides_no_more_once_its_lease_is_over() {
     for seed in 20..24 {
         let mut d = Duty::new(seed);
         d.asked = (1..=6).collect();
--- a/coordination/tests/engines/mod.rs
+++ b/coordination/tests/engines/mod.rs
@@ -192,7 +192,7 @@
                 until: Ms::MAX,
                 full: 1,
                 changes: List(vec![spec.clone()]),
-                permits: List::default(),
+                leases: List::default(),
                 nodes: nodes.clone(),
             };
             p.on_board(m, 1_000);
@@ -234,7 +234,7 @@
         self.seq += 1;
         self.queue.insert((self.now + ms, self.seq), e);
     }
-    /// The holder hangs for so long; another takes its duty over once its permit has run out.
+    /// The holder hangs for so long; another takes its duty over once its lease has run out.
     pub fn freeze_holder(&mut self, ms: Ms) {
         self.holder.frozen_until = self.now + ms;
         let next = Holder {
@@ -384,7 +384,7 @@
                     until: Ms::MAX,
                     full: 0,
                     changes: List(vec![*m]),
-                    permits: List::default(),
+                    leases: List::default(),
                     nodes: edges(self.proxies.len()),
                 };
                 self.proxies[proxy].on_board(m, self.now);
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -7,7 +7,7 @@
     limits::{MISSED, POLL_EVERY, PUSH_TAKES, TICK},
     register::Expect,
     wire::{
-        Beat, Blob, Change, Digests, List, Msg, Name, News, Node, Permit, Poll, ProxyHello, Reading, Readings, Shuffle, Tally,
+        Beat, Blob, Change, Digests, Lease, List, Msg, Name, News, Node, Poll, ProxyHello, Reading, Readings, Shuffle, Tally,
     },
 };
 use googletest::prelude::*;
@@ -120,10 +120,10 @@
             for (to, m) in sends(a.tick(now)) {
                 let Msg::Poll(p) = m else { continue };
                 n[usize::from(to.as_bytes()[1] - b'1')] += 1;
-                let permit = Permit { service: "s".into(), epoch: 1, version: 1, canary_share: 0, ttl: 2_000 };
-                let permits = if &*to == "c2" { vec![permit] } else { vec![] };
+                let lease = Lease { service: "s".into(), epoch: 1, version: 1, canary_share: 0, ttl: 2_000 };
+                let leases = if &*to == "c2" { vec![lease] } else { vec![] };
                 let Msg::News(news) = news(vec![], p.sent) else { continue };
-                a.on_msg(&to, &to, News { permits: List(permits), ..news }.into(), now);
+                a.on_msg(&to, &to, News { leases: List(leases), ..news }.into(), now);
             }
         }
         n
@@ -322,7 +322,7 @@
         a.tick();
         let all = a.poll(run, place);
         sent += values(&all);
-        // It hears its permits all the same, and is not told that it has what may still be lost.
+        // It hears its leases all the same, and is not told that it has what may still be lost.
         expect_that!(all.len(), eq(1));
         expect_that!(all[0].upto, eq(place), "at {i}");
     }
--- a/coordination/tests/replacing.rs
+++ b/coordination/tests/replacing.rs
@@ -166,7 +166,7 @@
             f.put("rollout/s", b"duty", 5_000);
             let holder = |f: &Fleet| (0..3).find(|j| f.brain(*j).is_some_and(|b| b.regs.holds("rollout/s", f.now).is_some()));
             f.until(5_000, |f| holder(f).is_some());
-            // The voters have waited out the permits of lives before this one.
+            // The voters have waited out the leases of lives before this one.
             f.run(4_000);
             let old = holder(&f).unwrap();
             if goes {
@@ -415,7 +415,7 @@
         let voting = f.voting();
         let Some(&h) = voting.iter().find(|i| holder(&f, **i)) else { continue };
         let others: Vec<usize> = voting.iter().copied().filter(|i| *i != h).collect();
-        // Two of the four others never hear of its permits.
+        // Two of the four others never hear of its leases.
         let deaf = [fleet::addr(others[seed as usize % 4]), fleet::addr(others[(seed as usize + 1) % 4])];
         let lost = others[(seed as usize + 2) % 4];
         let from_h = fleet::addr(h);
--- a/coordination/tests/suspect.rs
+++ b/coordination/tests/suspect.rs
@@ -1,4 +1,4 @@
-//! Where a proxy sends what it may not send to a version that it suspects, or has no permit for.
+//! Where a proxy sends what it may not send to a version that it suspects, or has no lease for.
 
 use coordination::{
     Ms,
@@ -9,9 +9,9 @@
 use googletest::prelude::*;
 use remote_calls::PathSpec;
 use serde_json::{Value, json};
-use wire_messages::{Blob, Board, Change, Lent, List, Permit};
+use wire_messages::{Blob, Board, Change, Lease, Lent, List};
 
-const PERMIT: Ms = 60_000;
+const LEASE: Ms = 60_000;
 
 struct Bench {
     proxy: Proxy,
@@ -37,7 +37,7 @@
     }
     fn told(&mut self, c: Change) {
         let version = c.version;
-        let lent = Permit { service: "s".into(), epoch: 1, version, canary_share: 8, ttl: PERMIT as u32 };
+        let lent = Lease { service: "s".into(), epoch: 1, version, canary_share: 8, ttl: LEASE as u32 };
         let m = Board {
             life: 1,
             heard: 0,
@@ -45,7 +45,7 @@
             until: Ms::MAX,
             full: 1,
             changes: List(vec![c]),
-            permits: List(vec![Lent { permit: lent, until: self.now + PERMIT }]),
+            leases: List(vec![Lent { lease: lent, until: self.now + LEASE }]),
             nodes: List::default(),
         };
         self.proxy.on_board(m, self.now);
@@ -105,12 +105,12 @@
 }
 
 #[gtest]
-fn without_a_permit_nothing_goes_to_where_a_flag_stands() {
+fn without_a_lease_nothing_goes_to_where_a_flag_stands() {
     let mut b = Bench::new();
     b.record("baking", 100, true);
-    b.now += PERMIT;
+    b.now += LEASE;
     expect_that!(b.versions(), eq(&["v2"]));
     b.record("shifting", 50, false);
-    b.now += PERMIT;
+    b.now += LEASE;
     expect_that!(b.versions(), eq(&["v1"]));
 }
--- a/daemon-parts/src/clock.rs
+++ b/daemon-parts/src/clock.rs
@@ -1,4 +1,4 @@
-//! The two clocks. Permits count on one that also runs while the machine sleeps.
+//! The two clocks. Leases count on one that also runs while the machine sleeps.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
--- a/fleet-simulator/src/faults.rs
+++ b/fleet-simulator/src/faults.rs
@@ -152,7 +152,7 @@
         thousandths: i64,
     },
     /// The daemon that holds the service's duty is cut off from all other control daemons. From then on its clock runs
-    /// so many thousandths slow, and theirs as many fast: its permit lasts it longest, and them shortest.
+    /// so many thousandths slow, and theirs as many fast: its lease lasts it longest, and them shortest.
     CutHolder {
         ms: Ms,
         thousandths: i64,
--- a/fleet-simulator/src/schedule.rs
+++ b/fleet-simulator/src/schedule.rs
@@ -598,7 +598,7 @@
                 s.push((t + 2_000, cut(&[&ctl(r.usize(..3))], &[&ctl(0), &ctl(1), &ctl(2)], r.u64(1_000..5_000), r.bool())));
                 s.push((t + 3_000, Fault::PutSpec));
             }
-            // Duties change hands at the moment their permits end, at the largest drift that these allow for.
+            // Duties change hands at the moment their leases end, at the largest drift that these allow for.
             for i in 0..4 {
                 s.push((at(r) + i * 11_000, Fault::CutHolder { ms: r.u64(4_500..7_000), thousandths: 25 }));
             }
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -427,7 +427,7 @@
     Press,
     /// Two of three control daemons do not start again after a loss.
     Restart,
-    /// Clocks run further apart than permits allow for.
+    /// Clocks run further apart than leases allow for.
     Clocks,
     /// The end of a connection passes for the end of an answer.
     Stream,
--- a/fleet-simulator/tests/never.rs
+++ b/fleet-simulator/tests/never.rs
@@ -155,7 +155,7 @@
     expect_that!(missed, is_empty());
 }
 
-/// Permits allow for clocks that drift by so much; a day with more shows it nearly always, not by luck.
+/// Leases allow for clocks that drift by so much; a day with more shows it nearly always, not by luck.
 #[gtest]
 fn clocks_that_run_too_far_apart_are_seen_in_nearly_each_seed() {
     let one = |s: u64| found("registry", "clocks", s, Some(Guard::Clocks)).iter().any(|f| f.starts_with("one_holder"));
--- a/operator-command/src/main.rs
+++ b/operator-command/src/main.rs
@@ -37,7 +37,7 @@
                 .help("IP:port of a control daemon; give several and the next is asked when one is gone"),
         )
         .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).global(true).help("Print the answer as JSON"))
-        .subcommand(Command::new("status").about("Members, keys and their owners, duties, permits, edges, rollouts, zones"))
+        .subcommand(Command::new("status").about("Members, keys and their owners, duties, leases, edges, rollouts, zones"))
         .subcommand(Command::new("health").about("Whether the daemon asked serves"))
         .subcommand(Command::new("counters").about("The counters of the daemon asked"))
         .subcommand(Command::new("spec-get").about("The accepted spec"))
@@ -103,7 +103,7 @@
     );
     o += "\nMEMBER       ADDRESS               LIVE\n";
     s.members.iter().for_each(|m| o += &format!("{:12} {:21} {}\n", m.name, m.addr, m.live));
-    o += "\nKEY                      OWNER        EPOCH   VERSION  PERMIT\n";
+    o += "\nKEY                      OWNER        EPOCH   VERSION  LEASE\n";
     for k in &s.keys {
         let p = k.permit_ms.map_or(String::new(), |p| format!("{p} ms"));
         o += &format!("{:24} {:12} {:<7} {:<8} {p}\n", k.key, k.owner, k.epoch, k.version);
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -46,9 +46,9 @@
     /// A voter's whole knowledge of a key. `past`: the accepted values that this one replaced, newest last.
     Slot { key: Name, promised: u64, epoch: u64, version: u64, committed: u64, value: Blob, past: List<Replaced> }
     /// What a duty holder lets an edge do for a while: the record it may follow and the canary's share.
-    Permit { service: Name, epoch: u64, version: u64, canary_share: u32, ttl: u32 }
-    /// A permit as an agent hands it to its proxy: both read the same machine's clock, so it ends at `until`.
-    Lent { permit: Permit, until: u64 }
+    Lease { service: Name, epoch: u64, version: u64, canary_share: u32, ttl: u32 }
+    /// A lease as an agent hands it to its proxy: both read the same machine's clock, so it ends at `until`.
+    Lent { lease: Lease, until: u64 }
     /// A digest over the keys whose hash falls into one range.
     Range { index: u16, digest: u64 }
     /// Cumulative counts since the proxy's start; `new_` ones are of its last half minute, for a daemon that
@@ -143,16 +143,16 @@
     /// `voting`: 1: the sender votes under member epoch `me`, whose voters these are; 2: it voted until then and has
     /// no place any more. `before`: how many voters there were under the one before.
     15u8 Slots { me: u32, voting: u8, before: u32, voters: List<Voter>, slots: List<Slot> }
-    /// A holder gives up its duties: voters need not wait its permits out.
+    /// A holder gives up its duties: voters need not wait its leases out.
     16u8 Release { keys: List<Held> }
-    /// An agent asks for news. `life`: of the proxy whose tallies it brings. `sent` comes back so that permits count from the asking.
+    /// An agent asks for news. `life`: of the proxy whose tallies it brings. `sent` comes back so that leases count from the asking.
     /// `news`: `seen` is new, else it is as the daemon last heard it. Tallies and opens are those that
     /// changed after the agent's `since`th count, up to its `count`th; all of them after none. Tallies are of the services in
     /// the daemon's `choice`th list of those that it counts.
     20u8 Poll { node: Node, life: u64, sent: u64 as Varint, run: u64, after: u64 as Varint, since: u64 as Varint, count: u64 as Varint, choice: u32, tallies: List<Tally>, opens: List<Open>, news: u8, seen: List<Change> }
     /// `full`: a frame of all keys, not a piece of the feed. `count`: up to which of the agent's counts the sender has them.
     /// `counts`: the services whose tallies the sender keeps, its `choice`th list of them.
-    21u8 News { sent: u64, run: u64, upto: u64, count: u64, choice: u32, counts: List<Name>, full: u8, settled: u8, voters: u32, changes: List<Change>, permits: List<Permit> }
+    21u8 News { sent: u64, run: u64, upto: u64, count: u64, choice: u32, counts: List<Name>, full: u8, settled: u8, voters: u32, changes: List<Change>, leases: List<Lease> }
     /// `wants`: digests of descriptions that the sender has heard beats of and lacks. `answer` counts the turns of one
     /// exchange: 0 opens it, 1 answers; 2 and 3 only bring what was wanted.
     30u8 Shuffle { nodes: List<Node>, beats: List<Heard>, wants: List<u32>, answer: u8 }
@@ -169,7 +169,7 @@
     40u8 ProxyHello { born: u64, http: Name, after: u64, upto: u64, tallies: List<Tally>, opens: List<Open> }
     /// Agent to its proxy. `rule`: 0 reject all, 1 stable only, 2 all. `heard`: the agent has the tallies and opens of
     /// the proxy's life up to this change of them.
-    41u8 Board { life: u64, heard: u64, rule: u8, until: u64, full: u8, changes: List<Change>, permits: List<Lent>, nodes: List<Node> }
+    41u8 Board { life: u64, heard: u64, rule: u8, until: u64, full: u8, changes: List<Change>, leases: List<Lent>, nodes: List<Node> }
     42u8 ClaimAsk { token: u64, request: Name, round: u64, void: u8, age: u64 }
     /// `state`: 0 granted, 1 another round's, 2 voided, 3 no majority.
     43u8 ClaimTold { token: u64, state: u8 }
