--- a/control-daemon/src/disk.rs
+++ b/control-daemon/src/disk.rs
@@ -259,9 +259,9 @@
     let members = c.query_row("SELECT me, voters, voting, before FROM members", [], |r| {
         Ok((r.get::<_, u32>(0)?, r.get::<_, String>(1)?, r.get::<_, u8>(2)?, r.get::<_, u32>(3)?))
     });
-    if let Some((me, voters, voting, before)) = members.optional()? {
+    if let Some((member_epoch, voters, voting, before)) = members.optional()? {
         let (_, voters) = members::of_bytes(voters.as_bytes()).unwrap_or_default();
-        rows.push(Row::Members { me, before, voters, voting: voting == VOTES, left: voting == LEFT });
+        rows.push(Row::Members { member_epoch, before, voters, voting: voting == VOTES, left: voting == LEFT });
     }
     let mut q = c.prepare("SELECT key, promised, epoch, version, committed, value, past FROM slots")?;
     let slots = q.query_map([], |r| {
@@ -307,11 +307,11 @@
                 let row = params![s.key.0, s.promised, s.epoch, s.version, s.committed, s.value.0, past];
                 t.prepare_cached(sql)?.execute(row)?;
             }
-            Row::Members { me, before, voters, voting, left } => {
+            Row::Members { member_epoch, before, voters, voting, left } => {
                 let voting = if *voting { VOTES } else { u8::from(*left) * LEFT };
                 let v = String::from_utf8(members::to_bytes(*before, voters).0).unwrap_or_default();
                 let sql = "INSERT OR REPLACE INTO members (one, me, voters, voting, before) VALUES (1, ?1, ?2, ?3, ?4)";
-                t.execute(sql, params![me, v, voting, before])?;
+                t.execute(sql, params![member_epoch, v, voting, before])?;
             }
         }
     }
--- a/control-daemon/src/face.rs
+++ b/control-daemon/src/face.rs
@@ -46,7 +46,7 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Replicas {
     /// The platform takes our own calls, replicas answer reports and take orders.
-    Own,
+    Ownership,
     /// The list tells everything, and replicas take no orders.
     /// `rate`: calls a second that the platform takes from all daemons together. `calm`: how often a list is asked for
     /// that does not change.
@@ -65,6 +65,6 @@
 
 impl Default for Face {
     fn default() -> Self {
-        Face { reader: own_spec, routes: |_| (), replicas: Replicas::Own, body_max: BODY_MAX }
+        Face { reader: own_spec, routes: |_| (), replicas: Replicas::Ownership, body_max: BODY_MAX }
     }
 }
--- a/control-daemon/src/lib.rs
+++ b/control-daemon/src/lib.rs
@@ -21,7 +21,7 @@
 use crate::face::Face;
 
 /// ms. Time for the others to hear that this daemon goes: two beats.
-const FAREWELL: u64 = 2 * coordination::limits::BEAT_EVERY;
+const FAREWELL: u64 = 2 * coordination::limits::HEARTBEAT_EVERY;
 
 /// Runs until the process is asked to stop.
 pub async fn run(p: Params, face: Face) -> Result<(), Report<StartFault>> {
--- a/control-daemon/tests/disk.rs
+++ b/control-daemon/tests/disk.rs
@@ -192,7 +192,8 @@
     let (id, blank, rows) = block(disk.open()).unwrap();
     expect_that!((id, blank), eq((9, false)));
     let voter = Voter { name: "c1".into(), disk: 9, addr: "127.0.0.1:1".into(), ..Voter::default() };
-    let row = |before, voter: &Voter| Row::Members { me: 2, before, voters: vec![voter.clone()], voting: true, left: false };
+    let row =
+        |before, voter: &Voter| Row::Members { member_epoch: 2, before, voters: vec![voter.clone()], voting: true, left: false };
     expect_that!(rows, container_eq([row(0, &voter), slot("a", 1, 1)]));
     // What is written now comes back whole.
     let now = row(3, &Voter { zone: "z".into(), since: 2, ..voter });
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -7,12 +7,13 @@
 };
 
 use remote_calls::{
-    ContextRecord, EdgeStatus, GroupRecord, GroupRole, Health as HealthAnswer, KeyStatus, KeyVersion, MemberStatus, PlatformList,
-    PlatformReplica, ReleasePlan, ReplicaReport, RolloutRecord, ServiceMode, Spec, Status, ZoneState, ZoneStreams,
+    ContextRecord, EdgeStatus, GroupRecord, GroupRole, Health as HealthAnswer, KeyStatus, KeyVersion, MemberStatus, OrderAction,
+    PlatformList, PlatformReplica, ReleasePlan, ReplicaReport, RolloutRecord, ServiceMode, ServiceSpec, Spec, Status, ZoneState,
+    ZoneStreams,
 };
 use wire_messages::{
-    Beat, Blob, Change, Compare, Demand, Forward, ForwardEnd, Forwarded, Genesis, Lease, List, Msg, Name, News, Node, PeerState,
-    Poll, Slots, SlotsAsk, Tally, Voter,
+    Blob, Change, Compare, Demand, Forward, ForwardEnd, Forwarded, Genesis, Heartbeat, Lease, List, Msg, Name, News, Node,
+    PeerState, Poll, Slots, SlotsAsk, Tally, Voter,
 };
 
 use crate::{
@@ -24,11 +25,11 @@
     events,
     health::Health,
     limits::{
-        ADDRESSES, BEAT_EVERY, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DIFFERS_LONG, FOLLOWER_GONE, FORWARD_LIMIT, KNOWS_FLEET,
+        ADDRESSES, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DIFFERS_LONG, FOLLOWER_GONE, FORWARD_LIMIT, HEARTBEAT_EVERY, KNOWS_FLEET,
         LIST_CALM, LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE, ORDER_RENEWED, PEER_GONE,
         PUSH_TAKES, PUSHED_TO, READING, STANDING_EVERY, STOOD_STILL, WAKES_FOR,
     },
-    members as seats,
+    members,
     membership::{CONTROL, EDGE, Membership},
     order::{agreed, weight},
     packed,
@@ -89,7 +90,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     at: Ms,
-    beat: Beat,
+    beat: Heartbeat,
     addr: Name,
 }
 
@@ -184,12 +185,12 @@
     /// When it last ticked, and until when it takes nothing that may have waited for it while it stood still.
     ticked: Ms,
     wakes: Ms,
-    next_meet: Ms,
+    next_join: Ms,
     /// The time of the last tick, and when the voters last changed.
     clock: Ms,
     changed: Ms,
     next_ask: Ms,
-    next_seats: Ms,
+    next_voter_change: Ms,
     /// When this daemon last ran each service's loop, or first was the one to run it; and which alerts stand.
     ran: BTreeMap<String, Ms>,
     resting: BTreeSet<String>,
@@ -218,14 +219,14 @@
         regs.set_addr(&p.name, &p.addr);
         regs.reader = p.reader;
         // Kept on disk: a founder that is started again is no longer told that it founds, nor with whom.
-        let marked = regs.me == 0 && regs.voters.is_empty() && p.founding && p.members.is_empty();
+        let marked = regs.member_epoch == 0 && regs.voters.is_empty() && p.founding && p.members.is_empty();
         if marked {
             regs.found_with(&p.seeds);
         }
         let mut c = Control {
             p,
             disk,
-            came_blank: regs.me == 0,
+            came_blank: regs.member_epoch == 0,
             unkept: marked,
             regs,
             mship,
@@ -263,11 +264,11 @@
             next_loop: 0,
             ticked: now,
             wakes: 0,
-            next_meet: 0,
+            next_join: 0,
             clock: now,
             changed: now,
             next_ask: 0,
-            next_seats: 0,
+            next_voter_change: 0,
             ran: BTreeMap::new(),
             resting: BTreeSet::new(),
             writing: BTreeMap::new(),
@@ -299,7 +300,7 @@
         self.woke(now);
         let mut out = Vec::new();
         match msg {
-            Msg::Beat(m) => self.on_beat(from, addr, m, now, &mut out),
+            Msg::Heartbeat(m) => self.on_heartbeat(from, addr, m, now, &mut out),
             Msg::Prepare(m) => self.regs.on_prepare(addr, m, now, &mut out),
             Msg::Promise(m) => self.regs.on_promise(from, m, now, &mut out),
             Msg::Accept(m) => self.regs.on_accept(addr, m, &mut out),
@@ -363,7 +364,7 @@
             out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
         }
         self.beat(now, &mut out);
-        self.meet(now, &mut out);
+        self.join(now, &mut out);
         let wanted: Vec<Name> = match &self.spec {
             // Copies of shared context come with the duty, where they are switched on.
             Some(s) => s
@@ -381,7 +382,7 @@
         let live = self.live(now);
         self.regs.tick(now, &live, &wanted, &mut out);
         self.choose(now, &live);
-        self.mend_seats(now, &live, &mut out);
+        self.change_voters(now, &live, &mut out);
         self.watch_loops(now, &live, &mut out);
         self.taken.retain(|_, t| now.saturating_sub(*t) < 2 * FORWARD_LIMIT);
         self.orders.retain(|_, o| o.is_awaited(now));
@@ -419,8 +420,8 @@
         if now < self.next_beat {
             return;
         }
-        self.next_beat = now + BEAT_EVERY;
-        let state = match (self.regs.me, self.regs.voting) {
+        self.next_beat = now + HEARTBEAT_EVERY;
+        let state = match (self.regs.member_epoch, self.regs.voting) {
             _ if self.going => PeerState::Going,
             (0, _) if !self.regs.voters.is_empty() => PeerState::Founding,
             (0, _) => PeerState::Blank,
@@ -430,17 +431,17 @@
             _ => PeerState::StandsBy,
         };
         let zone = self.p.zone.clone();
-        let b = Beat { me: self.regs.me, disk: self.disk, zone, state, digest: self.regs.digest() };
+        let b = Heartbeat { member_epoch: self.regs.member_epoch, disk: self.disk, zone, state, digest: self.regs.digest() };
         let fresh = || self.peers.iter().filter(|(_, p)| now.saturating_sub(p.at) <= NODE_GONE);
         let votes = |n: &Name| self.regs.voters.iter().any(|v| v.name == *n);
         let mut to: BTreeSet<Name> = self.regs.voters.iter().map(|v| self.regs.addr(v)).collect();
         // Daemons that stand by have nothing to tell each other.
-        if self.regs.voting || self.regs.me == 0 {
+        if self.regs.voting || self.regs.member_epoch == 0 {
             to.extend(self.mship.live(CONTROL).map(|n| n.addr.clone()));
             to.extend(fresh().map(|(_, p)| p.addr.clone()));
         }
         // Until it knows the voters, only its seeds lead there.
-        if self.regs.me == 0 {
+        if self.regs.member_epoch == 0 {
             to.extend(self.p.seeds.iter().cloned());
         }
         to.remove(&self.p.addr);
--- a/coordination/src/control/looks.rs
+++ b/coordination/src/control/looks.rs
@@ -47,7 +47,7 @@
         let zones = zones.into_iter().map(|z| ZoneState { evacuated: evacuated(&self.board, &z.name), zone: z.name });
         Status {
             daemon: self.p.name.to_string(),
-            member_epoch: self.regs.me.into(),
+            member_epoch: self.regs.member_epoch.into(),
             settled: self.settled,
             disk_ok: self.disk_ok,
             members: members.collect(),
@@ -62,7 +62,7 @@
     }
 
     pub fn health(&self) -> HealthAnswer {
-        let stands_by = self.regs.me > 0 && !self.named();
+        let stands_by = self.regs.member_epoch > 0 && !self.named();
         let detail = match (self.disk_ok, self.regs.voting, self.settled) {
             (false, ..) => "the disk does not take writes",
             _ if stands_by => "stands by without a vote",
@@ -80,7 +80,7 @@
             ("feed_place", self.seq),
             ("keys", self.regs.keys().count() as u64),
             ("edges", self.agents.len() as u64),
-            ("member_epoch", self.regs.me.into()),
+            ("member_epoch", self.regs.member_epoch.into()),
             ("loops_resting", self.resting.len() as u64),
         ]
     }
--- a/coordination/src/control/voters.rs
+++ b/coordination/src/control/voters.rs
@@ -13,7 +13,9 @@
             .peers
             .iter()
             .filter(|(_, p)| {
-                now.saturating_sub(p.at) <= PEER_GONE && p.beat.state == PeerState::Votes && p.beat.me == self.regs.me
+                now.saturating_sub(p.at) <= PEER_GONE
+                    && p.beat.state == PeerState::Votes
+                    && p.beat.member_epoch == self.regs.member_epoch
             })
             .map(|(n, _)| n.clone())
             .collect();
@@ -23,25 +25,25 @@
         move |n| names.contains(n)
     }
 
-    pub(super) fn on_beat(&mut self, from: &Name, addr: &Name, m: Beat, now: Ms, out: &mut Effects) {
+    pub(super) fn on_heartbeat(&mut self, from: &Name, addr: &Name, m: Heartbeat, now: Ms, out: &mut Effects) {
         self.regs.set_addr(from, addr);
         self.heard.insert(m.disk, now);
         let blank = matches!(m.state, PeerState::Blank | PeerState::Founding);
         let same = m.digest == self.regs.digest();
-        if m.state == PeerState::Votes && m.me == self.regs.me && same {
+        if m.state == PeerState::Votes && m.member_epoch == self.regs.member_epoch && same {
             self.met.insert(from.clone());
         }
         let missed = !same && (!self.met.contains(from) || self.still_differs(from, m.digest, now));
         if same {
             self.differed.remove(from);
         }
-        let behind = m.me > self.regs.me || (m.state == PeerState::Votes && missed);
+        let behind = m.member_epoch > self.regs.member_epoch || (m.state == PeerState::Votes && missed);
         if behind && !blank && now >= self.next_ask {
-            self.next_ask = now + BEAT_EVERY / 4;
-            out.push(send(addr, SlotsAsk { me: self.regs.me, have: self.regs.have() }));
+            self.next_ask = now + HEARTBEAT_EVERY / 4;
+            out.push(send(addr, SlotsAsk { member_epoch: self.regs.member_epoch, have: self.regs.have() }));
         }
         // The first voters are offered again to a member that was named among them but has not stored it.
-        if blank && self.regs.me == 1 && self.regs.voters.iter().any(|v| v.disk == m.disk) {
+        if blank && self.regs.member_epoch == 1 && self.regs.voters.iter().any(|v| v.disk == m.disk) {
             out.push(send(addr, Genesis { voters: List(self.regs.voters.clone()) }));
         }
         // Who is new, or was gone, learns of this daemon at once.
@@ -72,7 +74,7 @@
         let r = &self.regs;
         let slots = r.slots_beyond(&m.have);
         let m = Slots {
-            me: r.me,
+            member_epoch: r.member_epoch,
             voting: if r.voting { 1 } else { u8::from(r.left) * 2 },
             before: r.before,
             voters: List(r.voters.clone()),
@@ -83,7 +85,7 @@
 
     pub(super) fn on_genesis(&mut self, m: Genesis, out: &mut Effects) {
         // Only a disk that is blank and named takes it; a later blank disk has another number.
-        if self.regs.me == 0 && m.voters.iter().any(|v| v.disk == self.disk) {
+        if self.regs.member_epoch == 0 && m.voters.iter().any(|v| v.disk == self.disk) {
             self.begin(m.voters.0, out);
         }
     }
@@ -103,12 +105,12 @@
         self.regs.mend(&m.slots, out);
         self.follow_members(out);
         // The first voters stand under no key.
-        if self.regs.me == 0 && m.me == 1 && m.voters.iter().any(|v| v.disk == self.disk) {
+        if self.regs.member_epoch == 0 && m.member_epoch == 1 && m.voters.iter().any(|v| v.disk == self.disk) {
             self.begin(m.voters.0, out);
-        } else if m.me > self.regs.me {
-            self.follow(m.me, m.before, m.voters.0, out);
+        } else if m.member_epoch > self.regs.member_epoch {
+            self.follow(m.member_epoch, m.before, m.voters.0, out);
         }
-        if m.me != self.regs.me {
+        if m.member_epoch != self.regs.member_epoch {
             return;
         }
         if m.voting == 1 {
@@ -122,7 +124,7 @@
         if self.caught.len() >= self.to_read() {
             self.regs.vote(now);
             self.next_beat = 0;
-            out.push(note(events::VOTING, &self.p.name, format!("member epoch {}", self.regs.me)));
+            out.push(note(events::VOTING, &self.p.name, format!("member epoch {}", self.regs.member_epoch)));
         }
         rows.push(self.regs.members_row());
         out.push(Effect::Persist { rows, then: vec![] });
@@ -141,32 +143,32 @@
     /// Adopts voters that were committed under the members' key.
     pub(super) fn follow_members(&mut self, out: &mut Effects) {
         let Some(c) = self.regs.fresh.iter().filter(|c| &*c.key == MEMBERS).max_by_key(|c| c.version).cloned() else { return };
-        let (Some((before, voters)), me) = (seats::of_bytes(&c.value.0), c.version as u32 + 1) else { return };
-        self.follow(me, before, voters, out);
+        let (Some((before, voters)), member_epoch) = (members::of_bytes(&c.value.0), c.version as u32 + 1) else { return };
+        self.follow(member_epoch, before, voters, out);
     }
 
-    fn follow(&mut self, me: u32, before: u32, voters: Vec<Voter>, out: &mut Effects) {
-        if me <= self.regs.me {
+    fn follow(&mut self, member_epoch: u32, before: u32, voters: Vec<Voter>, out: &mut Effects) {
+        if member_epoch <= self.regs.member_epoch {
             return;
         }
         // Whoever lost its place and was given one again may lack what was taken in between.
-        let kept = voters.iter().any(|v| v.disk == self.disk && v.since <= self.regs.me);
-        let left = !kept && self.regs.voting && me == self.regs.me + 1;
-        self.regs.follow(me, before, voters, out);
+        let kept = voters.iter().any(|v| v.disk == self.disk && v.since <= self.regs.member_epoch);
+        let left = !kept && self.regs.voting && member_epoch == self.regs.member_epoch + 1;
+        self.regs.follow(member_epoch, before, voters, out);
         self.regs.voting &= kept;
         self.regs.left = left;
         self.caught.clear();
         // Until others know that it counts the same votes it is not live to them.
-        (self.next_meet, self.next_beat, self.changed) = (0, 0, self.clock);
+        (self.next_join, self.next_beat, self.changed) = (0, 0, self.clock);
         out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
     }
 
     /// Gives lost voters' places to others, and adds voters where there are too few, if this daemon is the one to.
-    pub(super) fn mend_seats(&mut self, now: Ms, live: &dyn Fn(&str) -> bool, out: &mut Effects) {
-        if now < self.next_seats || !self.regs.voting {
+    pub(super) fn change_voters(&mut self, now: Ms, live: &dyn Fn(&str) -> bool, out: &mut Effects) {
+        if now < self.next_voter_change || !self.regs.voting {
             return;
         }
-        self.next_seats = now + 2 * BEAT_EVERY;
+        self.next_voter_change = now + 2 * HEARTBEAT_EVERY;
         self.heard.retain(|_, t| now.saturating_sub(*t) < NODE_FORGOTTEN);
         let mine = self.regs.first(MEMBERS, live).is_some_and(|v| v.name == self.p.name);
         // One that has just started has not heard the others yet.
@@ -175,10 +177,10 @@
         }
         let fresh = || self.peers.iter().filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE);
         let votes = |v: &Voter| v.name == self.p.name || live(&v.name);
-        let me = self.regs.me;
+        let member_epoch = self.regs.member_epoch;
         // A newcomer is still reading: another change would have it begin anew.
         let reads = |p: &Peer| {
-            p.beat.state == PeerState::Behind && self.regs.voters.iter().any(|v| v.disk == p.beat.disk && v.since == me)
+            p.beat.state == PeerState::Behind && self.regs.voters.iter().any(|v| v.disk == p.beat.disk && v.since == member_epoch)
         };
         if now.saturating_sub(self.changed) < READING && fresh().any(|(_, p)| reads(p)) {
             return;
@@ -188,14 +190,20 @@
                 && !self.regs.voters.iter().any(|v| v.disk == p.beat.disk)
         };
         let candidates = fresh().filter(|(_, p)| free(p)).map(|(n, p)| {
-            let v = Voter { name: n.clone(), disk: p.beat.disk, addr: p.addr.clone(), zone: p.beat.zone.clone(), since: me + 1 };
+            let v = Voter {
+                name: n.clone(),
+                disk: p.beat.disk,
+                addr: p.addr.clone(),
+                zone: p.beat.zone.clone(),
+                since: member_epoch + 1,
+            };
             (v, p.beat.state != PeerState::StandsBy)
         });
         let silent = |v: &Voter| match v.disk == self.disk {
             true => 0,
             false => now.saturating_sub(self.heard.get(&v.disk).copied().unwrap_or(self.started)),
         };
-        let s = seats::Seats {
+        let s = members::VoterChange {
             voters: &self.regs.voters,
             silent: &silent,
             candidates: candidates.collect(),
@@ -203,21 +211,21 @@
             bounds: &self.p.bounds,
             live: &votes,
         };
-        let Some(next) = seats::next(&s) else { return };
+        let Some(next) = members::next(&s) else { return };
         let names: Vec<&str> = next.iter().map(|v| &*v.name).collect();
         out.push(note(events::PLACE_GIVEN, &self.p.name, names.join(" ")));
-        let value = seats::to_bytes(self.regs.voters.len() as u32, &next);
-        self.regs.propose(NOBODY, &MEMBERS.into(), Expect::Version(u64::from(me) - 1), value, now, out);
+        let value = members::to_bytes(self.regs.voters.len() as u32, &next);
+        self.regs.propose(NOBODY, &MEMBERS.into(), Expect::Version(u64::from(member_epoch) - 1), value, now, out);
     }
 
     /// What a daemon that does not vote yet does about it.
-    pub(super) fn meet(&mut self, now: Ms, out: &mut Effects) {
-        if self.regs.voting || now < self.next_meet {
+    pub(super) fn join(&mut self, now: Ms, out: &mut Effects) {
+        if self.regs.voting || now < self.next_join {
             return;
         }
-        self.next_meet = now + BEAT_EVERY;
+        self.next_join = now + HEARTBEAT_EVERY;
         if self.named() {
-            let ask = SlotsAsk { me: self.regs.me, have: self.regs.have() };
+            let ask = SlotsAsk { member_epoch: self.regs.member_epoch, have: self.regs.have() };
             // Also those that have just lost their places: what they voted may stand with them alone.
             let mut to: BTreeMap<Name, Name> = self.regs.voters.iter().map(|v| (v.name.clone(), self.regs.addr(v))).collect();
             let fresh = self.peers.iter().filter(|(_, p)| now.saturating_sub(p.at) <= PEER_GONE);
@@ -237,7 +245,7 @@
     /// The first voters, once all of them are here with blank disks and this daemon is the one to write them down:
     /// the first by name where names are given, else the one at the first of the seeds.
     fn founders(&self, fresh: &[(&Name, &Peer)]) -> Option<Vec<Voter>> {
-        if self.regs.me > 0 {
+        if self.regs.member_epoch > 0 {
             return None;
         }
         let (name, addr, zone) = (self.p.name.clone(), self.p.addr.clone(), self.p.zone.clone());
--- a/coordination/src/control/writes.rs
+++ b/coordination/src/control/writes.rs
@@ -145,7 +145,7 @@
                 self.doubt(m.token, m.offered);
             }
             let (expect, value) = (m.value.is_some().then_some(m.expect), m.value.unwrap_or_default());
-            let (to, until, again) = (Name::default(), m.at + FORWARD_LIMIT, Some(now + BEAT_EVERY / 2));
+            let (to, until, again) = (Name::default(), m.at + FORWARD_LIMIT, Some(now + HEARTBEAT_EVERY / 2));
             self.token += 1;
             self.passed.insert(self.token, Passed { token: m.token, key: m.key, expect, value, to, until, again });
         }
@@ -251,8 +251,8 @@
             self.doubt(p.token, Some(m.version));
         }
         // The two daemons do not see the same ones live yet.
-        if matches!(m.end, ForwardEnd::NotOwner | ForwardEnd::Deposed) && now + BEAT_EVERY < p.until {
-            p.again = Some(now + BEAT_EVERY);
+        if matches!(m.end, ForwardEnd::NotOwner | ForwardEnd::Deposed) && now + HEARTBEAT_EVERY < p.until {
+            p.again = Some(now + HEARTBEAT_EVERY);
             self.passed.insert(m.token, p);
             return;
         }
--- a/coordination/src/effect.rs
+++ b/coordination/src/effect.rs
@@ -15,7 +15,7 @@
     /// Member epoch, voters, how many there were before, whether this disk has caught up and votes, and whether it
     /// voted until this member epoch, which gave its place away.
     Members {
-        me: u32,
+        member_epoch: u32,
         before: u32,
         voters: Vec<Voter>,
         voting: bool,
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -5,7 +5,7 @@
 /// ms. How often a state machine is ticked; a fifth of the shortest interval it keeps.
 pub const TICK: Ms = 50;
 /// ms. Control daemons' beats to each other: five may be lost before a peer counts as gone.
-pub const BEAT_EVERY: Ms = 200;
+pub const HEARTBEAT_EVERY: Ms = 200;
 /// ms. Silence after which a control daemon counts as gone; above five beats, so that one slow disk sync is no death.
 pub const PEER_GONE: Ms = 1_100;
 /// ms. Life of a lease at most: the brief's evacuation and canary bounds are 5 s, so a lapse leaves 2 s to act.
--- a/coordination/src/members.rs
+++ b/coordination/src/members.rs
@@ -7,7 +7,7 @@
 use crate::{
     Ms,
     bounds::Bounds,
-    limits::{BEAT_EVERY, PEER_GONE, REPLACE_ANYWHERE, STEP_IN, VOTERS, VOTERS_LEAST},
+    limits::{HEARTBEAT_EVERY, PEER_GONE, REPLACE_ANYWHERE, STEP_IN, VOTERS, VOTERS_LEAST},
     regions::{self, Regions},
 };
 
@@ -15,7 +15,7 @@
 pub type Candidate = (Voter, bool);
 
 /// What a change of voters is decided from.
-pub struct Seats<'a> {
+pub struct VoterChange<'a> {
     pub voters: &'a [Voter],
     /// How long nothing was heard of a voter's disk.
     pub silent: &'a dyn Fn(&Voter) -> Ms,
@@ -49,19 +49,19 @@
 
 /// The next voters, if the present ones are to change. A change keeps at least as many voters, so that a majority of
 /// the next that is made of former ones is a majority of the former.
-pub fn next(s: &Seats) -> Option<Vec<Voter>> {
+pub fn next(s: &VoterChange) -> Option<Vec<Voter>> {
     let mut voters = s.voters.to_vec();
     let mut free = s.candidates.clone();
     // A lost disk's place goes to whoever has its name or address: the process with the old disk is no more.
     for v in &mut voters {
         let i = free.iter().position(|(c, _)| c.name == v.name || c.addr == v.addr);
-        if let Some(i) = i.filter(|_| (s.silent)(v) > 2 * BEAT_EVERY) {
+        if let Some(i) = i.filter(|_| (s.silent)(v) > 2 * HEARTBEAT_EVERY) {
             *v = free.remove(i).0;
         }
     }
     step_in(s, &mut voters, &mut free);
     grow(s, &mut voters, &mut free);
-    if s.voters.iter().all(|v| (s.live)(v) && (s.silent)(v) <= 2 * BEAT_EVERY) {
+    if s.voters.iter().all(|v| (s.live)(v) && (s.silent)(v) <= 2 * HEARTBEAT_EVERY) {
         even_out(s, &mut voters, &mut free);
     }
     // Newcomers read a majority of the former voters: without it a change would leave them waiting for good.
@@ -71,7 +71,7 @@
 
 /// Gives places of voters that are silent for long to others: an empty machine comes in a lost one's stead, while a
 /// daemon that stands by waits longer, as the voter may be restarting.
-fn step_in(s: &Seats, voters: &mut [Voter], free: &mut Vec<Candidate>) {
+fn step_in(s: &VoterChange, voters: &mut [Voter], free: &mut Vec<Candidate>) {
     // Who has been silent longest is least likely to come back.
     let mut order: Vec<usize> = (0..voters.len()).collect();
     order.sort_by_key(|i| std::cmp::Reverse((s.silent)(&voters[*i])));
@@ -99,7 +99,7 @@
 
 /// Adds voters: two at a time, as an even number bears no more losses than one less; one at a time below what the
 /// losses to be borne need, where one more disk still keeps what a single loss would take.
-fn grow(s: &Seats, voters: &mut Vec<Voter>, free: &mut Vec<Candidate>) {
+fn grow(s: &VoterChange, voters: &mut Vec<Voter>, free: &mut Vec<Candidate>) {
     let least = VOTERS_LEAST.max(2 * s.bounds.lost_disks as usize + 1);
     while voters.len() < least.max(VOTERS) && !free.is_empty() {
         let mut next = voters.clone();
@@ -121,7 +121,7 @@
 }
 
 /// Swaps one voter for a daemon that stands by where that spreads the voters better.
-fn even_out(s: &Seats, voters: &mut [Voter], free: &mut Vec<Candidate>) {
+fn even_out(s: &VoterChange, voters: &mut [Voter], free: &mut Vec<Candidate>) {
     let now = excess(voters, s.regions);
     if now == 0 {
         return;
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -17,9 +17,9 @@
     order::weight,
 };
 
+mod members;
 mod owner;
 mod repeats;
-mod seats;
 mod turn;
 mod voter;
 
@@ -43,7 +43,7 @@
 }
 
 /// The key by which the agreed order of a key's owners goes.
-fn seat(key: &str) -> Cow<'_, str> {
+fn order_key(key: &str) -> Cow<'_, str> {
     key.strip_prefix(CONTEXT).map_or(Cow::Borrowed(key), |s| format!("{DUTY}{s}").into())
 }
 
@@ -114,7 +114,7 @@
 
 /// This daemon's ownership of one key.
 #[derive(Clone, Debug)]
-struct Own {
+struct Ownership {
     epoch: u64,
     phase: Phase,
     write: Option<Write>,
@@ -132,7 +132,7 @@
 #[derive(Clone, Debug)]
 pub struct Registers {
     name: Name,
-    pub me: u32,
+    pub member_epoch: u32,
     pub voters: Vec<Voter>,
     /// How many voters the member epoch before had; 0: not known.
     pub before: u32,
@@ -145,7 +145,7 @@
     lease: Ms,
     addrs: BTreeMap<Name, Name>,
     slots: BTreeMap<Name, Slot>,
-    own: BTreeMap<Name, Own>,
+    own: BTreeMap<Name, Ownership>,
     /// Who may keep a duty, as this voter let it: the holder's address, its epoch, until.
     grants: BTreeMap<Name, (Name, u64, Ms)>,
     abstain_until: Ms,
@@ -167,7 +167,7 @@
     pub fn new(name: Name, rows: Vec<Row>, lease: Ms, now: Ms) -> Self {
         let mut r = Registers {
             name,
-            me: 0,
+            member_epoch: 0,
             voters: Vec::new(),
             before: 0,
             voting: false,
@@ -190,8 +190,8 @@
         };
         for row in rows {
             match row {
-                Row::Members { me, before, voters, voting, left } => {
-                    (r.me, r.before, r.voters, r.voting, r.left) = (me, before, voters, voting, left);
+                Row::Members { member_epoch, before, voters, voting, left } => {
+                    (r.member_epoch, r.before, r.voters, r.voting, r.left) = (member_epoch, before, voters, voting, left);
                 }
                 Row::Slot(s) if &*s.key == EPOCHS => r.highest = r.highest.max(s.promised),
                 Row::Slot(s) => {
@@ -231,7 +231,7 @@
     }
     /// Above all known ones, and no other daemon's: under each member epoch a rank is one voter's alone.
     fn next_epoch(&mut self) -> u64 {
-        self.highest = (((self.highest >> 24) + 1) << 24) | u64::from(self.me & 0xffff) << 8 | self.rank();
+        self.highest = (((self.highest >> 24) + 1) << 24) | u64::from(self.member_epoch & 0xffff) << 8 | self.rank();
         self.highest
     }
     pub fn keys(&self) -> impl Iterator<Item = &Slot> {
@@ -268,19 +268,19 @@
         (until > now).then_some((o.epoch, until))
     }
     /// When a majority of voters was last asked, that has answered since, whether the key is still owned here.
-    fn confirmed(&self, o: &Own) -> Option<Ms> {
+    fn confirmed(&self, o: &Ownership) -> Option<Ms> {
         let mut at: Vec<Ms> = o.renewed.values().copied().collect();
         at.sort_unstable_by(|a, b| b.cmp(a));
         at.get(self.majority().wrapping_sub(1)).copied()
     }
-    fn lease_until(&self, o: &Own) -> Ms {
+    fn lease_until(&self, o: &Ownership) -> Ms {
         // A majority of voters keeps others out at least until then.
         self.confirmed(o).map_or(0, |t| t + self.lease - LEASE_MARGIN)
     }
     /// The agreed first live voter for a key.
     pub fn first(&self, key: &str, live: &dyn Fn(&str) -> bool) -> Option<&Voter> {
-        let seat = seat(key);
-        self.voters.iter().filter(|v| live(&v.name)).max_by_key(|v| weight(&seat, &v.name))
+        let order_key = order_key(key);
+        self.voters.iter().filter(|v| live(&v.name)).max_by_key(|v| weight(&order_key, &v.name))
     }
     /// Whether a write to the key is under way or waits here.
     pub fn busy(&self, key: &str) -> bool {
--- a/coordination/src/register/seats.rs
+++ b/coordination/src/register/members.rs
@@ -16,17 +16,23 @@
     }
 
     /// Follows a member epoch. Everything owned is given up: its votes were counted over other voters.
-    pub fn follow(&mut self, me: u32, before: u32, voters: Vec<Voter>, out: &mut Effects) {
-        if me <= self.me {
+    pub fn follow(&mut self, member_epoch: u32, before: u32, voters: Vec<Voter>, out: &mut Effects) {
+        if member_epoch <= self.member_epoch {
             return;
         }
         let keys: Vec<Name> = self.own.keys().cloned().collect();
         keys.iter().for_each(|k| self.give_up(k, out));
-        (self.me, self.before, self.voters) = (me, before, voters);
-        out.push(note(events::MEMBERS, &self.name, format!("epoch {me}")));
+        (self.member_epoch, self.before, self.voters) = (member_epoch, before, voters);
+        out.push(note(events::MEMBERS, &self.name, format!("epoch {member_epoch}")));
     }
     pub fn members_row(&self) -> Row {
-        Row::Members { me: self.me, before: self.before, voters: self.voters.clone(), voting: self.voting, left: self.left }
+        Row::Members {
+            member_epoch: self.member_epoch,
+            before: self.before,
+            voters: self.voters.clone(),
+            voting: self.voting,
+            left: self.left,
+        }
     }
     /// Takes over another voter's slots: the newest accepted value and the highest promise of each key.
     pub fn catch_up(&mut self, slots: &[Slot]) -> Vec<Row> {
--- a/coordination/src/register/owner.rs
+++ b/coordination/src/register/owner.rs
@@ -4,7 +4,7 @@
 
 use wire_messages::{Accept, Accepted, Blob, Change, Commit, Held, List, Name, Prepare, Promise, Release, Renew, Renewed, Slot};
 
-use super::{Ask, EPOCHS, Expect, Moved, Own, Phase, Registers, Write, change, leased, repeats::Earlier};
+use super::{Ask, EPOCHS, Expect, Moved, Ownership, Phase, Registers, Write, change, leased, repeats::Earlier};
 use crate::{
     Effect, Effects, Ms, Row, WriteOutcome,
     effect::{note, send},
@@ -32,7 +32,7 @@
         let old = self.own.remove(key);
         let (waiting, not_before) = old.map_or((VecDeque::new(), 0), |o| (o.waiting, o.not_before));
         let phase = Phase::Asking { promises: BTreeSet::new(), best: Slot::default(), sent: now };
-        let o = Own { epoch, phase, write: None, waiting, not_before, outbid: false, renewed: BTreeMap::new(), asked: 0 };
+        let o = Ownership { epoch, phase, write: None, waiting, not_before, outbid: false, renewed: BTreeMap::new(), asked: 0 };
         self.own.insert(key.clone(), o);
         if now >= not_before {
             self.prepare(key, epoch, out);
@@ -44,7 +44,7 @@
     pub(super) fn prepare(&self, key: &Name, epoch: u64, out: &mut Effects) {
         let row = Slot { key: EPOCHS.into(), promised: self.highest, ..Slot::default() };
         let mut then = vec![];
-        self.spread(Prepare { key: key.clone(), epoch, me: self.me }, &mut then);
+        self.spread(Prepare { key: key.clone(), epoch, member_epoch: self.member_epoch }, &mut then);
         out.push(Effect::Persist { rows: vec![Row::Slot(row)], then });
     }
 
@@ -100,7 +100,7 @@
             let Some(s) = self.slots.get(&h.key).filter(|s| (h.epoch, h.version) > (s.epoch, s.version)).cloned() else {
                 continue;
             };
-            let me = self.me;
+            let member_epoch = self.member_epoch;
             let Some(o) = self.own.get_mut(&h.key).filter(|o| o.write.is_none() && o.epoch > h.epoch) else { continue };
             let Phase::Holding { version } = o.phase else { continue };
             if s.version != version || version == 0 {
@@ -108,7 +108,7 @@
             }
             let epoch = o.epoch;
             o.write = Some(Write::again(&s, now));
-            self.spread(Accept { key: s.key, epoch, version, value: s.value, past: s.past, me }, out);
+            self.spread(Accept { key: s.key, epoch, version, value: s.value, past: s.past, member_epoch }, out);
         }
     }
 
@@ -161,13 +161,13 @@
     /// Offers the first write that waits to the voters' disks.
     fn write_next(&mut self, key: &Name, version: u64, now: Ms, out: &mut Effects) {
         let past = self.past_of_next(key, version);
-        let me = self.me;
+        let member_epoch = self.member_epoch;
         let Some(o) = self.own.get_mut(key) else { return };
         let Some(Ask { token, expect, value: Some(value), at }) = o.waiting.pop_front() else { return };
         let (acks, token) = (BTreeSet::new(), Some(token));
         let w = Write { version: version + 1, value, past, acks, token, expect, at, sent: now };
         let (value, past) = (w.value.clone(), w.past.clone());
-        let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value, past, me };
+        let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value, past, member_epoch };
         o.write = Some(w);
         self.spread(m, out);
     }
@@ -180,16 +180,16 @@
         }
         o.asked = now;
         let keys = List(vec![Held { key: key.clone(), epoch: o.epoch }]);
-        self.spread(Renew { keys, sent: now, me: self.me }, out);
+        self.spread(Renew { keys, sent: now, member_epoch: self.member_epoch }, out);
     }
 
     pub fn on_promise(&mut self, from: &Name, m: Promise, now: Ms, out: &mut Effects) {
         self.highest = self.highest.max(m.slot.promised);
-        let (key, need, me) = (m.slot.key.clone(), self.majority(), self.me);
+        let (key, need, member_epoch) = (m.slot.key.clone(), self.majority(), self.member_epoch);
         let known = self.voters.iter().any(|v| v.name == *from);
         let own = self.slots.get(&key);
         let Some(o) = self.own.get_mut(&key) else { return };
-        if m.epoch != o.epoch || m.me != me || !known {
+        if m.epoch != o.epoch || m.member_epoch != member_epoch || !known {
             return;
         }
         let Phase::Asking { promises, best, .. } = &mut o.phase else { return };
@@ -222,7 +222,7 @@
         // a write whose owner died between two disks ends here, one way for everybody.
         let epoch = o.epoch;
         o.write = Some(Write::again(&best, now));
-        self.spread(Accept { key, epoch, version: best.version, value: best.value, past: best.past, me }, out);
+        self.spread(Accept { key, epoch, version: best.version, value: best.value, past: best.past, member_epoch }, out);
     }
 
     pub fn on_accepted(&mut self, from: &Name, m: Accepted, now: Ms, out: &mut Effects) {
@@ -230,7 +230,7 @@
         let need = self.majority();
         let known = self.voters.iter().any(|v| v.name == *from);
         let Some(o) = self.own.get_mut(&m.key) else { return };
-        if m.epoch != o.epoch || m.me != self.me || !known {
+        if m.epoch != o.epoch || m.member_epoch != self.member_epoch || !known {
             return;
         }
         if m.ok == 0 {
@@ -262,7 +262,7 @@
     }
 
     pub fn on_renewed(&mut self, from: &Name, m: Renewed, now: Ms, out: &mut Effects) {
-        if m.me != self.me || !self.voters.iter().any(|v| v.name == *from) {
+        if m.member_epoch != self.member_epoch || !self.voters.iter().any(|v| v.name == *from) {
             return;
         }
         for h in m.keys {
--- a/coordination/src/register/tests.rs
+++ b/coordination/src/register/tests.rs
@@ -38,7 +38,7 @@
     fn new(seed: u64) -> Self {
         let voters: Vec<Voter> =
             (0..NODES).map(|i| Voter { name: name(i), disk: i as u64 + 1, addr: name(i), ..Voter::default() }).collect();
-        let row = Row::Members { me: 1, before: 0, voters, voting: true, left: false };
+        let row = Row::Members { member_epoch: 1, before: 0, voters, voting: true, left: false };
         let mut b = Bench {
             now: 0,
             rng: fastrand::Rng::with_seed(seed),
@@ -183,7 +183,7 @@
 fn an_owner_that_crashed_never_takes_the_same_epoch_again() {
     let voters: Vec<Voter> =
         (0..NODES).map(|i| Voter { name: name(i), disk: i as u64 + 1, addr: name(i), ..Voter::default() }).collect();
-    let first = vec![Row::Members { me: 1, before: 0, voters, voting: true, left: false }];
+    let first = vec![Row::Members { member_epoch: 1, before: 0, voters, voting: true, left: false }];
     let mut disks = vec![first; NODES];
     let mut n: Vec<Registers> = (0..NODES).map(|i| Registers::new(name(i), disks[i].clone(), LEASE, 0)).collect();
     let key: Name = "k".into();
@@ -247,11 +247,11 @@
     (0..NODES).map(|i| Voter { name: name(i), disk: i as u64 + 1, addr: name(i), ..Voter::default() }).collect()
 }
 fn voter(i: usize) -> Registers {
-    let row = Row::Members { me: 1, before: 0, voters: voters(), voting: true, left: false };
+    let row = Row::Members { member_epoch: 1, before: 0, voters: voters(), voting: true, left: false };
     Registers::new(name(i), vec![row], LEASE, 0)
 }
 fn accept(key: &str, epoch: u64, version: u64, value: &str) -> wire_messages::Accept {
-    wire_messages::Accept { key: key.into(), epoch, version, value: Blob(value.into()), past: List::default(), me: 1 }
+    wire_messages::Accept { key: key.into(), epoch, version, value: Blob(value.into()), past: List::default(), member_epoch: 1 }
 }
 fn accepted(out: &Effects) -> Option<wire_messages::Accepted> {
     let sends = synced(&mut vec![], out.clone());
@@ -322,7 +322,7 @@
     expect_that!(n.fresh.iter().map(|c| c.version).collect::<Vec<_>>(), elements_are![eq(&3)]);
     // It promises nothing below what any of them promised.
     let mut out = vec![];
-    n.on_prepare(&name(1), wire_messages::Prepare { key: "k".into(), epoch: 11, me: 1 }, 10_000, &mut out);
+    n.on_prepare(&name(1), wire_messages::Prepare { key: "k".into(), epoch: 11, member_epoch: 1 }, 10_000, &mut out);
     let told = synced(&mut vec![], out);
     expect_that!(
         told,
@@ -375,37 +375,44 @@
     };
     let holds = |n: &Registers| matches!(n.own.get(&key).map(|o| &o.phase), Some(Phase::Holding { .. }));
     let (n, promise) = owner();
-    for (me, from, counts) in [(1, 1, true), (0, 1, false), (2, 1, false), (1, 0, false), (1, 9, false)] {
+    for (member_epoch, from, counts) in [(1, 1, true), (0, 1, false), (2, 1, false), (1, 0, false), (1, 9, false)] {
         let mut n = n.clone();
-        n.on_promise(&name(from), wire_messages::Promise { me, ..promise.clone() }, 1, &mut vec![]);
-        expect_that!(holds(&n), eq(counts), "a promise of member epoch {me} by {from}");
+        n.on_promise(&name(from), wire_messages::Promise { member_epoch, ..promise.clone() }, 1, &mut vec![]);
+        expect_that!(holds(&n), eq(counts), "a promise of member epoch {member_epoch} by {from}");
     }
     let (mut n, promise) = owner();
     n.on_promise(&name(1), promise.clone(), 1, &mut vec![]);
-    let ack = |me, epoch, version| wire_messages::Accepted { key: key.clone(), epoch, version, promised: 0, me, ok: 1 };
+    let ack = |member_epoch, epoch, version| wire_messages::Accepted {
+        key: key.clone(),
+        epoch,
+        version,
+        promised: 0,
+        member_epoch,
+        ok: 1,
+    };
     n.on_accepted(&name(0), ack(1, promise.epoch, 1), 1, &mut vec![]);
     let all = [(1, promise.epoch, 1, 1, true), (0, promise.epoch, 1, 1, false), (2, promise.epoch, 1, 1, false)];
     let rest = [(1, promise.epoch - 1, 1, 1, false), (1, promise.epoch, 2, 1, false), (1, promise.epoch, 1, 9, false)];
-    for (me, epoch, version, from, counts) in all.into_iter().chain(rest) {
+    for (member_epoch, epoch, version, from, counts) in all.into_iter().chain(rest) {
         let (mut n, mut out) = (n.clone(), vec![]);
-        n.on_accepted(&name(from), ack(me, epoch, version), 1, &mut out);
+        n.on_accepted(&name(from), ack(member_epoch, epoch, version), 1, &mut out);
         let told = out.iter().any(|e| matches!(e, Effect::Answer { outcome: WriteOutcome::Accepted(1), .. }));
-        expect_that!(told, eq(counts), "version {version} under {epoch} in member epoch {me} by {from}");
+        expect_that!(told, eq(counts), "version {version} under {epoch} in member epoch {member_epoch} by {from}");
     }
     // Nor does a voter take part in another member epoch than its own.
-    for me in [0, 2] {
+    for member_epoch in [0, 2] {
         let (mut n, mut out) = (voter(1), vec![]);
-        n.on_accept(&name(0), wire_messages::Accept { me, ..accept("k", 5, 1, "value") }, &mut out);
+        n.on_accept(&name(0), wire_messages::Accept { member_epoch, ..accept("k", 5, 1, "value") }, &mut out);
         n.on_renew(
             &name(0),
-            wire_messages::Renew { keys: List(vec![Held { key: key.clone(), epoch: 5 }]), sent: 1, me },
+            wire_messages::Renew { keys: List(vec![Held { key: key.clone(), epoch: 5 }]), sent: 1, member_epoch },
             1,
             &mut out,
         );
-        n.on_prepare(&name(0), wire_messages::Prepare { key: key.clone(), epoch: 5, me }, 1, &mut out);
+        n.on_prepare(&name(0), wire_messages::Prepare { key: key.clone(), epoch: 5, member_epoch }, 1, &mut out);
         let sends = synced(&mut vec![], out);
         let taken = sends.iter().any(|(_, m)| !matches!(m, Msg::Promise(wire_messages::Promise { ok: 0, .. })));
-        expect_that!(taken, eq(false), "member epoch {me}");
+        expect_that!(taken, eq(false), "member epoch {member_epoch}");
         expect_that!(n.slots.get(&key).map_or(0, |s| s.epoch), eq(0));
     }
 }
@@ -418,7 +425,7 @@
     let mut n = voter(0);
     n.on_commit(&Change { key: key.clone(), epoch: 5, version: 3, value: Blob("value".into()) }, &[], &mut vec![]);
     let phase = Phase::Holding { version: 3 };
-    let own = Own {
+    let own = Ownership {
         epoch: 7,
         phase,
         write: None,
@@ -431,13 +438,13 @@
     n.own.insert(key.clone(), own);
     let mut out = vec![];
     n.read(9, &key, 100, &mut out);
-    let renewed = |n: &mut Registers, from: usize, epoch, sent, me| {
-        let m = wire_messages::Renewed { keys: List(vec![Held { key: key.clone(), epoch }]), sent, me };
+    let renewed = |n: &mut Registers, from: usize, epoch, sent, member_epoch| {
+        let m = wire_messages::Renewed { keys: List(vec![Held { key: key.clone(), epoch }]), sent, member_epoch };
         let mut out = vec![];
         n.on_renewed(&name(from), m, 101, &mut out);
         out.iter().any(|e| matches!(e, Effect::Answer { token: 9, outcome: WriteOutcome::Accepted(3) }))
     };
-    let mut told = |from, epoch, sent, me| renewed(&mut n, from, epoch, sent, me);
+    let mut told = |from, epoch, sent, member_epoch| renewed(&mut n, from, epoch, sent, member_epoch);
     expect_that!(told(0, 7, 100, 1), eq(false), "one is no majority");
     expect_that!(told(1, 7, 99, 1), eq(false), "asked before the reading came");
     expect_that!(told(1, 6, 100, 1), eq(false), "another ownership");
@@ -450,7 +457,7 @@
     let mut out = vec![];
     v.on_renew(
         &name(0),
-        wire_messages::Renew { keys: List(vec![Held { key: key.clone(), epoch: 7 }]), sent: 100, me: 1 },
+        wire_messages::Renew { keys: List(vec![Held { key: key.clone(), epoch: 7 }]), sent: 100, member_epoch: 1 },
         1,
         &mut out,
     );
--- a/coordination/src/register/turn.rs
+++ b/coordination/src/register/turn.rs
@@ -4,12 +4,12 @@
 
 use wire_messages::{Accept, Held, List, Name, Renew};
 
-use super::{Own, Phase, Registers, leased};
+use super::{Ownership, Phase, Registers, leased};
 use crate::{
     Effect, Effects, Ms, WriteOutcome,
     effect::note,
     events,
-    limits::{BEAT_EVERY, RENEW_EVERY, RESEND, WRITE_LIMIT},
+    limits::{HEARTBEAT_EVERY, RENEW_EVERY, RESEND, WRITE_LIMIT},
 };
 
 impl Registers {
@@ -21,10 +21,10 @@
         // Whose a key is changes with the voters that live, which beats tell; what is owned here is seen to each time.
         let look = now >= self.next_look;
         let keys: BTreeSet<Name> = if look {
-            self.next_look = now + BEAT_EVERY / 2;
+            self.next_look = now + HEARTBEAT_EVERY / 2;
             self.slots.keys().chain(wanted).chain(self.own.keys()).cloned().collect()
         } else {
-            let at_work = |o: &Own| o.write.is_some() || !o.waiting.is_empty() || matches!(o.phase, Phase::Asking { .. });
+            let at_work = |o: &Ownership| o.write.is_some() || !o.waiting.is_empty() || matches!(o.phase, Phase::Asking { .. });
             self.own.iter().filter(|(k, o)| leased(k) || at_work(o)).map(|(k, _)| k.clone()).collect()
         };
         let mut renew = List::default();
@@ -51,7 +51,7 @@
         }
         if now >= self.next_renew && !renew.is_empty() {
             self.next_renew = now + RENEW_EVERY;
-            self.spread(Renew { keys: renew, sent: now, me: self.me }, out);
+            self.spread(Renew { keys: renew, sent: now, member_epoch: self.member_epoch }, out);
         }
     }
 
@@ -74,7 +74,7 @@
     }
 
     fn resend(&mut self, key: &Name, now: Ms, out: &mut Effects) {
-        let me = self.me;
+        let member_epoch = self.member_epoch;
         let Some(o) = self.own.get_mut(key) else { return };
         if let Phase::Asking { sent, .. } = &o.phase {
             if now < o.not_before || now.saturating_sub(*sent) < RESEND {
@@ -95,7 +95,7 @@
         let Some(w) = o.write.as_mut().filter(|w| now.saturating_sub(w.sent) >= RESEND) else { return };
         w.sent = now;
         let (value, past) = (w.value.clone(), w.past.clone());
-        let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value, past, me };
+        let m = Accept { key: key.clone(), epoch: o.epoch, version: w.version, value, past, member_epoch };
         self.spread(m, out);
     }
 }
--- a/coordination/src/register/voter.rs
+++ b/coordination/src/register/voter.rs
@@ -7,12 +7,15 @@
 
 impl Registers {
     pub fn on_prepare(&mut self, to: &Name, m: Prepare, now: Ms, out: &mut Effects) {
-        let me = self.me;
+        let member_epoch = self.member_epoch;
         self.highest = self.highest.max(m.epoch);
         // A disk that may lack what it once confirmed must not vote, and other member epochs count other votes.
-        if !self.voting || m.me != me {
-            if m.me < me {
-                out.push(send(to, Promise { epoch: m.epoch, me, ok: 0, wait: 0, slot: Slot { key: m.key, ..Slot::default() } }));
+        if !self.voting || m.member_epoch != member_epoch {
+            if m.member_epoch < member_epoch {
+                out.push(send(
+                    to,
+                    Promise { epoch: m.epoch, member_epoch, ok: 0, wait: 0, slot: Slot { key: m.key, ..Slot::default() } },
+                ));
             }
             return;
         }
@@ -20,7 +23,7 @@
         let s = self.slot(&m.key);
         if wait > 0 || m.epoch < s.promised {
             let slot = s.clone();
-            out.push(send(to, Promise { epoch: m.epoch, me, ok: 0, wait: wait as u32, slot }));
+            out.push(send(to, Promise { epoch: m.epoch, member_epoch, ok: 0, wait: wait as u32, slot }));
             return;
         }
         s.promised = m.epoch;
@@ -29,7 +32,7 @@
         if self.own.get(&m.key).is_some_and(|o| o.epoch < m.epoch) {
             self.give_up(&m.key, out);
         }
-        let then = vec![send(to, Promise { epoch: m.epoch, me, ok: 1, wait: 0, slot: slot.clone() })];
+        let then = vec![send(to, Promise { epoch: m.epoch, member_epoch, ok: 1, wait: 0, slot: slot.clone() })];
         out.push(Effect::Persist { rows: vec![Row::Slot(slot)], then });
     }
 
@@ -43,13 +46,14 @@
     }
 
     pub fn on_accept(&mut self, to: &Name, m: Accept, out: &mut Effects) {
-        let me = self.me;
+        let member_epoch = self.member_epoch;
         self.highest = self.highest.max(m.epoch);
-        if !self.voting || m.me != me {
+        if !self.voting || m.member_epoch != member_epoch {
             return;
         }
         let s = self.slot(&m.key);
-        let mut a = Accepted { key: m.key.clone(), epoch: m.epoch, version: m.version, promised: s.promised, me, ok: 0 };
+        let mut a =
+            Accepted { key: m.key.clone(), epoch: m.epoch, version: m.version, promised: s.promised, member_epoch, ok: 0 };
         // A value of a later epoch may be known here without a promise: what is not stored is not acknowledged.
         if m.epoch < s.promised.max(s.epoch) {
             a.promised = s.promised.max(s.epoch);
@@ -84,7 +88,7 @@
     }
 
     pub fn on_renew(&mut self, to: &Name, m: Renew, now: Ms, out: &mut Effects) {
-        if !self.voting || m.me != self.me {
+        if !self.voting || m.member_epoch != self.member_epoch {
             return;
         }
         let (mut keys, mut rows) = (List::default(), vec![]);
@@ -92,7 +96,10 @@
             let promised = self.slots.get(&h.key).map_or(0, |s| s.promised);
             // Told at once: a holder whom nobody renews any more must not rest on a key that nobody else takes.
             if promised > h.epoch {
-                out.push(send(to, Accepted { key: h.key, epoch: h.epoch, version: 0, promised, me: self.me, ok: 0 }));
+                out.push(send(
+                    to,
+                    Accepted { key: h.key, epoch: h.epoch, version: 0, promised, member_epoch: self.member_epoch, ok: 0 },
+                ));
                 continue;
             }
             // An owner that others made one without this voter: it may need its word once one of those is gone.
@@ -111,7 +118,7 @@
             self.grants.insert(h.key.clone(), (to.clone(), h.epoch, now + self.lease));
             keys.0.push(h);
         }
-        let told = send(to, Renewed { keys, sent: m.sent, me: self.me });
+        let told = send(to, Renewed { keys, sent: m.sent, member_epoch: self.member_epoch });
         if rows.is_empty() {
             return out.push(told);
         }
--- a/coordination/tests/chaos.rs
+++ b/coordination/tests/chaos.rs
@@ -55,8 +55,10 @@
     /// All voters are up and vote: the losses before are made up for.
     fn whole(&self) -> bool {
         let voting = self.f.voting();
-        let me = voting.iter().filter_map(|i| self.f.brain(*i)).map(|b| b.regs.me).max();
-        let all = |i: &usize| self.f.brain(*i).is_some_and(|b| Some(b.regs.me) == me && b.regs.voters.len() == voting.len());
+        let member_epoch = voting.iter().filter_map(|i| self.f.brain(*i)).map(|b| b.regs.member_epoch).max();
+        let all = |i: &usize| {
+            self.f.brain(*i).is_some_and(|b| Some(b.regs.member_epoch) == member_epoch && b.regs.voters.len() == voting.len())
+        };
         !voting.is_empty() && voting.iter().all(all)
     }
     fn up(&self) -> Vec<usize> {
--- a/coordination/tests/fleet/mod.rs
+++ b/coordination/tests/fleet/mod.rs
@@ -229,7 +229,7 @@
                 let now = self.now;
                 let Some(b) = self.all[i].brain.as_mut() else { return };
                 if let Some(change) = &self.change {
-                    change(b.regs.me, &mut msg);
+                    change(b.regs.member_epoch, &mut msg);
                 }
                 let out = b.on_msg(&from, &addr, *msg, now);
                 self.carry(i, out);
@@ -325,7 +325,7 @@
     /// Every voter list ever stored under member epoch 1, on any disk.
     pub fn first_voters(&self) -> BTreeSet<Vec<u64>> {
         let lists = self.all.iter().filter_map(|d| match d.disk.get("\0members") {
-            Some(Row::Members { me: 1, voters, .. }) => Some(voters.iter().map(|v| v.disk).collect()),
+            Some(Row::Members { member_epoch: 1, voters, .. }) => Some(voters.iter().map(|v| v.disk).collect()),
             _ => None,
         });
         lists.collect()
--- a/coordination/tests/news.rs
+++ b/coordination/tests/news.rs
@@ -7,7 +7,7 @@
     limits::{MISSED, POLL_EVERY, PUSH_TAKES, TICK},
     register::Expect,
     wire::{
-        Beat, Blob, Change, Digests, Lease, List, Msg, Name, News, Node, Poll, ProxyHello, Reading, Readings, Shuffle, Tally,
+        Blob, Change, Digests, Heartbeat, Lease, List, Msg, Name, News, Node, Poll, ProxyHello, Reading, Readings, Shuffle, Tally,
     },
 };
 use googletest::prelude::*;
@@ -337,7 +337,7 @@
 
 /// Another control daemon lives in the zone `y`.
 fn beside(a: &mut Alone) {
-    let m = Beat { me: 1, disk: 8, zone: "y".into(), ..Beat::default() };
+    let m = Heartbeat { member_epoch: 1, disk: 8, zone: "y".into(), ..Heartbeat::default() };
     let out = a.c.on_msg(&"d".into(), &"d".into(), m.into(), a.now);
     a.carry(out);
 }
--- a/coordination/tests/replacing.rs
+++ b/coordination/tests/replacing.rs
@@ -376,7 +376,9 @@
         let to_b = slow.clone();
         f.sieve = Box::new(move |_, to, m| *to != to_b || !matches!(m, Msg::Commit(_) | Msg::Slots(_)));
         f.add(3, &[a, b], false, &regions(8, 1));
-        if f.until(6_000, |f| f.brain(a).is_some_and(|x| x.regs.me == 2)).is_none() || f.brain(b).unwrap().regs.me != 1 {
+        if f.until(6_000, |f| f.brain(a).is_some_and(|x| x.regs.member_epoch == 2)).is_none()
+            || f.brain(b).unwrap().regs.member_epoch != 1
+        {
             continue;
         }
         f.all[b].hung = f.now + 60_000;
--- a/daemon-parts/src/channels.rs
+++ b/daemon-parts/src/channels.rs
@@ -43,7 +43,7 @@
 
     pub fn send(&mut self, to: &Name, msg: Msg) {
         let e = Envelope { from: self.name.clone(), addr: self.addr.clone(), msg };
-        // Own messages take the same way into the mailbox as all others.
+        // Ownership messages take the same way into the mailbox as all others.
         if *to == self.addr {
             self.inbox.do_send(Incoming(e));
             return;
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -125,24 +125,24 @@
 
 messages! {
     /// Liveness between control daemons; also what each has committed, so that a missed commit is mended.
-    1u8 Beat { me: u32, disk: u64, zone: Name, state: PeerState, digest: u64 }
-    2u8 Prepare { key: Name, epoch: u64, me: u32 }
-    3u8 Promise { epoch: u64, me: u32, ok: u8, wait: u32, slot: Slot }
-    4u8 Accept { key: Name, epoch: u64, version: u64, value: Blob, past: List<Replaced>, me: u32 }
-    5u8 Accepted { key: Name, epoch: u64, version: u64, promised: u64, me: u32, ok: u8 }
+    1u8 Heartbeat { member_epoch: u32, disk: u64, zone: Name, state: PeerState, digest: u64 }
+    2u8 Prepare { key: Name, epoch: u64, member_epoch: u32 }
+    3u8 Promise { epoch: u64, member_epoch: u32, ok: u8, wait: u32, slot: Slot }
+    4u8 Accept { key: Name, epoch: u64, version: u64, value: Blob, past: List<Replaced>, member_epoch: u32 }
+    5u8 Accepted { key: Name, epoch: u64, version: u64, promised: u64, member_epoch: u32, ok: u8 }
     6u8 Commit { change: Change, past: List<Replaced> }
-    7u8 Renew { keys: List<Held>, sent: u64, me: u32 }
-    8u8 Renewed { keys: List<Held>, sent: u64, me: u32 }
+    7u8 Renew { keys: List<Held>, sent: u64, member_epoch: u32 }
+    8u8 Renewed { keys: List<Held>, sent: u64, member_epoch: u32 }
     /// A write or a reading on its way to the key's owner. `expect` is compared as `compare` says.
     9u8 Forward { token: u64, key: Name, expect: u64, compare: Compare, value: Blob }
     10u8 Forwarded { token: u64, end: ForwardEnd, version: u64, why: Name }
     /// The first voters, offered once while every disk is blank.
     11u8 Genesis { voters: List<Voter> }
     /// A starter or newcomer asks for the slots in which a voter differs from what it has, without their values.
-    14u8 SlotsAsk { me: u32, have: List<Slot> }
-    /// `voting`: 1: the sender votes under member epoch `me`, whose voters these are; 2: it voted until then and has
+    14u8 SlotsAsk { member_epoch: u32, have: List<Slot> }
+    /// `voting`: 1: the sender votes under member epoch `member_epoch`, whose voters these are; 2: it voted until then and has
     /// no place any more. `before`: how many voters there were under the one before.
-    15u8 Slots { me: u32, voting: u8, before: u32, voters: List<Voter>, slots: List<Slot> }
+    15u8 Slots { member_epoch: u32, voting: u8, before: u32, voters: List<Voter>, slots: List<Slot> }
     /// A holder gives up its duties: voters need not wait its leases out.
     16u8 Release { keys: List<Held> }
     /// An agent asks for news. `life`: of the proxy whose tallies it brings. `sent` comes back so that leases count from the asking.
