Show who hears a majority and who is behind in status, metrics and runbooks

Cause: status told which voters are live, not whether the daemon asked may serve, nor how far the others are. Members now tell when they were heard, their member epoch and whether they hold the same; counters give quorum, live voters and voters behind. A runbook each for a member that is cut off, a second loss in a repair, and a member that does not catch up; all three run against real processes.

--- a/control-daemon/src/http.rs
+++ b/control-daemon/src/http.rs
@@ -191,7 +191,7 @@
 }
 
 async fn counters(b: Brain) -> Reply {
-    let c = look(&b, |c, _| (c.mship.me().name.to_string(), c.counters())).await?;
+    let c = look(&b, |c, now| (c.mship.me().name.to_string(), c.counters(now))).await?;
     let counters = c.1.into_iter().map(|(n, value)| Counter { name: n.into(), value }).collect();
     Ok(HttpResponse::Ok().json(Counters { process: c.0, counters }))
 }
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -25,9 +25,9 @@
     events,
     health::Health,
     limits::{
-        ADDRESSES, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DIFFERS_LONG, FOLLOWER_GONE, FORWARD_LIMIT, HEARTBEAT_EVERY, KNOWS_FLEET,
-        LIST_CALM, LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE, ORDER_RENEWED, PEER_GONE,
-        PUSH_TAKES, PUSHED_TO, READING, STANDING_EVERY, STOOD_STILL, WAKES_FOR,
+        ADDRESSES, BEHIND_AFTER, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DIFFERS_LONG, FOLLOWER_GONE, FORWARD_LIMIT, HEARTBEAT_EVERY,
+        KNOWS_FLEET, LIST_CALM, LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE,
+        ORDER_RENEWED, PEER_GONE, PUSH_TAKES, PUSHED_TO, READING, STANDING_EVERY, STOOD_STILL, WAKES_FOR,
     },
     members,
     membership::{CONTROL, EDGE, Membership},
@@ -99,9 +99,11 @@
 struct Difference {
     /// Its digest and this daemon's own, as they last differed. News on its way differs once only.
     digests: (u64, u64),
-    /// Since when they have differed without a break, or were last compared: where what both hold keeps changing, no two
-    /// differences are the same, and one of them may lack what changed before.
+    /// Since when they have differed without a break.
     since: Ms,
+    /// When they were last compared, or began to differ: where what both hold keeps changing, no two differences are the
+    /// same, and one of them may lack what changed before.
+    compared: Ms,
 }
 
 /// What an agent last said.
--- a/coordination/src/control/looks.rs
+++ b/coordination/src/control/looks.rs
@@ -15,12 +15,7 @@
                 permit_ms: held.filter(|h| h.1 != Ms::MAX).map(|h| h.1 - now),
             }
         });
-        let members = self.regs.voters.iter().map(|v| MemberStatus {
-            name: v.name.to_string(),
-            addr: self.regs.addr(v).to_string(),
-            live: live(&v.name),
-            voter: true,
-        });
+        let members = self.regs.voters.iter().map(|v| self.member_status(v, live(&v.name), now));
         let edges = self.agents.values().map(|a| EdgeStatus {
             edge: a.node.name.to_string(),
             zone: a.node.zone.to_string(),
@@ -49,6 +44,7 @@
             daemon: self.p.name.to_string(),
             member_epoch: self.regs.member_epoch.into(),
             settled: self.settled,
+            quorum: Some(self.hears_majority(now)),
             disk_ok: self.disk_ok,
             members: members.collect(),
             keys: keys.collect(),
@@ -61,6 +57,26 @@
         }
     }
 
+    fn member_status(&self, v: &Voter, live: bool, now: Ms) -> MemberStatus {
+        let own = v.name == self.p.name;
+        let peer = self.peers.get(&v.name).filter(|p| p.beat.disk == v.disk);
+        MemberStatus {
+            name: v.name.to_string(),
+            addr: self.regs.addr(v).to_string(),
+            live,
+            voter: true,
+            heard_ms_ago: if own { Some(0) } else { peer.map(|p| now.saturating_sub(p.at)) },
+            member_epoch: if own { Some(self.regs.member_epoch.into()) } else { peer.map(|p| p.beat.member_epoch.into()) },
+            same: if own { Some(true) } else { peer.map(|p| p.beat.digest == self.regs.digest()) },
+        }
+    }
+
+    /// Whether this daemon votes and hears a majority of the voters, itself among them.
+    fn hears_majority(&self, now: Ms) -> bool {
+        let live = self.live(now);
+        self.regs.voting && self.regs.is_majority(self.regs.voters.iter().filter(|v| live(&v.name)).count())
+    }
+
     pub fn health(&self) -> HealthAnswer {
         let stands_by = self.regs.member_epoch > 0 && !self.named();
         let detail = match (self.disk_ok, self.regs.voting, self.settled) {
@@ -73,14 +89,22 @@
         HealthAnswer { ok: (self.settled || stands_by) && self.disk_ok, process: self.p.name.to_string(), detail: detail.into() }
     }
 
-    pub fn counters(&self) -> Vec<(&'static str, u64)> {
+    pub fn counters(&self, now: Ms) -> Vec<(&'static str, u64)> {
+        let live = self.live(now);
+        let voters = || self.regs.voters.iter();
+        let differ = |v: &&Voter| self.differed.get(&v.name).is_some_and(|d| now.saturating_sub(d.since) >= BEHIND_AFTER);
         let copies = self.board.under(CONTEXT).filter_map(|(_, c)| packed::of_bytes::<ContextRecord>(&c.value.0));
         vec![
             ("context_copies", copies.map(|r| r.parts.len() as u64).sum()),
             ("feed_place", self.seq),
             ("keys", self.regs.keys().count() as u64),
             ("edges", self.agents.len() as u64),
+            ("keys_uncommitted", self.regs.keys().filter(|s| s.committed != s.version).count() as u64),
             ("member_epoch", self.regs.member_epoch.into()),
+            ("quorum", self.hears_majority(now).into()),
+            ("voters", voters().count() as u64),
+            ("voters_live", voters().filter(|v| live(&v.name)).count() as u64),
+            ("voters_behind", voters().filter(differ).count() as u64),
             ("loops_resting", self.resting.len() as u64),
         ]
     }
--- a/coordination/src/control/voters.rs
+++ b/coordination/src/control/voters.rs
@@ -58,12 +58,11 @@
     fn still_differs(&mut self, from: &Name, theirs: u64, now: Ms) -> bool {
         let digests = (theirs, self.regs.digest());
         let Some(d) = self.differed.get_mut(from) else {
-            self.differed.insert(from.clone(), Difference { digests, since: now });
+            self.differed.insert(from.clone(), Difference { digests, since: now, compared: now });
             return false;
         };
-        let long = now.saturating_sub(d.since) >= DIFFERS_LONG;
-        let missed = d.digests == digests || long;
-        *d = Difference { digests, since: if long { now } else { d.since } };
+        let missed = d.digests == digests || now.saturating_sub(d.compared) >= DIFFERS_LONG;
+        *d = Difference { digests, since: d.since, compared: if missed { now } else { d.compared } };
         missed
     }
 
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -47,6 +47,8 @@
 /// ms. An order that is compared with nothing is tried again on what another order left, for so long from its coming:
 /// its sender goes to another daemon after a second without an answer, and may then give the opposite order.
 pub const ORDER_RENEWED: Ms = 700;
+/// ms. A voter that has differed from this daemon for so long counts as behind.
+pub const BEHIND_AFTER: Ms = 500;
 /// ms. Two daemons that hold different things for so long compare them, even where what they hold keeps changing.
 pub const DIFFERS_LONG: Ms = 1_000;
 /// ms. A control daemon tells callers of edges only when every agent had three turns to poll it: a short list would
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -221,6 +221,10 @@
     pub fn addr(&self, v: &Voter) -> Name {
         self.addrs.get(&v.name).unwrap_or(&v.addr).clone()
     }
+    /// Whether so many voters are a majority of all.
+    pub fn is_majority(&self, voters: usize) -> bool {
+        voters >= self.majority()
+    }
     fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
     }
--- a/coordination/tests/catching_up.rs
+++ b/coordination/tests/catching_up.rs
@@ -127,3 +127,41 @@
         expect_true!(f.brain(behind).is_some_and(|b| b.settled()));
     }
 }
+
+/// Operators see of each daemon whether it hears a majority, and of each voter whether it has what the others have.
+#[gtest]
+fn status_tells_who_is_cut_off_and_who_is_behind() {
+    let f = &mut settled(1, 3);
+    f.run(2_000);
+    let told = |f: &Fleet, i: usize| f.brain(i).unwrap().status(f.now);
+    let counter = |f: &Fleet, i: usize, name| f.brain(i).unwrap().counters(f.now).into_iter().find(|c| c.0 == name).map(|c| c.1);
+    let whole = |f: &Fleet, i: usize| {
+        let s = told(f, i);
+        s.quorum == Some(true)
+            && s.members.iter().all(|m| m.live && m.same == Some(true) && m.member_epoch == Some(s.member_epoch))
+    };
+    expect_that!((0..3).filter(|i| whole(f, *i)).count(), eq(3));
+    f.cut.insert(fleet::addr(2));
+    storm(f, 0, 3_000, |_| ());
+    for i in 0..3 {
+        let s = told(f, i);
+        expect_that!(s.quorum, some(eq(i != 2)), "daemon {i}");
+        expect_that!(counter(f, i, "quorum"), some(eq(u64::from(i != 2))));
+        expect_that!(counter(f, i, "voters_live"), some(eq(if i == 2 { 1 } else { 2 })));
+        let silent: Vec<&str> =
+            s.members.iter().filter(|m| m.heard_ms_ago.is_some_and(|ms| ms >= 2_500)).map(|m| m.name.as_str()).collect();
+        expect_that!(silent, eq(&if i == 2 { vec!["c0", "c1"] } else { vec!["c2"] }), "daemon {i}");
+    }
+    // It is heard again and what it holds is older, until it has caught up.
+    f.cut.clear();
+    f.sieve = Box::new(|_, to, m| *to != fleet::addr(2) || !matches!(m, Msg::Slots(_) | Msg::Commit(_) | Msg::Accept(_)));
+    f.run(2_000);
+    let behind =
+        |f: &Fleet| told(f, 0).members.iter().filter(|m| m.same == Some(false)).map(|m| m.name.clone()).collect::<Vec<_>>();
+    expect_that!(behind(f), elements_are![eq("c2")]);
+    expect_that!(counter(f, 0, "voters_behind"), some(eq(1)));
+    f.sieve = Box::new(|_, _, _| true);
+    f.run(3_000);
+    expect_that!((0..3).filter(|i| whole(f, *i)).count(), eq(3));
+    expect_that!(counter(f, 0, "voters_behind"), some(eq(0)));
+}
--- a/coordination/tests/repeats.rs
+++ b/coordination/tests/repeats.rs
@@ -182,4 +182,7 @@
     }
     // The value stood, but not as this version.
     expect_that!(ask(f, 2, 0), some(eq(WriteOutcome::Conflict(4))));
+    // Nor is it taken for one of before where it stands again by now.
+    expect_that!(ask(f, 4, 0), some(eq(WriteOutcome::Accepted(5))));
+    expect_that!(ask(f, 2, 0), some(eq(WriteOutcome::Conflict(5))));
 }
--- a/fleet-tools/tests/runbooks.rs
+++ b/fleet-tools/tests/runbooks.rs
@@ -49,6 +49,9 @@
     f.replace_edge(1, 7).unwrap();
     note("replace-edge", run(&f, "replace-edge", &["edge=edge-7"]).await);
     note("full-disk", run(&f, "full-disk", &[]).await);
+    note("member-cut-off", run(&f, "member-cut-off", &[]).await);
+    note("second-loss", run(&f, "second-loss", &[]).await);
+    note("member-behind", run(&f, "member-behind", &[]).await);
     let names: Vec<String> = f.processes.keys().filter(|n| *n != "platform").cloned().collect();
     names.iter().filter_map(|n| f.processes.get_mut(n).map(|p| p.kill())).for_each(drop);
     names.iter().for_each(|n| f.restart(n).unwrap());
--- a/operator-command/src/main.rs
+++ b/operator-command/src/main.rs
@@ -98,11 +98,21 @@
 
 fn status_words(s: &Status) -> String {
     let mut o = format!(
-        "daemon {}  member epoch {}  settled {}  disk ok {}  kill switch {}\n",
-        s.daemon, s.member_epoch, s.settled, s.disk_ok, s.kill_switch
+        "daemon {}  member epoch {}  settled {}  hears a majority {}  disk ok {}  kill switch {}\n",
+        s.daemon,
+        s.member_epoch,
+        s.settled,
+        s.quorum.unwrap_or_default(),
+        s.disk_ok,
+        s.kill_switch
     );
-    o += "\nMEMBER       ADDRESS               LIVE\n";
-    s.members.iter().for_each(|m| o += &format!("{:12} {:21} {}\n", m.name, m.addr, m.live));
+    o += "\nMEMBER       ADDRESS               LIVE   HEARD        EPOCH  SAME\n";
+    for m in &s.members {
+        let heard = m.heard_ms_ago.map_or("never".into(), |ms| format!("{ms} ms ago"));
+        let epoch = m.member_epoch.map_or(String::new(), |e| e.to_string());
+        let same = m.same.map_or("", |same| if same { "yes" } else { "no" });
+        o += &format!("{:12} {:21} {:<6} {heard:12} {epoch:<6} {same}\n", m.name, m.addr, m.live);
+    }
     o += "\nKEY                      OWNER        EPOCH   VERSION  LEASE\n";
     for k in &s.keys {
         let p = k.permit_ms.map_or(String::new(), |p| format!("{p} ms"));
--- a/runbook-runner/src/main.rs
+++ b/runbook-runner/src/main.rs
@@ -12,7 +12,7 @@
     operator::Operator,
     params::{EXIT_FAILED, EXIT_PARAMS},
 };
-use remote_calls::{RolloutPhase, Status};
+use remote_calls::{MemberStatus, RolloutPhase, Status};
 use runbook::{Call, Step, Wait};
 
 #[actix_rt::main]
@@ -131,6 +131,12 @@
             let n = s.members.iter().filter(|m| m.live).count();
             (s.settled && s.disk_ok && n >= *live, format!("{n} members live, settled {}, disk ok {}", s.settled, s.disk_ok))
         }
+        Wait::CaughtUp { members } => {
+            let whole = |m: &&MemberStatus| m.live && m.same == Some(true) && m.member_epoch == Some(s.member_epoch);
+            let n = s.members.iter().filter(whole).count();
+            let quorum = s.quorum == Some(true);
+            (quorum && n >= *members, format!("{n} of {} members have caught up, majority heard {quorum}", s.members.len()))
+        }
         Wait::Honoured { edges } => {
             let v = o.spec().await.map_err(|f| f.to_string())?.version;
             let near = s.edges.iter().filter(|e| e.heard_ms_ago <= EDGE_HEARD);
--- a/runbook-runner/src/runbook.rs
+++ b/runbook-runner/src/runbook.rs
@@ -61,6 +61,10 @@
     Members {
         live: usize,
     },
+    /// The daemon asked hears a majority, and so many members are live, in its member epoch, and hold what it holds.
+    CaughtUp {
+        members: usize,
+    },
     /// Every edge lately heard honours the accepted spec.
     Honoured {
         edges: usize,
