--- a/coordination/src/register/tests.rs
+++ b/coordination/src/register/tests.rs
@@ -380,6 +380,10 @@
         n.on_promise(&name(from), wire_messages::Promise { member_epoch, ..promise.clone() }, 1, &mut vec![]);
         expect_that!(holds(&n), eq(counts), "a promise of member epoch {member_epoch} by {from}");
     }
+    let mut older = n.clone();
+    let late = wire_messages::Promise { epoch: promise.epoch - 1, ..promise.clone() };
+    older.on_promise(&name(1), late, 1, &mut vec![]);
+    expect_that!(holds(&older), eq(false), "a promise of an earlier ownership");
     let (mut n, promise) = owner();
     n.on_promise(&name(1), promise.clone(), 1, &mut vec![]);
     let ack = |member_epoch, epoch, version| wire_messages::Accepted {
@@ -468,3 +472,4 @@
 }
 
 mod explore;
+mod rules;
--- a/coordination/tests/repeats.rs
+++ b/coordination/tests/repeats.rs
@@ -149,6 +149,18 @@
         expect_that!(clear(f, 0, r, 0), some(eq(WriteOutcome::Accepted(r))));
     }
     expect_that!(clear(f, 1, 1, 9), some(eq(WriteOutcome::Conflict(5))));
+    // Also where its number is below that of the first that was accepted.
+    let f = &mut Fleet::founded(4, 3, |i| format!("r{i}"));
+    settle(f);
+    let ask = |f: &mut Fleet, release| {
+        let now = f.now;
+        let (t, out) = f.all[0].brain.as_mut().unwrap().write(SPEC, Expect::Release(0), document(release, 0), now);
+        f.carry(0, out);
+        f.until(4_000, |f| f.ends.contains_key(&(0, t)));
+        f.ends.get(&(0, t)).map(|e| e.1)
+    };
+    expect_that!(ask(f, 5), some(eq(WriteOutcome::Accepted(1))));
+    expect_that!(ask(f, 3), some(eq(WriteOutcome::Conflict(1))));
 }
 
 /// What is compared with nothing is a new order each time, also where its value stood once: a zone that was given back
