--- a/coordination/src/register/tests/rules.rs
+++ b/coordination/src/register/tests/rules.rs
@@ -66,6 +66,22 @@
     }
 }
 
+/// A voter that has just started, or begun to vote, has forgotten or never heard whom others let keep a duty.
+#[gtest]
+fn a_voter_that_has_just_begun_waits_a_lease_out() {
+    let key = format!("{DUTY}s");
+    let rows = vec![voter(0).members_row()];
+    let started = Registers::new(name(0), rows, LEASE, 1_000);
+    let mut votes = voter(0);
+    votes.no_leases_before();
+    votes.vote(1_000);
+    for n in [started, votes] {
+        expect_that!(promise(&mut n.clone(), 2, &key, 9, 1_001), some(eq((0, LEASE as u32 - 1))));
+        expect_that!(promise(&mut n.clone(), 2, &key, 9, 1_000 + LEASE), some(eq((1, 0))));
+        expect_that!(promise(&mut n.clone(), 2, KEY, 9, 1_001), some(eq((1, 0))), "no duty");
+    }
+}
+
 #[gtest]
 fn voters_are_not_changed_back() {
     let mut n = voter(0);
