--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -27,7 +27,7 @@
     limits::{
         ADDRESSES, BEHIND_AFTER, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DIFFERS_LONG, FOLLOWER_GONE, FORWARD_LIMIT, HEARTBEAT_EVERY,
         KNOWS_FLEET, LIST_CALM, LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE,
-        ORDER_RENEWED, PEER_GONE, PUSH_TAKES, PUSHED_TO, READING, STANDING_EVERY, STOOD_STILL, WAKES_FOR,
+        ORDER_RENEWED, PEER_GONE, PUSH_TAKES, PUSHED_TO, READING, RESOLUTION_LOGGED, STANDING_EVERY, STOOD_STILL, WAKES_FOR,
     },
     members,
     membership::{CONTROL, EDGE, Membership},
@@ -52,6 +52,8 @@
 pub use back_ends::calls_share;
 use contexts::ContextDuty;
 use feed::Fed;
+use resolution::ResolutionCounts;
+pub use resolution::{Caller, Reach, Resolution, Unresolved};
 use writes::{Order, Passed};
 
 /// Key of the operator's spec.
@@ -200,6 +202,7 @@
     writing: BTreeMap<u64, String>,
     /// By service whose copies of shared context are decided here.
     contexts: BTreeMap<String, ContextDuty>,
+    resolutions: ResolutionCounts,
 }
 
 impl Control {
@@ -275,6 +278,7 @@
             resting: BTreeSet::new(),
             writing: BTreeMap::new(),
             contexts: BTreeMap::new(),
+            resolutions: ResolutionCounts::default(),
         };
         c.publish(now, &mut Vec::new());
         c
--- a/coordination/src/control/looks.rs
+++ b/coordination/src/control/looks.rs
@@ -94,7 +94,7 @@
         let voters = || self.regs.voters.iter();
         let differ = |v: &&Voter| self.differed.get(&v.name).is_some_and(|d| now.saturating_sub(d.since) >= BEHIND_AFTER);
         let copies = self.board.under(CONTEXT).filter_map(|(_, c)| packed::of_bytes::<ContextRecord>(&c.value.0));
-        vec![
+        let mut rows = vec![
             ("context_copies", copies.map(|r| r.parts.len() as u64).sum()),
             ("feed_place", self.seq),
             ("keys", self.regs.keys().count() as u64),
@@ -106,6 +106,8 @@
             ("voters_live", voters().filter(|v| live(&v.name)).count() as u64),
             ("voters_behind", voters().filter(differ).count() as u64),
             ("loops_resting", self.resting.len() as u64),
-        ]
+        ];
+        rows.extend(self.resolutions.rows());
+        rows
     }
 }
--- a/coordination/src/control/resolution.rs
+++ b/coordination/src/control/resolution.rs
@@ -2,32 +2,152 @@
 
 use super::*;
 
+/// Who asks the directory, and for which host.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller<'a> {
+    pub host: &'a str,
+    pub zone: &'a str,
+    pub region: &'a str,
+}
+
+/// How far from the caller the edges of an answer may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reach {
+    Zone,
+    Region,
+    /// The caller's region and the homes of the host's routes.
+    Homes,
+    /// Every edge, whatever its region.
+    Fleet,
+}
+
+impl Reach {
+    fn name(self) -> &'static str {
+        match self {
+            Reach::Zone => "zone",
+            Reach::Region => "region",
+            Reach::Homes => "homes",
+            Reach::Fleet => "fleet",
+        }
+    }
+}
+
+/// An answer of the directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resolution {
+    pub addresses: Vec<String>,
+    pub reach: Reach,
+}
+
+/// Why the directory names no edge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unresolved {
+    /// This daemon has not heard from the fleet for long enough yet.
+    Starting,
+    /// No edge serves.
+    NoEdge,
+}
+
+/// Answers of the directory by how they were chosen, since this daemon started.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ResolutionCounts {
+    by_reach: BTreeMap<Reach, u64>,
+    unresolved: u64,
+    /// By region of the callers: when it was last logged that they are sent beyond it or nowhere.
+    logged: BTreeMap<Name, Ms>,
+}
+
+impl ResolutionCounts {
+    pub(super) fn rows(&self) -> [(&'static str, u64); 5] {
+        let of = |reach| self.by_reach.get(&reach).copied().unwrap_or(0);
+        [
+            ("resolutions_zone", of(Reach::Zone)),
+            ("resolutions_region", of(Reach::Region)),
+            ("resolutions_homes", of(Reach::Homes)),
+            ("resolutions_fleet", of(Reach::Fleet)),
+            ("resolutions_none", self.unresolved),
+        ]
+    }
+
+    fn count(&mut self, answer: &Result<Resolution, Unresolved>) {
+        match answer {
+            Ok(r) => *self.by_reach.entry(r.reach).or_default() += 1,
+            Err(_) => self.unresolved += 1,
+        }
+    }
+
+    /// Whether a region's callers are to be logged again.
+    fn due(&mut self, region: &str, now: Ms) -> bool {
+        let due = self.logged.get(region).is_none_or(|at| now.saturating_sub(*at) >= RESOLUTION_LOGGED);
+        if due {
+            self.logged.insert(region.into(), now);
+        }
+        due
+    }
+}
+
 impl Control {
-    /// Addresses of edges for a caller of a host in a place: near ones first, but never only one of many, as that one
-    /// may just have gone; beyond its region only where the host's lanes may be carried, if any edge is there. None: this
-    /// daemon does not know the fleet yet, or nobody serves.
-    pub fn edges_near(&self, host: &str, zone: &str, region: &str, now: Ms) -> Option<Vec<String>> {
-        if now.saturating_sub(self.started) < KNOWS_FLEET {
-            return None;
+    /// Addresses of edges for a caller: near ones first, but never only one of many, as that one may just have gone.
+    /// Beyond its region only where the host's routes may be carried, if any edge is there.
+    pub fn resolve(&mut self, caller: Caller, now: Ms) -> (Result<Resolution, Unresolved>, Effects) {
+        let answer = self.edges_for(caller, now);
+        self.resolutions.count(&answer);
+        let far = answer.as_ref().map_or(true, |r| r.reach > Reach::Region);
+        // A region that no zone is in is a caller's mistake, of which there may be any number.
+        let known = self.p.regions.values().any(|r| r == caller.region);
+        let log = far && known && now.saturating_sub(self.started) >= KNOWS_FLEET && self.resolutions.due(caller.region, now);
+        let effects = if log { vec![self.log_far(caller, &answer, now)] } else { vec![] };
+        (answer, effects)
+    }
+
+    fn log_far(&self, caller: Caller, answer: &Result<Resolution, Unresolved>, now: Ms) -> Effect {
+        let text = match answer {
+            Ok(r) => format!("host={} reach={} edges={}", caller.host, r.reach.name(), r.addresses.len()),
+            Err(_) => format!("host={} reach=none", caller.host),
+        };
+        let mut near: BTreeMap<&str, u32> = BTreeMap::new();
+        for n in self.serving_edges(now) {
+            *near.entry(regions::region(&self.p.regions, &n.zone)).or_default() += 1;
         }
+        let serving: Vec<String> = near.iter().map(|(region, n)| format!("{region}:{n}")).collect();
+        note(events::CALLERS_SENT_FAR, caller.region, format!("{text} serving={}", serving.join(",")))
+    }
+
+    /// Edges that serve, as far as this daemon knows.
+    fn serving_edges(&self, now: Ms) -> Vec<&Node> {
         let all: Vec<&Node> = self.mship.live(EDGE).filter(|n| !n.http.is_empty()).collect();
         // Rumours of a large fleet are slow: who asks this daemon itself is known sooner to be gone. Where few do, it
         // is this daemon that is cut off.
         let asks = |n: &&&Node| self.agents.get(&n.name).is_some_and(|a| now.saturating_sub(a.at) <= NODE_GONE);
         let heard: Vec<&Node> = all.iter().filter(asks).copied().collect();
-        let all = if heard.len() * 2 > all.len() { heard } else { all };
-        let home = |n: &Node| regions::region(&self.p.regions, &n.zone) == region;
-        let near: [Vec<&Node>; 2] =
-            [all.iter().filter(|n| &*n.zone == zone).copied().collect(), all.iter().filter(|n| home(n)).copied().collect()];
-        let some = near.into_iter().find(|v| v.len() > 1).unwrap_or_else(|| {
-            // Its body is not carried where it has no home for the sake of a choice.
-            let Some(homes) = self.homes(host) else { return all };
-            let fits = |n: &&&Node| home(n) || homes.contains(regions::region(&self.p.regions, &n.zone));
-            let some: Vec<&Node> = all.iter().filter(fits).copied().collect();
-            if some.is_empty() { all } else { some }
-        });
-        let some = agreed(host, some, |n| &n.name).into_iter().take(ADDRESSES).map(|n| n.http.to_string());
-        Some(some.collect()).filter(|v: &Vec<String>| !v.is_empty())
+        if heard.len() * 2 > all.len() { heard } else { all }
+    }
+
+    fn edges_for(&self, caller: Caller, now: Ms) -> Result<Resolution, Unresolved> {
+        if now.saturating_sub(self.started) < KNOWS_FLEET {
+            return Err(Unresolved::Starting);
+        }
+        let (edges, reach) = self.choose_edges(caller, self.serving_edges(now));
+        let edges = agreed(caller.host, edges, |n| &n.name).into_iter().take(ADDRESSES);
+        let addresses: Vec<String> = edges.map(|n| n.http.to_string()).collect();
+        if addresses.is_empty() { Err(Unresolved::NoEdge) } else { Ok(Resolution { addresses, reach }) }
+    }
+
+    fn choose_edges<'a>(&'a self, caller: Caller, all: Vec<&'a Node>) -> (Vec<&'a Node>, Reach) {
+        let own = |n: &&&Node| regions::region(&self.p.regions, &n.zone) == caller.region;
+        let zone: Vec<&Node> = all.iter().filter(|n| &*n.zone == caller.zone).copied().collect();
+        if zone.len() > 1 {
+            return (zone, Reach::Zone);
+        }
+        let region: Vec<&Node> = all.iter().filter(own).copied().collect();
+        if region.len() > 1 {
+            return (region, Reach::Region);
+        }
+        // Its body is not carried where it has no home for the sake of a choice.
+        let Some(homes) = self.homes(caller.host) else { return (all, Reach::Fleet) };
+        let fits = |n: &&&Node| own(n) || homes.contains(regions::region(&self.p.regions, &n.zone));
+        let some: Vec<&Node> = all.iter().filter(fits).copied().collect();
+        if some.is_empty() { (all, Reach::Fleet) } else { (some, Reach::Homes) }
     }
 
     /// Regions in which every lane of a host may be carried. None: all, as nothing binds or no region suits all lanes.
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -54,6 +54,8 @@
 /// ms. A control daemon tells callers of edges only when every agent had three turns to poll it: a short list would
 /// send everybody to a few edges.
 pub const KNOWS_FLEET: Ms = 1_500;
+/// ms. That a region's callers are sent beyond it, or nowhere, is logged this often while it lasts.
+pub const RESOLUTION_LOGGED: Ms = 2_000;
 /// Addresses of edges in one answer to a caller.
 pub const ADDRESSES: usize = 64;
 /// Bytes a ms. News to an agent are taken to arrive at this pace: an edge's link of 10 Mbit/s, shared by the daemons that
--- a/coordination/tests/resolution.rs
+++ b/coordination/tests/resolution.rs
@@ -5,8 +5,8 @@
 use coordination::{
     Effect, Effects, Ms,
     agent::Agent,
-    control::{Control, ControlParams, SPEC},
-    limits::{KNOWS_FLEET, NODE_GONE, POLL_EVERY, RULE_LIFE, SHUFFLE_EVERY, TICK},
+    control::{Caller, Control, ControlParams, SPEC},
+    limits::{KNOWS_FLEET, NODE_GONE, POLL_EVERY, RESOLUTION_LOGGED, RULE_LIFE, SHUFFLE_EVERY, TICK},
     register::Expect,
     wire::{Msg, Name, Node, ProxyHello},
 };
@@ -103,14 +103,14 @@
             }
         }
     }
-    fn near(&self, host: &str, zone: &str, region: &str) -> Option<BTreeSet<String>> {
-        let all = self.control.edges_near(host, zone, region, self.now)?;
-        Some(all.into_iter().collect())
+    fn near(&mut self, host: &str, zone: &str, region: &str) -> Option<BTreeSet<String>> {
+        let (answer, _) = self.control.resolve(Caller { host, zone, region }, self.now);
+        Some(answer.ok()?.addresses.into_iter().collect())
     }
-    fn told(&self, zone: &str, region: &str) -> Vec<String> {
+    fn told(&mut self, zone: &str, region: &str) -> Vec<String> {
         self.told_for("host", zone, region)
     }
-    fn told_for(&self, host: &str, zone: &str, region: &str) -> Vec<String> {
+    fn told_for(&mut self, host: &str, zone: &str, region: &str) -> Vec<String> {
         self.near(host, zone, region).unwrap_or_default().into_iter().map(|h| h[2..].to_string()).collect()
     }
     /// A spec of lanes, each a host and its homes, as its owner learns it.
@@ -230,3 +230,26 @@
     l.run(NODE_GONE / 2);
     expect_that!(l.told("", ""), not(is_empty()));
 }
+
+#[gtest]
+fn answers_are_counted_by_reach_and_far_ones_are_logged_now_and_then() {
+    let mut l = Land::new();
+    l.run(2 * KNOWS_FLEET);
+    let far = |l: &mut Land, region: &str| {
+        let (_, effects) = l.control.resolve(Caller { host: "host", zone: "", region }, l.now);
+        effects.len()
+    };
+    expect_that!(far(&mut l, "a"), eq(0));
+    l.frozen.extend(names(&["a1-0", "a2-0", "a2-1"]).iter().map(|n| Name::from(n.as_str())));
+    l.run(NODE_GONE + 2 * POLL_EVERY);
+    expect_that!(far(&mut l, "a"), eq(1));
+    expect_that!(far(&mut l, "a"), eq(0));
+    l.run(RESOLUTION_LOGGED);
+    expect_that!(far(&mut l, "a"), eq(1));
+    // Whatever a caller calls its region, it fills no memory and no log.
+    expect_that!(far(&mut l, "nowhere"), eq(0));
+    let counters = l.control.counters(l.now);
+    let of = |name| counters.iter().find(|c| c.0 == name).map(|c| c.1);
+    expect_that!(of("resolutions_region"), some(eq(1)));
+    expect_that!(of("resolutions_fleet"), some(eq(4)));
+}
