--- a/coordination/tests/resolution.rs
+++ b/coordination/tests/resolution.rs
@@ -253,3 +253,47 @@
     expect_that!(of("resolutions_region"), some(eq(1)));
     expect_that!(of("resolutions_fleet"), some(eq(4)));
 }
+
+/// Leaves the named edges of eight alone to serve.
+fn leave_only(l: &mut Land, serving: &[&str]) {
+    l.frozen = l.agents.keys().filter(|n| !serving.contains(&&***n)).cloned().collect();
+    l.run(NODE_GONE + 2 * POLL_EVERY);
+}
+
+// All edges of the homes restart at once while those of another region are just back.
+#[gtest]
+fn a_bound_host_is_led_nowhere_while_none_of_its_homes_has_an_edge() {
+    let mut l = Land::new();
+    l.run(2 * KNOWS_FLEET);
+    l.spec(&[("bound", &["a"]), ("free", &[])]);
+    leave_only(&mut l, &["b1-0", "b1-1", "b2-0"]);
+    expect_that!(l.near("bound", "a1", "a"), none());
+    expect_that!(l.near("bound", "nowhere", "nowhere"), none());
+    // Its own region is always a caller's to go to, and what is not bound goes where it can.
+    expect_that!(l.told_for("bound", "b1", "b"), eq(&names(&["b1-0", "b1-1"])));
+    expect_that!(l.told_for("free", "a1", "a"), eq(&names(&["b1-0", "b1-1", "b2-0"])));
+    l.frozen.clear();
+    l.run(TTL);
+    expect_that!(l.told_for("bound", "a1", "a"), eq(&names(&["a1-0", "a1-1"])));
+}
+
+#[gtest]
+fn a_host_whose_routes_have_no_home_in_common_is_led_no_further_than_the_callers_region() {
+    let mut l = Land::new();
+    l.run(2 * KNOWS_FLEET);
+    l.spec(&[("apart", &["a"]), ("apart", &["b"]), ("apart", &[])]);
+    leave_only(&mut l, &["a1-1", "b1-0", "b1-1", "b2-0", "b2-1"]);
+    expect_that!(l.told_for("apart", "a1", "a"), eq(&names(&["a1-1"])));
+    expect_that!(l.near("apart", "nowhere", "nowhere"), none());
+}
+
+// A daemon with a new disk knows no homes yet.
+#[gtest]
+fn a_daemon_without_a_spec_leads_nobody_out_of_his_region() {
+    let mut l = Land::new();
+    l.run(2 * KNOWS_FLEET);
+    leave_only(&mut l, &["a1-1", "b1-0", "b1-1", "b2-0", "b2-1"]);
+    expect_that!(l.told_for("bound", "a1", "a"), eq(&names(&["a1-1"])));
+    expect_that!(l.told_for("bound", "b1", "b"), eq(&names(&["b1-0", "b1-1"])));
+    expect_that!(l.near("bound", "nowhere", "nowhere"), none());
+}
