Lead callers of a bound host to its homes and their own region only, however few edges serve

Cause: the directory took 'no home is known' and 'no edge is left there' for 'nothing binds', and then named every edge. Ruled out: wrong knowledge of who serves (event 231 tells the edges that did serve) and old answers (no edge of the third region was in them). Change: homes are a type of their own, Unbound or a set of regions that may be empty; beyond its own region a caller is told of edges in that set alone, and of none where there is none. A daemon without a spec knows no homes, so it names the caller's region.

--- a/coordination/src/control/resolution.rs
+++ b/coordination/src/control/resolution.rs
@@ -32,6 +32,24 @@
     }
 }
 
+/// Where a host's requests may be carried, besides the caller's own region.
+#[derive(PartialEq)]
+enum Homes<'a> {
+    /// None of its routes has homes.
+    Unbound,
+    /// These regions alone: none where its routes have no home in common, or where no spec is known that would tell.
+    Regions(BTreeSet<&'a str>),
+}
+
+impl Homes<'_> {
+    fn include(&self, region: &str) -> bool {
+        match self {
+            Homes::Unbound => true,
+            Homes::Regions(homes) => homes.contains(region),
+        }
+    }
+}
+
 /// An answer of the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Resolution {
@@ -44,7 +62,7 @@
 pub enum Unresolved {
     /// This daemon has not heard from the fleet for long enough yet.
     Starting,
-    /// No edge serves.
+    /// No edge serves where the host's requests may be carried.
     NoEdge,
 }
 
@@ -88,7 +106,7 @@
 
 impl Control {
     /// Addresses of edges for a caller: near ones first, but never only one of many, as that one may just have gone.
-    /// Beyond its region only where the host's routes may be carried, if any edge is there.
+    /// Beyond its region only where the host's routes may be carried, however few edges serve.
     pub fn resolve(&mut self, caller: Caller, now: Ms) -> (Result<Resolution, Unresolved>, Effects) {
         let answer = self.edges_for(caller, now);
         self.resolutions.count(&answer);
@@ -134,27 +152,29 @@
     }
 
     fn choose_edges<'a>(&'a self, caller: Caller, all: Vec<&'a Node>) -> (Vec<&'a Node>, Reach) {
-        let own = |n: &&&Node| regions::region(&self.p.regions, &n.zone) == caller.region;
         let zone: Vec<&Node> = all.iter().filter(|n| &*n.zone == caller.zone).copied().collect();
         if zone.len() > 1 {
             return (zone, Reach::Zone);
         }
-        let region: Vec<&Node> = all.iter().filter(own).copied().collect();
-        if region.len() > 1 {
-            return (region, Reach::Region);
+        let region_of = |n: &'a Node| regions::region(&self.p.regions, &n.zone);
+        let (own, beyond): (Vec<&Node>, Vec<&Node>) = all.iter().partition(|n| region_of(n) == caller.region);
+        if own.len() > 1 {
+            return (own, Reach::Region);
         }
-        // Its body is not carried where it has no home for the sake of a choice.
-        let Some(homes) = self.homes(caller.host) else { return (all, Reach::Fleet) };
-        let fits = |n: &&&Node| own(n) || homes.contains(regions::region(&self.p.regions, &n.zone));
-        let some: Vec<&Node> = all.iter().filter(fits).copied().collect();
-        if some.is_empty() { (all, Reach::Fleet) } else { (some, Reach::Homes) }
+        // A body is not carried where it has no home for the sake of a choice, nor for the want of any edge.
+        let homes = self.homes(caller.host);
+        let beyond = beyond.into_iter().filter(|n| homes.include(region_of(n)));
+        let reach = if homes == Homes::Unbound { Reach::Fleet } else { Reach::Homes };
+        (own.into_iter().chain(beyond).collect(), reach)
     }
 
-    /// Regions in which every lane of a host may be carried. None: all, as nothing binds or no region suits all lanes.
-    fn homes(&self, host: &str) -> Option<BTreeSet<&str>> {
+    /// Regions in which all routes of a host may be carried. The directory is not asked for one route, so that each binds.
+    fn homes(&self, host: &str) -> Homes<'_> {
+        let Some(spec) = &self.spec else { return Homes::Regions(BTreeSet::new()) };
         let host = host_name(host);
-        let lanes = self.spec.iter().flat_map(|s| &s.paths).filter(|p| p.host.eq_ignore_ascii_case(host) && !p.homes.is_empty());
-        let homes = lanes.map(|p| p.homes.iter().map(String::as_str).collect::<BTreeSet<&str>>());
-        homes.reduce(|a, b| a.intersection(&b).copied().collect()).filter(|h| !h.is_empty())
+        let bound = spec.paths.iter().filter(|p| p.host.eq_ignore_ascii_case(host) && !p.homes.is_empty());
+        let homes = bound.map(|p| p.homes.iter().map(String::as_str).collect::<BTreeSet<&str>>());
+        let common = homes.reduce(|a, b| a.intersection(&b).copied().collect());
+        common.map_or(Homes::Unbound, Homes::Regions)
     }
 }
