--- a/coordination/src/events.rs
+++ b/coordination/src/events.rs
@@ -30,6 +30,7 @@
     102 STOPPED Info "The process ends."
     103 PARAMS_BAD Error "The params file or flags are not valid; every fault is named."
     104 PARAMS_READ Info "Params that changed while the process runs were read."
+    105 REQUESTS_CUT Warn "The grace after SIGTERM is over while requests are open; how many, and when the last was taken, is told."
     110 CHANNEL_BAD_FRAME Warn "A peer sent bytes that are no frame; the channel was closed."
     111 CHANNEL_LOST Info "A channel to a peer ended; it is opened again when next needed."
     112 BUFFER_FULL Warn "A buffer was full; its newest message was dropped."
--- a/edge-proxy/src/front.rs
+++ b/edge-proxy/src/front.rs
@@ -40,6 +40,8 @@
     /// ms. From then on nothing new is taken.
     takes: AtomicU64,
     open: AtomicUsize,
+    /// ms. When the last request was taken.
+    last_taken: AtomicU64,
 }
 
 impl Stopping {
@@ -50,6 +52,9 @@
     pub fn begun(&self) -> bool {
         self.begun.load(Relaxed)
     }
+    pub fn last_taken(&self) -> Ms {
+        self.last_taken.load(Relaxed)
+    }
     pub fn open(&self) -> usize {
         self.open.load(Relaxed)
     }
@@ -66,6 +71,7 @@
 impl Open {
     fn new(s: &Arc<Stopping>, r: &HttpRequest) -> Self {
         s.open.fetch_add(1, Relaxed);
+        s.last_taken.store(clock::now(), Relaxed);
         Open { stopping: s.clone(), held: r.conn_data::<Rc<Downstream>>().map(Held::new) }
     }
     /// The request is held until then at the most.
--- a/edge-proxy/src/lib.rs
+++ b/edge-proxy/src/lib.rs
@@ -143,6 +143,10 @@
     while clock::now() < last && (clock::now() < takes || s.open() > 0) {
         tokio::time::sleep(STOP_LOOK).await;
     }
+    if s.open() > 0 {
+        let taken = s.last_taken().saturating_sub(now);
+        event(events::REQUESTS_CUT, "", &format!("open={} last_taken_ms={taken} now_ms={}", s.open(), clock::now() - now));
+    }
     let left = Duration::from_millis((last + STOP_LAST / 2).saturating_sub(clock::now()));
     // What was answered last still goes out; whatever does not end by then is cut by the process's end.
     let _ = tokio::time::timeout(left, h.stop(true)).await;
