Give a stopping edge a stated life: serve on, refuse, end, with an answer for all that has none

Cause: an edge took requests until 2.5 s before the end of its grace, less than a verdict may take, and cut them; and its own end waited for the HTTP server's stop behind open streams, so that the platform killed it. Ruled out: requests held here (replicas had them within 0.7 s), an end that came too early (all were closed by the kill at 8.0 s). Change: coordination::shutdown decides phases on virtual time; it takes requests for 2.8 s, as long as callers keep lists, and what is taken last has the rest of the grace. What has no answer when the grace is over gets 502, outcome unknown. The product's own runs are counted and refused like requests by host and path; its program without lanes goes by the same life.

The test of a stopping edge named the old order of phases; it is three tests now, which ask for the same and for the answer at the end.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod register;
 pub mod request;
 pub mod rollout;
+pub mod shutdown;
 pub mod standing;
 pub mod stream;
 
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -54,6 +54,11 @@
 /// ms. A control daemon tells callers of edges only when every agent had three turns to poll it: a short list would
 /// send everybody to a few edges.
 pub const KNOWS_FLEET: Ms = 1_500;
+/// ms. A process that is asked to stop serves on for so long: callers keep the directory's answers for two seconds, and
+/// until the directory has left a stopping edge out some more pass. What is taken last has the rest of the grace.
+pub const SHUTDOWN_SERVES: Ms = 2_800;
+/// ms before the end of the grace. What has no answer then gets one, and the process ends.
+pub const SHUTDOWN_FAREWELL: Ms = 600;
 /// ms. That a region's callers are sent beyond it, or nowhere, is logged this often while it lasts.
 pub const RESOLUTION_LOGGED: Ms = 2_000;
 /// Addresses of edges in one answer to a caller.
--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -26,8 +26,6 @@
 pub const CALL_LIMIT: Duration = Duration::from_millis(1_000);
 /// A whole operator call as a tool makes it; above the daemon's own limit on writes.
 pub const OPERATOR_LIMIT: Duration = Duration::from_millis(5_000);
-/// Open streams are let end for so long after SIGTERM; the longest lane's time and a little more.
-pub const STOP_LIMIT: Duration = Duration::from_secs(27);
 /// An actor's mailbox: commands that wait for the owner of a table.
 pub const MAILBOX: usize = 4_096;
 /// Commands that may wait for the disk; far above what one round of all keys makes.
@@ -109,10 +107,8 @@
 pub const DOWNSTREAM_LATE: Ms = DOWNSTREAM_LOOK * 5 / 4;
 /// Parts of its longest rest, of five, after which a downstream still takes its channel up.
 pub const DOWNSTREAM_TAKEN_UP: Ms = 4;
-/// ms before the end of its grace. A stopping proxy takes nothing new from then on.
-pub const STOP_TAKES: Ms = 2_500;
-/// ms before the end of its grace. It ends by then, whatever is open.
-pub const STOP_LAST: Ms = 600;
+/// What a stopping proxy said last is given so long to go out: a few turns of its own.
+pub const STOP_FLUSH: Duration = Duration::from_millis(100);
 /// How often a stopping proxy looks whether anything is open.
 pub const STOP_LOOK: Duration = Duration::from_millis(20);
 /// ms. A request that no lane takes is read for so long: as long as its head may take where the spec does not say.
--- a/edge-proxy/src/answer.rs
+++ b/edge-proxy/src/answer.rs
@@ -19,10 +19,11 @@
 use tokio::time::Sleep;
 
 use crate::{
-    front::{Open, own_channel},
+    front::own_channel,
     pass::{Begun, Passage},
     pool::Channel,
     shared::Flight,
+    stopping::Open,
 };
 
 type Piece = Result<Bytes, io::Error>;
--- a/edge-proxy/src/front.rs
+++ b/edge-proxy/src/front.rs
@@ -1,13 +1,6 @@
 //! Requests by host and path as they come from downstreams.
 
-use std::{
-    rc::Rc,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed},
-    },
-    time::Duration,
-};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use actix_web::{
     HttpRequest, HttpResponse,
@@ -26,65 +19,13 @@
 use crate::{
     answer,
     dialect::Dialect,
-    downstream::{Downstream, Held},
     pass::{Ending, Passage, too_large},
     pool::Pool,
     shared::{Shared, hold},
+    stopping::{Open, Stopping, refusal},
     upload::{Unread, Upload},
 };
 
-/// Whether this proxy stops, and what it still has open.
-#[derive(Default)]
-pub struct Stopping {
-    begun: AtomicBool,
-    /// ms. From then on nothing new is taken.
-    takes: AtomicU64,
-    open: AtomicUsize,
-    /// ms. When the last request was taken.
-    last_taken: AtomicU64,
-}
-
-impl Stopping {
-    pub fn begin(&self, takes: Ms) {
-        self.takes.store(takes, Relaxed);
-        self.begun.store(true, Relaxed);
-    }
-    pub fn begun(&self) -> bool {
-        self.begun.load(Relaxed)
-    }
-    pub fn last_taken(&self) -> Ms {
-        self.last_taken.load(Relaxed)
-    }
-    pub fn open(&self) -> usize {
-        self.open.load(Relaxed)
-    }
-    fn takes(&self, now: Ms) -> bool {
-        !self.begun() || now < self.takes.load(Relaxed)
-    }
-}
-
-/// A request that is open, from its head to the end of its answer.
-pub struct Open {
-    stopping: Arc<Stopping>,
-    held: Option<Held>,
-}
-impl Open {
-    fn new(s: &Arc<Stopping>, r: &HttpRequest) -> Self {
-        s.open.fetch_add(1, Relaxed);
-        s.last_taken.store(clock::now(), Relaxed);
-        Open { stopping: s.clone(), held: r.conn_data::<Rc<Downstream>>().map(Held::new) }
-    }
-    /// The request is held until then at the most.
-    fn until(&self, t: Ms) {
-        self.held.iter().for_each(|h| h.until(t));
-    }
-}
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.stopping.open.fetch_sub(1, Relaxed);
-    }
-}
-
 /// What the front needs of the proxy.
 #[derive(Clone)]
 pub struct Front {
@@ -139,7 +80,7 @@
 
 /// Whether this edge serves, for those who list it.
 fn ready(f: &Front) -> HttpResponse {
-    let ok = !f.stopping.begun() && hold(&f.brain).ready(clock::now());
+    let ok = !f.stopping.is_begun() && hold(&f.brain).ready(clock::now());
     if ok { HttpResponse::Ok().finish() } else { HttpResponse::ServiceUnavailable().finish() }
 }
 
@@ -202,7 +143,7 @@
             return reply((http::StatusCode::REQUEST_TIMEOUT, m.retry(STOP_RETRY)), true);
         }
     };
-    let close = || f.stopping.begun();
+    let close = || f.stopping.is_begun();
     let lane = match lane {
         Ok(l) => l,
         Err(e) => {
@@ -210,9 +151,8 @@
             return reply((http::StatusCode::from_u16(s).unwrap_or_default(), e), close());
         }
     };
-    if !f.stopping.takes(now) {
-        let m = Fault::new("stopping", "take_request", "this edge stops").outcome(Outcome::NotRun).retry(STOP_RETRY);
-        return reply((http::StatusCode::SERVICE_UNAVAILABLE, m), true);
+    if !f.stopping.take() {
+        return reply((http::StatusCode::SERVICE_UNAVAILABLE, refusal()), true);
     }
     let (Ok(method), Ok(uri)) = (r.method().as_str().parse(), target.parse::<Uri>()) else {
         let m = Fault::new("bad_request", "read_head", "its method or path is none").outcome(Outcome::NotRun);
@@ -239,7 +179,12 @@
         service: String::new(),
         refusal: None,
     };
-    match p.begin().await {
+    let begun = tokio::select! {
+        biased;
+        b = p.begin() => b,
+        () = f.stopping.over() => Err(Passage::abandoned()),
+    };
+    match begun {
         Ok(b) => answer::pass_on(p, b, open, close()),
         Err(e) => reply(e, close()),
     }
--- a/edge-proxy/src/http.rs
+++ b/edge-proxy/src/http.rs
@@ -6,8 +6,9 @@
 
 use actix::Addr;
 use actix_web::{
-    HttpResponse,
+    HttpRequest, HttpResponse, ResponseError,
     guard::{GuardContext, fn_guard},
+    http::ConnectionType,
     web,
     web::Bytes,
 };
@@ -22,7 +23,6 @@
 use daemon_parts::{
     clock,
     http::{Answer, json_config, no_such_path},
-    limits::CALL_LIMIT,
     logging::event,
     look::Look,
 };
@@ -32,8 +32,10 @@
 use crate::{
     actor::{AskClaim, Done, FindPlace, ProxyActor},
     front::{self, Front},
+    pass::Passage,
     round::{self, Round},
     shared::hold,
+    stopping::{Open, Stopping, refusal},
 };
 
 type Brain = web::Data<Addr<ProxyActor>>;
@@ -164,11 +166,22 @@
     let _ = b.send(Done(p, ended)).await;
 }
 
-async fn run(b: Brain, q: web::Json<RunRequest>) -> Reply {
+async fn run(b: Brain, stopping: web::Data<Stopping>, r: HttpRequest, q: web::Json<RunRequest>) -> Reply {
     let q = q.into_inner();
+    let open = Open::new(&stopping, &r);
+    if !stopping.take() {
+        let mut refused = Answer::from(refusal()).error_response();
+        refused.head_mut().set_connection_type(ConnectionType::Close);
+        return Ok(refused);
+    }
     let until = clock::now() + q.time_left_ms;
     let mut r = Request::new(q, fastrand::u64(1..));
-    let (p, round) = match steps(&b, &mut r, until).await {
+    let begun = tokio::select! {
+        biased;
+        begun = steps(&b, &mut r, until) => begun,
+        () = stopping.over() => Err(Passage::abandoned().1),
+    };
+    let (p, round) = match begun {
         Ok(x) => x,
         Err(f) => {
             event(events::REJECTED, "caller", &f.to_string());
@@ -177,8 +190,13 @@
     };
     let (s, lines) = mpsc::channel(LINES);
     actix_rt::spawn(pass_on(b, r.q, p, round, s));
-    let body = futures_util::stream::unfold(lines, |mut r| async { r.recv().await.map(|x| (x, r)) });
-    Ok(HttpResponse::Ok().content_type("application/x-ndjson").streaming(body))
+    // The request is open until its caller has the last line.
+    let body = futures_util::stream::unfold((lines, open), async |(mut lines, open)| Some((lines.recv().await?, (lines, open))));
+    let mut answer = HttpResponse::Ok();
+    if stopping.is_begun() {
+        answer.force_close();
+    }
+    Ok(answer.content_type("application/x-ndjson").streaming(body))
 }
 
 async fn health(b: Brain) -> Reply {
@@ -232,10 +250,8 @@
         let host = g.head().headers.get("host").and_then(|v| v.to_str().ok()).unwrap_or_default();
         ours && hold(&brain).path(host, path, clock::now()).is_err()
     };
-    c.app_data(web::Data::new(f))
+    c.app_data(web::Data::from(f.stopping.clone()))
+        .app_data(web::Data::new(f))
         .service(web::scope("").guard(fn_guard(free)).configure(own))
         .default_service(web::to(front::pass));
 }
-
-/// How long a stopping proxy lets its last counts reach the agent.
-pub const FAREWELL: std::time::Duration = CALL_LIMIT;
--- a/edge-proxy/src/lib.rs
+++ b/edge-proxy/src/lib.rs
@@ -10,6 +10,7 @@
 mod pool;
 pub mod round;
 pub mod shared;
+pub mod stopping;
 mod upload;
 
 use std::{
@@ -29,7 +30,7 @@
 use coordination::{board::SpecReader, events, proxy::Proxy};
 use daemon_parts::{
     channels, clock,
-    limits::{BACKLOG, NOT_YET, STOP_LAST, STOP_LIMIT, STOP_LOOK, STOP_TAKES, WORKERS},
+    limits::{BACKLOG, NOT_YET, STOP_LOOK, WORKERS},
     logging::{self, StartFault, event},
     look::Look,
     params::Params,
@@ -41,8 +42,9 @@
 use crate::{
     actor::ProxyActor,
     dialect::Dialect,
-    front::{Front, Stopping},
+    front::Front,
     shared::Shared,
+    stopping::{Stopping, wind_down},
 };
 
 fn brain(p: &Params, reader: SpecReader) -> Proxy {
@@ -68,20 +70,20 @@
 /// The product's own calls alone.
 async fn own(p: Params, a: Addr<ProxyActor>) -> Result<(), Report<StartFault>> {
     let b = web::Data::new(a.clone());
-    let server = HttpServer::new(move || App::new().app_data(b.clone()).configure(http::routes))
+    let stopping = Arc::new(Stopping::default());
+    let s = web::Data::from(stopping.clone());
+    let server = HttpServer::new(move || App::new().app_data(b.clone()).app_data(s.clone()).configure(http::routes))
         .workers(WORKERS)
         .disable_signals()
-        .shutdown_timeout(STOP_LIMIT.as_secs())
         .bind(&p.http)
         .change_context(StartFault("bind the HTTP port"))
         .attach_with(|| p.http.clone())?
         .run();
-    let farewell = async {
-        let _ = a.send(Look(Box::new(|a: &mut ProxyActor, now| a.stop(now)))).await;
-        // Others stop nominating this proxy before its port closes.
-        tokio::time::sleep(http::FAREWELL).await;
-    };
-    stop::serve(server, &p.name, &format!("http {} processes {}", p.http, p.listen), farewell).await;
+    let h = server.handle();
+    let served = actix_rt::spawn(server);
+    until_stopped(&p, &a, &stopping, &h, &format!("http {} processes {}", p.http, p.listen)).await;
+    let _ = tokio::time::timeout(STOP_LOOK, served).await;
+    event(events::STOPPED, &p.name, "");
     Ok(())
 }
 
@@ -95,15 +97,20 @@
     let server = serve(f, a.clone(), ports).change_context(StartFault("serve the HTTP ports"))?;
     let h = server.handle();
     let served = actix_rt::spawn(server);
-    event(events::STARTED, &p.name, &format!("http {} processes {}", p.http, p.listen));
-    stop::asked(&p.name).await;
-    let _ = a.send(Look(Box::new(|a: &mut ProxyActor, now| a.stop(now)))).await;
-    wind_down(&stopping, &h, p.bounds.grace).await;
+    until_stopped(&p, &a, &stopping, &h, &format!("http {} processes {}", p.http, p.listen)).await;
     let _ = tokio::time::timeout(STOP_LOOK, served).await;
     event(events::STOPPED, &p.name, "");
     Ok(())
 }
 
+/// Serves until the process is asked to stop, and on to its end.
+async fn until_stopped(p: &Params, a: &Addr<ProxyActor>, stopping: &Stopping, h: &ServerHandle, ports: &str) {
+    event(events::STARTED, &p.name, ports);
+    stop::asked(&p.name).await;
+    let _ = a.send(Look(Box::new(|a: &mut ProxyActor, now| a.stop(now)))).await;
+    wind_down(stopping, h, p.bounds.grace).await;
+}
+
 fn listen(addr: &str) -> io::Result<TcpListener> {
     let to: SocketAddr = addr.parse().map_err(io::Error::other)?;
     let s = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
@@ -129,26 +136,6 @@
     // How long downstreams may take and rest is the spec's to say, which changes while this runs.
     .keep_alive(KeepAlive::Os)
     .client_request_timeout(Duration::ZERO)
-    .on_connect(move |io, ext| downstream::connected(&brain, io, ext))
-    .shutdown_timeout(1);
+    .on_connect(move |io, ext| downstream::connected(&brain, io, ext));
     Ok(ports.into_iter().try_fold(server, |s, p| s.listen(p))?.run())
 }
-
-/// Serves what comes until the grace is nearly over, for callers keep their lists for a while; then lets open
-/// requests end.
-pub async fn wind_down(s: &Stopping, h: &ServerHandle, grace: u64) {
-    let now = clock::now();
-    let (takes, last) = (now + grace.saturating_sub(STOP_TAKES), now + grace.saturating_sub(STOP_LAST));
-    s.begin(takes);
-    while clock::now() < last && (clock::now() < takes || s.open() > 0) {
-        tokio::time::sleep(STOP_LOOK).await;
-    }
-    if s.open() > 0 {
-        let taken = s.last_taken().saturating_sub(now);
-        event(events::REQUESTS_CUT, "", &format!("open={} last_taken_ms={taken} now_ms={}", s.open(), clock::now() - now));
-    }
-    let left = Duration::from_millis((last + STOP_LAST / 2).saturating_sub(clock::now()));
-    // What was answered last still goes out; whatever does not end by then is cut by the process's end.
-    let _ = tokio::time::timeout(left, h.stop(true)).await;
-    h.stop(false).await;
-}
--- a/edge-proxy/src/pass.rs
+++ b/edge-proxy/src/pass.rs
@@ -286,6 +286,11 @@
         let f = hold(&self.brain).reject("no_replica", "pass", why);
         self.reject(f)
     }
+    /// This process ends while a replica may be at work on it.
+    pub fn abandoned() -> Ending {
+        let f = Fault::new("replica_lost", "pass", "this edge ends before its replica has answered").outcome(Outcome::Unknown);
+        (StatusCode::BAD_GATEWAY, f)
+    }
     fn unknown(&self, why: &str) -> Ending {
         let f = Fault::new("replica_lost", "pass", why).outcome(Outcome::Unknown);
         (StatusCode::BAD_GATEWAY, f)
--- a/edge-proxy/tests/pass.rs
+++ b/edge-proxy/tests/pass.rs
@@ -7,6 +7,7 @@
 use coordination::{
     agent::{RULE_ALL, RULE_NONE},
     bounds::Bounds,
+    limits::SHUTDOWN_SERVES,
     wire::Board,
 };
 use daemon_parts::{
@@ -583,42 +584,106 @@
 
 // ---- stopping ----
 
+/// ms. Longer than any test.
+const LONG: u64 = 3_600_000;
+
+async fn readiness(e: &Edge) -> u16 {
+    let mut d = Downstream::to(e.ready).await;
+    d.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").await;
+    d.answer().await.status
+}
+
+/// A stream that is open at the edge until its replica is let go on.
+async fn open_stream(go: &Arc<Notify>) -> (Edge, Replica, Downstream) {
+    let n = go.clone();
+    let r = Replica::start(move |n_th, g| match n_th {
+        0 => vec![say(stream(g) + &chunk(&events(1..=1))), Act::Wait(n.clone()), say(chunk(&events(2..=2)) + "0\r\n\r\n")],
+        _ => vec![say(whole(g, "x"))],
+    })
+    .await;
+    let e = Edge::start(Lane::of("stream", 1), &[r.addr]).await;
+    let mut open = Downstream::to(e.addr).await;
+    open.send(request("a", "q")).await;
+    open.until("piece 1\n\n").await;
+    (e, r, open)
+}
+
 #[gtest]
-fn a_stopping_edge_serves_on_says_so_and_ends_with_its_last_answer() {
+fn a_leaving_edge_serves_on_and_says_so() {
     run(async {
         let go = Arc::new(Notify::new());
-        let n = go.clone();
-        let r = Replica::start(move |n_th, g| match n_th {
-            0 => vec![say(stream(g) + &chunk(&events(1..=1))), Act::Wait(n.clone()), say(chunk(&events(2..=2)) + "0\r\n\r\n")],
-            _ => vec![say(whole(g, "x"))],
-        })
-        .await;
-        let e = Edge::start(Lane::of("stream", 1), &[r.addr]).await;
-        let ready = async |e: &Edge| {
-            let mut d = Downstream::to(e.ready).await;
-            d.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").await;
-            d.answer().await.status
-        };
-        expect_that!(ready(&e).await, eq(200));
-        let mut open = Downstream::to(e.addr).await;
-        open.send(request("a", "q")).await;
-        open.until("piece 1\n\n").await;
-        e.stopping.begin(u64::MAX);
-        expect_that!(ready(&e).await, eq(503));
+        let (e, r, mut open) = open_stream(&go).await;
+        expect_that!(readiness(&e).await, eq(200));
+        e.stopping.begin(LONG, clock::now() + LONG);
+        expect_that!(readiness(&e).await, eq(503));
         // What comes is still served, and told to come on another connection next time.
         let a = ask(&e, request("b", "q")).await;
         expect_that!((a.status, a.header("connection")), eq((200, Some("close"))));
-        // Close to the end nothing new is taken; what is open goes on.
-        e.stopping.begin(0);
+        go.notify_one();
+        let a = open.answer().await;
+        expect_that!((a.body, a.whole), eq(&(events(1..=2), true)));
+        expect_that!(r.count(), eq(2));
+    });
+}
+
+#[gtest]
+fn an_edge_that_refuses_ends_with_its_last_answer() {
+    run(async {
+        let go = Arc::new(Notify::new());
+        let (e, r, mut open) = open_stream(&go).await;
+        e.stopping.begin(LONG, clock::now() - SHUTDOWN_SERVES);
+        expect_that!(readiness(&e).await, eq(503));
+        // Nothing new is taken; what is open goes on.
         let a = ask(&e, request("c", "q")).await;
         expect_that!((a.status, a.header("connection"), a.header("retry-after")), eq((503, Some("close"), Some("0.050"))));
         let (stopping, handle) = (e.stopping.clone(), e.handle.clone());
-        let ended = actix_rt::spawn(async move { edge_proxy::wind_down(&stopping, &handle, 2_500).await });
+        let ended = actix_rt::spawn(async move { edge_proxy::stopping::wind_down(&stopping, &handle, LONG).await });
         go.notify_one();
         let a = open.answer().await;
         expect_that!((a.body, a.whole), eq(&(events(1..=2), true)));
         ended.await.unwrap();
-        expect_that!((e.stopping.open(), r.count()), eq((0, 2)));
+        expect_that!((e.stopping.open(), r.count()), eq((0, 1)));
+    });
+}
+
+#[gtest]
+fn a_request_without_an_answer_gets_one_when_the_grace_is_over() {
+    run(async {
+        let go = Arc::new(Notify::new());
+        let n = go.clone();
+        let r = Replica::start(move |_, g| vec![Act::Wait(n.clone()), say(whole(g, "x"))]).await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        let mut open = Downstream::to(e.addr).await;
+        open.send(request("a", "q")).await;
+        e.until(|_| r.count() == 1).await;
+        e.stopping.begin(0, clock::now());
+        edge_proxy::stopping::wind_down(&e.stopping, &e.handle, LONG).await;
+        let a = open.answer().await;
+        // A replica is at work on it: nobody may say that it has not run.
+        expect_that!((a.status, a.header("connection"), a.header("retry-after")), eq((502, Some("close"), None)));
+        expect_that!(a.body, contains_substring("unknown"));
+    });
+}
+
+#[gtest]
+fn the_products_own_runs_are_refused_too_when_an_edge_refuses() {
+    run(async {
+        let r = Replica::plain("x").await;
+        let e = Edge::start(Lane::of("once", 1), &[r.addr]).await;
+        let body = r#"{"request":"q1","service":"s","lane":"l","tier":"t","homes":["z"],"prompt":"p","time_left_ms":1000,"run_once":false}"#;
+        let q = format!(
+            "POST /v1/run HTTP/1.1\r\nHost: edge\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let before = ask(&e, q.as_str()).await;
+        expect_that!(before.body, not(contains_substring("stopping")));
+        e.stopping.begin(LONG, clock::now() - SHUTDOWN_SERVES);
+        let a = ask(&e, q.as_str()).await;
+        expect_that!((a.status, a.header("connection")), eq((503, Some("close"))), "{a:?}");
+        expect_that!(a.header("retry-after"), some(anything()));
+        expect_that!(a.body, contains_substring("not_run"));
+        e.rests().await;
+        expect_that!(r.count(), eq(0));
     });
 }
 
--- a/edge-proxy/tests/support/mod.rs
+++ b/edge-proxy/tests/support/mod.rs
@@ -22,8 +22,9 @@
 use edge_proxy::{
     actor::ProxyActor,
     dialect::Dialect,
-    front::{Front, Stopping},
+    front::Front,
     shared::{Shared, hold},
+    stopping::Stopping,
 };
 use http::HeaderMap;
 use remote_calls::{DownstreamLimits, PathSpec};
