--- a/control-daemon/src/lib.rs
+++ b/control-daemon/src/lib.rs
@@ -14,7 +14,7 @@
     limits::CONTROL_STOP,
     logging::{self, StartFault},
     params::Params,
-    stop,
+    stop::{self, StopSignals},
 };
 use error_stack::{Report, ResultExt};
 
@@ -39,6 +39,7 @@
         founding: p.founding,
         bounds: p.bounds.clone(),
     };
+    let signals = StopSignals::listen()?;
     let disk = disk::Disk::start(p.data.clone().unwrap_or_default(), p.data_limit);
     let brain = actor::ControlActor::new(cp, p.platform.clone(), face.replicas, disk).start();
     channels::listen(&p.bind, brain.clone().recipient()).await?;
@@ -58,6 +59,6 @@
         let _ = brain.send(actor::Stopping).await;
         tokio::time::sleep(std::time::Duration::from_millis(FAREWELL)).await;
     };
-    stop::serve(server, &p.name, &format!("http {} processes {}", p.http, p.listen), farewell).await;
+    stop::serve(server, signals, &p.name, &format!("http {} processes {}", p.http, p.listen), farewell).await;
     Ok(())
 }
--- a/daemon-parts/src/stop.rs
+++ b/daemon-parts/src/stop.rs
@@ -2,25 +2,37 @@
 
 use actix_web::dev::Server;
 use coordination::events;
+use error_stack::{Report, ResultExt};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::logging::event;
+use crate::logging::{StartFault, event};
 
-/// Returns when the process is asked to stop.
-pub async fn asked(name: &str) {
-    use tokio::signal::unix::{SignalKind, signal};
-    let (Ok(mut t), Ok(mut i)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) else {
-        return std::future::pending().await;
-    };
-    tokio::select! { _ = t.recv() => (), _ = i.recv() => () }
-    event(events::STOPPING, name, "");
+/// The signals that ask a process to stop. Listened to before the first port is served: until then a signal ends the
+/// process at once, when it has taken nothing yet.
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    pub fn listen() -> Result<Self, Report<StartFault>> {
+        let listen = |kind| signal(kind).change_context(StartFault("listen to signals"));
+        Ok(StopSignals { terminate: listen(SignalKind::terminate())?, interrupt: listen(SignalKind::interrupt())? })
+    }
+
+    /// Returns when the process is asked to stop.
+    pub async fn asked(&mut self, name: &str) {
+        tokio::select! { _ = self.terminate.recv() => (), _ = self.interrupt.recv() => () }
+        event(events::STOPPING, name, "");
+    }
 }
 
 /// Runs a daemon's HTTP server until the process is asked to stop; after the farewell open calls are let end.
-pub async fn serve(server: Server, name: &str, ports: &str, farewell: impl Future<Output = ()>) {
+pub async fn serve(server: Server, mut signals: StopSignals, name: &str, ports: &str, farewell: impl Future<Output = ()>) {
     let h = server.handle();
     let served = actix_rt::spawn(server);
     event(events::STARTED, name, ports);
-    asked(name).await;
+    signals.asked(name).await;
     farewell.await;
     h.stop(true).await;
     let _ = served.await;
--- a/edge-agent/src/lib.rs
+++ b/edge-agent/src/lib.rs
@@ -11,7 +11,7 @@
     logging::{self, StartFault, event},
     look::Look,
     params::Params,
-    stop,
+    stop::StopSignals,
 };
 use error_stack::Report;
 use wire_messages::Node;
@@ -83,10 +83,11 @@
     let mut brain = Agent::new(me, seeds, born, clock::now());
     brain.set_serve_on(p.serve_on);
     brain.set_regions(p.regions.clone());
+    let mut signals = StopSignals::listen()?;
     let a = AgentActor { name: p.name.clone(), listen: p.listen.clone(), brain, ch: None }.start();
     channels::listen(&p.bind, a.clone().recipient()).await?;
     event(events::STARTED, &p.name, &format!("processes {}", p.listen));
-    stop::asked(&p.name).await;
+    signals.asked(&p.name).await;
     // A proxy that was asked to stop as well still serves what comes, by this agent's rule and news.
     let last = clock::now() + p.bounds.grace.saturating_sub(AGENT_LAST);
     tokio::time::sleep(FAREWELL).await;
--- a/edge-proxy/src/lib.rs
+++ b/edge-proxy/src/lib.rs
@@ -34,7 +34,7 @@
     logging::{self, StartFault, event},
     look::Look,
     params::Params,
-    stop,
+    stop::StopSignals,
 };
 use error_stack::{Report, ResultExt};
 use socket2::{Domain, Socket, Type};
@@ -58,17 +58,18 @@
 /// Runs until the process is asked to stop. With a dialect it also passes requests by host and path.
 pub async fn run(p: Params, dialect: Option<Arc<dyn Dialect>>, reader: SpecReader) -> Result<(), Report<StartFault>> {
     let _log = logging::start(&p.log)?;
+    let signals = StopSignals::listen()?;
     let brain: Shared = Arc::new(Mutex::new(brain(&p, reader)));
     let a = ProxyActor::new(&p.name, &p.listen, &p.agent, brain.clone()).start();
     channels::listen(&p.bind, a.clone().recipient()).await?;
     match dialect {
-        Some(d) => with_lanes(p, a, brain, d).await,
-        None => own(p, a).await,
+        Some(d) => with_lanes(p, signals, a, brain, d).await,
+        None => own(p, signals, a).await,
     }
 }
 
 /// The product's own calls alone.
-async fn own(p: Params, a: Addr<ProxyActor>) -> Result<(), Report<StartFault>> {
+async fn own(p: Params, signals: StopSignals, a: Addr<ProxyActor>) -> Result<(), Report<StartFault>> {
     let b = web::Data::new(a.clone());
     let stopping = Arc::new(Stopping::default());
     let s = web::Data::from(stopping.clone());
@@ -81,14 +82,20 @@
         .run();
     let h = server.handle();
     let served = actix_rt::spawn(server);
-    until_stopped(&p, &a, &stopping, &h, &format!("http {} processes {}", p.http, p.listen)).await;
+    until_stopped(&p, signals, &a, &stopping, &h, &format!("http {} processes {}", p.http, p.listen)).await;
     let _ = tokio::time::timeout(STOP_LOOK, served).await;
     event(events::STOPPED, &p.name, "");
     Ok(())
 }
 
 /// Requests by host and path as well.
-async fn with_lanes(p: Params, a: Addr<ProxyActor>, brain: Shared, dialect: Arc<dyn Dialect>) -> Result<(), Report<StartFault>> {
+async fn with_lanes(
+    p: Params,
+    signals: StopSignals,
+    a: Addr<ProxyActor>,
+    brain: Shared,
+    dialect: Arc<dyn Dialect>,
+) -> Result<(), Report<StartFault>> {
     let stopping = Arc::new(Stopping::default());
     let f = Front { brain, dialect, stopping: stopping.clone(), ready: p.readiness.clone(), not_yet: NOT_YET };
     let ports = [&p.http, &p.readiness].into_iter().filter(|a| !a.is_empty());
@@ -97,16 +104,23 @@
     let server = serve(f, a.clone(), ports).change_context(StartFault("serve the HTTP ports"))?;
     let h = server.handle();
     let served = actix_rt::spawn(server);
-    until_stopped(&p, &a, &stopping, &h, &format!("http {} processes {}", p.http, p.listen)).await;
+    until_stopped(&p, signals, &a, &stopping, &h, &format!("http {} processes {}", p.http, p.listen)).await;
     let _ = tokio::time::timeout(STOP_LOOK, served).await;
     event(events::STOPPED, &p.name, "");
     Ok(())
 }
 
 /// Serves until the process is asked to stop, and on to its end.
-async fn until_stopped(p: &Params, a: &Addr<ProxyActor>, stopping: &Stopping, h: &ServerHandle, ports: &str) {
+async fn until_stopped(
+    p: &Params,
+    mut signals: StopSignals,
+    a: &Addr<ProxyActor>,
+    stopping: &Stopping,
+    h: &ServerHandle,
+    ports: &str,
+) {
     event(events::STARTED, &p.name, ports);
-    stop::asked(&p.name).await;
+    signals.asked(&p.name).await;
     let _ = a.send(Look(Box::new(|a: &mut ProxyActor, now| a.stop(now)))).await;
     wind_down(stopping, h, p.bounds.grace).await;
 }
--- a/fleet-tools/src/bin/fleet-runner.rs
+++ b/fleet-tools/src/bin/fleet-runner.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, path::PathBuf, time::Duration};
 
 use clap::{Arg, ArgAction, Command};
+use daemon_parts::stop::StopSignals;
 use daemon_parts::{clock, params::EXIT_PARAMS};
 use fleet_simulator::{
     checkers,
@@ -85,6 +86,7 @@
     target: Option<String>,
     faults: Vec<String>,
 ) -> Result<(), String> {
+    let mut signals = StopSignals::listen().map_err(|e| e.to_string())?;
     let mut f = Fleet::start(d, &data, log).map_err(|e| e.to_string())?;
     let t = f.until("control daemons settle", START_LIMIT, async |f| f.settled().await).await?;
     println!("control settled after {t} ms");
@@ -96,7 +98,7 @@
     }
     if load == 0 {
         println!("running; Ctrl-C ends it");
-        daemon_parts::stop::asked("fleet-runner").await;
+        signals.asked("fleet-runner").await;
         return Ok(());
     }
     let service = f.d.spec.services[0].name.clone();
