--- a/fleet-tools/src/fleet.rs
+++ b/fleet-tools/src/fleet.rs
@@ -51,7 +51,8 @@
     Ok(TcpListener::bind((ip, 0))?.local_addr()?.to_string())
 }
 
-fn program(n: &str) -> std::io::Result<PathBuf> {
+/// Where a program of this workspace was built.
+pub fn program(n: &str) -> std::io::Result<PathBuf> {
     let exe = std::env::current_exe()?;
     let dir = exe.parent().unwrap_or(Path::new("."));
     // Tests stand one folder below the programs.
--- a/fleet-tools/src/lib.rs
+++ b/fleet-tools/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod fleet;
 pub mod link;
 pub mod replica;
+pub mod soak;
--- /dev/null
+++ b/fleet-tools/src/soak/operators.rs
@@ -0,0 +1,193 @@
+//! Operators: changes of the configuration in series and races, and readers that ask any control daemon at any time.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use fastrand::Rng;
+use platform_stand::calls;
+use serde_json::Value;
+use tokio::{
+    sync::Mutex,
+    time::{sleep, timeout},
+};
+
+use super::{
+    history::{Change, Directed, Ms, Read},
+    run::{Soak, document},
+};
+
+/// An operator goes to another daemon after so long without an answer.
+const SILENT: Duration = Duration::from_secs(3);
+/// Pause before the same order goes to another daemon.
+const AGAIN: Duration = Duration::from_millis(100);
+/// An order without a clear answer is given up for good.
+const PATIENCE: Duration = Duration::from_secs(120);
+/// How often readers ask.
+const READS: (Ms, Ms) = (50, 400);
+
+/// What operators know of their own orders.
+#[derive(Default)]
+pub struct Orders {
+    /// The newest acknowledged configuration.
+    newest: RefCell<Value>,
+    release: Cell<u64>,
+    /// One series of changes at a time: each builds on the one before.
+    turn: Mutex<()>,
+}
+
+impl Orders {
+    pub fn release(&self) -> u64 {
+        self.release.get()
+    }
+    fn accepted(&self, document: &Value) {
+        self.release.set(calls::release(document));
+        self.newest.replace(document.clone());
+    }
+}
+
+/// Sends a change until it gets a clear answer; whether it was accepted.
+async fn order(s: &Soak, first: usize, on: u64, document: &Value, repeated: bool) -> Option<bool> {
+    let (sent, until) = (s.now(), Instant::now() + PATIENCE);
+    for i in first.. {
+        let controls = s.controls();
+        let to = &controls[i % controls.len()];
+        let answer = timeout(SILENT, calls::put_configuration(to, on, document)).await.ok().flatten();
+        let accepted = match answer {
+            Some(200) => true,
+            Some(400..500) if answer != Some(408) && answer != Some(429) => false,
+            _ if Instant::now() > until => return None,
+            _ => {
+                sleep(AGAIN).await;
+                continue;
+            }
+        };
+        let release = calls::release(document);
+        s.seen.borrow_mut().changes.push(Change { release, on, sent, answered: s.now(), accepted, repeated });
+        return Some(accepted);
+    }
+    None
+}
+
+/// The first configuration, sent until it is taken.
+pub async fn first(s: &Soak, until: Instant) -> Result<(), String> {
+    let d = document(s.d, 1, "first");
+    while order(s, 0, 0, &d, false).await != Some(true) {
+        if Instant::now() > until {
+            return Err("the first configuration is not taken".into());
+        }
+        sleep(AGAIN).await;
+    }
+    s.orders.accepted(&d);
+    Ok(())
+}
+
+/// Changes in a series; now and then one is sent once more after its acknowledgement.
+pub async fn storm(s: &Soak, changes: u32, gap: Ms, rng: &mut Rng) {
+    for _ in 0..changes {
+        let _turn = s.orders.turn.lock().await;
+        let on = s.orders.release();
+        let d = document(s.d, on + rng.u64(1..4), &format!("storm{}", rng.u32(..)));
+        if order(s, rng.usize(0..64), on, &d, false).await == Some(true) {
+            s.orders.accepted(&d);
+            if rng.u32(0..10) == 0 {
+                order(s, rng.usize(0..64), on, &d, true).await;
+            }
+        }
+        drop(_turn);
+        sleep(Duration::from_millis(gap)).await;
+    }
+}
+
+/// Two operators at one number.
+pub async fn race(s: &Soak, rng: &mut Rng) {
+    let _turn = s.orders.turn.lock().await;
+    let on = s.orders.release();
+    let mark = rng.u32(..);
+    let [a, b] = ["left", "right"].map(|side| document(s.d, on + 1, &format!("{side}{mark}")));
+    let at = rng.usize(0..64);
+    let (x, y) = tokio::join!(order(s, at, on, &a, false), order(s, at + 1, on, &b, false));
+    match (x, y) {
+        (Some(true), _) => s.orders.accepted(&a),
+        (_, Some(true)) => s.orders.accepted(&b),
+        _ => {}
+    }
+}
+
+/// Evacuates a zone for so long.
+pub async fn evacuate(s: &Soak, zone: usize, long: Ms, rng: &mut Rng) {
+    for evacuated in [true, false] {
+        let until = Instant::now() + PATIENCE;
+        let controls = s.controls();
+        for i in rng.usize(0..64).. {
+            let to = &controls[i % controls.len()];
+            let answer = timeout(SILENT, calls::evacuate(to, s.d.zones[zone].0, evacuated)).await.ok().flatten();
+            if answer == Some(200) || Instant::now() > until {
+                break;
+            }
+            sleep(AGAIN).await;
+        }
+        if evacuated {
+            sleep(Duration::from_millis(long)).await;
+        }
+    }
+}
+
+/// Reads the configuration at any daemon until the soak is over.
+pub async fn read(s: Rc<Soak>, seed: u64) {
+    let mut rng = Rng::with_seed(!seed);
+    while !s.over.get() {
+        let n = rng.usize(0..s.d.core.len());
+        let to = s.controls()[n].clone();
+        let sent = s.now();
+        if let Ok(Some(d)) = timeout(SILENT, calls::get_configuration(&to)).await {
+            let machine = s.machines.borrow().all[s.core_at(n)].name.clone();
+            s.seen.borrow_mut().reads.push(Read { sent, machine, release: calls::release(&d) });
+        }
+        sleep(Duration::from_millis(rng.u64(READS.0..READS.1))).await;
+    }
+}
+
+/// Asks each directory for each zone in turn until the soak is over.
+pub async fn resolve(s: Rc<Soak>, seed: u64) {
+    let mut rng = Rng::with_seed(seed.rotate_left(7));
+    while !s.over.get() {
+        let directories = s.directories();
+        let to = &directories[rng.usize(0..directories.len())];
+        let zone = s.d.zones[rng.usize(0..s.d.zones.len())].0;
+        if let Ok(Some((addresses, _))) = timeout(SILENT, calls::resolve(s.d, to, zone)).await {
+            let fronts = s.fronts();
+            let edges = addresses.iter().filter_map(|a| fronts.iter().position(|f| f == a)).collect();
+            let at = s.now();
+            s.seen.borrow_mut().directed.push(Directed { at, zone: zone.into(), edges });
+        }
+        sleep(Duration::from_millis(rng.u64(READS.0..READS.1))).await;
+    }
+}
+
+/// What is wrong with the configuration at the end: every daemon is to tell the newest, and to take it again.
+pub async fn last(s: &Soak) -> Vec<String> {
+    let newest = s.orders.newest.borrow().clone();
+    let mut wrong = vec![];
+    for (n, c) in s.controls().iter().enumerate() {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match timeout(SILENT, calls::get_configuration(c)).await.ok().flatten() {
+                Some(d) if d == newest => break,
+                Some(d) => {
+                    let (told, acked) = (calls::release(&d), calls::release(&newest));
+                    wrong.push(format!("control daemon {n} tells release {told}, {acked} was acknowledged last"));
+                    break;
+                }
+                None if Instant::now() > until => {
+                    wrong.push(format!("control daemon {n} tells no configuration"));
+                    break;
+                }
+                None => sleep(AGAIN).await,
+            }
+        }
+    }
+    wrong
+}
--- /dev/null
+++ b/fleet-tools/src/soak/plan.rs
@@ -0,0 +1,124 @@
+//! What is done to the fleet and when, drawn by a seed.
+
+use fastrand::Rng;
+
+use super::history::Ms;
+
+/// Something that is done to the fleet; machines are named by index.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Edges are stopped one after the other, so many at a time.
+    RestartEdges {
+        edges: Vec<usize>,
+        at_once: usize,
+        gap: Ms,
+    },
+    /// Control machines are stopped one after the other.
+    RestartCore {
+        gap: Ms,
+    },
+    KillEdges {
+        edges: Vec<usize>,
+        down: Ms,
+    },
+    KillCore {
+        machine: usize,
+        down: Ms,
+    },
+    FreezeEdge {
+        edge: usize,
+        long: Ms,
+    },
+    FreezeCore {
+        machine: usize,
+        long: Ms,
+    },
+    /// Every machine is told several times that its settings have changed.
+    Hangups {
+        times: u32,
+        gap: Ms,
+    },
+    /// Changes of the configuration, one on the other.
+    Storm {
+        changes: u32,
+        gap: Ms,
+    },
+    /// Two operators send different changes under one number.
+    Race,
+    Evacuate {
+        zone: usize,
+        long: Ms,
+    },
+    CrashReplicas {
+        count: usize,
+        down: Ms,
+    },
+    DrainReplica {
+        down: Ms,
+    },
+    /// A control machine comes back with an empty disk.
+    Wipe {
+        machine: usize,
+    },
+}
+
+/// What there is to act on.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub edges: usize,
+    pub core: usize,
+    pub zones: usize,
+}
+
+/// One action and when it begins.
+pub type Step = (Ms, Action);
+
+/// ms. Mean time between two actions: each takes seconds, so that several overlap.
+const PACE: Ms = 1_500;
+/// ms. Nothing begins so short before the end, so that all ends inside the traffic.
+const LAST: Ms = 12_000;
+
+fn some(r: &mut Rng, of: usize, share: f64) -> Vec<usize> {
+    let n = ((of as f64 * share).ceil() as usize).clamp(1, of);
+    let mut all = r.choose_multiple(0..of, n);
+    r.shuffle(&mut all);
+    all
+}
+
+fn action(r: &mut Rng, s: Size) -> Action {
+    match r.u32(0..100) {
+        0..28 => {
+            let share = r.f64().max(0.3);
+            Action::RestartEdges { edges: some(r, s.edges, share), at_once: r.usize(1..=3), gap: r.u64(200..1_600) }
+        }
+        28..34 => Action::RestartCore { gap: r.u64(1_000..4_000) },
+        34..42 => Action::KillEdges { edges: some(r, s.edges, 0.3), down: r.u64(200..3_000) },
+        42..47 => Action::KillCore { machine: r.usize(0..s.core), down: r.u64(200..3_000) },
+        47..52 => Action::FreezeEdge { edge: r.usize(0..s.edges), long: r.u64(300..4_000) },
+        52..56 => Action::FreezeCore { machine: r.usize(0..s.core), long: r.u64(300..4_000) },
+        56..64 => Action::Hangups { times: r.u32(1..6), gap: r.u64(50..700) },
+        64..76 => Action::Storm { changes: r.u32(10..100), gap: r.u64(30..200) },
+        76..82 => Action::Race,
+        82..88 => Action::Evacuate { zone: r.usize(0..s.zones), long: r.u64(1_000..6_000) },
+        88..93 => Action::CrashReplicas { count: r.usize(1..4), down: r.u64(300..3_000) },
+        93..97 => Action::DrainReplica { down: r.u64(300..3_000) },
+        _ => Action::Wipe { machine: r.usize(0..s.core) },
+    }
+}
+
+/// The steps of a soak of so long, by when they begin. A series of stopped edges always comes first.
+pub fn draw(seed: u64, long: Ms, size: Size) -> Vec<Step> {
+    let mut r = Rng::with_seed(seed);
+    let all = (0..size.edges).collect();
+    let mut steps = vec![(r.u64(500..2_000), Action::RestartEdges { edges: all, at_once: 1, gap: r.u64(500..1_600) })];
+    let mut at = 0;
+    loop {
+        at += r.u64(1..2 * PACE);
+        if at + LAST > long {
+            break;
+        }
+        steps.push((at, action(&mut r, size)));
+    }
+    steps.sort_by_key(|s| s.0);
+    steps
+}
