Make what is passed on a type without Any; one check of what a spec has, one count of live voters

Passed writes carry a condition that cannot be 'compared with nothing', so that none could go out as a reading and be told accepted; the directory's and operators' check 'has it, else ask for the newest' is one function; stood_still only wrapped woke.

--- a/control-daemon/src/http.rs
+++ b/control-daemon/src/http.rs
@@ -98,16 +98,26 @@
     s.ok_or_else(|| Fault::new("no_spec", "read_spec", "no spec has been accepted yet").retry(1_000).into())
 }
 
-/// Checks that the spec has something of a name. A daemon that may have missed the newest spec says no to nobody.
-async fn require(b: &Brain, what: &str, name: &str, has: impl Fn(&Spec, &str) -> bool) -> Result<(), Answer> {
-    if has(&*spec_of(b).await?, name) {
-        return Ok(());
+/// Whether the spec has something of a name. A daemon that may have missed the newest spec says no to nobody.
+pub async fn is_known(b: &Brain, name: &str, has: fn(&Spec, &str) -> bool) -> Result<bool, Answer> {
+    let held = async || look(b, |c, _| c.spec()).await;
+    if held().await?.is_some_and(|s| has(&s, name)) {
+        return Ok(true);
     }
     newest(b, SPEC).await?;
-    if has(&*spec_of(b).await?, name) { Ok(()) } else { Err(unknown(what, name)) }
+    Ok(held().await?.is_some_and(|s| has(&s, name)))
+}
+
+async fn require(b: &Brain, what: &str, name: &str, has: fn(&Spec, &str) -> bool) -> Result<(), Answer> {
+    if is_known(b, name, has).await? {
+        return Ok(());
+    }
+    spec_of(b).await?;
+    Err(unknown(what, name))
 }
 
-fn has_service(s: &Spec, name: &str) -> bool {
+/// Whether a spec has a service of this name.
+pub fn has_service(s: &Spec, name: &str) -> bool {
     s.services.iter().any(|v| v.name == name)
 }
 
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -303,7 +303,7 @@
     }
 
     pub fn on_msg(&mut self, from: &Name, addr: &Name, msg: Msg, now: Ms) -> Effects {
-        self.woke(now);
+        self.stood_still(now);
         let mut out = Vec::new();
         match msg {
             Msg::Heartbeat(m) => self.on_heartbeat(from, addr, m, now, &mut out),
@@ -358,7 +358,7 @@
     }
 
     pub fn tick(&mut self, now: Ms) -> Effects {
-        self.woke(now);
+        self.stood_still(now);
         self.ticked = now;
         let mut out = Vec::new();
         self.clock = now;
--- a/coordination/src/control/looks.rs
+++ b/coordination/src/control/looks.rs
@@ -73,8 +73,12 @@
 
     /// Whether this daemon votes and hears a majority of the voters, itself among them.
     fn hears_majority(&self, now: Ms) -> bool {
+        self.regs.voting && self.regs.is_majority(self.live_voters(now))
+    }
+
+    fn live_voters(&self, now: Ms) -> usize {
         let live = self.live(now);
-        self.regs.voting && self.regs.is_majority(self.regs.voters.iter().filter(|v| live(&v.name)).count())
+        self.regs.voters.iter().filter(|v| live(&v.name)).count()
     }
 
     pub fn health(&self) -> HealthAnswer {
@@ -90,7 +94,6 @@
     }
 
     pub fn counters(&self, now: Ms) -> Vec<(&'static str, u64)> {
-        let live = self.live(now);
         let voters = || self.regs.voters.iter();
         let differ = |v: &&Voter| self.differed.get(&v.name).is_some_and(|d| now.saturating_sub(d.since) >= BEHIND_AFTER);
         let copies = self.board.under(CONTEXT).filter_map(|(_, c)| packed::of_bytes::<ContextRecord>(&c.value.0));
@@ -103,7 +106,7 @@
             ("member_epoch", self.regs.member_epoch.into()),
             ("quorum", self.hears_majority(now).into()),
             ("voters", voters().count() as u64),
-            ("voters_live", voters().filter(|v| live(&v.name)).count() as u64),
+            ("voters_live", self.live_voters(now) as u64),
             ("voters_behind", voters().filter(differ).count() as u64),
             ("loops_resting", self.resting.len() as u64),
         ];
--- a/coordination/src/control/writes.rs
+++ b/coordination/src/control/writes.rs
@@ -18,27 +18,79 @@
     }
 }
 
+/// What must stand for a write that is passed on. There is no `Any`: a write that is compared with nothing carries the
+/// version that stood where it came in, so that wherever it is held up it does not undo what came after it.
+#[derive(Clone, Copy, Debug)]
+enum Condition {
+    Version(u64),
+    Since(u64),
+    Release(u64),
+}
+
+impl Condition {
+    /// `stands`: the version of the key here.
+    fn new(e: Expect, stands: u64) -> Self {
+        match e {
+            Expect::Any => Condition::Since(stands),
+            Expect::Version(v) => Condition::Version(v),
+            Expect::Since(v) => Condition::Since(v),
+            Expect::Release(r) => Condition::Release(r),
+        }
+    }
+
+    /// The version as which a write under it may stand, where that is known.
+    fn offered(self) -> Option<u64> {
+        match self {
+            Condition::Version(v) | Condition::Since(v) => Some(v + 1),
+            Condition::Release(_) => None,
+        }
+    }
+}
+
+impl From<Condition> for Expect {
+    fn from(c: Condition) -> Self {
+        match c {
+            Condition::Version(v) => Expect::Version(v),
+            Condition::Since(v) => Expect::Since(v),
+            Condition::Release(r) => Expect::Release(r),
+        }
+    }
+}
+
+/// What is asked of a key's owner.
+#[derive(Clone, Debug)]
+enum Request {
+    /// The newest version.
+    Read,
+    Write(Condition, Blob),
+}
+
 /// A write or a reading that went to the key's owner.
 #[derive(Clone, Debug)]
 pub(super) struct Passed {
     /// Under which token its answer is awaited here.
     token: u64,
     key: Name,
-    expect: Option<Expect>,
-    value: Blob,
+    request: Request,
     to: Name,
     until: Ms,
     /// The owner said that it is not the owner; it goes out again then.
     again: Option<Ms>,
 }
 
+impl Passed {
+    fn new(token: u64, key: Name, request: Request, now: Ms) -> Self {
+        Passed { token, key, request, to: Name::default(), until: now + FORWARD_LIMIT, again: None }
+    }
+}
+
 impl Control {
     /// Writes a key; an `Answer` with the returned token follows. `expect`: only if this version stands.
     pub fn write(&mut self, key: &str, expect: impl Into<Expect>, value: Vec<u8>, now: Ms) -> (u64, Effects) {
         let mut out = Vec::new();
         self.token += 1;
         let t = self.token;
-        self.offer(t, &key.into(), Some(expect.into()), Blob(value), now, &mut out);
+        self.offer(t, &key.into(), expect.into(), Blob(value), now, &mut out);
         (t, self.finish(now, out))
     }
 
@@ -48,41 +100,35 @@
         let mut out = Vec::new();
         self.token += 1;
         let t = self.token;
-        self.offer(t, &key.into(), None, Blob::default(), now, &mut out);
+        self.pass(Passed::new(t, key.into(), Request::Read, now), now, &mut out);
         (t, self.finish(now, out))
     }
 
     /// Whether this daemon stood still until just now: what it reads may have waited for long, and whoever sent it has
     /// gone to others since. A write that is compared with nothing would undo what was written meanwhile.
-    pub(super) fn woke(&mut self, now: Ms) -> bool {
+    pub fn stood_still(&mut self, now: Ms) -> bool {
         if now.saturating_sub(self.ticked) > STOOD_STILL {
             self.wakes = now + WAKES_FOR;
         }
         now < self.wakes
     }
 
-    /// Whether this daemon stood still until just now: an order that it reads may have waited for long.
-    pub fn stood_still(&mut self, now: Ms) -> bool {
-        self.woke(now)
-    }
-
-    /// Takes a write, or a reading where nothing is expected, to the key's owner.
-    fn offer(&mut self, token: u64, key: &Name, expect: Option<Expect>, value: Blob, now: Ms, out: &mut Effects) {
-        let expect = match expect {
-            Some(Expect::Any) if self.woke(now) => {
+    /// Takes a write to the key's owner.
+    fn offer(&mut self, token: u64, key: &Name, expect: Expect, value: Blob, now: Ms, out: &mut Effects) {
+        if expect == Expect::Any {
+            if self.stood_still(now) {
                 let outcome = WriteOutcome::NotAccepted("this daemon stood still until just now; ask again");
                 return out.push(Effect::Answer { token, outcome });
             }
-            // Wherever it is held up from here on, it does not undo what came after it.
-            Some(Expect::Any) => {
-                let order = Order { key: key.clone(), value: value.clone(), renewed_until: now + ORDER_RENEWED };
-                self.orders.insert(token, order);
-                Some(Expect::Since(self.board.get(key).map_or(0, |c| c.version)))
-            }
-            e => e,
-        };
-        let p = Passed { token, key: key.clone(), expect, value, to: Name::default(), until: now + FORWARD_LIMIT, again: None };
-        self.pass(p, now, out);
+            let order = Order { key: key.clone(), value: value.clone(), renewed_until: now + ORDER_RENEWED };
+            self.orders.insert(token, order);
+        }
+        let condition = Condition::new(expect, self.version_here(key));
+        self.pass(Passed::new(token, key.clone(), Request::Write(condition, value), now), now, out);
+    }
+
+    fn version_here(&self, key: &Name) -> u64 {
+        self.board.get(key).map_or(0, |c| c.version)
     }
 
     /// An order whose expectation another order overtook is tried again on what that one left, as long as its sender
@@ -93,10 +139,10 @@
         if now >= order.renewed_until {
             return Some(WriteOutcome::NotAccepted("other orders came first; ask again"));
         }
-        let (key, value, expect) = (order.key.clone(), order.value.clone(), Some(Expect::Since(version)));
+        let request = Request::Write(Condition::Since(version), order.value.clone());
+        let passed = Passed::new(token, order.key.clone(), request, now);
         self.orders.insert(token, order);
-        let p = Passed { token, key, expect, value, to: Name::default(), until: now + FORWARD_LIMIT, again: None };
-        self.pass(p, now, out);
+        self.pass(passed, now, out);
         None
     }
 
@@ -107,21 +153,20 @@
             return;
         };
         if v.name == self.p.name {
-            return match p.expect {
-                Some(e) => self.regs.propose(p.token, &p.key, e, p.value, now, out),
-                None => self.regs.read(p.token, &p.key, now, out),
+            return match p.request {
+                Request::Write(condition, value) => self.regs.propose(p.token, &p.key, Expect::from(condition), value, now, out),
+                Request::Read => self.regs.read(p.token, &p.key, now, out),
             };
         }
-        let (compare, expect) = match p.expect {
-            Some(Expect::Version(v)) => (Compare::Version, v),
-            Some(Expect::Since(v)) => (Compare::Since, v),
-            Some(Expect::Release(r)) => (Compare::Release, r),
-            // What is compared with nothing became `Since` where it came in.
-            Some(Expect::Any) | None => (Compare::Read, 0),
+        let (compare, expect, value) = match &p.request {
+            Request::Write(Condition::Version(v), value) => (Compare::Version, *v, value.clone()),
+            Request::Write(Condition::Since(v), value) => (Compare::Since, *v, value.clone()),
+            Request::Write(Condition::Release(r), value) => (Compare::Release, *r, value.clone()),
+            Request::Read => (Compare::Read, 0, Blob::default()),
         };
         // Each going has its own token, as an owner takes none twice.
         self.token += 1;
-        let m = Forward { token: self.token, key: p.key.clone(), expect, compare, value: p.value.clone() };
+        let m = Forward { token: self.token, key: p.key.clone(), expect, compare, value };
         out.push(send(&self.regs.addr(v), m));
         p.to = v.name.clone();
         self.passed.insert(self.token, p);
@@ -144,10 +189,13 @@
             if m.offered.is_some() {
                 self.doubt(m.token, m.offered);
             }
-            let (expect, value) = (m.value.is_some().then_some(m.expect), m.value.unwrap_or_default());
-            let (to, until, again) = (Name::default(), m.at + FORWARD_LIMIT, Some(now + HEARTBEAT_EVERY / 2));
+            let request = match m.value {
+                Some(value) => Request::Write(Condition::new(m.expect, self.version_here(&m.key)), value),
+                None => Request::Read,
+            };
             self.token += 1;
-            self.passed.insert(self.token, Passed { token: m.token, key: m.key, expect, value, to, until, again });
+            let again = Some(now + HEARTBEAT_EVERY / 2);
+            self.passed.insert(self.token, Passed { again, ..Passed::new(m.token, m.key, request, m.at) });
         }
     }
 
@@ -176,13 +224,9 @@
             let Some(mut p) = self.passed.remove(&t) else { continue };
             // What a former owner took may stand, or come to stand.
             if p.again.take().is_none()
-                && let Some(e) = p.expect
+                && let Request::Write(condition, _) = p.request
             {
-                let offered = match e {
-                    Expect::Version(v) | Expect::Since(v) => Some(v + 1),
-                    Expect::Any | Expect::Release(_) => None,
-                };
-                self.doubt(p.token, offered);
+                self.doubt(p.token, condition.offered());
             }
             if p.until <= now {
                 out.push(Effect::Answer { token: p.token, outcome: WriteOutcome::Unknown });
