--- a/fleet-tools/src/soak/operators.rs
+++ b/fleet-tools/src/soak/operators.rs
@@ -25,6 +25,8 @@
 const AGAIN: Duration = Duration::from_millis(100);
 /// An order without a clear answer is given up for good.
 const PATIENCE: Duration = Duration::from_secs(120);
+/// The deployment's own bound within which a daemon is in touch again.
+const CONTACT: Duration = Duration::from_secs(4);
 /// How often readers ask.
 const READS: (Ms, Ms) = (50, 400);
 
@@ -167,27 +169,37 @@
     }
 }
 
-/// What is wrong with the configuration at the end: every daemon is to tell the newest, and to take it again.
+/// What is wrong with the configuration at the end: every daemon is to tell the newest, and nobody anything older for as
+/// long as a daemon may need to be in touch again.
 pub async fn last(s: &Soak) -> Vec<String> {
-    let newest = s.orders.newest.borrow().clone();
     let mut wrong = vec![];
-    for (n, c) in s.controls().iter().enumerate() {
+    for (n, control) in s.controls().iter().enumerate() {
         let until = Instant::now() + PATIENCE;
-        loop {
-            match timeout(SILENT, calls::get_configuration(c)).await.ok().flatten() {
-                Some(d) if d == newest => break,
-                Some(d) => {
-                    let (told, acked) = (calls::release(&d), calls::release(&newest));
-                    wrong.push(format!("control daemon {n} tells release {told}, {acked} was acknowledged last"));
-                    break;
-                }
-                None if Instant::now() > until => {
-                    wrong.push(format!("control daemon {n} tells no configuration"));
-                    break;
-                }
-                None => sleep(AGAIN).await,
+        while !tells_newest(s, n, control, &mut wrong).await {
+            if Instant::now() > until {
+                wrong.push(format!("control daemon {n} tells no configuration"));
+                break;
             }
+            sleep(AGAIN).await;
+        }
+    }
+    let until = Instant::now() + CONTACT;
+    while Instant::now() < until {
+        for (n, control) in s.controls().iter().enumerate() {
+            tells_newest(s, n, control, &mut wrong).await;
         }
+        sleep(AGAIN).await;
     }
     wrong
 }
+
+/// Whether a daemon tells a configuration at all; another than the newest acknowledged one is noted as wrong.
+async fn tells_newest(s: &Soak, n: usize, control: &str, wrong: &mut Vec<String>) -> bool {
+    let Some(told) = timeout(SILENT, calls::get_configuration(control)).await.ok().flatten() else { return false };
+    let newest = s.orders.newest.borrow();
+    if told != *newest {
+        let (told, acked) = (calls::release(&told), calls::release(&newest));
+        wrong.push(format!("control daemon {n} tells release {told}, {acked} was acknowledged last"));
+    }
+    true
+}
