Log how far callers are sent once a minute for each reach; one way for a proxy to serve and end

A region with one edge sends its callers beyond it all the time: event 231 came every two seconds for ever. The two programs of a proxy spelled the same end twice.

--- a/coordination/src/control/resolution.rs
+++ b/coordination/src/control/resolution.rs
@@ -71,8 +71,8 @@
 pub(super) struct ResolutionCounts {
     by_reach: BTreeMap<Reach, u64>,
     unresolved: u64,
-    /// By region of the callers: when it was last logged that they are sent beyond it or nowhere.
-    logged: BTreeMap<Name, Ms>,
+    /// By region of the callers and how far they are sent, `None` for nowhere: when that was last logged.
+    logged: BTreeMap<(Name, Option<Reach>), Ms>,
 }
 
 impl ResolutionCounts {
@@ -94,11 +94,12 @@
         }
     }
 
-    /// Whether a region's callers are to be logged again.
-    fn due(&mut self, region: &str, now: Ms) -> bool {
-        let due = self.logged.get(region).is_none_or(|at| now.saturating_sub(*at) >= RESOLUTION_LOGGED);
+    /// Whether it is to be logged how far a region's callers are sent: a region with one edge is so for ever.
+    fn due(&mut self, region: &str, reach: Option<Reach>, now: Ms) -> bool {
+        let key = (region.into(), reach);
+        let due = self.logged.get(&key).is_none_or(|at| now.saturating_sub(*at) >= RESOLUTION_LOGGED);
         if due {
-            self.logged.insert(region.into(), now);
+            self.logged.insert(key, now);
         }
         due
     }
@@ -110,10 +111,11 @@
     pub fn resolve(&mut self, caller: Caller, now: Ms) -> (Result<Resolution, Unresolved>, Effects) {
         let answer = self.edges_for(caller, now);
         self.resolutions.count(&answer);
-        let far = answer.as_ref().map_or(true, |r| r.reach > Reach::Region);
+        let reach = answer.as_ref().ok().map(|r| r.reach);
+        let is_far = reach.is_none_or(|r| r > Reach::Region) && answer != Err(Unresolved::Starting);
         // A region that no zone is in is a caller's mistake, of which there may be any number.
-        let known = self.p.regions.values().any(|r| r == caller.region);
-        let log = far && known && now.saturating_sub(self.started) >= KNOWS_FLEET && self.resolutions.due(caller.region, now);
+        let is_known = self.p.regions.values().any(|r| r == caller.region);
+        let log = is_far && is_known && self.resolutions.due(caller.region, reach, now);
         let effects = if log { vec![self.log_far(caller, &answer, now)] } else { vec![] };
         (answer, effects)
     }
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -59,8 +59,8 @@
 pub const SHUTDOWN_SERVES: Ms = 2_800;
 /// ms before the end of the grace. What has no answer then gets one, and the process ends.
 pub const SHUTDOWN_FAREWELL: Ms = 600;
-/// ms. That a region's callers are sent beyond it, or nowhere, is logged this often while it lasts.
-pub const RESOLUTION_LOGGED: Ms = 2_000;
+/// ms. That a region's callers are sent so far beyond it, or nowhere, is logged this often while it lasts.
+pub const RESOLUTION_LOGGED: Ms = 60_000;
 /// Addresses of edges in one answer to a caller.
 pub const ADDRESSES: usize = 64;
 /// Bytes a ms. News to an agent are taken to arrive at this pace: an edge's link of 10 Mbit/s, shared by the daemons that
--- a/edge-proxy/src/lib.rs
+++ b/edge-proxy/src/lib.rs
@@ -21,12 +21,7 @@
 };
 
 use actix::{Actor, Addr};
-use actix_web::{
-    App, HttpServer,
-    dev::{Server, ServerHandle},
-    http::KeepAlive,
-    web,
-};
+use actix_web::{App, HttpServer, dev::Server, http::KeepAlive, web};
 use coordination::{board::SpecReader, events, proxy::Proxy};
 use daemon_parts::{
     channels, clock,
@@ -80,11 +75,7 @@
         .change_context(StartFault("bind the HTTP port"))
         .attach_with(|| p.http.clone())?
         .run();
-    let h = server.handle();
-    let served = actix_rt::spawn(server);
-    until_stopped(&p, signals, &a, &stopping, &h, &format!("http {} processes {}", p.http, p.listen)).await;
-    let _ = tokio::time::timeout(STOP_LOOK, served).await;
-    event(events::STOPPED, &p.name, "");
+    run_until_stopped(&p, signals, &a, &stopping, server).await;
     Ok(())
 }
 
@@ -102,27 +93,20 @@
     let ports = ports.map(|a| listen(a).change_context(StartFault("bind an HTTP port")).attach_with(|| a.clone()));
     let ports = ports.collect::<Result<Vec<_>, _>>()?;
     let server = serve(f, a.clone(), ports).change_context(StartFault("serve the HTTP ports"))?;
-    let h = server.handle();
-    let served = actix_rt::spawn(server);
-    until_stopped(&p, signals, &a, &stopping, &h, &format!("http {} processes {}", p.http, p.listen)).await;
-    let _ = tokio::time::timeout(STOP_LOOK, served).await;
-    event(events::STOPPED, &p.name, "");
+    run_until_stopped(&p, signals, &a, &stopping, server).await;
     Ok(())
 }
 
 /// Serves until the process is asked to stop, and on to its end.
-async fn until_stopped(
-    p: &Params,
-    mut signals: StopSignals,
-    a: &Addr<ProxyActor>,
-    stopping: &Stopping,
-    h: &ServerHandle,
-    ports: &str,
-) {
-    event(events::STARTED, &p.name, ports);
+async fn run_until_stopped(p: &Params, mut signals: StopSignals, a: &Addr<ProxyActor>, stopping: &Stopping, server: Server) {
+    let h = server.handle();
+    let served = actix_rt::spawn(server);
+    event(events::STARTED, &p.name, &format!("http {} processes {}", p.http, p.listen));
     signals.asked(&p.name).await;
     let _ = a.send(Look(Box::new(|a: &mut ProxyActor, now| a.stop(now)))).await;
-    wind_down(stopping, h, p.bounds.grace).await;
+    wind_down(stopping, &h, p.bounds.grace).await;
+    let _ = tokio::time::timeout(STOP_LOOK, served).await;
+    event(events::STOPPED, &p.name, "");
 }
 
 fn listen(addr: &str) -> io::Result<TcpListener> {
