--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -27,7 +27,8 @@
     limits::{
         ADDRESSES, BEHIND_AFTER, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DIFFERS_LONG, FOLLOWER_GONE, FORWARD_LIMIT, HEARTBEAT_EVERY,
         KNOWS_FLEET, LIST_CALM, LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE,
-        ORDER_RENEWED, PEER_GONE, PUSH_TAKES, PUSHED_TO, READING, RESOLUTION_LOGGED, STANDING_EVERY, STOOD_STILL, WAKES_FOR,
+        ORDER_RENEWED, PEER_GONE, PUSH_TAKES, PUSHED_TO, READING, RESOLUTION_LOGGED, SILENT_EDGE, SILENT_LOGGED, STANDING_EVERY,
+        STOOD_STILL, WAKES_FOR,
     },
     members,
     membership::{CONTROL, EDGE, Membership},
@@ -53,7 +54,7 @@
 use contexts::ContextDuty;
 use feed::Fed;
 use resolution::ResolutionCounts;
-pub use resolution::{Caller, Reach, Resolution, Unresolved};
+pub use resolution::{Caller, Reach, Resolution, Silent, Unresolved};
 use writes::{Order, Passed};
 
 /// Key of the operator's spec.
--- a/coordination/src/control/resolution.rs
+++ b/coordination/src/control/resolution.rs
@@ -55,6 +55,14 @@
 pub struct Resolution {
     pub addresses: Vec<String>,
     pub reach: Reach,
+    pub silent: Silent,
+}
+
+/// Edges of an answer that were not heard of for `SILENT_EDGE`, and the longest silence of any edge in it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Silent {
+    pub edges: usize,
+    pub longest: Ms,
 }
 
 /// Why the directory names no edge.
@@ -71,12 +79,15 @@
 pub(super) struct ResolutionCounts {
     by_reach: BTreeMap<Reach, u64>,
     unresolved: u64,
+    /// Answers that name silent edges, and when that was last logged.
+    silent: u64,
+    silent_logged: Option<Ms>,
     /// By region of the callers and how far they are sent, `None` for nowhere: when that was last logged.
     logged: BTreeMap<(Name, Option<Reach>), Ms>,
 }
 
 impl ResolutionCounts {
-    pub(super) fn rows(&self) -> [(&'static str, u64); 5] {
+    pub(super) fn rows(&self) -> [(&'static str, u64); 6] {
         let of = |reach| self.by_reach.get(&reach).copied().unwrap_or(0);
         [
             ("resolutions_zone", of(Reach::Zone)),
@@ -84,16 +95,29 @@
             ("resolutions_homes", of(Reach::Homes)),
             ("resolutions_fleet", of(Reach::Fleet)),
             ("resolutions_none", self.unresolved),
+            ("resolutions_silent", self.silent),
         ]
     }
 
     fn count(&mut self, answer: &Result<Resolution, Unresolved>) {
         match answer {
-            Ok(r) => *self.by_reach.entry(r.reach).or_default() += 1,
+            Ok(r) => {
+                *self.by_reach.entry(r.reach).or_default() += 1;
+                self.silent += u64::from(r.silent.edges > 0);
+            }
             Err(_) => self.unresolved += 1,
         }
     }
 
+    /// Whether it is to be logged that an answer names silent edges.
+    fn silent_due(&mut self, silent: Silent, now: Ms) -> bool {
+        let due = silent.edges > 0 && self.silent_logged.is_none_or(|at| now.saturating_sub(at) >= SILENT_LOGGED);
+        if due {
+            self.silent_logged = Some(now);
+        }
+        due
+    }
+
     /// Whether it is to be logged how far a region's callers are sent: a region with one edge is so for ever.
     fn due(&mut self, region: &str, reach: Option<Reach>, now: Ms) -> bool {
         let key = (region.into(), reach);
@@ -116,10 +140,35 @@
         // A region that no zone is in is a caller's mistake, of which there may be any number.
         let is_known = self.p.regions.values().any(|r| r == caller.region);
         let log = is_far && is_known && self.resolutions.due(caller.region, reach, now);
-        let effects = if log { vec![self.log_far(caller, &answer, now)] } else { vec![] };
+        let mut effects = if log { vec![self.log_far(caller, &answer, now)] } else { vec![] };
+        let silent = answer.as_ref().map_or(Silent::default(), |r| r.silent);
+        if self.resolutions.silent_due(silent, now) {
+            effects.push(self.log_silent(caller, silent, now));
+        }
         (answer, effects)
     }
 
+    fn log_silent(&self, caller: Caller, silent: Silent, now: Ms) -> Effect {
+        let polled = self.agents.values().filter(|a| now.saturating_sub(a.at) <= NODE_GONE).count();
+        let live = self.mship.live(EDGE).count();
+        let Silent { edges, longest } = silent;
+        let text = format!("edges={edges} longest_ms={longest} polled={polled} live={live}");
+        note(events::SILENT_EDGES_NAMED, caller.region, text)
+    }
+
+    /// How long ago an edge was last heard of, by its own polls or by gossip.
+    fn silence(&self, edge: &Node, now: Ms) -> Ms {
+        let by_poll = self.agents.get(&edge.name).map(|a| now.saturating_sub(a.at));
+        let by_gossip = self.mship.silence(&edge.name, now);
+        by_poll.into_iter().chain(by_gossip).min().unwrap_or(Ms::MAX)
+    }
+
+    fn silent_among(&self, edges: &[&Node], now: Ms) -> Silent {
+        let silences = edges.iter().map(|n| self.silence(n, now));
+        let longest = silences.clone().max().unwrap_or(0);
+        Silent { edges: silences.filter(|ms| *ms > SILENT_EDGE).count(), longest }
+    }
+
     fn log_far(&self, caller: Caller, answer: &Result<Resolution, Unresolved>, now: Ms) -> Effect {
         let text = match answer {
             Ok(r) => format!("host={} reach={} edges={}", caller.host, r.reach.name(), r.addresses.len()),
@@ -148,9 +197,13 @@
             return Err(Unresolved::Starting);
         }
         let (edges, reach) = self.choose_edges(caller, self.serving_edges(now));
-        let edges = agreed(caller.host, edges, |n| &n.name).into_iter().take(ADDRESSES);
-        let addresses: Vec<String> = edges.map(|n| n.http.to_string()).collect();
-        if addresses.is_empty() { Err(Unresolved::NoEdge) } else { Ok(Resolution { addresses, reach }) }
+        let edges: Vec<&Node> = agreed(caller.host, edges, |n| &n.name).into_iter().take(ADDRESSES).collect();
+        if edges.is_empty() {
+            return Err(Unresolved::NoEdge);
+        }
+        let silent = self.silent_among(&edges, now);
+        let addresses = edges.iter().map(|n| n.http.to_string()).collect();
+        Ok(Resolution { addresses, reach, silent })
     }
 
     fn choose_edges<'a>(&'a self, caller: Caller, all: Vec<&'a Node>) -> (Vec<&'a Node>, Reach) {
--- a/coordination/src/events.rs
+++ b/coordination/src/events.rs
@@ -49,6 +49,7 @@
     221 WRITE_UNKNOWN Warn "A write's outcome could not be known in time."
     230 LIST_FAILED Warn "The platform gave no list of replicas; the last one stands."
     231 CALLERS_SENT_FAR Warn "The directory names edges beyond a region to its callers, or none; how many serve in each region is told."
+    232 SILENT_EDGES_NAMED Warn "The directory names edges that were not heard of for long; how many, and the longest silence, is told."
     300 PHASE Info "A rollout moved to another phase."
     301 ORDER Info "An order went to a replica or the platform."
     302 ORDER_FAILED Warn "An order was rejected or not answered; the loop orders the difference again."
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -61,6 +61,10 @@
 pub const SHUTDOWN_FAREWELL: Ms = 600;
 /// ms. That a region's callers are sent so far beyond it, or nowhere, is logged this often while it lasts.
 pub const RESOLUTION_LOGGED: Ms = 60_000;
+/// ms. An edge that was not heard of for so long is most likely gone: that the directory names it all the same is logged,
+/// and how often.
+pub const SILENT_EDGE: Ms = 3_000;
+pub const SILENT_LOGGED: Ms = 2_000;
 /// Addresses of edges in one answer to a caller.
 pub const ADDRESSES: usize = 64;
 /// Bytes a ms. News to an agent are taken to arrive at this pace: an edge's link of 10 Mbit/s, shared by the daemons that
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -107,6 +107,10 @@
     pub fn known(&self, role: u8) -> impl Iterator<Item = &Node> {
         self.known.values().filter(move |k| k.node.role == role).map(|k| &k.node)
     }
+    /// How long ago a node made the newest beat that was heard of; none for a node that is not known.
+    pub fn silence(&self, name: &str, now: Ms) -> Option<Ms> {
+        self.known.get(name).map(|k| now.saturating_sub(k.at))
+    }
     pub fn get(&self, name: &str) -> Option<&Node> {
         self.known.get(name).map(|k| &k.node)
     }
