Name edges by what a daemon in touch hears itself, whatever part of the fleet is lost

Class: an absence of evidence read as one's own fault, with no bound on how long. Ruled out: an address that outlives its machine (no such answer in any log); gossip itself (its pace is what a message a second can carry). Change: control/contact.rs, Contact: a daemon that has run and heard a majority of the voters for 3 s is in touch and names the edges heard of within 2 s, by their polls or by gossip, and no others. Out of touch it goes by gossip, never beyond the contact bound. Until it is in touch it introduces itself to edges that gossip knows and that have not polled it.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -26,9 +26,9 @@
     health::Health,
     limits::{
         ADDRESSES, BEHIND_AFTER, COUNTERS, COUNTS_LEFT, DEMAND_OLD, DIFFERS_LONG, FOLLOWER_GONE, FORWARD_LIMIT, HEARTBEAT_EVERY,
-        KNOWS_FLEET, LIST_CALM, LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE, NODE_FORGOTTEN, NODE_GONE,
-        ORDER_RENEWED, PEER_GONE, PUSH_TAKES, PUSHED_TO, READING, RESOLUTION_LOGGED, SILENT_EDGE, SILENT_LOGGED, STANDING_EVERY,
-        STOOD_STILL, WAKES_FOR,
+        IN_TOUCH_AFTER, INTRODUCE_EVERY, KNOWS_FLEET, LIST_CALM, LONG_VALUE, LOOP_EVERY, LOOP_RESTS, NEWCOMER, NEWS_PACE,
+        NODE_FORGOTTEN, NODE_GONE, ORDER_RENEWED, PEER_GONE, PUSH_TAKES, PUSHED_TO, READING, RESOLUTION_LOGGED, SILENT_EDGE,
+        SILENT_LOGGED, STANDING_EVERY, STOOD_STILL, WAKES_FOR,
     },
     members,
     membership::{CONTROL, EDGE, Membership},
@@ -41,6 +41,7 @@
 };
 
 mod back_ends;
+mod contact;
 mod contexts;
 mod duties;
 mod feed;
@@ -51,6 +52,7 @@
 mod writes;
 
 pub use back_ends::calls_share;
+use contact::Contact;
 use contexts::ContextDuty;
 use feed::Fed;
 use resolution::ResolutionCounts;
@@ -203,6 +205,8 @@
     writing: BTreeMap<u64, String>,
     /// By service whose copies of shared context are decided here.
     contexts: BTreeMap<String, ContextDuty>,
+    contact: Contact,
+    next_introduction: Ms,
     resolutions: ResolutionCounts,
 }
 
@@ -279,6 +283,8 @@
             resting: BTreeSet::new(),
             writing: BTreeMap::new(),
             contexts: BTreeMap::new(),
+            contact: Contact::default(),
+            next_introduction: now + INTRODUCE_EVERY,
             resolutions: ResolutionCounts::default(),
         };
         c.publish(now, &mut Vec::new());
@@ -359,8 +365,9 @@
     }
 
     pub fn tick(&mut self, now: Ms) -> Effects {
-        self.stood_still(now);
+        let awake = !self.stood_still(now);
         self.ticked = now;
+        self.contact.observe(awake && self.hears_voters(now), now);
         let mut out = Vec::new();
         self.clock = now;
         self.mship.tick(now, &mut out);
@@ -371,6 +378,7 @@
             out.push(Effect::Persist { rows: vec![self.regs.members_row()], then: vec![] });
         }
         self.beat(now, &mut out);
+        self.introduce(now, &mut out);
         self.join(now, &mut out);
         let wanted: Vec<Name> = match &self.spec {
             // Copies of shared context come with the duty, where they are switched on.
--- /dev/null
+++ b/coordination/src/control/contact.rs
@@ -0,0 +1,46 @@
+//! Whether this daemon is in touch with the fleet, so that what it does not hear of is gone and not merely out of its reach.
+
+use super::*;
+
+/// Since when a daemon has run and heard a majority of the voters without a break.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Contact {
+    since: Option<Ms>,
+}
+
+impl Contact {
+    /// Takes what was seen at a tick.
+    pub(super) fn observe(&mut self, hears_voters: bool, now: Ms) {
+        self.since = hears_voters.then(|| self.since.unwrap_or(now));
+    }
+
+    fn lasts(&self, now: Ms) -> bool {
+        self.since.is_some_and(|since| now.saturating_sub(since) >= IN_TOUCH_AFTER)
+    }
+}
+
+impl Control {
+    /// Whether a majority of the voters was heard lately, this daemon itself counting as one of them. Unlike for their
+    /// votes it matters neither what state they are in nor which member epoch they follow.
+    pub(super) fn hears_voters(&self, now: Ms) -> bool {
+        let hears =
+            |name: &Name| *name == self.p.name || self.peers.get(name).is_some_and(|p| now.saturating_sub(p.at) <= PEER_GONE);
+        let heard = self.regs.voters.iter().filter(|v| hears(&v.name)).count();
+        heard > 0 && self.regs.is_majority(heard)
+    }
+
+    /// Whether this daemon is in touch. One that has just woken is not, though it has not ticked since.
+    pub(super) fn in_touch(&self, now: Ms) -> bool {
+        now.saturating_sub(self.ticked) <= STOOD_STILL && self.contact.lasts(now)
+    }
+
+    /// Tells edges that have not polled this daemon of it: gossip would take long to bring a newcomer round a large fleet.
+    pub(super) fn introduce(&mut self, now: Ms, out: &mut Effects) {
+        if now < self.next_introduction || self.in_touch(now) {
+            return;
+        }
+        self.next_introduction = now + INTRODUCE_EVERY;
+        let strangers = self.mship.live(EDGE).filter(|n| !self.agents.contains_key(&n.name));
+        out.extend(strangers.map(|n| send(&n.addr, self.mship.introduction())));
+    }
+}
--- a/coordination/src/control/looks.rs
+++ b/coordination/src/control/looks.rs
@@ -108,6 +108,7 @@
             ("voters", voters().count() as u64),
             ("voters_live", self.live_voters(now) as u64),
             ("voters_behind", voters().filter(differ).count() as u64),
+            ("in_touch", self.in_touch(now).into()),
             ("loops_resting", self.resting.len() as u64),
         ];
         rows.extend(self.resolutions.rows());
--- a/coordination/src/control/resolution.rs
+++ b/coordination/src/control/resolution.rs
@@ -182,14 +182,16 @@
         note(events::CALLERS_SENT_FAR, caller.region, format!("{text} serving={}", serving.join(",")))
     }
 
-    /// Edges that serve, as far as this daemon knows.
+    /// Edges that serve, as far as this daemon knows. All live edges poll a daemon that is in touch, so that it takes those
+    /// which it does not hear of for gone, whatever part of the fleet they are. Otherwise their silence may be its own cut,
+    /// and it goes by gossip, for no longer than it may be out of touch without a rule's leave.
     fn serving_edges(&self, now: Ms) -> Vec<&Node> {
-        let all: Vec<&Node> = self.mship.live(EDGE).filter(|n| !n.http.is_empty()).collect();
-        // Rumours of a large fleet are slow: who asks this daemon itself is known sooner to be gone. Where few do, it
-        // is this daemon that is cut off.
-        let asks = |n: &&&Node| self.agents.get(&n.name).is_some_and(|a| now.saturating_sub(a.at) <= NODE_GONE);
-        let heard: Vec<&Node> = all.iter().filter(asks).copied().collect();
-        if heard.len() * 2 > all.len() { heard } else { all }
+        let all = self.mship.known(EDGE).filter(|n| !n.http.is_empty());
+        if self.in_touch(now) {
+            return all.filter(|n| self.silence(n, now) <= NODE_GONE).collect();
+        }
+        let live = all.filter(|n| self.mship.is_live(&n.name));
+        live.filter(|n| self.silence(n, now) <= self.p.bounds.contact).collect()
     }
 
     fn edges_for(&self, caller: Caller, now: Ms) -> Result<Resolution, Unresolved> {
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -65,6 +65,12 @@
 /// and how often.
 pub const SILENT_EDGE: Ms = 3_000;
 pub const SILENT_LOGGED: Ms = 2_000;
+/// ms. A control daemon that has run and heard a majority of the voters for so long without a break is in touch: every live
+/// edge has polled it, also one that has just learned of it.
+pub const IN_TOUCH_AFTER: Ms = 3_000;
+/// ms. Until it is in touch a daemon tells edges of itself this often, where gossip knows them and they have not polled it:
+/// those that know it have done so twice by then.
+pub const INTRODUCE_EVERY: Ms = 1_000;
 /// Addresses of edges in one answer to a caller.
 pub const ADDRESSES: usize = 64;
 /// Bytes a ms. News to an agent are taken to arrive at this pace: an edge's link of 10 Mbit/s, shared by the daemons that
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -22,6 +22,9 @@
 pub const CONTROL: u8 = 1;
 pub const EDGE: u8 = 2;
 
+/// The message of an exchange that nobody answers: question, answer, and what each lacked of the other's.
+const LAST_ANSWER: u8 = 3;
+
 #[derive(Clone, Debug)]
 struct Known {
     node: Node,
@@ -107,6 +110,10 @@
     pub fn known(&self, role: u8) -> impl Iterator<Item = &Node> {
         self.known.values().filter(move |k| k.node.role == role).map(|k| &k.node)
     }
+    /// Whether gossip takes a node for alive.
+    pub fn is_live(&self, name: &str) -> bool {
+        self.known.get(name).is_some_and(|k| k.live)
+    }
     /// How long ago a node made the newest beat that was heard of; none for a node that is not known.
     pub fn silence(&self, name: &str, now: Ms) -> Option<Ms> {
         self.known.get(name).map(|k| now.saturating_sub(k.at))
@@ -115,6 +122,11 @@
         self.known.get(name).map(|k| &k.node)
     }
 
+    /// Tells another of this node, who need not answer.
+    pub fn introduction(&self) -> Shuffle {
+        Shuffle { nodes: List(vec![self.me.clone()]), answer: LAST_ANSWER, ..Shuffle::default() }
+    }
+
     /// What a node says of itself.
     pub fn hear(&mut self, n: &Node, now: Ms, out: &mut Effects) {
         self.take(n, now, out);
@@ -208,7 +220,7 @@
         }
         let mut lacks: Vec<u32> = m.beats.iter().filter(|h| !self.beat(h, now, out)).map(|h| h.node).collect();
         lacks.truncate(SHUFFLE_NODES);
-        if m.answer == 0 || m.answer < 3 && !(lacks.is_empty() && m.wants.is_empty()) {
+        if m.answer == 0 || m.answer < LAST_ANSWER && !(lacks.is_empty() && m.wants.is_empty()) {
             // One that has just started is told of everybody: it serves nobody until it knows them.
             let young = m.answer == 0 && m.nodes.last().is_some_and(|n| n.beat <= YOUNG);
             let most = if young { self.known.len() } else { SHUFFLE_BEATS };
--- a/coordination/tests/directory_loss.rs
+++ b/coordination/tests/directory_loss.rs
@@ -211,7 +211,7 @@
 
     fn lose(&mut self, percent: usize) {
         let all: Vec<Name> = self.edges.keys().cloned().collect();
-        let lost = self.rng.choose_multiple(all.into_iter(), self.edges.len() * percent / 100);
+        let lost = self.rng.choose_multiple(all, self.edges.len() * percent / 100);
         self.gone = lost.into_iter().collect();
     }
 }
