--- a/control-daemon/src/http.rs
+++ b/control-daemon/src/http.rs
@@ -1,7 +1,5 @@
 //! Operators' and the platform's calls.
 
-use std::sync::Arc;
-
 use actix::Addr;
 use actix_web::{HttpResponse, web};
 use coordination::{
@@ -93,27 +91,28 @@
     Ok(HttpResponse::Ok().json(SpecState { version, spec: spec.map(|s| Spec::clone(&s)) }))
 }
 
-async fn spec_of(b: &Brain) -> Result<Arc<Spec>, Answer> {
-    let s = look(b, |c, _| c.spec()).await?;
-    s.ok_or_else(|| Fault::new("no_spec", "read_spec", "no spec has been accepted yet").retry(1_000).into())
-}
-
-/// Whether the spec has something of a name. A daemon that may have missed the newest spec says no to nobody.
-pub async fn is_known(b: &Brain, name: &str, has: fn(&Spec, &str) -> bool) -> Result<bool, Answer> {
+/// Whether the newest spec has something of a name; none before the first spec. A daemon that may have missed the newest
+/// says no to nobody.
+async fn find(b: &Brain, name: &str, has: fn(&Spec, &str) -> bool) -> Result<Option<bool>, Answer> {
     let held = async || look(b, |c, _| c.spec()).await;
     if held().await?.is_some_and(|s| has(&s, name)) {
-        return Ok(true);
+        return Ok(Some(true));
     }
     newest(b, SPEC).await?;
-    Ok(held().await?.is_some_and(|s| has(&s, name)))
+    Ok(held().await?.map(|s| has(&s, name)))
+}
+
+/// Whether there is a spec that has something of a name.
+pub async fn is_known(b: &Brain, name: &str, has: fn(&Spec, &str) -> bool) -> Result<bool, Answer> {
+    Ok(find(b, name, has).await? == Some(true))
 }
 
 async fn require(b: &Brain, what: &str, name: &str, has: fn(&Spec, &str) -> bool) -> Result<(), Answer> {
-    if is_known(b, name, has).await? {
-        return Ok(());
+    match find(b, name, has).await? {
+        Some(true) => Ok(()),
+        Some(false) => Err(unknown(what, name)),
+        None => Err(Fault::new("no_spec", "read_spec", "no spec has been accepted yet").retry(1_000).into()),
     }
-    spec_of(b).await?;
-    Err(unknown(what, name))
 }
 
 /// Whether a spec has a service of this name.
@@ -180,7 +179,7 @@
             write(&b, format!("{LEAVING}{}", q.id), None, &true).await
         }
         WarnKind::Daemon => {
-            let name = look(&b, |c, _| c.mship.me().name.to_string()).await?;
+            let name = look(&b, |c, _| c.membership.me().name.to_string()).await?;
             if q.id != name {
                 return Err(Fault::new("not_found", "check_request", format!("this daemon is {name}")).field("id").into());
             }
@@ -201,7 +200,7 @@
 }
 
 async fn counters(b: Brain) -> Reply {
-    let c = look(&b, |c, now| (c.mship.me().name.to_string(), c.counters(now))).await?;
+    let c = look(&b, |c, now| (c.membership.me().name.to_string(), c.counters(now))).await?;
     let counters = c.1.into_iter().map(|(n, value)| Counter { name: n.into(), value }).collect();
     Ok(HttpResponse::Ok().json(Counters { process: c.0, counters }))
 }
--- a/coordination/examples/slopes/world.rs
+++ b/coordination/examples/slopes/world.rs
@@ -455,7 +455,7 @@
     }
     /// Percent of the other edges that an agent takes for live, on the average.
     pub fn seen_live(&self) -> f64 {
-        let all = self.agents.iter().flatten_brains().map(|a| a.mship.live(EDGE).count()).sum::<usize>();
+        let all = self.agents.iter().flatten_brains().map(|a| a.membership.live(EDGE).count()).sum::<usize>();
         let n = self.size.edges;
         all as f64 * 100.0 / (n * (n - 1)).max(1) as f64
     }
--- a/coordination/src/agent.rs
+++ b/coordination/src/agent.rs
@@ -117,7 +117,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Agent {
-    pub mship: Membership,
+    pub membership: Membership,
     board: Board,
     sources: BTreeMap<Name, Source>,
     voters: usize,
@@ -150,7 +150,7 @@
 impl Agent {
     pub fn new(me: Node, seeds: Vec<Name>, seed: u64, now: Ms) -> Self {
         Agent {
-            mship: Membership::new(Node { role: EDGE, ..me }, seeds, seed),
+            membership: Membership::new(Node { role: EDGE, ..me }, seeds, seed),
             board: Board::default(),
             sources: BTreeMap::new(),
             voters: 0,
@@ -177,14 +177,14 @@
     }
     /// Whether the proxy beside this agent still speaks but sends callers elsewhere: the whole machine stops.
     pub fn proxy_goes(&self, now: Ms) -> bool {
-        self.mship.me().http.is_empty() && self.proxy.as_ref().is_some_and(|p| now.saturating_sub(p.at) < RULE_LIFE)
+        self.membership.me().http.is_empty() && self.proxy.as_ref().is_some_and(|p| now.saturating_sub(p.at) < RULE_LIFE)
     }
     /// Operators who would rather serve by old news than reject, where bounds hold only for daemons in touch.
     pub fn set_serve_on(&mut self, on: bool) {
         self.serve_on = on;
     }
     pub fn set_regions(&mut self, regions: Regions) {
-        self.mship.set_regions(regions.clone());
+        self.membership.set_regions(regions.clone());
         self.regions = regions;
     }
     pub fn board(&self) -> &Board {
@@ -202,9 +202,9 @@
         let mut out = Vec::new();
         match msg {
             Msg::Shuffle(m) => {
-                self.mship.on_shuffle(addr, m, now, &mut out);
+                self.membership.on_shuffle(addr, m, now, &mut out);
                 // One that has just started asks each control daemon as soon as it knows of it.
-                if !self.ready && self.mship.known(CONTROL).any(|n| !self.sources.contains_key(&n.name)) {
+                if !self.ready && self.membership.known(CONTROL).any(|n| !self.sources.contains_key(&n.name)) {
                     self.next_poll = now;
                 }
             }
@@ -220,7 +220,7 @@
                 *at = (*at).max(m.sent);
                 self.on_mend(addr, m, &mut out);
             }
-            Msg::Claim(m) => self.holding.on_claim(self.mship.me(), addr, m, now, &mut out),
+            Msg::Claim(m) => self.holding.on_claim(self.membership.me(), addr, m, now, &mut out),
             Msg::Claimed(m) => {
                 let ended = self.claimer.on_claimed(from, m);
                 self.tell(ended, &mut out);
@@ -248,7 +248,7 @@
             out.push(send(proxy, ClaimTold { token: m.token, state: claims::ABSTAINS }));
             return;
         }
-        let edges: Vec<Node> = self.mship.known(EDGE).chain([self.mship.me()]).cloned().collect();
+        let edges: Vec<Node> = self.membership.known(EDGE).chain([self.membership.me()]).cloned().collect();
         self.claimer.ask(proxy, &m, &edges, now, out);
     }
 
@@ -259,20 +259,20 @@
         if p.addr != *from {
             return out.push(send(&p.addr, m));
         }
-        let me = self.mship.me();
-        let near = |n: &&Node| self.mship.near(n) || region(&self.regions, &n.zone) == &*m.region;
-        out.extend(self.mship.live(EDGE).filter(|n| n.name != me.name).filter(near).map(|n| send(&n.addr, m.clone())));
+        let me = self.membership.me();
+        let near = |n: &&Node| self.membership.near(n) || region(&self.regions, &n.zone) == &*m.region;
+        out.extend(self.membership.live(EDGE).filter(|n| n.name != me.name).filter(near).map(|n| send(&n.addr, m.clone())));
     }
 
     /// What its proxy's callers often ask for goes to the holder of the service's duty and nobody else.
     fn on_demand(&self, from: &Name, m: Demand, out: &mut Effects) {
         let own = self.proxy.as_ref().is_some_and(|p| p.addr == *from);
         let holder = self.holders.get(&m.service).filter(|_| own);
-        out.extend(self.mship.known(CONTROL).filter(|n| Some(&n.name) == holder).map(|n| send(&n.addr, m.clone())));
+        out.extend(self.membership.known(CONTROL).filter(|n| Some(&n.name) == holder).map(|n| send(&n.addr, m.clone())));
     }
 
     fn on_hello(&mut self, addr: &Name, m: ProxyHello, now: Ms) {
-        self.mship.set_http(&m.http);
+        self.membership.set_http(&m.http);
         // Another life of the proxy has nothing, however soon it came back.
         let same = |p: &Proxy| p.addr == *addr && p.life == m.born && now.saturating_sub(p.at) < RULE_LIFE;
         let mut p = match self.proxy.take() {
@@ -344,7 +344,7 @@
         }
         if !self.ready && voters > 0 && self.sources.values().filter(|s| s.framed).count() >= self.majority() {
             self.ready = true;
-            out.push(note(events::STARTER_READY, &self.mship.me().name, ""));
+            out.push(note(events::STARTER_READY, &self.membership.me().name, ""));
         }
         self.judge(now, out);
     }
@@ -390,9 +390,10 @@
     /// Whether most edges have lately compared boards with this one. Rumours would not do: a beat that is
     /// passed on may be seconds old, and news that most edges have must have come here by now.
     fn meets_most_edges(&self, now: Ms) -> bool {
-        let all = self.mship.known(EDGE).count() + 1;
+        let all = self.membership.known(EDGE).count() + 1;
         let met =
-            self.mship.known(EDGE).filter(|n| self.met.get(&n.name).is_some_and(|t| now.saturating_sub(*t) <= MET)).count() + 1;
+            self.membership.known(EDGE).filter(|n| self.met.get(&n.name).is_some_and(|t| now.saturating_sub(*t) <= MET)).count()
+                + 1;
         met * 2 > all
     }
 
@@ -421,7 +422,7 @@
             (RULE_NONE, 0)
         };
         if rule != self.rule {
-            out.push(note(events::RULE, &self.mship.me().name, format!("{} to {rule}", self.rule)));
+            out.push(note(events::RULE, &self.membership.me().name, format!("{} to {rule}", self.rule)));
             self.rule = rule;
             self.next_board = 0;
         }
@@ -432,7 +433,7 @@
     fn push(&mut self, now: Ms, out: &mut Effects) {
         let until = self.judge(now, out);
         let fresh = std::mem::take(&mut self.fresh);
-        let nodes = self.mship.live(EDGE).chain([self.mship.me()]).cloned().collect();
+        let nodes = self.membership.live(EDGE).chain([self.membership.me()]).cloned().collect();
         let leases = self.leases.values().filter(|(_, u)| *u > now).map(|(p, u)| Lent { lease: p.clone(), until: *u }).collect();
         let Some(p) = self.proxy.as_mut() else { return };
         let full = !p.full;
@@ -452,14 +453,14 @@
         }
         // A proxy that is silent serves nobody: callers are not sent there until it speaks again.
         if self.proxy.as_ref().is_some_and(|p| now.saturating_sub(p.at) >= RULE_LIFE) {
-            self.mship.set_http("");
+            self.membership.set_http("");
         }
-        self.mship.tick(now, &mut out);
+        self.membership.tick(now, &mut out);
         let ended = self.claimer.tick(now);
         self.tell(ended, &mut out);
         if now >= self.next_poll {
             // A large fleet that starts together does not ask more often than one that serves.
-            let fleet = self.mship.known(EDGE).count() as Ms + 1;
+            let fleet = self.membership.known(EDGE).count() as Ms + 1;
             self.next_poll = now + if self.ready { POLL_EVERY } else { (fleet * START_POLL).clamp(2 * TICK, POLL_EVERY) };
             self.poll(now, &mut out);
         }
@@ -479,11 +480,11 @@
         // One that serves on by old news all the same has no use for a majority of edges.
         if !self.serve_on && now.saturating_sub(self.heard) > MISSED && self.heard > 0 {
             self.next_repair = now + MET / 3;
-            out.extend(self.mship.known(EDGE).map(|n| ask(n, &self.board)));
+            out.extend(self.membership.known(EDGE).map(|n| ask(n, &self.board)));
             return;
         }
         self.next_repair = now + REPAIR_EVERY;
-        let near: Vec<Node> = self.mship.view().into_iter().filter(|n| n.role == EDGE).collect();
+        let near: Vec<Node> = self.membership.view().into_iter().filter(|n| n.role == EDGE).collect();
         let i = (now / REPAIR_EVERY) as usize;
         out.extend(near.get(i % near.len().max(1)).map(|n| ask(n, &self.board)));
     }
@@ -491,16 +492,16 @@
     fn poll(&mut self, now: Ms, out: &mut Effects) {
         let seen: List<Change> = self.board.rows().cloned().map(bare).collect();
         let digest = self.board.digest();
-        let me = self.mship.me();
-        let names: BTreeSet<Name> = self.mship.known(CONTROL).map(|n| n.name.clone()).collect();
+        let me = self.membership.me();
+        let names: BTreeSet<Name> = self.membership.known(CONTROL).map(|n| n.name.clone()).collect();
         self.sources.retain(|n, _| names.contains(n));
-        for n in self.mship.known(CONTROL) {
+        for n in self.membership.known(CONTROL) {
             let s = self.sources.entry(n.name.clone()).or_default();
             // A list of all places goes only to a daemon that has not answered to the same one.
             let news = s.knows != Some(digest);
             // Bytes to other regions are dear, and only a duty's holder acts by counts: the others there are asked half
             // as often, but told at once what is new.
-            let near = self.mship.near(n);
+            let near = self.membership.near(n);
             let holds = now.saturating_sub(s.leases) <= LEASE;
             if self.ready && !near && !holds && !news && now < s.asked + 2 * POLL_EVERY {
                 continue;
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -45,9 +45,10 @@
 mod contexts;
 mod duties;
 mod feed;
-mod looks;
+
 mod polls;
 mod resolution;
+mod status;
 mod voters;
 mod writes;
 
@@ -142,7 +143,7 @@
     /// The mark of the founding is not on disk yet.
     unkept: bool,
     pub regs: Registers,
-    pub mship: Membership,
+    pub membership: Membership,
     board: Board,
     /// The spec as last read.
     spec: Option<Arc<Spec>>,
@@ -223,8 +224,8 @@
             beat: 0,
             age: 0,
         };
-        let mut mship = Membership::new(me, p.seeds.clone(), born);
-        mship.set_regions(p.regions.clone());
+        let mut membership = Membership::new(me, p.seeds.clone(), born);
+        membership.set_regions(p.regions.clone());
         let mut regs = Registers::new(p.name.clone(), rows, p.bounds.lease(), now);
         regs.set_addr(&p.name, &p.addr);
         regs.reader = p.reader;
@@ -239,7 +240,7 @@
             came_blank: regs.member_epoch == 0,
             unkept: marked,
             regs,
-            mship,
+            membership,
             board: Board::default(),
             spec: None,
             started: now,
@@ -329,7 +330,7 @@
             Msg::Slots(m) => self.on_slots(from, m, now, &mut out),
             Msg::Poll(m) => self.on_poll(addr, m, now, &mut out),
             Msg::Demand(m) => self.on_demand(from, m, now),
-            Msg::Shuffle(m) => self.mship.on_shuffle(addr, m, now, &mut out),
+            Msg::Shuffle(m) => self.membership.on_shuffle(addr, m, now, &mut out),
             _ => {}
         }
         self.finish(now, out)
@@ -370,8 +371,8 @@
         self.contact.observe(awake && self.hears_voters(now), now);
         let mut out = Vec::new();
         self.clock = now;
-        self.mship.tick(now, &mut out);
-        for n in self.mship.known(CONTROL) {
+        self.membership.tick(now, &mut out);
+        for n in self.membership.known(CONTROL) {
             self.regs.set_addr(&n.name, &n.addr);
         }
         if std::mem::take(&mut self.unkept) {
@@ -452,7 +453,7 @@
         let mut to: BTreeSet<Name> = self.regs.voters.iter().map(|v| self.regs.addr(v)).collect();
         // Daemons that stand by have nothing to tell each other.
         if self.regs.voting || self.regs.member_epoch == 0 {
-            to.extend(self.mship.live(CONTROL).map(|n| n.addr.clone()));
+            to.extend(self.membership.live(CONTROL).map(|n| n.addr.clone()));
             to.extend(fresh().map(|(_, p)| p.addr.clone()));
         }
         // Until it knows the voters, only its seeds lead there.
--- a/coordination/src/control/contact.rs
+++ b/coordination/src/control/contact.rs
@@ -40,7 +40,7 @@
             return;
         }
         self.next_introduction = now + INTRODUCE_EVERY;
-        let strangers = self.mship.live(EDGE).filter(|n| !self.agents.contains_key(&n.name));
-        out.extend(strangers.map(|n| send(&n.addr, self.mship.introduction())));
+        let strangers = self.membership.live(EDGE).filter(|n| !self.agents.contains_key(&n.name));
+        out.extend(strangers.map(|n| send(&n.addr, self.membership.introduction())));
     }
 }
--- a/coordination/src/control/polls.rs
+++ b/coordination/src/control/polls.rs
@@ -29,7 +29,7 @@
             }
         }
         // Told first hand: rumours of a large fleet take longer.
-        self.mship.hear(&m.node, now, out);
+        self.membership.hear(&m.node, now, out);
         let full = m.run != self.run;
         let after = if full { 0 } else { m.after };
         // What takes long to arrive is not sent again behind itself: an edge that asks more often than its link carries
--- a/coordination/src/control/resolution.rs
+++ b/coordination/src/control/resolution.rs
@@ -150,7 +150,7 @@
 
     fn log_silent(&self, caller: Caller, silent: Silent, now: Ms) -> Effect {
         let polled = self.agents.values().filter(|a| now.saturating_sub(a.at) <= NODE_GONE).count();
-        let live = self.mship.live(EDGE).count();
+        let live = self.membership.live(EDGE).count();
         let Silent { edges, longest } = silent;
         let text = format!("edges={edges} longest_ms={longest} polled={polled} live={live}");
         note(events::SILENT_EDGES_NAMED, caller.region, text)
@@ -159,7 +159,7 @@
     /// How long ago an edge was last heard of, by its own polls or by gossip.
     fn silence(&self, edge: &Node, now: Ms) -> Ms {
         let by_poll = self.agents.get(&edge.name).map(|a| now.saturating_sub(a.at));
-        let by_gossip = self.mship.silence(&edge.name, now);
+        let by_gossip = self.membership.silence(&edge.name, now);
         by_poll.into_iter().chain(by_gossip).min().unwrap_or(Ms::MAX)
     }
 
@@ -186,11 +186,11 @@
     /// which it does not hear of for gone, whatever part of the fleet they are. Otherwise their silence may be its own cut,
     /// and it goes by gossip, for no longer than it may be out of touch without a rule's leave.
     fn serving_edges(&self, now: Ms) -> Vec<&Node> {
-        let all = self.mship.known(EDGE).filter(|n| !n.http.is_empty());
+        let all = self.membership.known(EDGE).filter(|n| !n.http.is_empty());
         if self.in_touch(now) {
             return all.filter(|n| self.silence(n, now) <= NODE_GONE).collect();
         }
-        let live = all.filter(|n| self.mship.is_live(&n.name));
+        let live = all.filter(|n| self.membership.is_live(&n.name));
         live.filter(|n| self.silence(n, now) <= self.p.bounds.contact).collect()
     }
 
