Soak long outages, releases good and bad, and one register; tighten what the directory may name

Actions: 20 to 90 of 100 edges off for 10 to 18 s, half of the time with a control daemon killed and started meanwhile; releases to their end. Checks, each seen failing with a fault put in: one_register (coordination's linearizability checker, now fleet_simulator::register_history, over changes and readings with their documents), bad_release, exposure, release_ends; directory_gone now asks for the contact bound and a second instead of three. register_history took the first note of a version for its earliest; it takes the earliest.

--- a/coordination/tests/worst_days.rs
+++ b/coordination/tests/worst_days.rs
@@ -3,14 +3,13 @@
 //! that of a single register, nothing that was acknowledged is missing afterwards, and the next order is taken.
 
 mod fleet;
-mod history;
 
 use std::{cell::RefCell, collections::BTreeMap, collections::BTreeSet, rc::Rc};
 
 use coordination::{Ms, WriteOutcome, control::SPEC, register::Expect};
 use fleet::Fleet;
+use fleet_simulator::register_history::{Call, History, Order, Told};
 use googletest::prelude::*;
-use history::{Call, History, Order, Told};
 use wire_messages::{Msg, Name};
 
 const ZONE: &str = "zone/z1";
--- a/fleet-simulator/src/lib.rs
+++ b/fleet-simulator/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod faults;
 pub mod figures;
 pub mod history;
+pub mod register_history;
 pub mod schedule;
 pub mod shrink;
 pub mod world;
--- a/coordination/tests/history/mod.rs
+++ b/fleet-simulator/src/register_history.rs
@@ -5,7 +5,6 @@
 //! older than what any call before it was told, and nothing is told of an order before that was given. An order that is
 //! sent again is one order; it may take effect once, between its first call and the first word of it. One without a clear
 //! answer may take effect at any time or never, one that was refused never does.
-#![allow(dead_code, reason = "each test file uses a part")]
 
 use std::collections::BTreeMap;
 
@@ -16,8 +15,8 @@
 pub enum Told {
     /// The order stands or stood as this version, or this version is the newest.
     Version(u64),
-    /// Another order came first; this version stands.
-    Refused(u64),
+    /// Another order came first; this version stands, where that was told.
+    Refused(Option<u64>),
     /// Not taken, taken or lost: nothing is known.
     Unclear,
 }
@@ -26,7 +25,7 @@
     fn from(o: WriteOutcome) -> Self {
         match o {
             WriteOutcome::Accepted(v) => Told::Version(v),
-            WriteOutcome::Conflict(v) => Told::Refused(v),
+            WriteOutcome::Conflict(v) => Told::Refused(Some(v)),
             WriteOutcome::NotAccepted(_) | WriteOutcome::Unknown => Told::Unclear,
         }
     }
@@ -61,7 +60,8 @@
 impl History {
     /// Takes down what some daemon holds for committed.
     pub fn see(&mut self, version: u64, value: &[u8], now: Ms) {
-        let (known, _) = self.seen.entry(version).or_insert_with(|| (value.to_vec(), now));
+        let (known, first) = self.seen.entry(version).or_insert_with(|| (value.to_vec(), now));
+        *first = now.min(*first);
         if known != value {
             self.wrong.push(format!("version {version} has two values"));
         }
@@ -84,10 +84,10 @@
         let told = match c.told {
             // An order that is sent again keeps its version, however much came after it.
             Told::Version(v) if c.order.is_none_or(|o| self.orders[o].unconditional) => v,
-            Told::Refused(v) => v,
+            Told::Refused(Some(v)) => v,
             _ => return,
         };
-        let before = |b: &&Call| b.ended < c.began && matches!(b.told, Told::Version(v) | Told::Refused(v) if v > told);
+        let before = |b: &&Call| b.ended < c.began && matches!(b.told, Told::Version(v) | Told::Refused(Some(v)) if v > told);
         if let Some(b) = self.calls.iter().find(before) {
             wrong.push(format!("call {i} {c:?} is told less than {b:?}"));
         }
--- a/fleet-tools/src/soak.rs
+++ b/fleet-tools/src/soak.rs
@@ -7,6 +7,7 @@
 pub mod history;
 pub mod operators;
 pub mod plan;
+pub mod releases;
 pub mod report;
 pub mod resources;
 pub mod run;
--- a/fleet-tools/src/soak/callers.rs
+++ b/fleet-tools/src/soak/callers.rs
@@ -15,7 +15,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::{
-    history::{Directed, End, Ms, Tried},
+    history::{End, Ms, Tried},
     run::Soak,
 };
 
@@ -82,11 +82,8 @@
             let to = &directories[(at + i) % directories.len()];
             let answer = timeout(CONNECT, calls::resolve(self.soak.d, to, self.zone)).await;
             let Some((addresses, ttl)) = answer.ok().flatten() else { continue };
-            let fronts = self.soak.fronts();
-            self.edges = addresses.iter().filter_map(|a| fronts.iter().position(|f| f == a)).collect();
+            self.edges = self.soak.directed(self.zone, &addresses);
             self.until = self.soak.now() + ttl * 1_000 * self.keeps;
-            let row = Directed { at: self.soak.now(), zone: self.zone.into(), edges: self.edges.clone() };
-            self.soak.seen.borrow_mut().directed.push(row);
             // It stops using a connection to an edge that the new answer lacks.
             if self.open.as_ref().is_some_and(|o| !self.edges.contains(&o.edge)) {
                 self.open = None;
--- a/fleet-tools/src/soak/checks.rs
+++ b/fleet-tools/src/soak/checks.rs
@@ -4,12 +4,13 @@
 
 use fleet_simulator::{
     checkers,
-    history::{History, Run, Told},
+    history::{History, Run, Told as ToldCaller},
+    register_history::{self, Call, Order, Told},
 };
 use platform_stand::deployment::Kind;
 use serde::Serialize;
 
-use super::history::{Arrived, End, Event, Ms, Observed, Tried, Trouble, Usage};
+use super::history::{Answered, Arrived, End, Event, Ms, Observed, Release, ReleaseEnd, Tried, Trouble, Usage};
 
 /// Checkers of the simulator that are asked.
 const SHARED: [&str; 3] = ["run_once", "not_run", "homes"];
@@ -19,8 +20,12 @@
 const SLACK: Ms = 300;
 /// ms. A leaving replica gets nothing new after so long.
 const DRAIN: Ms = 4_000;
-/// ms. The directory names no machine that ended so long ago.
-const NAMED: Ms = CONTACT + 3_000;
+/// ms. The directory names no machine that ended so long ago: a daemon out of touch leaves out what it has not heard of for the
+/// contact bound, one in touch sooner; an answer is read a moment after it was made.
+const NAMED: Ms = CONTACT + 1_000;
+/// Of all requests a bad version may get this share, and so many besides.
+const EXPOSURE_SHARE: f64 = 0.1;
+const EXPOSURE_SLACK: usize = 50;
 /// ms from SIGTERM within which a request may be taken that then outlasts the grace.
 const TAKEN_EARLY: Ms = 3_000;
 /// ms. A process that was started so lately may have no port yet.
@@ -48,7 +53,7 @@
 
 type Check = fn(&Observed) -> Vec<String>;
 
-const ORDER: [(&str, Check); 11] = [
+const ORDER: [(&str, Check); 13] = [
     ("shared", shared),
     ("own_answer", own_answer),
     ("lost", lost_in_order),
@@ -56,17 +61,21 @@
     ("one_winner", one_winner),
     ("repeats", repeats),
     ("older_read", older_read),
+    ("one_register", one_register),
+    ("bad_release", bad_release),
     ("kept", |o| o.lost_changes.clone()),
     ("service_returns", |o| o.not_back.clone()),
     ("exit", exit),
     ("resources", resources),
 ];
-const TIMING: [(&str, Check); 5] = [
+const TIMING: [(&str, Check); 7] = [
     ("lost_by_kill", lost_by_kill),
     ("ends_in_grace", ends_in_grace),
     ("drained", drained),
     ("directory_gone", directory_gone),
     ("hung", hung),
+    ("exposure", exposure),
+    ("release_ends", release_ends),
 ];
 
 /// All findings.
@@ -106,13 +115,13 @@
         at_ms: a.at,
         ..Run::default()
     };
-    let told = |t: &Tried| Told {
+    let told = |t: &Tried| ToldCaller {
         request: t.id.clone(),
         run_once: !may_repeat(t.kind),
         outcome: if is_promise(t.end) { "not_run".into() } else { "unknown".into() },
         at_ms: t.sent,
         ms: t.ended - t.sent,
-        ..Told::default()
+        ..ToldCaller::default()
     };
     let runs = o.arrived.iter().filter(|a| a.ran).map(run).collect();
     History { told: o.tried.iter().map(told).collect(), runs, ..History::default() }
@@ -206,7 +215,7 @@
 
 fn one_winner(o: &Observed) -> Vec<String> {
     let mut on: BTreeMap<u64, BTreeSet<(Ms, u64)>> = BTreeMap::new();
-    for c in o.changes.iter().filter(|c| c.accepted && !c.repeated) {
+    for c in o.changes.iter().filter(|c| c.is_accepted() && !c.repeated) {
         on.entry(c.on).or_default().insert((c.sent, c.release));
     }
     let both = on.iter().filter(|(_, v)| v.len() > 1);
@@ -214,19 +223,68 @@
 }
 
 fn repeats(o: &Observed) -> Vec<String> {
-    let refused = o.changes.iter().filter(|c| c.repeated && !c.accepted);
+    let refused = o.changes.iter().filter(|c| c.repeated && c.answer == Answered::Refused);
     refused.map(|c| format!("release {} was acknowledged, sent again at {} ms and refused", c.release, c.sent)).collect()
 }
 
 fn older_read(o: &Observed) -> Vec<String> {
     let older = o.reads.iter().filter_map(|r| {
-        let acked = o.changes.iter().filter(|c| c.accepted && c.answered < r.sent).map(|c| c.release).max()?;
+        let acked = o.changes.iter().filter(|c| c.is_accepted() && c.answered < r.sent).map(|c| c.release).max()?;
         (r.release < acked)
             .then(|| format!("{} told release {} at {} ms, {acked} had been acknowledged", r.machine, r.release, r.sent))
     });
     older.collect()
 }
 
+/// Whether the configurations that were told, to operators and readers, could be those of a single register.
+fn one_register(o: &Observed) -> Vec<String> {
+    let mut history = register_history::History::default();
+    let mut number: BTreeMap<&str, usize> = BTreeMap::new();
+    for c in &o.changes {
+        let order = *number.entry(&c.document).or_insert_with(|| {
+            let value = c.document.clone().into_bytes();
+            history.orders.push(Order { value, unconditional: false });
+            history.orders.len() - 1
+        });
+        let told = match c.answer {
+            Answered::Accepted => Told::Version(c.release),
+            Answered::Refused => Told::Refused(None),
+            Answered::Unclear => Told::Unclear,
+        };
+        if c.is_accepted() {
+            history.see(c.release, c.document.as_bytes(), c.answered);
+        }
+        history.calls.push(Call { order: Some(order), began: c.sent, ended: c.answered, told });
+    }
+    for r in &o.reads {
+        history.see(r.release, r.document.as_bytes(), r.at);
+        history.calls.push(Call { order: None, began: r.sent, ended: r.at, told: Told::Version(r.release) });
+    }
+    history.faults()
+}
+
+fn bad_release(o: &Observed) -> Vec<String> {
+    let completed = |r: &&Release| r.bad && r.ended.is_some_and(|e| e.1 == ReleaseEnd::Completed);
+    let told = o.releases.iter().filter(completed);
+    told.map(|r| format!("{} fails every request and was told to be completed: {:?}", r.version, r.ended)).collect()
+}
+
+fn exposure(o: &Observed) -> Vec<String> {
+    let over = o.releases.iter().filter(|r| r.bad).filter_map(|r| {
+        let until = r.ended.map(|e| e.0).or(r.given_up)?;
+        let during = || o.arrived.iter().filter(|a| a.at >= r.ordered && a.at <= until);
+        let (all, got) = (during().count(), during().filter(|a| a.version == r.version).count());
+        let most = (all as f64 * EXPOSURE_SHARE) as usize + EXPOSURE_SLACK;
+        (got > most).then(|| format!("{} got {got} of {all} requests from {} to {until} ms", r.version, r.ordered))
+    });
+    over.collect()
+}
+
+fn release_ends(o: &Observed) -> Vec<String> {
+    let open = o.releases.iter().filter_map(|r| Some((r, r.given_up?)));
+    open.map(|(r, at)| format!("{} was ordered at {} ms and had no end at {at} ms", r.version, r.ordered)).collect()
+}
+
 fn exit(o: &Observed) -> Vec<String> {
     // Before it has a port a process has taken nothing, and SIGTERM ends it at once.
     let starting =
--- a/fleet-tools/src/soak/faults.rs
+++ b/fleet-tools/src/soak/faults.rs
@@ -16,6 +16,7 @@
     history::{Ms, ReplicaEnd, Trouble},
     operators,
     plan::Action,
+    releases,
     run::Soak,
 };
 
@@ -23,6 +24,8 @@
 const LOOK: Duration = Duration::from_millis(10);
 /// From the end of a process to its next start.
 const START: (Ms, Ms) = (200, 1_000);
+/// ms. A control machine that is killed while edges are off is back after so long.
+const CORE_DOWN: Ms = 500;
 /// How long a replica that leaves serves on behind its drain's bound.
 const DRAIN_SLACK: Duration = Duration::from_secs(2);
 const DRAIN: Duration = Duration::from_secs(4);
@@ -169,7 +172,8 @@
         let gone = w.replicas.iter().filter(|r| chosen.contains(&r.id));
         gone.map(|r| (r.service.clone(), r.zone.clone(), r.version.clone(), r.addr)).collect()
     };
-    for (service, zone, version, addr) in places {
+    // The platform starts no replica of a version that a release has taken away meanwhile.
+    for (service, zone, version, addr) in places.into_iter().filter(|p| !s.releases.is_retired(&p.2)) {
         if let Err(e) = world::start(&s.world, &service, &zone, &version, addr) {
             eprintln!("starting a replica again: {e}");
         }
@@ -190,6 +194,27 @@
     }
 }
 
+async fn kill_edges(s: &Rc<Soak>, edges: Vec<usize>, down: Ms) {
+    let all = edges.into_iter().map(|e| {
+        let (s, machine) = (s.clone(), s.edge_at(e));
+        actix_rt::spawn(async move { kill(&s, machine, down).await })
+    });
+    for k in all.collect::<Vec<_>>() {
+        let _ = k.await;
+    }
+}
+
+/// A control machine that starts while edges are off has never heard them.
+async fn outage(s: &Rc<Soak>, edges: Vec<usize>, down: Ms, core: Option<usize>) {
+    let restart = async {
+        if let Some(machine) = core {
+            sleep(ms(down / 3)).await;
+            alone(s, kill(s, machine, CORE_DOWN)).await;
+        }
+    };
+    tokio::join!(kill_edges(s, edges, down), restart);
+}
+
 /// Carries one action out, to its end.
 pub async fn carry_out(s: Rc<Soak>, a: Action, seed: u64) {
     let mut rng = Rng::with_seed(seed);
@@ -197,28 +222,22 @@
         Action::RestartEdges { edges, at_once, gap } => restart_edges(&s, edges, at_once, gap, seed).await,
         Action::RestartCore { gap } => {
             for n in 0..s.d.core.len() {
-                alone(&s, restart(&s, s.core_at(n), &mut rng)).await;
+                alone(&s, restart(&s, n, &mut rng)).await;
                 sleep(ms(gap)).await;
             }
         }
-        Action::KillEdges { edges, down } => {
-            let all = edges.into_iter().map(|e| {
-                let (s, machine) = (s.clone(), s.edge_at(e));
-                actix_rt::spawn(async move { kill(&s, machine, down).await })
-            });
-            for k in all.collect::<Vec<_>>() {
-                let _ = k.await;
-            }
-        }
-        Action::KillCore { machine, down } => alone(&s, kill(&s, s.core_at(machine), down)).await,
+        Action::KillEdges { edges, down } => kill_edges(&s, edges, down).await,
+        Action::Outage { edges, down, core } => outage(&s, edges, down, core).await,
+        Action::Release { bad } => releases::release(&s, bad, &mut rng).await,
+        Action::KillCore { machine, down } => alone(&s, kill(&s, machine, down)).await,
         Action::FreezeEdge { edge, long } => freeze(&s, s.edge_at(edge), long).await,
-        Action::FreezeCore { machine, long } => alone(&s, freeze(&s, s.core_at(machine), long)).await,
+        Action::FreezeCore { machine, long } => alone(&s, freeze(&s, machine, long)).await,
         Action::Hangups { times, gap } => hangups(&s, times, gap).await,
         Action::Storm { changes, gap } => operators::storm(&s, changes, gap, &mut rng).await,
         Action::Race => operators::race(&s, &mut rng).await,
         Action::Evacuate { zone, long } => operators::evacuate(&s, zone, long, &mut rng).await,
         Action::CrashReplicas { count, down } => replicas(&s, count, false, down, &mut rng).await,
         Action::DrainReplica { down } => replicas(&s, 1, true, down, &mut rng).await,
-        Action::Wipe { machine } => alone(&s, wipe(&s, s.core_at(machine))).await,
+        Action::Wipe { machine } => alone(&s, wipe(&s, machine)).await,
     }
 }
--- a/fleet-tools/src/soak/history.rs
+++ b/fleet-tools/src/soak/history.rs
@@ -106,25 +106,64 @@
     pub edges: Vec<usize>,
 }
 
-/// A change of the configuration that got a clear answer.
+/// What an order came to, as its operator was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Answered {
+    Accepted,
+    Refused,
+    /// It was given up without a clear answer, and may be in force or not.
+    Unclear,
+}
+
+/// A change of the configuration.
 #[derive(Clone, Debug, Serialize)]
 pub struct Change {
     pub release: u64,
     /// The release that it was made on.
     pub on: u64,
+    /// The whole document.
+    pub document: String,
     pub sent: Ms,
     pub answered: Ms,
-    pub accepted: bool,
+    pub answer: Answered,
     /// The same change had been acknowledged before and no other change was made since.
     pub repeated: bool,
 }
 
+impl Change {
+    pub fn is_accepted(&self) -> bool {
+        self.answer == Answered::Accepted
+    }
+}
+
 /// A control daemon told its configuration.
 #[derive(Clone, Debug, Serialize)]
 pub struct Read {
     pub sent: Ms,
+    pub at: Ms,
     pub machine: String,
     pub release: u64,
+    /// The whole document.
+    pub document: String,
+}
+
+/// A version of the replicas that was ordered.
+#[derive(Clone, Debug, Serialize)]
+pub struct Release {
+    pub version: String,
+    /// It fails every request.
+    pub bad: bool,
+    /// When its order was first sent, and when it was told to have ended.
+    pub ordered: Ms,
+    pub ended: Option<(Ms, ReleaseEnd)>,
+    /// When the order was given up without an answer, or the release without an end.
+    pub given_up: Option<Ms>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum ReleaseEnd {
+    Completed,
+    Reverted,
 }
 
 /// What a process uses.
@@ -155,6 +194,7 @@
     pub directed: Vec<Directed>,
     pub changes: Vec<Change>,
     pub reads: Vec<Read>,
+    pub releases: Vec<Release>,
     /// Service did not come back for these edges and kinds of request.
     pub not_back: Vec<String>,
     /// The configuration that stands at the end is not the newest acknowledged one: what was said.
--- a/fleet-tools/src/soak/operators.rs
+++ b/fleet-tools/src/soak/operators.rs
@@ -15,8 +15,8 @@
 };
 
 use super::{
-    history::{Change, Directed, Ms, Read},
-    run::{Soak, document},
+    history::{Answered, Change, Ms, Read},
+    run::Soak,
 };
 
 /// An operator goes to another daemon after so long without an answer.
@@ -52,30 +52,40 @@
 
 /// Sends a change until it gets a clear answer; whether it was accepted.
 async fn order(s: &Soak, first: usize, on: u64, document: &Value, repeated: bool) -> Option<bool> {
-    let (sent, until) = (s.now(), Instant::now() + PATIENCE);
+    let sent = s.now();
+    let answer = clear_answer(s, first, on, document).await;
+    let change = Change {
+        release: calls::release(document),
+        on,
+        document: document.to_string(),
+        sent,
+        answered: s.now(),
+        answer,
+        repeated,
+    };
+    s.seen.borrow_mut().changes.push(change);
+    (answer != Answered::Unclear).then_some(answer == Answered::Accepted)
+}
+
+/// Sends the same change to one daemon after the other until one answers clearly.
+async fn clear_answer(s: &Soak, first: usize, on: u64, document: &Value) -> Answered {
+    let until = Instant::now() + PATIENCE;
     for i in first.. {
         let controls = s.controls();
         let to = &controls[i % controls.len()];
-        let answer = timeout(SILENT, calls::put_configuration(to, on, document)).await.ok().flatten();
-        let accepted = match answer {
-            Some(200) => true,
-            Some(400..500) if answer != Some(408) && answer != Some(429) => false,
-            _ if Instant::now() > until => return None,
-            _ => {
-                sleep(AGAIN).await;
-                continue;
-            }
-        };
-        let release = calls::release(document);
-        s.seen.borrow_mut().changes.push(Change { release, on, sent, answered: s.now(), accepted, repeated });
-        return Some(accepted);
+        match timeout(SILENT, calls::put_configuration(to, on, document)).await.ok().flatten() {
+            Some(200) => return Answered::Accepted,
+            Some(status @ 400..500) if status != 408 && status != 429 => return Answered::Refused,
+            _ if Instant::now() > until => break,
+            _ => sleep(AGAIN).await,
+        }
     }
-    None
+    Answered::Unclear
 }
 
 /// The first configuration, sent until it is taken.
 pub async fn first(s: &Soak, until: Instant) -> Result<(), String> {
-    let d = document(s.d, 1, "first");
+    let d = s.d.document(1, Some("first"));
     while order(s, 0, 0, &d, false).await != Some(true) {
         if Instant::now() > until {
             return Err("the first configuration is not taken".into());
@@ -91,7 +101,7 @@
     for _ in 0..changes {
         let _turn = s.orders.turn.lock().await;
         let on = s.orders.release();
-        let d = document(s.d, on + rng.u64(1..4), &format!("storm{}", rng.u32(..)));
+        let d = s.d.document(on + rng.u64(1..4), Some(&format!("storm{}", rng.u32(..))));
         if order(s, rng.usize(0..64), on, &d, false).await == Some(true) {
             s.orders.accepted(&d);
             if rng.u32(0..10) == 0 {
@@ -108,7 +118,7 @@
     let _turn = s.orders.turn.lock().await;
     let on = s.orders.release();
     let mark = rng.u32(..);
-    let [a, b] = ["left", "right"].map(|side| document(s.d, on + 1, &format!("{side}{mark}")));
+    let [a, b] = ["left", "right"].map(|side| s.d.document(on + 1, Some(&format!("{side}{mark}"))));
     let at = rng.usize(0..64);
     let (x, y) = tokio::join!(order(s, at, on, &a, false), order(s, at + 1, on, &b, false));
     match (x, y) {
@@ -145,8 +155,10 @@
         let to = s.controls()[n].clone();
         let sent = s.now();
         if let Ok(Some(d)) = timeout(SILENT, calls::get_configuration(&to)).await {
-            let machine = s.machines.borrow().all[s.core_at(n)].name.clone();
-            s.seen.borrow_mut().reads.push(Read { sent, machine, release: calls::release(&d) });
+            // Control machines come first.
+            let machine = s.machines.borrow().all[n].name.clone();
+            let read = Read { sent, at: s.now(), machine, release: calls::release(&d), document: d.to_string() };
+            s.seen.borrow_mut().reads.push(read);
         }
         sleep(Duration::from_millis(rng.u64(READS.0..READS.1))).await;
     }
@@ -160,10 +172,7 @@
         let to = &directories[rng.usize(0..directories.len())];
         let zone = s.d.zones[rng.usize(0..s.d.zones.len())].0;
         if let Ok(Some((addresses, _))) = timeout(SILENT, calls::resolve(s.d, to, zone)).await {
-            let fronts = s.fronts();
-            let edges = addresses.iter().filter_map(|a| fronts.iter().position(|f| f == a)).collect();
-            let at = s.now();
-            s.seen.borrow_mut().directed.push(Directed { at, zone: zone.into(), edges });
+            s.directed(zone, &addresses);
         }
         sleep(Duration::from_millis(rng.u64(READS.0..READS.1))).await;
     }
--- a/fleet-tools/src/soak/plan.rs
+++ b/fleet-tools/src/soak/plan.rs
@@ -60,6 +60,16 @@
     Wipe {
         machine: usize,
     },
+    /// Edges are off for longer than any rule gives them; a control machine may be killed and started meanwhile.
+    Outage {
+        edges: Vec<usize>,
+        down: Ms,
+        core: Option<usize>,
+    },
+    /// A new version of the replicas, which may fail every request.
+    Release {
+        bad: bool,
+    },
 }
 
 /// What there is to act on.
@@ -87,22 +97,28 @@
 
 fn action(r: &mut Rng, s: Size) -> Action {
     match r.u32(0..100) {
-        0..28 => {
+        0..22 => {
             let share = r.f64().max(0.3);
             Action::RestartEdges { edges: some(r, s.edges, share), at_once: r.usize(1..=3), gap: r.u64(200..1_600) }
         }
-        28..34 => Action::RestartCore { gap: r.u64(1_000..4_000) },
-        34..42 => Action::KillEdges { edges: some(r, s.edges, 0.3), down: r.u64(200..3_000) },
-        42..47 => Action::KillCore { machine: r.usize(0..s.core), down: r.u64(200..3_000) },
-        47..52 => Action::FreezeEdge { edge: r.usize(0..s.edges), long: r.u64(300..4_000) },
-        52..56 => Action::FreezeCore { machine: r.usize(0..s.core), long: r.u64(300..4_000) },
-        56..64 => Action::Hangups { times: r.u32(1..6), gap: r.u64(50..700) },
-        64..76 => Action::Storm { changes: r.u32(10..100), gap: r.u64(30..200) },
-        76..82 => Action::Race,
-        82..88 => Action::Evacuate { zone: r.usize(0..s.zones), long: r.u64(1_000..6_000) },
-        88..93 => Action::CrashReplicas { count: r.usize(1..4), down: r.u64(300..3_000) },
-        93..97 => Action::DrainReplica { down: r.u64(300..3_000) },
-        _ => Action::Wipe { machine: r.usize(0..s.core) },
+        22..28 => Action::RestartCore { gap: r.u64(1_000..4_000) },
+        28..35 => Action::KillEdges { edges: some(r, s.edges, 0.3), down: r.u64(200..3_000) },
+        35..40 => Action::KillCore { machine: r.usize(0..s.core), down: r.u64(200..3_000) },
+        40..44 => Action::FreezeEdge { edge: r.usize(0..s.edges), long: r.u64(300..4_000) },
+        44..48 => Action::FreezeCore { machine: r.usize(0..s.core), long: r.u64(300..4_000) },
+        48..55 => Action::Hangups { times: r.u32(1..6), gap: r.u64(50..700) },
+        55..65 => Action::Storm { changes: r.u32(10..100), gap: r.u64(30..200) },
+        65..71 => Action::Race,
+        71..78 => Action::Evacuate { zone: r.usize(0..s.zones), long: r.u64(1_000..6_000) },
+        78..83 => Action::CrashReplicas { count: r.usize(1..4), down: r.u64(300..3_000) },
+        83..86 => Action::DrainReplica { down: r.u64(300..3_000) },
+        86..90 => Action::Wipe { machine: r.usize(0..s.core) },
+        90..95 => Action::Release { bad: r.bool() },
+        _ => {
+            let share = 0.2 + 0.7 * r.f64();
+            let core = r.bool().then(|| r.usize(0..s.core));
+            Action::Outage { edges: some(r, s.edges, share), down: r.u64(10_000..18_000), core }
+        }
     }
 }
 
--- a/fleet-tools/src/soak/report.rs
+++ b/fleet-tools/src/soak/report.rs
@@ -70,7 +70,9 @@
         o.events.iter().for_each(|e| *kinds.entry(format!("{:?}", e.trouble)).or_default() += 1);
         row("troubles of machines", format!("{kinds:?}"));
         row("replicas ended", o.replica_ends.len().to_string());
-        row("changes of the configuration with a clear answer", t.changes.to_string());
+        row("changes of the configuration", t.changes.to_string());
+        let releases: Vec<String> = o.releases.iter().map(|r| format!("{} {:?}", r.version, r.ended.map(|e| e.1))).collect();
+        row("releases", releases.join(", "));
         row("configurations read, answers of the directory", format!("{}, {}", t.reads, t.resolutions));
         let uses = |all: &[Usage]| {
             let memory = most(all, |u| u.memory_kb) >> 10;
--- a/fleet-tools/src/soak/run.rs
+++ b/fleet-tools/src/soak/run.rs
@@ -10,21 +10,20 @@
 };
 
 use platform_stand::{
-    calls,
     client::{Asked, send, status},
     deployment::{Deployment, KINDS, Kind},
     machines::Machines,
     whole::{Book, prepare},
     world::{self, Act, Shared},
 };
-use serde_json::Value;
 use tokio::time::sleep;
 
 use super::{
     callers, faults,
-    history::{Arrived, Event, Ms, Observed, Trouble},
+    history::{Arrived, Directed, Event, Ms, Observed, Trouble},
     operators::{self, Orders},
     plan::{self, Size, Step},
+    releases::Releases,
     resources,
 };
 
@@ -55,6 +54,7 @@
     pub book: Rc<RefCell<Book>>,
     pub seen: RefCell<Observed>,
     pub orders: Orders,
+    pub releases: Releases,
     pub over: Cell<bool>,
     began: Instant,
     /// Machines that something is done to.
@@ -80,10 +80,14 @@
         let m = self.machines.borrow();
         m.core().map(|c| m.directory(c)).collect()
     }
-    /// Index among all machines of the nth control machine, and of the nth edge.
-    pub fn core_at(&self, n: usize) -> usize {
-        n
+    /// Notes what a directory told callers of a zone; gives the edges that it named.
+    pub fn directed(&self, zone: &str, addresses: &[String]) -> Vec<usize> {
+        let fronts = self.fronts();
+        let edges: Vec<usize> = addresses.iter().filter_map(|a| fronts.iter().position(|f| f == a)).collect();
+        self.seen.borrow_mut().directed.push(Directed { at: self.now(), zone: zone.into(), edges: edges.clone() });
+        edges
     }
+    /// Index among all machines of the nth edge; control machines come first.
     pub fn edge_at(&self, n: usize) -> usize {
         self.d.core.len() + n
     }
@@ -190,6 +194,7 @@
         book: Rc::default(),
         seen: RefCell::new(seen),
         orders: Orders::default(),
+        releases: Releases::new(d.versions[0]),
         over: Cell::new(false),
         began: Instant::now(),
         busy: RefCell::default(),
@@ -255,10 +260,3 @@
     seen.usage_after = resources::usage(&s.machines.borrow());
     Ok((seen, folder))
 }
-
-/// A document of the soak's deployment.
-pub fn document(d: &Deployment, release: u64, mark: &str) -> Value {
-    let v = d.document(release, Some(mark));
-    debug_assert_eq!(calls::release(&v), release);
-    v
-}
--- a/fleet-tools/tests/soak_checks.rs
+++ b/fleet-tools/tests/soak_checks.rs
@@ -2,7 +2,9 @@
 
 use fleet_tools::soak::{
     checks::{Basis, check},
-    history::{Arrived, Change, Directed, End, Event, Observed, Read, ReplicaEnd, Tried, Trouble, Usage},
+    history::{
+        Answered, Arrived, Change, Directed, End, Event, Observed, Read, Release, ReleaseEnd, ReplicaEnd, Tried, Trouble, Usage,
+    },
 };
 use googletest::prelude::*;
 use platform_stand::deployment::Kind;
@@ -36,6 +38,18 @@
     Usage { process: "core-1/control".into(), memory_kb, descriptors, disk }
 }
 
+fn document(release: u64) -> String {
+    format!("document {release}")
+}
+
+fn change(release: u64, on: u64, sent: u64, answered: u64, answer: Answered) -> Change {
+    Change { release, on, document: document(release), sent, answered, answer, repeated: false }
+}
+
+fn read(release: u64, sent: u64) -> Read {
+    Read { sent, at: sent + 10, machine: "core-1".into(), release, document: document(release) }
+}
+
 /// A history in which all is well: an edge is stopped at 10 s and back at 14 s.
 fn good() -> Observed {
     Observed {
@@ -55,13 +69,28 @@
         events: vec![event(Trouble::Stopped, STOP, 14_000)],
         directed: vec![Directed { at: 12_000, zone: "b-1".into(), edges: vec![0, 1] }],
         changes: vec![
-            Change { release: 3, on: 1, sent: 1_000, answered: 1_100, accepted: true, repeated: false },
-            Change { release: 3, on: 1, sent: 1_500, answered: 1_600, accepted: true, repeated: true },
-            Change { release: 4, on: 1, sent: 1_050, answered: 1_200, accepted: false, repeated: false },
+            change(1, 0, 100, 200, Answered::Accepted),
+            change(3, 1, 1_000, 1_100, Answered::Accepted),
+            Change { repeated: true, ..change(3, 1, 1_500, 1_600, Answered::Accepted) },
+            change(4, 1, 1_050, 1_200, Answered::Refused),
+            change(5, 3, 2_500, 9_000, Answered::Unclear),
         ],
-        reads: vec![
-            Read { sent: 1_050, machine: "core-1".into(), release: 1 },
-            Read { sent: 2_000, machine: "core-1".into(), release: 3 },
+        reads: vec![read(1, 1_050), read(3, 2_000), read(5, 8_000)],
+        releases: vec![
+            Release {
+                version: "v2".into(),
+                bad: false,
+                ordered: 1_000,
+                ended: Some((9_000, ReleaseEnd::Completed)),
+                given_up: None,
+            },
+            Release {
+                version: "v3".into(),
+                bad: true,
+                ordered: 9_500,
+                ended: Some((12_000, ReleaseEnd::Reverted)),
+                given_up: None,
+            },
         ],
         usage_before: vec![usage(10_000, 40, 1_000)],
         usage_after: vec![usage(12_000, 44, 50_000)],
@@ -90,10 +119,10 @@
     expect_that!(found(|o| o.arrived[0].zone = "b-1".into()), eq(&order("shared")));
     expect_that!(found(|o| o.tried[0].own_body = false), eq(&order("own_answer")));
     expect_that!(found(|o| o.directed[0].edges.push(2)), eq(&order("directory_homes")));
-    let second = Change { release: 4, on: 1, sent: 1_050, answered: 1_200, accepted: true, repeated: false };
-    expect_that!(found(|o| o.changes[2] = second), contains(eq(&("one_winner", Basis::Order))));
-    expect_that!(found(|o| o.changes[1].accepted = false), eq(&order("repeats")));
-    expect_that!(found(|o| o.reads[1].release = 1), eq(&order("older_read")));
+    expect_that!(found(|o| o.changes[3].answer = Answered::Accepted), contains(eq(&("one_winner", Basis::Order))));
+    expect_that!(found(|o| o.changes[2].answer = Answered::Refused), contains(eq(&("repeats", Basis::Order))));
+    expect_that!(found(|o| o.reads[1] = read(1, 2_000)), contains(eq(&("older_read", Basis::Order))));
+    expect_that!(found(|o| o.releases[1].ended = Some((12_000, ReleaseEnd::Completed))), eq(&order("bad_release")));
     expect_that!(found(|o| o.lost_changes.push("x".into())), eq(&order("kept")));
     expect_that!(found(|o| o.not_back.push("x".into())), eq(&order("service_returns")));
     expect_that!(found(|o| o.events[0].ended_well = Some(false)), eq(&order("exit")));
@@ -102,6 +131,20 @@
     }
 }
 
+#[gtest]
+fn configurations_that_no_single_register_could_tell_are_found() {
+    let order = vec![("one_register", Basis::Order)];
+    // A reader is told what was in force before what another was told, though nothing newer was acknowledged.
+    expect_that!(found(|o| o.reads.push(read(3, 8_500))), eq(&order));
+    // One release with two documents.
+    expect_that!(found(|o| o.reads[2].document = "another".into()), contains(eq(&order[0])));
+    // In force before anybody asked for it, or though it was refused.
+    expect_that!(found(|o| o.reads.push(read(5, 2_300))), eq(&order));
+    expect_that!(found(|o| o.reads.insert(2, read(4, 2_400))), eq(&order));
+    // An order that got no clear answer may be in force or not.
+    expect_that!(found(|o| drop(o.reads.pop())), is_empty());
+}
+
 #[gtest]
 fn a_request_is_lost_unless_something_but_the_stop_ended_it() {
     let lost = vec![("lost", Basis::Order)];
@@ -158,4 +201,19 @@
         o.events.push(Event { edge: Some(1), machine: "edge-2".into(), ..event(Trouble::Killed, 3_000, 13_000) });
     };
     expect_that!(found(killed), eq(&timing("directory_gone")));
+    // Off for longer than the contact bound, and for less.
+    let named_at = |at| {
+        move |o: &mut Observed| {
+            killed(o);
+            o.directed[0].at = at;
+        }
+    };
+    expect_that!(found(named_at(8_100)), eq(&timing("directory_gone")));
+    expect_that!(found(named_at(7_900)), is_empty());
+    expect_that!(found(|o| o.releases[0].given_up = Some(99_000)), eq(&timing("release_ends")));
+    let exposed = |o: &mut Observed| {
+        let bad = |n: u64| Arrived { version: "v3".into(), ran: false, ..arrived("once", "", 9_600 + n) };
+        o.arrived.extend((0..60).map(bad));
+    };
+    expect_that!(found(exposed), eq(&timing("exposure")));
 }
