Ask any control daemon in one way in the soak; state a release's end once

Four loops asked one daemon after the other until an answer was clear: ask_any serves changes, evacuations, release orders and their ends. The places of replicas were worked out in run.rs and again in releases.rs: places serves both. A release had an optional end and an optional giving up: one end, three kinds. directory_loss.rs kept what follows from the trouble and the time, and its times stood twice. No check, bound or expectation is changed.

--- a/coordination/tests/directory_loss.rs
+++ b/coordination/tests/directory_loss.rs
@@ -30,7 +30,7 @@
 
 /// What happens to one control daemon as the edges are lost.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Control1 {
+enum Trouble {
     Whole,
     /// Killed, and started again half a second later.
     Restarted,
@@ -40,11 +40,22 @@
     Cut,
 }
 
+impl Trouble {
+    /// ms from the loss until the daemon runs and is connected again.
+    fn back_after(self) -> Ms {
+        match self {
+            Trouble::Whole => 0,
+            Trouble::Restarted => 500,
+            Trouble::Replaced => 1_000,
+            Trouble::Cut => 8_000,
+        }
+    }
+}
+
 struct ControlHost {
     params: ControlParams,
     brain: Option<Control>,
     rows: BTreeMap<String, Row>,
-    started: Ms,
 }
 
 struct EdgeHost {
@@ -110,7 +121,7 @@
             reader: coordination::board::own_spec,
             bounds: Default::default(),
         };
-        self.controls.insert(name.clone(), ControlHost { params, brain: None, rows: BTreeMap::new(), started: 0 });
+        self.controls.insert(name.clone(), ControlHost { params, brain: None, rows: BTreeMap::new() });
         self.start(&name);
     }
 
@@ -119,7 +130,6 @@
         let Some(host) = self.controls.get_mut(name) else { return };
         let disk = 1 + host.params.name.bytes().map(u64::from).sum::<u64>();
         host.brain = Some(Control::new(host.params.clone(), disk, host.rows.values().cloned().collect(), now, now));
-        host.started = now;
     }
 
     fn region(&self, name: &Name) -> &str {
@@ -165,7 +175,7 @@
 
     fn tick_edge(&mut self, name: &Name) {
         let now = self.now;
-        let Some(e) = self.edges.get_mut(name).filter(|e| e.next_tick <= now) else { return };
+        let Some(e) = self.edges.get_mut(name) else { return };
         e.next_tick = now + TICK;
         let mut out = vec![];
         if now % HELLO < TICK {
@@ -185,8 +195,8 @@
                 let (to, from, msg) = entry.remove();
                 self.deliver(&to, &from, msg);
             }
-            let due: Vec<Name> = self.edges.iter().filter(|e| e.1.next_tick <= self.now).map(|e| e.0.clone()).collect();
-            for name in due.iter().filter(|n| !self.gone.contains(*n)).cloned().collect::<Vec<_>>() {
+            let due = |(name, e): &(&Name, &EdgeHost)| e.next_tick <= self.now && !self.gone.contains(*name);
+            for name in self.edges.iter().filter(due).map(|e| e.0.clone()).collect::<Vec<_>>() {
                 self.tick_edge(&name);
             }
             if self.now.is_multiple_of(TICK) {
@@ -238,7 +248,7 @@
     trouble_empty: usize,
 }
 
-fn play(edges: usize, percent: usize, trouble: Control1) -> Seen {
+fn play(edges: usize, percent: usize, trouble: Trouble) -> Seen {
     let mut plane = Plane::new(edges, 7);
     plane.run(SETTLES);
     let mut one = Name::from("c1");
@@ -246,41 +256,32 @@
     let lost_at = plane.now;
     let live: BTreeSet<Name> = plane.edges.keys().filter(|n| !plane.gone.contains(*n)).cloned().collect();
     match trouble {
-        Control1::Whole => {}
-        Control1::Cut => plane.cut = Some(one.clone()),
-        Control1::Restarted | Control1::Replaced => plane.controls.get_mut(&one).unwrap().brain = None,
+        Trouble::Whole => {}
+        Trouble::Cut => plane.cut = Some(one.clone()),
+        Trouble::Restarted | Trouble::Replaced => plane.controls.get_mut(&one).unwrap().brain = None,
     }
     let mut seen = Seen::default();
-    // When the daemon in trouble runs and is connected again.
-    let mut whole_at = None;
     while plane.now < lost_at + WATCHED {
         plane.run(ASKED_EVERY);
         let after = plane.now - lost_at;
-        match trouble {
-            Control1::Restarted if after == 500 => plane.start(&one),
-            Control1::Replaced if after == 1_000 => {
-                plane.controls.remove(&one);
-                plane.add_control(CONTROLS, false);
-                one = Name::from(format!("c{CONTROLS}").as_str());
+        if after == trouble.back_after() {
+            match trouble {
+                Trouble::Whole => {}
+                Trouble::Restarted => plane.start(&one),
+                Trouble::Replaced => {
+                    plane.controls.remove(&one);
+                    plane.add_control(CONTROLS, false);
+                    one = Name::from(format!("c{CONTROLS}").as_str());
+                }
+                Trouble::Cut => plane.cut = None,
             }
-            Control1::Cut if after == 8_000 => plane.cut = None,
-            _ => {}
-        }
-        let back = match trouble {
-            Control1::Whole => 0,
-            Control1::Restarted => 500,
-            Control1::Replaced => 1_000,
-            Control1::Cut => 8_000,
-        };
-        if after >= back && whole_at.is_none() {
-            whole_at = Some(plane.now);
         }
+        let since = after.saturating_sub(trouble.back_after());
         for name in plane.controls.keys().cloned().collect::<Vec<_>>() {
             let Some(named) = plane.named(&name) else { continue };
             let names_gone = named.iter().any(|n| plane.gone.contains(n));
             let left_out = live.difference(&named).count();
-            if name == one && trouble != Control1::Whole {
-                let since = whole_at.map_or(0, |at| plane.now - at);
+            if name == one && trouble != Trouble::Whole {
                 let contact = plane.controls[&name].params.bounds.contact;
                 if names_gone && since >= contact {
                     seen.trouble_named_for = after;
@@ -310,7 +311,7 @@
 fn a_lost_edge_is_named_for_no_longer_than_3_s_and_no_live_one_is_left_out() {
     for edges in sizes(&[22, 88]) {
         for percent in [10, 30, 70] {
-            let seen = play(edges, percent, Control1::Whole);
+            let seen = play(edges, percent, Trouble::Whole);
             expect_that!(seen.named_for, le(NAMED_AT_MOST), "{edges} edges, {percent}% lost");
             expect_that!(seen.left_out, eq(0), "{edges} edges, {percent}% lost");
         }
@@ -321,7 +322,7 @@
 fn a_daemon_in_trouble_names_no_lost_edge_once_it_is_in_touch_and_no_live_one_is_left_out() {
     for edges in sizes(&[22, 88]) {
         for percent in [30, 70] {
-            for trouble in [Control1::Restarted, Control1::Replaced, Control1::Cut] {
+            for trouble in [Trouble::Restarted, Trouble::Replaced, Trouble::Cut] {
                 let seen = play(edges, percent, trouble);
                 let case = format!("{edges} edges, {percent}% lost, {trouble:?}");
                 expect_that!(seen.named_for, le(NAMED_AT_MOST), "{case}");
--- a/fleet-tools/src/soak/checks.rs
+++ b/fleet-tools/src/soak/checks.rs
@@ -10,7 +10,7 @@
 use platform_stand::deployment::Kind;
 use serde::Serialize;
 
-use super::history::{Answered, Arrived, End, Event, Ms, Observed, Release, ReleaseEnd, Tried, Trouble, Usage};
+use super::history::{Answered, Arrived, End, Event, Ms, Observed, ReleaseEnd, Tried, Trouble, Usage};
 
 /// Checkers of the simulator that are asked.
 const SHARED: [&str; 3] = ["run_once", "not_run", "homes"];
@@ -264,25 +264,23 @@
 }
 
 fn bad_release(o: &Observed) -> Vec<String> {
-    let completed = |r: &&Release| r.bad && r.ended.is_some_and(|e| e.1 == ReleaseEnd::Completed);
-    let told = o.releases.iter().filter(completed);
-    told.map(|r| format!("{} fails every request and was told to be completed: {:?}", r.version, r.ended)).collect()
+    let told = o.releases.iter().filter(|r| r.bad && r.end == ReleaseEnd::Completed);
+    told.map(|r| format!("{} fails every request and was told to be completed at {} ms", r.version, r.ended)).collect()
 }
 
 fn exposure(o: &Observed) -> Vec<String> {
     let over = o.releases.iter().filter(|r| r.bad).filter_map(|r| {
-        let until = r.ended.map(|e| e.0).or(r.given_up)?;
-        let during = || o.arrived.iter().filter(|a| a.at >= r.ordered && a.at <= until);
+        let during = || o.arrived.iter().filter(|a| a.at >= r.ordered && a.at <= r.ended);
         let (all, got) = (during().count(), during().filter(|a| a.version == r.version).count());
         let most = (all as f64 * EXPOSURE_SHARE) as usize + EXPOSURE_SLACK;
-        (got > most).then(|| format!("{} got {got} of {all} requests from {} to {until} ms", r.version, r.ordered))
+        (got > most).then(|| format!("{} got {got} of {all} requests from {} to {} ms", r.version, r.ordered, r.ended))
     });
     over.collect()
 }
 
 fn release_ends(o: &Observed) -> Vec<String> {
-    let open = o.releases.iter().filter_map(|r| Some((r, r.given_up?)));
-    open.map(|(r, at)| format!("{} was ordered at {} ms and had no end at {at} ms", r.version, r.ordered)).collect()
+    let open = o.releases.iter().filter(|r| r.end == ReleaseEnd::GivenUp);
+    open.map(|r| format!("{} was ordered at {} ms and had no end at {} ms", r.version, r.ordered, r.ended)).collect()
 }
 
 fn exit(o: &Observed) -> Vec<String> {
--- a/fleet-tools/src/soak/history.rs
+++ b/fleet-tools/src/soak/history.rs
@@ -153,17 +153,18 @@
     pub version: String,
     /// It fails every request.
     pub bad: bool,
-    /// When its order was first sent, and when it was told to have ended.
+    /// When its order was first sent, and when it had its end.
     pub ordered: Ms,
-    pub ended: Option<(Ms, ReleaseEnd)>,
-    /// When the order was given up without an answer, or the release without an end.
-    pub given_up: Option<Ms>,
+    pub ended: Ms,
+    pub end: ReleaseEnd,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum ReleaseEnd {
     Completed,
     Reverted,
+    /// Its order got no answer, or none of the daemons told an end.
+    GivenUp,
 }
 
 /// What a process uses.
--- a/fleet-tools/src/soak/operators.rs
+++ b/fleet-tools/src/soak/operators.rs
@@ -50,10 +50,39 @@
     }
 }
 
-/// Sends a change until it gets a clear answer; whether it was accepted.
-async fn order(s: &Soak, first: usize, on: u64, document: &Value, repeated: bool) -> Option<bool> {
+/// How long one question is asked again and again, and the pause before the next daemon is asked.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    pub patience: Duration,
+    pub pause: Duration,
+}
+
+const ORDERS: Pace = Pace { patience: PATIENCE, pause: AGAIN };
+
+/// Asks one control daemon after the other until one's answer is what is waited for; none if it is given up.
+pub async fn ask_any<T>(s: &Soak, first: usize, pace: Pace, ask: impl AsyncFn(&str) -> Option<T>) -> Option<T> {
+    let until = Instant::now() + pace.patience;
+    for i in first.. {
+        let controls = s.controls();
+        let answer = timeout(SILENT, ask(&controls[i % controls.len()])).await.ok().flatten();
+        if answer.is_some() || Instant::now() > until {
+            return answer;
+        }
+        sleep(pace.pause).await;
+    }
+    None
+}
+
+/// Sends a change until it gets a clear answer.
+async fn order(s: &Soak, first: usize, on: u64, document: &Value, repeated: bool) -> Answered {
     let sent = s.now();
-    let answer = clear_answer(s, first, on, document).await;
+    let answer = ask_any(s, first, ORDERS, async |control| match calls::put_configuration(control, on, document).await? {
+        200 => Some(Answered::Accepted),
+        408 | 429 => None,
+        400..500 => Some(Answered::Refused),
+        _ => None,
+    });
+    let answer = answer.await.unwrap_or(Answered::Unclear);
     let change = Change {
         release: calls::release(document),
         on,
@@ -64,29 +93,13 @@
         repeated,
     };
     s.seen.borrow_mut().changes.push(change);
-    (answer != Answered::Unclear).then_some(answer == Answered::Accepted)
-}
-
-/// Sends the same change to one daemon after the other until one answers clearly.
-async fn clear_answer(s: &Soak, first: usize, on: u64, document: &Value) -> Answered {
-    let until = Instant::now() + PATIENCE;
-    for i in first.. {
-        let controls = s.controls();
-        let to = &controls[i % controls.len()];
-        match timeout(SILENT, calls::put_configuration(to, on, document)).await.ok().flatten() {
-            Some(200) => return Answered::Accepted,
-            Some(status @ 400..500) if status != 408 && status != 429 => return Answered::Refused,
-            _ if Instant::now() > until => break,
-            _ => sleep(AGAIN).await,
-        }
-    }
-    Answered::Unclear
+    answer
 }
 
 /// The first configuration, sent until it is taken.
 pub async fn first(s: &Soak, until: Instant) -> Result<(), String> {
     let d = s.d.document(1, Some("first"));
-    while order(s, 0, 0, &d, false).await != Some(true) {
+    while order(s, 0, 0, &d, false).await != Answered::Accepted {
         if Instant::now() > until {
             return Err("the first configuration is not taken".into());
         }
@@ -102,7 +115,7 @@
         let _turn = s.orders.turn.lock().await;
         let on = s.orders.release();
         let d = s.d.document(on + rng.u64(1..4), Some(&format!("storm{}", rng.u32(..))));
-        if order(s, rng.usize(0..64), on, &d, false).await == Some(true) {
+        if order(s, rng.usize(0..64), on, &d, false).await == Answered::Accepted {
             s.orders.accepted(&d);
             if rng.u32(0..10) == 0 {
                 order(s, rng.usize(0..64), on, &d, true).await;
@@ -122,8 +135,8 @@
     let at = rng.usize(0..64);
     let (x, y) = tokio::join!(order(s, at, on, &a, false), order(s, at + 1, on, &b, false));
     match (x, y) {
-        (Some(true), _) => s.orders.accepted(&a),
-        (_, Some(true)) => s.orders.accepted(&b),
+        (Answered::Accepted, _) => s.orders.accepted(&a),
+        (_, Answered::Accepted) => s.orders.accepted(&b),
         _ => {}
     }
 }
@@ -131,16 +144,8 @@
 /// Evacuates a zone for so long.
 pub async fn evacuate(s: &Soak, zone: usize, long: Ms, rng: &mut Rng) {
     for evacuated in [true, false] {
-        let until = Instant::now() + PATIENCE;
-        let controls = s.controls();
-        for i in rng.usize(0..64).. {
-            let to = &controls[i % controls.len()];
-            let answer = timeout(SILENT, calls::evacuate(to, s.d.zones[zone].0, evacuated)).await.ok().flatten();
-            if answer == Some(200) || Instant::now() > until {
-                break;
-            }
-            sleep(AGAIN).await;
-        }
+        let taken = async |control: &str| calls::evacuate(control, s.d.zones[zone].0, evacuated).await.filter(|a| *a == 200);
+        ask_any(s, rng.usize(0..64), ORDERS, taken).await;
         if evacuated {
             sleep(Duration::from_millis(long)).await;
         }
--- a/fleet-tools/src/soak/releases.rs
+++ b/fleet-tools/src/soak/releases.rs
@@ -4,30 +4,28 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeSet,
-    time::{Duration, Instant},
+    net::Ipv4Addr,
+    time::Duration,
 };
 
 use fastrand::Rng;
-use platform_stand::{calls, world};
-use tokio::{
-    sync::Mutex,
-    time::{sleep, timeout},
-};
+use platform_stand::{calls, deployment::Deployment, machines::Machines, world};
+use tokio::sync::Mutex;
 
 use super::{
-    history::{Ms, Release, ReleaseEnd},
+    history::{Release, ReleaseEnd},
+    operators::{Pace, ask_any},
     run::Soak,
 };
 
 /// s. Within this a rollout is to be over.
 const WITHIN_S: u64 = 8;
 /// An order that is not taken, or a rollout without an end, is given up after so long.
-const PATIENCE: Duration = Duration::from_secs(90);
-/// How long one call may take, and the pause before the next.
-const CALL: Duration = Duration::from_secs(3);
-const AGAIN: Duration = Duration::from_millis(300);
+const PACE: Pace = Pace { patience: Duration::from_secs(90), pause: Duration::from_millis(300) };
 /// Sets of replicas, each with addresses of its own: one stands, the other comes.
 const SETS: usize = 2;
+/// The set that the deployment begins with.
+pub const FIRST_SET: usize = 0;
 
 /// What the platform knows of versions.
 pub struct Releases {
@@ -46,7 +44,7 @@
         Releases {
             turn: Mutex::default(),
             stands: RefCell::new(version.into()),
-            set: Cell::new(0),
+            set: Cell::new(FIRST_SET),
             number: Cell::new(0),
             retired: RefCell::default(),
         }
@@ -62,48 +60,39 @@
     }
 }
 
-/// Starts replicas of a version, as many as one set has.
-fn start(s: &Soak, version: &str, set: usize) {
-    let (service, each) = s.d.services[0];
-    for (z, (zone, _)) in s.d.zones.iter().enumerate() {
-        for i in 0..each {
-            let n = set * s.d.zones.len() * each + z * each + i;
-            let at = (s.machines.borrow().replica(n), s.d.ports.replica);
-            if let Err(e) = world::start(&s.world, service, zone, version, at) {
-                eprintln!("starting a replica of {version}: {e}");
-            }
-        }
-    }
+/// Zones and addresses of the replicas of a set.
+pub fn places(d: &Deployment, machines: &Machines, set: usize) -> Vec<(&'static str, (Ipv4Addr, u16))> {
+    let each = d.services[0].1;
+    let zones = d.zones.iter().enumerate().flat_map(|(z, zone)| (0..each).map(move |i| (z, zone.0, i)));
+    zones.map(|(z, zone, i)| (zone, (machines.replica((set * d.zones.len() + z) * each + i), d.ports.replica))).collect()
 }
 
-/// Sends the order until it is taken; false if it is given up.
-async fn order(s: &Soak, version: &str, rng: &mut Rng) -> bool {
-    let until = Instant::now() + PATIENCE;
-    while Instant::now() < until {
-        let control = rng.choice(s.controls());
-        let Some(control) = control else { return false };
-        let answer = timeout(CALL, calls::order_rollout(&control, s.d.services[0].0, version, WITHIN_S)).await;
-        if answer.ok().flatten() == Some(200) {
-            return true;
+/// Starts replicas of a version in the places of a set.
+fn start(s: &Soak, version: &str, set: usize) {
+    for (zone, address) in places(s.d, &s.machines.borrow(), set) {
+        if let Err(e) = world::start(&s.world, s.d.services[0].0, zone, version, address) {
+            eprintln!("starting a replica of {version}: {e}");
         }
-        sleep(AGAIN).await;
     }
-    false
 }
 
-/// Asks any daemon until the rollout has ended; none if it is given up.
-async fn end(s: &Soak, version: &str, rng: &mut Rng) -> Option<ReleaseEnd> {
-    let until = Instant::now() + PATIENCE;
-    while Instant::now() < until {
-        let control = rng.choice(s.controls())?;
-        let told = timeout(CALL, calls::rollout_state(&control, s.d.services[0].0)).await.ok().flatten();
-        match told.filter(|t| t.target == version).as_ref().map(|t| t.state.as_str()) {
-            Some("completed") => return Some(ReleaseEnd::Completed),
-            Some("reverted") => return Some(ReleaseEnd::Reverted),
-            _ => sleep(AGAIN).await,
-        }
+/// Orders a release and waits for its end, at any daemon.
+async fn roll_out(s: &Soak, version: &str, rng: &mut Rng) -> ReleaseEnd {
+    let service = s.d.services[0].0;
+    let taken =
+        async |control: &str| calls::order_rollout(control, service, version, WITHIN_S).await.filter(|status| *status == 200);
+    if ask_any(s, rng.usize(0..64), PACE, taken).await.is_none() {
+        return ReleaseEnd::GivenUp;
     }
-    None
+    let ended = async |control: &str| {
+        let told = calls::rollout_state(control, service).await.filter(|t| t.target == version)?;
+        match told.state.as_str() {
+            "completed" => Some(ReleaseEnd::Completed),
+            "reverted" => Some(ReleaseEnd::Reverted),
+            _ => None,
+        }
+    };
+    ask_any(s, rng.usize(0..64), PACE, ended).await.unwrap_or(ReleaseEnd::GivenUp)
 }
 
 /// Stops replicas of a version at once, whatever they run, and takes them off the list.
@@ -122,18 +111,10 @@
         s.world.borrow_mut().bad.insert(version.clone());
     }
     start(s, &version, set);
-    let ordered: Ms = s.now();
-    let row = Release { version: version.clone(), bad, ordered, ended: None, given_up: None };
-    let place = s.seen.borrow().releases.len();
-    s.seen.borrow_mut().releases.push(row);
-    let ended = if order(s, &version, rng).await { end(s, &version, rng).await } else { None };
-    let now = s.now();
-    {
-        let mut seen = s.seen.borrow_mut();
-        seen.releases[place].ended = ended.map(|e| (now, e));
-        seen.releases[place].given_up = ended.is_none().then_some(now);
-    }
-    if ended == Some(ReleaseEnd::Completed) {
+    let ordered = s.now();
+    let end = roll_out(s, &version, rng).await;
+    s.seen.borrow_mut().releases.push(Release { version: version.clone(), bad, ordered, ended: s.now(), end });
+    if end == ReleaseEnd::Completed {
         let old = s.releases.stands.replace(version);
         s.releases.set.set(set);
         retire(s, &old).await;
--- a/fleet-tools/src/soak/report.rs
+++ b/fleet-tools/src/soak/report.rs
@@ -71,7 +71,7 @@
         row("troubles of machines", format!("{kinds:?}"));
         row("replicas ended", o.replica_ends.len().to_string());
         row("changes of the configuration", t.changes.to_string());
-        let releases: Vec<String> = o.releases.iter().map(|r| format!("{} {:?}", r.version, r.ended.map(|e| e.1))).collect();
+        let releases: Vec<String> = o.releases.iter().map(|r| format!("{} {:?}", r.version, r.end)).collect();
         row("releases", releases.join(", "));
         row("configurations read, answers of the directory", format!("{}, {}", t.reads, t.resolutions));
         let uses = |all: &[Usage]| {
--- a/fleet-tools/src/soak/run.rs
+++ b/fleet-tools/src/soak/run.rs
@@ -23,7 +23,7 @@
     history::{Arrived, Directed, Event, Ms, Observed, Trouble},
     operators::{self, Orders},
     plan::{self, Size, Step},
-    releases::Releases,
+    releases::{self, Releases},
     resources,
 };
 
@@ -171,12 +171,8 @@
     machines.keeps = true;
     let world = Shared::default();
     world::serve_list(&world, (machines.list(), d.ports.list))?;
-    for (z, zone) in d.zones.iter().enumerate() {
-        let (service, each) = d.services[0];
-        for i in 0..each {
-            let at = (machines.replica(z * each + i), d.ports.replica);
-            world::start(&world, service, zone.0, d.versions[0], at)?;
-        }
+    for (zone, address) in releases::places(d, &machines, releases::FIRST_SET) {
+        world::start(&world, d.services[0].0, zone, d.versions[0], address)?;
     }
     let seen = Observed {
         seed: o.seed,
--- a/fleet-tools/tests/soak_checks.rs
+++ b/fleet-tools/tests/soak_checks.rs
@@ -77,20 +77,8 @@
         ],
         reads: vec![read(1, 1_050), read(3, 2_000), read(5, 8_000)],
         releases: vec![
-            Release {
-                version: "v2".into(),
-                bad: false,
-                ordered: 1_000,
-                ended: Some((9_000, ReleaseEnd::Completed)),
-                given_up: None,
-            },
-            Release {
-                version: "v3".into(),
-                bad: true,
-                ordered: 9_500,
-                ended: Some((12_000, ReleaseEnd::Reverted)),
-                given_up: None,
-            },
+            Release { version: "v2".into(), bad: false, ordered: 1_000, ended: 9_000, end: ReleaseEnd::Completed },
+            Release { version: "v3".into(), bad: true, ordered: 9_500, ended: 12_000, end: ReleaseEnd::Reverted },
         ],
         usage_before: vec![usage(10_000, 40, 1_000)],
         usage_after: vec![usage(12_000, 44, 50_000)],
@@ -122,7 +110,7 @@
     expect_that!(found(|o| o.changes[3].answer = Answered::Accepted), contains(eq(&("one_winner", Basis::Order))));
     expect_that!(found(|o| o.changes[2].answer = Answered::Refused), contains(eq(&("repeats", Basis::Order))));
     expect_that!(found(|o| o.reads[1] = read(1, 2_000)), contains(eq(&("older_read", Basis::Order))));
-    expect_that!(found(|o| o.releases[1].ended = Some((12_000, ReleaseEnd::Completed))), eq(&order("bad_release")));
+    expect_that!(found(|o| o.releases[1].end = ReleaseEnd::Completed), eq(&order("bad_release")));
     expect_that!(found(|o| o.lost_changes.push("x".into())), eq(&order("kept")));
     expect_that!(found(|o| o.not_back.push("x".into())), eq(&order("service_returns")));
     expect_that!(found(|o| o.events[0].ended_well = Some(false)), eq(&order("exit")));
@@ -210,7 +198,7 @@
     };
     expect_that!(found(named_at(8_100)), eq(&timing("directory_gone")));
     expect_that!(found(named_at(7_900)), is_empty());
-    expect_that!(found(|o| o.releases[0].given_up = Some(99_000)), eq(&timing("release_ends")));
+    expect_that!(found(|o| o.releases[0].end = ReleaseEnd::GivenUp), eq(&timing("release_ends")));
     let exposed = |o: &mut Observed| {
         let bad = |n: u64| Arrived { version: "v3".into(), ran: false, ..arrived("once", "", 9_600 + n) };
         o.arrived.extend((0..60).map(bad));
