Look up each edge's silence once for an answer of the directory

An answer worked out every edge's silence to choose, and again for those named: Serving carries it. No behaviour changes.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -45,7 +45,6 @@
 mod contexts;
 mod duties;
 mod feed;
-
 mod polls;
 mod resolution;
 mod status;
@@ -57,7 +56,7 @@
 use contexts::ContextDuty;
 use feed::Fed;
 use resolution::ResolutionCounts;
-pub use resolution::{Caller, Reach, Resolution, Silent, Unresolved};
+pub use resolution::{Caller, Reach, Resolution, Unresolved};
 use writes::{Order, Passed};
 
 /// Key of the operator's spec.
@@ -207,7 +206,6 @@
     /// By service whose copies of shared context are decided here.
     contexts: BTreeMap<String, ContextDuty>,
     contact: Contact,
-    next_introduction: Ms,
     resolutions: ResolutionCounts,
 }
 
@@ -284,8 +282,7 @@
             resting: BTreeSet::new(),
             writing: BTreeMap::new(),
             contexts: BTreeMap::new(),
-            contact: Contact::default(),
-            next_introduction: now + INTRODUCE_EVERY,
+            contact: Contact::new(now),
             resolutions: ResolutionCounts::default(),
         };
         c.publish(now, &mut Vec::new());
--- a/coordination/src/control/resolution.rs
+++ b/coordination/src/control/resolution.rs
@@ -55,14 +55,28 @@
 pub struct Resolution {
     pub addresses: Vec<String>,
     pub reach: Reach,
-    pub silent: Silent,
+    silent: Silent,
 }
 
 /// Edges of an answer that were not heard of for `SILENT_EDGE`, and the longest silence of any edge in it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Silent {
-    pub edges: usize,
-    pub longest: Ms,
+struct Silent {
+    edges: usize,
+    longest: Ms,
+}
+
+impl Silent {
+    fn among(edges: &[Serving]) -> Self {
+        let silent = edges.iter().filter(|e| e.silence > SILENT_EDGE).count();
+        Silent { edges: silent, longest: edges.iter().map(|e| e.silence).max().unwrap_or(0) }
+    }
+}
+
+/// An edge that serves, and how long ago it was last heard of.
+#[derive(Clone, Copy)]
+struct Serving<'a> {
+    node: &'a Node,
+    silence: Ms,
 }
 
 /// Why the directory names no edge.
@@ -83,7 +97,16 @@
     silent: u64,
     silent_logged: Option<Ms>,
     /// By region of the callers and how far they are sent, `None` for nowhere: when that was last logged.
-    logged: BTreeMap<(Name, Option<Reach>), Ms>,
+    logged: BTreeMap<(Name, Option<Reach>), Option<Ms>>,
+}
+
+/// Whether something is to be logged that was last logged then, and is at most this often.
+fn due(logged: &mut Option<Ms>, every: Ms, now: Ms) -> bool {
+    let due = logged.is_none_or(|at| now.saturating_sub(at) >= every);
+    if due {
+        *logged = Some(now);
+    }
+    due
 }
 
 impl ResolutionCounts {
@@ -111,21 +134,12 @@
 
     /// Whether it is to be logged that an answer names silent edges.
     fn silent_due(&mut self, silent: Silent, now: Ms) -> bool {
-        let due = silent.edges > 0 && self.silent_logged.is_none_or(|at| now.saturating_sub(at) >= SILENT_LOGGED);
-        if due {
-            self.silent_logged = Some(now);
-        }
-        due
+        silent.edges > 0 && due(&mut self.silent_logged, SILENT_LOGGED, now)
     }
 
     /// Whether it is to be logged how far a region's callers are sent: a region with one edge is so for ever.
-    fn due(&mut self, region: &str, reach: Option<Reach>, now: Ms) -> bool {
-        let key = (region.into(), reach);
-        let due = self.logged.get(&key).is_none_or(|at| now.saturating_sub(*at) >= RESOLUTION_LOGGED);
-        if due {
-            self.logged.insert(key, now);
-        }
-        due
+    fn far_due(&mut self, region: &str, reach: Option<Reach>, now: Ms) -> bool {
+        due(self.logged.entry((region.into(), reach)).or_default(), RESOLUTION_LOGGED, now)
     }
 }
 
@@ -139,7 +153,7 @@
         let is_far = reach.is_none_or(|r| r > Reach::Region) && answer != Err(Unresolved::Starting);
         // A region that no zone is in is a caller's mistake, of which there may be any number.
         let is_known = self.p.regions.values().any(|r| r == caller.region);
-        let log = is_far && is_known && self.resolutions.due(caller.region, reach, now);
+        let log = is_far && is_known && self.resolutions.far_due(caller.region, reach, now);
         let mut effects = if log { vec![self.log_far(caller, &answer, now)] } else { vec![] };
         let silent = answer.as_ref().map_or(Silent::default(), |r| r.silent);
         if self.resolutions.silent_due(silent, now) {
@@ -163,20 +177,14 @@
         by_poll.into_iter().chain(by_gossip).min().unwrap_or(Ms::MAX)
     }
 
-    fn silent_among(&self, edges: &[&Node], now: Ms) -> Silent {
-        let silences = edges.iter().map(|n| self.silence(n, now));
-        let longest = silences.clone().max().unwrap_or(0);
-        Silent { edges: silences.filter(|ms| *ms > SILENT_EDGE).count(), longest }
-    }
-
     fn log_far(&self, caller: Caller, answer: &Result<Resolution, Unresolved>, now: Ms) -> Effect {
         let text = match answer {
             Ok(r) => format!("host={} reach={} edges={}", caller.host, r.reach.name(), r.addresses.len()),
             Err(_) => format!("host={} reach=none", caller.host),
         };
         let mut near: BTreeMap<&str, u32> = BTreeMap::new();
-        for n in self.serving_edges(now) {
-            *near.entry(regions::region(&self.p.regions, &n.zone)).or_default() += 1;
+        for edge in self.serving_edges(now) {
+            *near.entry(self.region_of(edge)).or_default() += 1;
         }
         let serving: Vec<String> = near.iter().map(|(region, n)| format!("{region}:{n}")).collect();
         note(events::CALLERS_SENT_FAR, caller.region, format!("{text} serving={}", serving.join(",")))
@@ -185,13 +193,16 @@
     /// Edges that serve, as far as this daemon knows. All live edges poll a daemon that is in touch, so that it takes those
     /// which it does not hear of for gone, whatever part of the fleet they are. Otherwise their silence may be its own cut,
     /// and it goes by gossip, for no longer than it may be out of touch without a rule's leave.
-    fn serving_edges(&self, now: Ms) -> Vec<&Node> {
+    fn serving_edges(&self, now: Ms) -> Vec<Serving<'_>> {
+        let in_touch = self.in_touch(now);
+        let most = if in_touch { NODE_GONE } else { self.p.bounds.contact };
         let all = self.membership.known(EDGE).filter(|n| !n.http.is_empty());
-        if self.in_touch(now) {
-            return all.filter(|n| self.silence(n, now) <= NODE_GONE).collect();
-        }
-        let live = all.filter(|n| self.membership.is_live(&n.name));
-        live.filter(|n| self.silence(n, now) <= self.p.bounds.contact).collect()
+        let all = all.filter(|n| in_touch || self.membership.is_live(&n.name));
+        all.map(|node| Serving { node, silence: self.silence(node, now) }).filter(|e| e.silence <= most).collect()
+    }
+
+    fn region_of<'a>(&'a self, edge: Serving<'a>) -> &'a str {
+        regions::region(&self.p.regions, &edge.node.zone)
     }
 
     fn edges_for(&self, caller: Caller, now: Ms) -> Result<Resolution, Unresolved> {
@@ -199,28 +210,27 @@
             return Err(Unresolved::Starting);
         }
         let (edges, reach) = self.choose_edges(caller, self.serving_edges(now));
-        let edges: Vec<&Node> = agreed(caller.host, edges, |n| &n.name).into_iter().take(ADDRESSES).collect();
+        let edges: Vec<Serving> = agreed(caller.host, edges, |e| &e.node.name).into_iter().take(ADDRESSES).collect();
         if edges.is_empty() {
             return Err(Unresolved::NoEdge);
         }
-        let silent = self.silent_among(&edges, now);
-        let addresses = edges.iter().map(|n| n.http.to_string()).collect();
+        let silent = Silent::among(&edges);
+        let addresses = edges.iter().map(|e| e.node.http.to_string()).collect();
         Ok(Resolution { addresses, reach, silent })
     }
 
-    fn choose_edges<'a>(&'a self, caller: Caller, all: Vec<&'a Node>) -> (Vec<&'a Node>, Reach) {
-        let zone: Vec<&Node> = all.iter().filter(|n| &*n.zone == caller.zone).copied().collect();
+    fn choose_edges<'a>(&'a self, caller: Caller, all: Vec<Serving<'a>>) -> (Vec<Serving<'a>>, Reach) {
+        let zone: Vec<Serving> = all.iter().filter(|e| &*e.node.zone == caller.zone).copied().collect();
         if zone.len() > 1 {
             return (zone, Reach::Zone);
         }
-        let region_of = |n: &'a Node| regions::region(&self.p.regions, &n.zone);
-        let (own, beyond): (Vec<&Node>, Vec<&Node>) = all.iter().partition(|n| region_of(n) == caller.region);
+        let (own, beyond): (Vec<Serving>, Vec<Serving>) = all.into_iter().partition(|e| self.region_of(*e) == caller.region);
         if own.len() > 1 {
             return (own, Reach::Region);
         }
         // A body is not carried where it has no home for the sake of a choice, nor for the want of any edge.
         let homes = self.homes(caller.host);
-        let beyond = beyond.into_iter().filter(|n| homes.include(region_of(n)));
+        let beyond = beyond.into_iter().filter(|e| homes.include(self.region_of(*e)));
         let reach = if homes == Homes::Unbound { Reach::Fleet } else { Reach::Homes };
         (own.into_iter().chain(beyond).collect(), reach)
     }
--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -61,9 +61,9 @@
 pub const SHUTDOWN_FAREWELL: Ms = 600;
 /// ms. That a region's callers are sent so far beyond it, or nowhere, is logged this often while it lasts.
 pub const RESOLUTION_LOGGED: Ms = 60_000;
-/// ms. An edge that was not heard of for so long is most likely gone: that the directory names it all the same is logged,
-/// and how often.
+/// ms. An edge that was not heard of for so long is most likely gone: that the directory names it all the same is logged.
 pub const SILENT_EDGE: Ms = 3_000;
+/// ms. It is logged this often while it lasts.
 pub const SILENT_LOGGED: Ms = 2_000;
 /// ms. A control daemon that has run and heard a majority of the voters for so long without a break is in touch: every live
 /// edge has polled it, also one that has just learned of it.
