--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -314,7 +314,7 @@
 pub const FULL_MS: f64 = 600.0;
 /// ms. What the last place of a replica costs; half of its places cost a sixteenth of it.
 pub const FILLING_MS: f64 = 300.0;
-/// Weight of one replica's word in the mean of all: some twenty of the last count.
+/// Weight of one replica's newest load or lag in the average of its service: some twenty of the last count.
 pub const MEAN_WEIGHT: f64 = 0.05;
 /// ms. What it costs to exceed the rate that the replica would bear if it turned cold now.
 pub const RATE_MS: f64 = 60.0;
@@ -359,6 +359,8 @@
 /// Weight of a new lag of first pieces against all before, and the most ms that it counts.
 pub const LAG_WEIGHT: f64 = 0.2;
 pub const LAG_MOST: f64 = 400.0;
+/// ms. A replica's lag fades towards the average of its service by e in this time: what made it late is over by then.
+pub const LAG_FADES: f64 = 5_000.0;
 /// Part of a cold replica's rate that all proxies together use: the rest covers their not knowing of each other.
 pub const COLD_PART: f64 = 0.9;
 /// Part of what a cold replica bears over its rate that proxies' first rounds may use up together.
--- a/coordination/src/placement/mod.rs
+++ b/coordination/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Where a request that came by host and path goes: the replica with the least expected cost, in milliseconds of
 //! waiting or what is worth as much.
 
+mod averages;
 mod bucket;
 mod budget;
 mod kept;
@@ -10,6 +11,7 @@
 mod site;
 mod travel;
 
+pub use averages::Averages;
 pub use bucket::Bucket;
 pub use budget::Budget;
 pub use kept::Kept;
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -6,15 +6,14 @@
 use wire_messages::{List, Name, Reading};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Kept, Reach, Reuse, Site, Travel, again_ms, carry_ms, chain, read_ms, shared, tokens};
+use super::{Averages, Kept, Reach, Reuse, Site, Travel, again_ms, carry_ms, chain, read_ms, shared, tokens};
 use crate::{
     Ms,
     bounds::Bounds,
     context::Standing,
     limits::{
         COLD_BURST_PART, COLD_PART, DOUBT_MS, DOUBT_NEWS, DOUBT_SHUNS, DOWN_COLD, EDGES_FALL, FAILING_EVERY, FILLING_MS, FULL_MS,
-        KEPT_TOKENS, LOAD_MS, MEAN_WEIGHT, OPENING_MS, ORDER_MS, RATE_MS, READ_AHEAD_LOAD, READING_TOLD, READINGS_EVERY,
-        READINGS_MOST,
+        KEPT_TOKENS, LOAD_MS, OPENING_MS, ORDER_MS, RATE_MS, READ_AHEAD_LOAD, READING_TOLD, READINGS_EVERY, READINGS_MOST,
     },
     order::{weight, weight_of},
     pass::{Ask, Told},
@@ -57,6 +56,7 @@
 
 #[derive(Clone, Debug)]
 struct Row {
+    service: String,
     addr: String,
     version: String,
     site: Site,
@@ -71,8 +71,8 @@
     pub travel: Travel,
     pub bounds: Bounds,
     engines: BTreeMap<String, EngineSpec>,
-    /// Requests that a replica runs and waits for, over what they lately told.
-    mean: f64,
+    /// By service.
+    averages: BTreeMap<String, Averages>,
     /// Names of edges, mine among them, and the most there were lately.
     edges: Vec<String>,
     me: String,
@@ -120,6 +120,7 @@
         for r in all {
             let number = xxh3_64(r.id.as_bytes());
             let row = self.rows.entry(r.id.clone()).or_insert_with(|| Row {
+                service: service.into(),
                 addr: r.addr.clone(),
                 version: r.version.clone(),
                 // One that nobody told the places of is like its service's others, not full.
@@ -147,9 +148,12 @@
     pub fn has_context(&self, service: &str) -> bool {
         self.standing.on(service)
     }
+    fn averages(&self, service: &str) -> Averages {
+        self.averages.get(service).copied().unwrap_or_default()
+    }
     /// ms by which a replica's first pieces lately come late.
-    pub fn lag(&self, id: &str) -> f64 {
-        self.rows.get(id).map_or(0.0, |r| r.site.lag)
+    pub fn lag(&self, id: &str, now: Ms) -> f64 {
+        self.rows.get(id).map_or(0.0, |r| r.site.lag(&self.averages(&r.service), now))
     }
     /// A replica read shared parts that were taken for kept there: they are not, or were put out meanwhile.
     pub fn missed(&mut self, id: &str, parts: &[u64]) {
@@ -249,13 +253,18 @@
                 again < (carry + far - near) * self.reuse.times()
             };
         let mine = order.iter().map(|o| o.1).find(|i| copy && !self.travel.far(&self.rows[all[*i].0].site.zone));
+        let averages = self.averages(service);
         let edges = self.edges();
         let bears = self.engines.get(service).and_then(|e| e.cold_rate).unwrap_or(0.0) * self.bounds.cold_over / edges as f64;
         for (step, (_, i)) in order.into_iter().enumerate() {
             let s = &self.rows[all[i].0].site;
-            let load = s.load(self.mean, now);
-            let mut c =
-                self.travel.ms(&s.zone) + s.lag + s.reads(now) + load * LOAD_MS + s.doubt(now) * DOUBT_MS + s.risk(now) * failing;
+            let load = s.load(&averages, now);
+            let mut c = self.travel.ms(&s.zone)
+                + s.lag(&averages, now)
+                + s.reads(now)
+                + load * LOAD_MS
+                + s.doubt(now) * DOUBT_MS
+                + s.risk(now) * failing;
             if self.travel.far(&s.zone) {
                 c += carry;
             }
@@ -375,7 +384,7 @@
         r.site.heard(t, now);
         self.reach.sign(self.travel.region(&r.site.zone));
         if let Some((running, waiting, _)) = t.load {
-            self.mean += (f64::from(running + waiting) - self.mean) * MEAN_WEIGHT;
+            self.averages.entry(service.into()).or_default().saw_load(running + waiting);
         }
         if let Some(ms) = t.cold.filter(|m| *m > 0) {
             r.site.set_cold(now + ms);
@@ -389,9 +398,10 @@
         }
     }
     pub fn first_piece(&mut self, id: &str, read_ms: f64, late: f64, now: Ms) {
-        if let Some(r) = self.rows.get_mut(id) {
-            r.site.first_piece(read_ms, late, now);
-        }
+        let Some(r) = self.rows.get_mut(id) else { return };
+        let averages = self.averages.entry(r.service.clone()).or_default();
+        averages.saw_lag(late);
+        r.site.first_piece(read_ms, late, averages, now);
     }
     /// `unheard`: ms of reading, if no first piece has come. `failed`: the replica is at fault.
     pub fn end(&mut self, id: &str, unheard: Option<f64>, failed: bool, now: Ms) {
--- a/coordination/src/placement/site.rs
+++ b/coordination/src/placement/site.rs
@@ -5,11 +5,11 @@
 use crate::{
     Ms,
     limits::{
-        CHANNEL_RESTS, DOUBT_FADES, DOUBT_KEPT, DOUBT_MOST, DOUBT_SHUNS, DOWN_FIRST, DOWN_MOST, LAG_MOST, LAG_WEIGHT, LOAD_OLD,
-        OTHERS_MOST, QUIET, RISK_FADES, RISK_WEIGHT,
+        CHANNEL_RESTS, DOUBT_FADES, DOUBT_KEPT, DOUBT_MOST, DOUBT_SHUNS, DOWN_FIRST, DOWN_MOST, LAG_FADES, LAG_MOST, LAG_WEIGHT,
+        LOAD_OLD, OTHERS_MOST, QUIET, RISK_FADES, RISK_WEIGHT,
     },
     pass::Told,
-    placement::Bucket,
+    placement::{Averages, Bucket},
 };
 
 #[derive(Clone, Debug)]
@@ -32,8 +32,9 @@
     /// Recent rounds of ours, decaying over a second.
     rate: f64,
     rate_at: Ms,
-    /// ms by which first pieces come later than expected.
-    pub lag: f64,
+    /// ms by which first pieces came later than expected, and when the newest of them came.
+    lag: f64,
+    lag_at: Option<Ms>,
     /// Failures in a row, and until when it is left alone.
     fails: u32,
     down_until: Ms,
@@ -68,6 +69,7 @@
             rate: 0.0,
             rate_at: 0,
             lag: 0.0,
+            lag_at: None,
             fails: 0,
             down_until: 0,
             down_since: None,
@@ -115,10 +117,12 @@
     pub fn reads(&self, now: Ms) -> f64 {
         self.reading + (self.others - now as f64).max(0.0)
     }
-    pub fn first_piece(&mut self, read_ms: f64, late_ms: f64, now: Ms) {
+    pub fn first_piece(&mut self, read_ms: f64, late_ms: f64, averages: &Averages, now: Ms) {
         self.unheard = self.unheard.saturating_sub(1);
         self.reading = (self.reading - read_ms).max(0.0);
-        self.lag = (self.lag + (late_ms - self.lag) * LAG_WEIGHT).clamp(0.0, LAG_MOST);
+        let old = self.lag(averages, now);
+        self.lag = (old + (late_ms - old) * LAG_WEIGHT).clamp(0.0, LAG_MOST);
+        self.lag_at = Some(now);
         self.sign(now);
     }
     pub fn end(&mut self, read_ms: Option<f64>) {
@@ -209,9 +213,17 @@
     pub fn rate_now(&self, now: Ms) -> f64 {
         self.rate * (-(now.saturating_sub(self.rate_at) as f64) / 1_000.0).exp()
     }
-    /// Requests that run or wait there, as far as can be told. `mean`: what replicas lately told on the whole;
-    /// the older this one's own word is, the more it is taken to be like the others.
-    pub fn load(&self, mean: f64, now: Ms) -> f64 {
+    /// ms by which a first piece is likely to be late: one that has not been used lately is taken to be like the others,
+    /// so that a replica that is new to all proxies draws no crowd.
+    pub fn lag(&self, averages: &Averages, now: Ms) -> f64 {
+        let Some(at) = self.lag_at else { return averages.lag };
+        let fresh = (-(now.saturating_sub(at) as f64) / LAG_FADES).exp();
+        averages.lag + (self.lag - averages.lag) * fresh
+    }
+    /// Requests that run or wait there, as far as can be told: the older its own word is, the more it is taken to be like
+    /// the others of its service.
+    pub fn load(&self, averages: &Averages, now: Ms) -> f64 {
+        let mean = averages.load;
         let mine = f64::from(self.open);
         let Some((running, waiting, open, at)) = self.told else { return mean + mine };
         let fresh = (-(now.saturating_sub(at) as f64) / LOAD_OLD as f64).exp();
--- a/coordination/src/proxy/pass.rs
+++ b/coordination/src/proxy/pass.rs
@@ -148,7 +148,7 @@
         let ready = f.ready.take();
         // Others' prompts make a replica late too: it must be late by most of what reading the shared parts takes, and
         // beyond what it lately was.
-        let missed = ready.filter(|r| late - self.placement.lag(&p.replica) > read_ms(r.chain.tokens) * MISSED_PART);
+        let missed = ready.filter(|r| late - self.placement.lag(&p.replica, now) > read_ms(r.chain.tokens) * MISSED_PART);
         self.placement.first_piece(&p.replica, read, late, now);
         if let Some(r) = missed {
             self.miss_context(p, r, now);
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -526,3 +526,34 @@
     });
     expect_that!(back.nth(20), some(le(26_000)));
 }
+
+/// What was late at others lately says nothing of one that nobody has used yet: it is taken to be like them, not better.
+#[gtest]
+fn a_replica_that_is_new_to_all_proxies_draws_no_crowd() {
+    const PROXIES: usize = 88;
+    let names: Vec<String> = (0..30).map(|i| format!("r{i}")).collect();
+    let known: Vec<PlacedReplica> = names.iter().map(|n| replica(n, "a", false)).collect();
+    let (mut fleet, l) = (fleet(PROXIES, &known), lane(&[]));
+    let short = |n: u64| ask(&[(n, 90), (n << 32, 290)]);
+    let late = |fleet: &mut [Placement], ids: &[String], n: u64, now: u64| {
+        let p = &mut fleet[n as usize % PROXIES];
+        let a = short(n);
+        let w = Want { lane: &l, ask: &a, tried: &[], evacuated: &BTreeSet::new() };
+        let to = p.nominate("s", ids.iter(), &w, now).unwrap();
+        p.send(&to, &a, now);
+        p.heard("s", &to.id, &Told::default(), now);
+        p.first_piece(&to.id, to.read_ms, 20.0 + (n % 50) as f64, now);
+        p.end(&to.id, None, false, now);
+        to.id
+    };
+    for n in 0..10_000 {
+        late(&mut fleet, &names, n, 10_000 + n * 2);
+    }
+    let ids: Vec<String> = names.into_iter().chain(["new".to_string()]).collect();
+    let all: Vec<PlacedReplica> = ids.iter().map(|n| replica(n, "a", false)).collect();
+    let old: BTreeSet<String> = ids.iter().cloned().collect();
+    fleet.iter_mut().for_each(|p| p.set_service("s", &all, &old, 30_000));
+    let sent = (10_000..10_500).filter(|n| late(&mut fleet, &ids, *n, 10_000 + n * 2) == "new").count();
+    // A second's requests, 500 for 31 replicas: a fair part is 16.
+    expect_that!(sent, le(3 * 16));
+}
