Leave a zone alone as a whole whose replicas cannot be reached

Cause: proxies learned of a dark zone one replica at a time, again and again. Only whole regions were left alone. Ruled out: refusals and resets, which come at once and speak of one replica; rounds that are slow, which are a load's doing. Change: Reach also counts failures by zone. Two different replicas of a zone in a row from which nothing came while a channel was opened, with no sign of life from the zone between, and it is left alone while there are others, but for one look after 600 ms, doubled to 2.4 s at most. `PassEnd::Dark` tells nothing at all from a refusal.

--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -326,6 +326,11 @@
 /// so often. A channel opens in a tenth of it over any way.
 pub const REGION_QUIET: Ms = 600;
 pub const REGION_TRIES: u32 = 2;
+/// Replicas of one zone in a row that cannot be reached, with no sign of life from the zone between: then it is the zone.
+pub const ZONE_FAILURES: u32 = 2;
+/// ms. It is looked at again after so long, doubled each time, at most so long: a channel opens in a tenth of the first.
+pub const ZONE_LOOK_FIRST: Ms = 600;
+pub const ZONE_LOOK_MOST: Ms = 2_400;
 /// ms. A replica that failed is left alone for so long, doubled each time, at most so long.
 pub const DOWN_FIRST: Ms = 250;
 pub const DOWN_MOST: Ms = 2_000;
--- a/coordination/src/pass.rs
+++ b/coordination/src/pass.rs
@@ -54,6 +54,8 @@
     Failed,
     /// No channel: nothing was sent.
     Unreachable,
+    /// Nothing came of opening a channel: its machine is off, or the way there is cut. Nothing was sent.
+    Dark,
     /// Its time ran out without a head.
     Silent,
     /// The replica says that it did not run it and is full.
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -202,10 +202,10 @@
         if all.iter().any(|(id, _)| self.rows[*id].site.answers(now)) {
             all.retain(|(id, _)| self.rows[*id].site.answers(now));
         }
-        // A region that is cut off is looked at now and then, not at each of its replicas.
+        // A region or zone that is cut off is looked at now and then, not at each of its replicas.
         let reached = |id: &str| {
             let zone = &self.rows[id].site.zone;
-            !self.travel.far(zone) || self.reach.may_try(self.travel.region(zone), now)
+            self.reach.may_try_zone(zone, now) && (!self.travel.far(zone) || self.reach.may_try(self.travel.region(zone), now))
         };
         if all.iter().any(|(id, _)| reached(id)) {
             all.retain(|(id, _)| reached(id));
@@ -313,6 +313,7 @@
         r.site.send(n.read_ms, now);
         r.site.warm_one(now);
         let number = r.site.number;
+        self.reach.looked(&r.site.zone, now);
         if self.travel.far(&r.site.zone) {
             self.reach.tried(self.travel.region(&r.site.zone), now);
         }
@@ -376,13 +377,13 @@
         let Some(r) = self.rows.get(id) else { return };
         let zone = r.site.zone.clone();
         self.travel.took(&zone, took as f64);
-        self.reach.sign(self.travel.region(&zone));
+        self.reach.sign(self.travel.region(&zone), &zone);
     }
     pub fn heard(&mut self, service: &str, id: &str, t: &Told, now: Ms) {
         let cold_ms = self.engines.get(service).map_or(0, |e| e.cold_ms);
         let Some(r) = self.rows.get_mut(id) else { return };
         r.site.heard(t, now);
-        self.reach.sign(self.travel.region(&r.site.zone));
+        self.reach.sign(self.travel.region(&r.site.zone), &r.site.zone);
         if let Some((running, waiting, _)) = t.load {
             self.averages.entry(service.into()).or_default().saw_load(running + waiting);
         }
@@ -426,6 +427,12 @@
         r.site.ended(true, now);
         r.site.doubted_for(took);
     }
+    /// Nothing came of opening a channel to it.
+    pub fn dark(&mut self, id: &str, now: Ms) {
+        if let Some(r) = self.rows.get(id) {
+            self.reach.failed(&r.site.zone, r.site.number, now);
+        }
+    }
     /// It answered a request here.
     pub fn trust(&mut self, id: &str) {
         if let Some(r) = self.rows.get_mut(id) {
--- a/coordination/src/proxy/pass.rs
+++ b/coordination/src/proxy/pass.rs
@@ -160,8 +160,11 @@
     /// A round ended; said once for each. Gives the version that this proxy begins to cap, if it does.
     pub fn passed(&mut self, p: &Placed, e: PassEnd, now: Ms) -> Option<String> {
         let f = self.flights.remove(&p.flight)?;
-        let failed = matches!(e, PassEnd::Failed | PassEnd::Unreachable | PassEnd::Silent);
+        let failed = matches!(e, PassEnd::Failed | PassEnd::Unreachable | PassEnd::Dark | PassEnd::Silent);
         self.placement.end(&p.replica, f.read_ms, failed, now);
+        if e == PassEnd::Dark {
+            self.placement.dark(&p.replica, now);
+        }
         if e == PassEnd::Other {
             self.placement.gone(&p.replica);
         }
@@ -170,7 +173,7 @@
             PassEnd::Answered => Ended::Answered,
             PassEnd::Slow => Ended::Slow,
             PassEnd::Failed | PassEnd::Silent => Ended::Failed,
-            PassEnd::Unreachable | PassEnd::Full | PassEnd::Other => Ended::Busy,
+            PassEnd::Unreachable | PassEnd::Dark | PassEnd::Full | PassEnd::Other => Ended::Busy,
             PassEnd::Dropped => Ended::Dropped,
         };
         self.done(p, ended, now)
--- a/edge-proxy/src/pass.rs
+++ b/edge-proxy/src/pass.rs
@@ -194,6 +194,10 @@
                 event(events::ROUND_FAILED, &f.placed.replica, &why);
                 f.end(PassEnd::Unreachable);
             }
+            Unopened::Dark(why) => {
+                event(events::ROUND_FAILED, &f.placed.replica, &why);
+                f.end(PassEnd::Dark);
+            }
         }
         self.tried.push(f.placed.replica.clone());
         self.elsewhere()
--- a/edge-proxy/src/pool.rs
+++ b/edge-proxy/src/pool.rs
@@ -44,6 +44,8 @@
     /// As many as this proxy may hold are open.
     Full,
     Lost(String),
+    /// Nothing came back at all.
+    Dark(String),
 }
 
 /// One connection to a replica.
@@ -189,7 +191,7 @@
         let s = match timeout(Duration::from_millis(limit), s.connect(to)).await {
             Ok(Ok(s)) => s,
             Ok(Err(e)) => return Err(lost(&e)),
-            Err(_) => return Err(lost(&format!("nothing after {limit} ms"))),
+            Err(_) => return Err(Unopened::Dark(format!("opening a channel to {addr}: nothing after {limit} ms"))),
         };
         let took = clock::now().saturating_sub(at);
         peer.took.set((peer.took.get() * (100 - OPEN_WEIGHT) + took * OPEN_WEIGHT) / 100);
--- a/fleet-simulator/src/world/engine.rs
+++ b/fleet-simulator/src/world/engine.rs
@@ -203,7 +203,7 @@
         let (rep, up, dark) = ((p.replica.clone(), r.r.zone.clone()), r.up && r.r.addr == p.addr, r.dark > self.now);
         let ms = self.latency(&rep.1, &e.1);
         if self.cut(&e, &rep) || self.cut(&rep, &e) {
-            return self.after(OPEN_LIMIT, Ev::Engine(EngineEv::Ended { way, round, how: PassEnd::Unreachable }));
+            return self.after(OPEN_LIMIT, Ev::Engine(EngineEv::Ended { way, round, how: PassEnd::Dark }));
         }
         if !up {
             return self.after(ms, Ev::Engine(EngineEv::Ended { way, round, how: PassEnd::Unreachable }));
@@ -344,8 +344,9 @@
             || self.off == Some(Guard::Once)
             || w.lane.as_ref().is_some_and(|l| l.kind == remote_calls::PathKind::StreamResumable);
         let forced = self.off == Some(Guard::Once) && round < 3;
-        let more =
-            forced || w.lane.as_ref().is_some_and(|l| round < l.rounds as usize) || how == PassEnd::Unreachable && round < 3;
+        let more = forced
+            || w.lane.as_ref().is_some_and(|l| round < l.rounds as usize)
+            || matches!(how, PassEnd::Unreachable | PassEnd::Dark) && round < 3;
         if safe && more && b.second_pass(&service, now) {
             return self.engine_take(way);
         }
@@ -353,7 +354,7 @@
             way,
             match how {
                 PassEnd::Full => "full",
-                PassEnd::Unreachable => "unreachable",
+                PassEnd::Unreachable | PassEnd::Dark => "unreachable",
                 _ => "failed",
             },
         );
