--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pass;
 pub mod pass_stream;
 pub mod placement;
+pub mod policy;
 pub mod proxy;
 pub mod regions;
 pub mod register;
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -17,6 +17,7 @@
     },
     order::{weight, weight_of},
     pass::{Ask, Told},
+    policy::{Mechanism, Policy},
 };
 
 /// In place of a replica's number.
@@ -54,6 +55,12 @@
     if repeated { again } else { again.max(w.lane.expected_ms as f64) }
 }
 
+/// Any replica may turn cold unseen: what it would then bear is not exceeded while others can take it.
+fn rate_ms(s: &Site, bears: f64, now: Ms) -> f64 {
+    let next = s.rate_now(now) + 1.0;
+    if bears > 0.0 && next > bears { RATE_MS * next / bears } else { 0.0 }
+}
+
 #[derive(Clone, Debug)]
 struct Row {
     service: String,
@@ -62,6 +69,50 @@
     site: Site,
 }
 
+/// A zone as it is for one request.
+#[derive(Clone, Copy, Debug)]
+struct ZoneView<'a> {
+    name: &'a str,
+    /// ms there and back.
+    way: f64,
+    /// It is in another region.
+    far: bool,
+    /// Homes and evacuations let the request go there.
+    allowed: bool,
+    /// It gives signs of life, or it is time to look again.
+    reached: bool,
+}
+
+/// A replica that may take a request, and what it would cost.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    id: &'a str,
+    row: &'a Row,
+    zone: ZoneView<'a>,
+    /// It is taken to keep the prompt's shared parts.
+    keeps: bool,
+    /// A copy of them is to stand ready there.
+    stands: bool,
+    /// ms of waiting, or what is worth as much.
+    cost: f64,
+}
+
+/// Keeps those that pass, if there are any.
+fn retain_if_any<'a>(all: &mut Vec<Candidate<'a>>, pass: impl Fn(&Candidate<'a>) -> bool) {
+    if all.iter().any(&pass) {
+        all.retain(pass);
+    }
+}
+
+/// Places in the list, in the order that all proxies agree on for a prompt: copies that stand ready first, then, where
+/// each region has its own, replicas of this one.
+fn agreed_order(all: &[Candidate], key: Option<u64>, regional: bool) -> Vec<usize> {
+    let rank = |c: &Candidate| (c.stands, !(regional && c.zone.far), key.map_or(0, |k| weight_of(k, c.row.site.number)));
+    let mut order: Vec<((bool, bool, u64), usize)> = all.iter().map(rank).zip(0..).collect();
+    order.sort_unstable_by(|a, b| b.cmp(a));
+    order.into_iter().map(|o| o.1).collect()
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Placement {
     rows: BTreeMap<String, Row>,
@@ -70,6 +121,7 @@
     reach: Reach,
     pub travel: Travel,
     pub bounds: Bounds,
+    pub policy: Policy,
     engines: BTreeMap<String, EngineSpec>,
     /// By service.
     averages: BTreeMap<String, Averages>,
@@ -133,13 +185,13 @@
             (row.addr, row.version) = (r.addr.clone(), r.version.clone());
             self.ids.insert(number, r.id.clone());
             if r.cold {
-                row.site.set_cold(now + cold_ms.max(1));
+                row.site.set_cold(now + cold_ms.max(1), now);
             }
         }
     }
     /// Takes a service's copies of shared context; none where they are switched off.
     pub fn set_context(&mut self, service: &str, r: Option<&ContextRecord>) {
-        match r {
+        match r.filter(|_| self.policy.has(Mechanism::ContextCopies)) {
             Some(r) => self.standing.set(r, self.travel.home()),
             None => self.standing.unset(service),
         }
@@ -177,7 +229,8 @@
 
     /// This proxy's part of a cold replica's rate: none if others are to warm it.
     fn cold_rate(&self, service: &str, id: &str) -> f64 {
-        let Some(rate) = self.engines.get(service).and_then(|e| e.cold_rate).filter(|r| *r > 0.0) else { return f64::MAX };
+        let told = self.engines.get(service).and_then(|e| e.cold_rate).filter(|_| self.policy.has(Mechanism::ColdRamp));
+        let Some(rate) = told.filter(|r| *r > 0.0) else { return f64::MAX };
         // Each of those who warm it may send one at the same moment: no more of them than what it bears besides.
         let spare = rate * (self.bounds.cold_over - 1.0).max(0.0) + self.bounds.cold_slack;
         let all = self.edges().min((spare * COLD_BURST_PART).max(1.0) as usize).max(1);
@@ -187,123 +240,166 @@
 
     // ---- nominating ----
 
+    /// The replica with the least expected cost, among those that may take the request.
     pub fn nominate<'a>(&mut self, service: &str, ids: impl Iterator<Item = &'a String>, w: &Want, now: Ms) -> Option<Nominee> {
-        let mut all: Vec<(&'a String, f64)> = vec![];
-        for id in ids.filter(|id| !w.tried.contains(id)) {
-            let rate = self.cold_rate(service, id);
-            let Some(r) = self.rows.get_mut(id.as_str()) else { continue };
-            let zone = r.site.zone.as_str();
-            let home = w.lane.homes.is_empty() || w.lane.homes.iter().any(|h| *h == self.travel.region(zone));
-            if home && !w.evacuated.contains(zone) && r.site.may_warm(rate, now) {
-                all.push((id, 0.0));
+        let ids: Vec<&String> = ids.filter(|id| !w.tried.contains(id)).collect();
+        let held_back = self.held_back(service, &ids, w, now);
+        let mut zones: Vec<ZoneView> = vec![];
+        let mut all: Vec<Candidate> = vec![];
+        for id in ids.into_iter().filter(|id| !held_back.contains(id)) {
+            let Some(row) = self.rows.get(id.as_str()) else { continue };
+            let zone = self.view(&mut zones, &row.site.zone, w, now);
+            if zone.allowed {
+                all.push(Candidate { id, row, zone, keeps: false, stands: false, cost: 0.0 });
             }
         }
         // Those that fail are left alone while there are others; where there are none they are better than nobody.
-        if all.iter().any(|(id, _)| self.rows[*id].site.answers(now)) {
-            all.retain(|(id, _)| self.rows[*id].site.answers(now));
-        }
+        retain_if_any(&mut all, |c| c.row.site.answers(now));
         // A region or zone that is cut off is looked at now and then, not at each of its replicas.
-        let reached = |id: &str| {
-            let zone = &self.rows[id].site.zone;
-            self.reach.may_try_zone(zone, now) && (!self.travel.far(zone) || self.reach.may_try(self.travel.region(zone), now))
-        };
-        if all.iter().any(|(id, _)| reached(id)) {
-            all.retain(|(id, _)| reached(id));
-        }
+        retain_if_any(&mut all, |c| c.zone.reached);
         self.weigh(service, &mut all, w, now);
-        let (id, _) = all.iter().min_by(|a, b| a.1.total_cmp(&b.1))?;
-        Some(self.nominee(id, w.ask, now))
+        let best = all.iter().min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+        Some(self.nominee(best, w.ask, now))
+    }
+
+    /// Cold replicas that have had this proxy's part of what they bear.
+    fn held_back<'a>(&mut self, service: &str, ids: &[&'a String], w: &Want, now: Ms) -> Vec<&'a String> {
+        let is_cold = |r: &Row| r.site.is_cold(now) && self.allows(&r.site.zone, w);
+        let cold: Vec<&String> = ids.iter().filter(|id| self.rows.get(id.as_str()).is_some_and(is_cold)).copied().collect();
+        let mut held = vec![];
+        for id in cold {
+            let rate = self.cold_rate(service, id);
+            if self.rows.get_mut(id.as_str()).is_some_and(|r| !r.site.may_warm(rate, now)) {
+                held.push(id);
+            }
+        }
+        held
+    }
+
+    /// Whether homes and evacuations let a request go to a zone.
+    fn allows(&self, zone: &str, w: &Want) -> bool {
+        let region = self.travel.region(zone);
+        let home = w.lane.homes.is_empty() || w.lane.homes.iter().any(|h| h == region);
+        home && !w.evacuated.contains(zone)
     }
 
-    fn weigh(&self, service: &str, all: &mut [(&String, f64)], w: &Want, now: Ms) {
+    /// What a zone is like for this request: worked out once for all its replicas.
+    fn view<'a>(&'a self, seen: &mut Vec<ZoneView<'a>>, zone: &'a str, w: &Want, now: Ms) -> ZoneView<'a> {
+        if let Some(v) = seen.iter().find(|v| v.name == zone) {
+            return *v;
+        }
+        let (region, far) = (self.travel.region(zone), self.travel.far(zone));
+        let zone_counts = self.policy.has(Mechanism::ZoneReach);
+        let region_counts = self.policy.has(Mechanism::RegionReach) && far;
+        let reached = (!zone_counts || self.reach.may_try_zone(zone, now)) && (!region_counts || self.reach.may_try(region, now));
+        let allowed = self.allows(zone, w);
+        let v = ZoneView { name: zone, way: self.travel.ms(zone), far, allowed, reached };
+        seen.push(v);
+        v
+    }
+
+    fn weigh(&self, service: &str, all: &mut [Candidate], w: &Want, now: Ms) {
         let parts = shared(&w.ask.parts);
         let again = again_ms(tokens(parts));
-        let carry = carry_ms(w.ask);
+        let carry = if self.policy.has(Mechanism::CarryCost) { carry_ms(w.ask) } else { 0.0 };
         let key = chain(&w.ask.parts);
-        let failing = loss_ms(w);
-        let near = all.iter().map(|(id, _)| self.travel.ms(&self.rows[*id].site.zone)).fold(f64::MAX, f64::min);
+        let near = all.iter().map(|c| c.zone.way).fold(f64::MAX, f64::min);
         // A prompt whose shared parts are dear to read again has one place among all; of others each region has one.
-        let region = again < carry + near;
+        let regional = again < carry + near;
         // A popular one has copies besides, which stand before all others for the requests of their region.
         let copies = key.and_then(|k| self.standing.stands(service, k));
-        let stands_at = |id: &str| {
-            let r = &self.rows[id];
-            copies.is_some_and(|(v, on)| r.version == v && on.contains(&r.site.number) && !self.travel.far(&r.site.zone))
-        };
-        let place = |id: &String| {
-            let s = &self.rows[id].site;
-            let far = region && self.travel.far(&s.zone);
-            (stands_at(id), !far, key.map_or(0, |k| weight_of(k, s.number)))
-        };
-        let mut order: Vec<((bool, bool, u64), usize)> = all.iter().enumerate().map(|(i, (id, _))| (place(id), i)).collect();
-        order.sort_unstable_by(|a, b| b.cmp(a));
-        let keeps: Vec<bool> = all.iter().map(|(id, _)| self.keeps(self.rows[*id].site.number, parts, now)).collect();
-        let kept = keeps.contains(&true);
-        // Where parts are asked for so often that carrying them away each time costs more than reading them once, this
-        // region has a copy of its own. Where copies are decided for all, that decision counts.
-        let copy = !region
-            && !self.standing.on(service)
-            && !all.iter().zip(&keeps).any(|((id, _), k)| *k && !self.travel.far(&self.rows[*id].site.zone))
-            && {
-                let far = all
-                    .iter()
-                    .map(|(id, _)| self.travel.ms(&self.rows[*id].site.zone))
-                    .filter(|ms| *ms > near)
-                    .fold(0.0, f64::max);
-                again < (carry + far - near) * self.reuse.times()
-            };
-        let mine = order.iter().map(|o| o.1).find(|i| copy && !self.travel.far(&self.rows[all[*i].0].site.zone));
+        for c in all.iter_mut() {
+            let (version, number) = (&c.row.version, c.row.site.number);
+            c.stands = copies.is_some_and(|(v, on)| version == v && on.contains(&number) && !c.zone.far);
+            c.keeps = self.keeps(number, parts, now);
+        }
+        let order = agreed_order(all, key, regional);
+        let kept = all.iter().any(|c| c.keeps);
+        let copy = !regional && self.wants_copy(service, all, again, carry);
+        let mine = order.iter().copied().find(|i| copy && !all[*i].zone.far);
         let averages = self.averages(service);
-        let edges = self.edges();
-        let bears = self.engines.get(service).and_then(|e| e.cold_rate).unwrap_or(0.0) * self.bounds.cold_over / edges as f64;
-        for (step, (_, i)) in order.into_iter().enumerate() {
-            let s = &self.rows[all[i].0].site;
+        let (failing, bears) = (loss_ms(w), self.borne(service));
+        let agreed = self.policy.has(Mechanism::AgreedOrder);
+        for (step, i) in order.into_iter().enumerate() {
+            let c = &all[i];
+            let s = &c.row.site;
             let load = s.load(&averages, now);
-            let mut c = self.travel.ms(&s.zone)
-                + s.lag(&averages, now)
-                + s.reads(now)
-                + load * LOAD_MS
-                + s.doubt(now) * DOUBT_MS
-                + s.risk(now) * failing;
-            if self.travel.far(&s.zone) {
-                c += carry;
-            }
-            // Opening a channel takes the way there and back once more.
-            if !s.at_hand(now) {
-                c += self.travel.ms(&s.zone) + OPENING_MS;
+            let mut cost = self.wait_ms(c, &averages, now) + self.failure_ms(s, failing, now) + self.fullness_ms(s, load);
+            if c.zone.far {
+                cost += carry;
             }
             if key.is_some() {
-                c += step.min(8) as f64 * ORDER_MS;
+                if agreed {
+                    cost += step.min(8) as f64 * ORDER_MS;
+                }
                 // The first caller has a copy that is to stand here made, as long as that takes no places from others.
-                let makes = stands_at(all[i].0) && load <= f64::from(s.slots) * READ_AHEAD_LOAD;
+                let makes = c.stands && load <= f64::from(s.slots) * READ_AHEAD_LOAD;
                 // Where nobody is known to keep the parts, the first in order is taken to: somebody has read them
                 // there or will.
-                if !keeps[i] && (kept || step > 0) && mine != Some(i) && !makes {
-                    c += again;
+                if !c.keeps && (kept || step > 0 || !agreed) && mine != Some(i) && !makes {
+                    cost += again;
                 }
             }
-            // Waiting for a place begins well before all are taken: requests come in clumps, and batches slow down.
-            let taken = load / f64::from(s.slots.max(1));
-            c += if taken > 1.0 { FULL_MS * taken } else { FILLING_MS * taken.powi(4) };
-            // Any replica may turn cold unseen: what it would then bear is not exceeded while others can take it.
-            if bears > 0.0 && s.rate_now(now) + 1.0 > bears {
-                c += RATE_MS * (s.rate_now(now) + 1.0) / bears;
-            }
-            all[i].1 = c;
+            all[i].cost = cost + rate_ms(s, bears, now);
         }
     }
 
+    /// Where parts are asked for so often that carrying them away each time costs more than reading them once, this
+    /// region has a copy of its own. Where copies are decided for all, that decision counts.
+    fn wants_copy(&self, service: &str, all: &[Candidate], again: f64, carry: f64) -> bool {
+        if !self.policy.has(Mechanism::RegionCopy) || self.standing.on(service) || all.iter().any(|c| c.keeps && !c.zone.far) {
+            return false;
+        }
+        let near = all.iter().map(|c| c.zone.way).fold(f64::MAX, f64::min);
+        let far = all.iter().map(|c| c.zone.way).filter(|ms| *ms > near).fold(0.0, f64::max);
+        again < (carry + far - near) * self.reuse.times()
+    }
+
+    /// ms until a first piece would come from a replica that had all its places free.
+    fn wait_ms(&self, c: &Candidate, averages: &Averages, now: Ms) -> f64 {
+        let s = &c.row.site;
+        let lag = if self.policy.has(Mechanism::Lag) { s.lag(averages, now) } else { 0.0 };
+        // Opening a channel takes the way there and back once more.
+        let opens = self.policy.has(Mechanism::ChannelsAtHand) && !s.at_hand(now);
+        c.zone.way + lag + s.reads(now) + if opens { c.zone.way + OPENING_MS } else { 0.0 }
+    }
+
+    /// ms that failures there are expected to cost. `failing`: what one costs this request.
+    fn failure_ms(&self, s: &Site, failing: f64, now: Ms) -> f64 {
+        let doubt = if self.policy.has(Mechanism::Doubt) { s.doubt(now) * DOUBT_MS } else { 0.0 };
+        let risk = if self.policy.has(Mechanism::Risk) { s.risk(now) * failing } else { 0.0 };
+        doubt + risk
+    }
+
+    /// ms that the requests there cost the next one.
+    fn fullness_ms(&self, s: &Site, load: f64) -> f64 {
+        let each = if self.policy.has(Mechanism::Load) { load * LOAD_MS } else { 0.0 };
+        if !self.policy.has(Mechanism::Filling) {
+            return each;
+        }
+        // Waiting for a place begins well before all are taken: requests come in clumps, and batches slow down.
+        let taken = load / f64::from(s.slots.max(1));
+        each + if taken > 1.0 { FULL_MS * taken } else { FILLING_MS * taken.powi(4) }
+    }
+
+    /// What a proxy may send a replica a second that might be cold; 0 where that is not bounded.
+    fn borne(&self, service: &str) -> f64 {
+        let rate = self.engines.get(service).and_then(|e| e.cold_rate).filter(|_| self.policy.has(Mechanism::RateGuard));
+        rate.unwrap_or(0.0) * self.bounds.cold_over / self.edges() as f64
+    }
+
     fn keeps(&self, site: u64, parts: &[(u64, u32)], now: Ms) -> bool {
-        parts.iter().filter(|p| p.1 >= KEPT_TOKENS).all(|p| self.kept.has(site, p.0, now))
+        self.policy.has(Mechanism::KeptParts)
+            && parts.iter().filter(|p| p.1 >= KEPT_TOKENS).all(|p| self.kept.has(site, p.0, now))
             && parts.iter().any(|p| p.1 >= KEPT_TOKENS)
     }
 
-    fn nominee(&self, id: &str, ask: &Ask, now: Ms) -> Nominee {
-        let r = &self.rows[id];
-        let warm = self.keeps(r.site.number, shared(&ask.parts), now);
-        let read = read_ms(ask.tokens.0.saturating_sub(if warm { tokens(shared(&ask.parts)) } else { 0 }));
-        let expected = self.travel.ms(&r.site.zone) + r.site.reads(now) + read;
-        Nominee { id: id.into(), addr: r.addr.clone(), version: r.version.clone(), warm, read_ms: read, expected }
+    fn nominee(&self, c: &Candidate, ask: &Ask, now: Ms) -> Nominee {
+        let r = c.row;
+        let kept = if c.keeps { tokens(shared(&ask.parts)) } else { 0 };
+        let read = read_ms(ask.tokens.0.saturating_sub(kept));
+        let expected = c.zone.way + r.site.reads(now) + read;
+        Nominee { id: c.id.into(), addr: r.addr.clone(), version: r.version.clone(), warm: c.keeps, read_ms: read, expected }
     }
 
     // ---- what becomes of it ----
@@ -331,6 +427,9 @@
             return all;
         }
         self.told_at = now;
+        if !self.policy.has(Mechanism::ToldReadings) {
+            self.untold.clear();
+        }
         for r in std::mem::take(&mut self.untold) {
             let zone = self.ids.get(&r.replica).and_then(|id| self.zone(id)).unwrap_or_default();
             all.entry(self.travel.region(zone).into()).or_default().push(r);
@@ -343,6 +442,9 @@
             return vec![];
         }
         self.failing_at = now;
+        if !self.policy.has(Mechanism::Doubt) {
+            self.failing.clear();
+        }
         std::mem::take(&mut self.failing).into_iter().collect()
     }
     /// A replica failed another proxy, which stands in `zone`.
@@ -388,14 +490,14 @@
             self.averages.entry(service.into()).or_default().saw_load(running + waiting);
         }
         if let Some(ms) = t.cold.filter(|m| *m > 0) {
-            r.site.set_cold(now + ms);
+            r.site.set_cold(now + ms, now);
         }
         if t.other {
             return;
         }
         // What did not answer for a while has most likely started anew, and bears little yet.
         if r.site.well(now).is_some_and(|d| d >= DOWN_COLD) {
-            r.site.set_cold(now + cold_ms);
+            r.site.set_cold(now + cold_ms, now);
         }
     }
     pub fn first_piece(&mut self, id: &str, read_ms: f64, late: f64, now: Ms) {
--- a/coordination/src/placement/site.rs
+++ b/coordination/src/placement/site.rs
@@ -233,7 +233,10 @@
 
     // ---- cold ----
 
-    pub fn set_cold(&mut self, until: Ms) {
+    pub fn set_cold(&mut self, until: Ms, now: Ms) {
+        if !self.is_cold(now) {
+            self.cold = None;
+        }
         self.cold_until = self.cold_until.max(until);
     }
     pub fn is_cold(&self, now: Ms) -> bool {
@@ -242,7 +245,6 @@
     /// Whether a cold replica may get one more from this proxy, whose part is `rate` a second.
     pub fn may_warm(&mut self, rate: f64, now: Ms) -> bool {
         if !self.is_cold(now) {
-            self.cold = None;
             return true;
         }
         let b = self.cold.get_or_insert_with(|| Bucket::new(rate, 1.0, now));
@@ -250,7 +252,7 @@
         b.has(now)
     }
     pub fn warm_one(&mut self, now: Ms) {
-        if let Some(b) = &mut self.cold {
+        if let Some(b) = self.cold.as_mut().filter(|_| now < self.cold_until) {
             b.draw(now);
         }
     }
--- /dev/null
+++ b/coordination/src/policy.rs
@@ -0,0 +1,107 @@
+//! The mechanisms that a placement decision rests on. Each has a name and can be left out, to learn what it is worth.
+
+use std::{collections::BTreeSet, fmt, str::FromStr};
+
+use serde::Deserialize;
+
+macro_rules! mechanisms {
+    ($($id:ident $name:literal $meaning:literal)*) => {
+        /// One mechanism of placement, retries or routing.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum Mechanism {
+            $(#[doc = $meaning] $id,)*
+        }
+        impl Mechanism {
+            /// All mechanisms, in the order of the list that operators see.
+            pub const ALL: &[Mechanism] = &[$(Mechanism::$id),*];
+            /// The name by which a setting leaves it out.
+            pub fn name(self) -> &'static str {
+                match self { $(Mechanism::$id => $name),* }
+            }
+            /// What it does, in a line.
+            pub fn meaning(self) -> &'static str {
+                match self { $(Mechanism::$id => $meaning),* }
+            }
+        }
+    };
+}
+
+mechanisms! {
+    AgreedOrder "agreed_order" "Proxies rank replicas for a prompt's shared parts in the same order."
+    KeptParts "kept_parts" "A replica that lately got a prompt's shared parts is taken to keep them."
+    RegionCopy "region_copy" "Shared parts that are asked for often get a copy in each region."
+    ToldReadings "told_readings" "Proxies tell each other of long prompts that they sent."
+    CarryCost "carry_cost" "A request's bytes cost something where they go to another region."
+    Load "load" "Requests that run or wait on a replica cost the next one."
+    Filling "filling" "Replicas whose places run short cost more."
+    Lag "lag" "First pieces that came late make a replica cost more."
+    Doubt "doubt" "A replica that failed a proxy costs more, for the other proxies of its region too."
+    Risk "risk" "A replica's share of failed rounds counts by what a failure costs the request."
+    RegionReach "region_reach" "A region that gives no sign of life is left alone as a whole."
+    ZoneReach "zone_reach" "A zone whose replicas cannot be reached is left alone as a whole."
+    ColdRamp "cold_ramp" "Proxies share out what a cold replica bears."
+    RateGuard "rate_guard" "No replica gets more than it would bear if it turned cold, while others can take it."
+    ChannelsAtHand "channels_at_hand" "Replicas with an open channel are preferred."
+    SecondRounds "second_rounds" "A failed request may go to a second replica, within a budget."
+    TierPressure "tier_pressure" "Less urgent tiers give way where places run short."
+    ContextCopies "context_copies" "Popular shared context stands ready in regions that ask for it."
+}
+
+/// A name that is no mechanism's.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnknownMechanism(pub String);
+
+impl fmt::Display for UnknownMechanism {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let known: Vec<&str> = Mechanism::ALL.iter().map(|m| m.name()).collect();
+        write!(f, "{:?} is no mechanism; they are {}", self.0, known.join(", "))
+    }
+}
+impl std::error::Error for UnknownMechanism {}
+
+impl FromStr for Mechanism {
+    type Err = UnknownMechanism;
+    fn from_str(name: &str) -> Result<Self, UnknownMechanism> {
+        let found = Mechanism::ALL.iter().find(|m| m.name() == name);
+        found.copied().ok_or_else(|| UnknownMechanism(name.into()))
+    }
+}
+
+impl<'de> Deserialize<'de> for Mechanism {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let name = String::deserialize(d)?;
+        name.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+/// Which mechanisms are in force; by default all.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Policy {
+    left_out: u32,
+}
+
+impl Policy {
+    pub fn without(left_out: impl IntoIterator<Item = Mechanism>) -> Self {
+        Policy { left_out: left_out.into_iter().fold(0, |bits, m| bits | 1 << m as u32) }
+    }
+    pub fn has(self, m: Mechanism) -> bool {
+        self.left_out & (1 << m as u32) == 0
+    }
+}
+
+/// A policy as a settings file spells it: `{"without": ["doubt"]}`.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+#[derive(Default)]
+struct Spelled {
+    without: BTreeSet<Mechanism>,
+}
+
+impl<'de> Deserialize<'de> for Policy {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        Ok(Policy::without(Spelled::deserialize(d)?.without))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -28,6 +28,7 @@
     order::weight,
     pass::Paths,
     placement::{Budget, Placement},
+    policy::{Mechanism, Policy},
 };
 
 /// Where a round goes.
@@ -243,9 +244,18 @@
     pub fn set_reader(&mut self, r: SpecReader) {
         self.reader = r;
     }
-    /// Bounds to keep and the region of each zone.
+    /// Bounds to keep and the region of each zone; before anything is placed.
     pub fn set_bounds(&mut self, b: Bounds, regions: BTreeMap<String, String>) {
+        let policy = self.placement.policy;
         self.placement = Placement::new(&self.name, &self.zone, regions, b);
+        self.placement.policy = policy;
+    }
+    /// Which mechanisms are in force; before anything is placed.
+    pub fn set_policy(&mut self, p: Policy) {
+        self.placement.policy = p;
+    }
+    pub fn has(&self, m: Mechanism) -> bool {
+        self.placement.policy.has(m)
     }
     fn count(&mut self, what: &'static str) {
         *self.counters.entry(what).or_default() += 1;
--- a/coordination/src/proxy/buffer.rs
+++ b/coordination/src/proxy/buffer.rs
@@ -4,13 +4,14 @@
 use crate::{
     Ms,
     limits::{SECOND_ROUNDS, SECOND_ROUNDS_FREE, WAIT_MAX, WAIT_PERCENT, WAITING},
+    policy::Mechanism,
 };
 
 impl Proxy {
     /// Whether a second round may be made: a small share of first rounds, and a few for free.
     /// None for a tier that a better one presses back: what is left is that one's.
     pub fn second_round(&mut self, rank: u32, now: Ms) -> bool {
-        if self.budget < 100 || self.pressing(rank, now) > 0 {
+        if self.budget < 100 || !self.has(Mechanism::SecondRounds) || self.pressing(rank, now) > 0 {
             self.count("second_rounds_denied");
             return false;
         }
--- a/coordination/src/proxy/pass.rs
+++ b/coordination/src/proxy/pass.rs
@@ -12,6 +12,7 @@
     limits::{MISSED_PART, SLOW_FACTOR},
     pass::{Ask, PassEnd, Told},
     placement::{Nominee, Want, read_ms},
+    policy::Mechanism,
 };
 
 impl Proxy {
@@ -112,7 +113,7 @@
     pub fn second_pass(&mut self, service: &str, now: Ms) -> bool {
         let edges = self.placement.edges();
         let b = self.budgets.entry(service.into()).or_default();
-        let may = b.second(&self.placement.bounds, edges, now);
+        let may = self.placement.policy.has(Mechanism::SecondRounds) && b.second(&self.placement.bounds, edges, now);
         self.count(if may { "second_rounds" } else { "second_rounds_denied" });
         may
     }
--- a/coordination/src/proxy/reports.rs
+++ b/coordination/src/proxy/reports.rs
@@ -10,6 +10,7 @@
     agent::RULE_ALL,
     limits::{AFFINITY_BUSY, COLD_PLACES, KV_FULL, PREFIX_KEPT, PRESS_EBB, PRESS_MOST, PRESS_STEP, REPORT_OLD, WAITING, WARM_UP},
     order::weight,
+    policy::Mechanism,
 };
 
 impl Proxy {
@@ -71,6 +72,9 @@
     /// How much of each replica's places better tiers press for, now: it ebbs from when it was last raised.
     pub(super) fn pressing(&self, rank: u32, now: Ms) -> u32 {
         let ebb = |(p, t): &(u32, Ms)| p.saturating_sub((now.saturating_sub(*t) * PRESS_EBB / 1_000) as u32);
+        if !self.has(Mechanism::TierPressure) {
+            return 0;
+        }
         self.pressed.range(..rank).map(|(_, x)| ebb(x)).max().unwrap_or(0)
     }
 
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -557,3 +557,46 @@
     // A second's requests, 500 for 31 replicas: a fair part is 16.
     expect_that!(sent, le(3 * 16));
 }
+
+/// A zone that is cut off has many replicas: it is found out by two of them and looked at by one request now and then.
+#[gtest]
+fn a_zone_that_cannot_be_reached_is_left_alone_as_a_whole_and_used_again_when_it_is_back() {
+    const BACK: u64 = 7_000;
+    let zone = |i: usize| ["dark", "lit"][i % 2];
+    let all: Vec<PlacedReplica> = (0..24).map(|i| replica(&format!("r{i}"), zone(i), false)).collect();
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let regions = ["dark", "lit"].map(|z| (z.to_string(), "one".to_string())).into();
+    let mut p = Placement::new("me", "lit", regions, Bounds::default());
+    p.set_edges(vec!["me".into()], "me", 0);
+    p.set_engine("s", &engine());
+    p.set_service("s", &all, &BTreeSet::new(), 0);
+    let l = lane(&[]);
+    let (mut dark, mut lit_again) = (vec![], 0);
+    // A request each 20 ms; opening a channel to what is dark is given up 150 ms later.
+    let mut opening: Vec<(u64, String, f64)> = vec![];
+    for now in (1_000..12_000u64).step_by(20) {
+        for (_, id, read) in opening.extract_if(.., |o| o.0 <= now) {
+            p.dark(&id, now);
+            p.end(&id, Some(read), true, now);
+        }
+        let a = ask(&[(now, 55), (now << 32, 300)]);
+        let w = Want { lane: &l, ask: &a, tried: &[], evacuated: &BTreeSet::new() };
+        let n = p.nominate("s", ids.iter(), &w, now).unwrap();
+        p.send(&n, &a, now);
+        let is_dark = ids.iter().position(|i| *i == n.id).is_some_and(|i| zone(i) == "dark");
+        if is_dark && now < BACK {
+            dark.push(now);
+            opening.push((now + 150, n.id, n.read_ms));
+            continue;
+        }
+        lit_again += usize::from(is_dark && now > BACK + 3_000);
+        p.opened(&n.id, 1);
+        p.first_piece(&n.id, n.read_ms, 0.0, now);
+        p.end(&n.id, None, false, now);
+    }
+    let first = dark.iter().filter(|t| **t < 1_600).count();
+    let looks = dark.len() - first;
+    expect_that!(first, le(8), "what was under way when the first failures showed: {dark:?}");
+    expect_that!(looks, all!(ge(2), le(6)), "{dark:?}");
+    expect_that!(lit_again, ge(30), "of the 100 requests that come later than 3 s after the zone is back");
+}
--- a/daemon-parts/src/params.rs
+++ b/daemon-parts/src/params.rs
@@ -3,7 +3,10 @@
 use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use coordination::bounds::Bounds;
+use coordination::{
+    bounds::Bounds,
+    policy::{Mechanism, Policy},
+};
 use serde::Deserialize;
 
 /// Exit code of a program whose params are not valid.
@@ -47,6 +50,8 @@
     /// Edges only: a daemon cut off from the control plane serves stable versions on by what it knew last.
     pub serve_on: bool,
     pub bounds: Bounds,
+    /// Proxies only: which mechanisms of placement are in force.
+    pub policy: Policy,
 }
 
 /// A field a program needs.
@@ -77,6 +82,23 @@
         .arg(Arg::new("check-params").long("check-params").action(ArgAction::SetTrue).help("Check the params and exit"))
 }
 
+/// The flag of proxies that leaves mechanisms of placement out.
+pub fn without_flag() -> Arg {
+    let known: Vec<&str> = Mechanism::ALL.iter().map(|m| m.name()).collect();
+    Arg::new("without")
+        .long("without")
+        .value_name("MECHANISM")
+        .value_parser(clap::value_parser!(Mechanism))
+        .value_delimiter(',')
+        .action(ArgAction::Append)
+        .help(format!("Leaves mechanisms of placement out, to measure what they are worth: {}", known.join(", ")))
+}
+/// The policy by the flag, if it was given.
+pub fn policy_flag(m: &ArgMatches) -> Option<Policy> {
+    let all = m.try_get_many::<Mechanism>("without").ok().flatten()?;
+    Some(Policy::without(all.copied()))
+}
+
 fn from_file(m: &ArgMatches) -> Result<Params, String> {
     let Some(f) = m.get_one::<String>("params") else { return Ok(Params::default()) };
     let text = std::fs::read_to_string(f).map_err(|e| format!("params: {f}: {e}"))?;
@@ -105,6 +127,7 @@
     let many = |n: &str| m.get_many::<String>(n).map(|v| v.cloned().collect::<Vec<_>>());
     p.seeds = many("seed").unwrap_or(p.seeds);
     p.members = many("member").unwrap_or(p.members);
+    p.policy = policy_flag(m).unwrap_or(p.policy);
     if p.bind.is_empty() {
         p.bind = p.listen.clone();
     }
--- a/daemon-parts/src/params/tests.rs
+++ b/daemon-parts/src/params/tests.rs
@@ -1,3 +1,4 @@
+use coordination::policy::{Mechanism, Policy};
 use googletest::prelude::*;
 
 #[gtest]
@@ -24,3 +25,26 @@
     p.seeds = vec!["nowhere".into()];
     expect_that!(super::check(&p, &founders), len(eq(1)));
 }
+
+#[gtest]
+fn a_mechanism_that_is_none_is_refused_with_file_and_line() {
+    let folder = std::env::temp_dir().join(format!("params-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join("edge.json");
+    let c = || super::command("x", "x").arg(super::without_flag());
+    let read = |text: &str| {
+        std::fs::write(&file, text).unwrap();
+        super::read(&c().get_matches_from(["x", "--params", file.to_str().unwrap()]), &[])
+    };
+    let bad = read("{\n  \"policy\": {\"without\": [\"doubt\",\n    \"luck\"]}\n}").unwrap_err().join("\n");
+    expect_that!(bad, contains_substring("edge.json"));
+    expect_that!(bad, contains_substring("line 3"));
+    expect_that!(bad, contains_substring("\"luck\" is no mechanism"));
+    let good = read("{\"policy\": {\"without\": [\"doubt\"]}}").unwrap();
+    expect_that!(good.policy, eq(Policy::without([Mechanism::Doubt])));
+    let flags = c().get_matches_from(["x", "--without", "lag,risk"]);
+    expect_that!(super::read(&flags, &[]).unwrap().policy, eq(Policy::without([Mechanism::Lag, Mechanism::Risk])));
+    let wrong = c().try_get_matches_from(["x", "--without", "luck"]).unwrap_err().to_string();
+    expect_that!(wrong, contains_substring("agreed_order"));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/edge-proxy/src/lib.rs
+++ b/edge-proxy/src/lib.rs
@@ -46,6 +46,7 @@
     let mut b =
         Proxy::new(p.name.as_str().into(), p.zone.as_str().into(), p.http.as_str().into(), clock::born(), fastrand::u64(..));
     b.set_reader(reader);
+    b.set_policy(p.policy);
     b.set_bounds(p.bounds.clone(), p.regions.clone());
     b
 }
--- a/fleet-simulator/src/main.rs
+++ b/fleet-simulator/src/main.rs
@@ -11,6 +11,7 @@
 };
 
 use clap::{Arg, ArgAction, Command};
+use coordination::policy::{Mechanism, Policy};
 use fleet_simulator::{
     checkers::{self, Found},
     deployment::Deployment,
@@ -48,6 +49,15 @@
                 .help("Run these faults instead of a schedule's: [[ms, fault], ...]"),
         )
         .arg(Arg::new("without").long("without").value_name("GUARD").help("Switch this guard off, as clocks or same_run"))
+        .arg(
+            Arg::new("leave-out")
+                .long("leave-out")
+                .value_name("MECHANISM")
+                .value_parser(clap::value_parser!(Mechanism))
+                .value_delimiter(',')
+                .action(ArgAction::Append)
+                .help("Leave these mechanisms of placement out, as doubt or agreed_order"),
+        )
         .arg(Arg::new("history").long("history").value_name("FILE").help("Write what was observed in the last run, as JSON"))
         .get_matches();
     let text = |n: &str| m.get_one::<String>(n).cloned().unwrap_or_default();
@@ -95,8 +105,10 @@
     let off: Option<Guard> = m
         .get_one::<String>("without")
         .map(|g| serde_json::from_value(g.as_str().into()).unwrap_or_else(|e| bad(format!("no guard {g}: {e}"))));
+    let left_out = m.get_many::<Mechanism>("leave-out").into_iter().flatten().copied();
     let looks = Looks {
         off,
+        policy: Policy::without(left_out),
         trace: m.get_flag("trace"),
         figures: m.get_flag("figures"),
         shrink: m.get_flag("shrink"),
@@ -149,6 +161,7 @@
     shrink: bool,
     given: Option<Schedule>,
     off: Option<Guard>,
+    policy: Policy,
     history: Option<String>,
 }
 
@@ -157,7 +170,7 @@
     let d = &(*d).clone().under(name);
     let mut out = String::new();
     let Some(s) = l.given.clone().or_else(|| schedule::named(name, *seed, d)) else { return Default::default() };
-    let c = shrink::Case { d, seed: *seed, length: schedule::length(name), off: l.off };
+    let c = shrink::Case { d, seed: *seed, length: schedule::length(name), off: l.off, policy: l.policy };
     let w = c.world(&s);
     let found = checkers::check(&w.h);
     if let Some(f) = &l.history
--- a/fleet-simulator/src/shrink.rs
+++ b/fleet-simulator/src/shrink.rs
@@ -1,5 +1,7 @@
 //! Shrinks a failing run's schedule to a smallest one that still fails in the same checker.
 
+use coordination::policy::Policy;
+
 use crate::{
     checkers,
     deployment::Deployment,
@@ -14,12 +16,14 @@
     pub seed: u64,
     pub length: Ms,
     pub off: Option<Guard>,
+    pub policy: Policy,
 }
 
 impl Case<'_> {
     pub fn world(&self, s: &Schedule) -> World {
         let mut w = World::new(self.d.clone(), self.seed, self.length, s.clone());
         w.off = self.off;
+        w.policy = self.policy;
         w.run();
         w
     }
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -11,6 +11,7 @@
     control::{Control, ControlParams, KILL, LEAVING, PLAN, SPEC, ZONE},
     limits::{CLAIM_LIMIT, REPORT_EVERY, SLOW_FACTOR, TICK, WARM_UP},
     order::digest,
+    policy::Policy,
     proxy::{Admit, Ended, Placed, Proxy},
     register::DUTY,
     request::{Got, NotBegun, Request, Step},
@@ -399,6 +400,8 @@
     end: Ms,
     /// Switches a guard off, so that a test sees its failure happen.
     pub off: Option<Guard>,
+    /// Which mechanisms of placement the proxies have in force.
+    pub policy: Policy,
 }
 
 /// Guards that can be switched off to see what they are for.
@@ -520,6 +523,7 @@
             end,
             engines: engine::Engines::default(),
             off: None,
+            policy: Policy::default(),
             d,
         };
         let members: Vec<Name> = (0..w.d.control.len()).map(|i| Name(format!("control-{}", i + 1))).collect();
--- a/fleet-simulator/src/world/daemons.rs
+++ b/fleet-simulator/src/world/daemons.rs
@@ -48,6 +48,7 @@
                 e.life += 1;
                 let (name, http): (Name, Name) = (format!("proxy-{}", e.place).into(), e.addr('p'));
                 let mut p = Proxy::new(name, e.zone.as_str().into(), http, 1_000_000 + self.now, seed);
+                p.set_policy(self.policy);
                 p.set_bounds(Bounds::default(), self.d.regions.clone());
                 e.proxy = Some(p);
                 let addr = e.addr('x');
