Keep long prompts off regions that more urgent, home-bound requests depend on

Change: in the agreed order of a prompt that is dear to read, a replica whose region is no home of a more urgent, bound kind of request counts twice (weighted rendezvous hashing). It is read off the spec, so all proxies agree; where no kind is bound, or all regions are homes, the order is as before.

--- a/coordination/src/limits.rs
+++ b/coordination/src/limits.rs
@@ -318,6 +318,9 @@
 pub const MEAN_WEIGHT: f64 = 0.05;
 /// ms. What it costs to exceed the rate that the replica would bear if it turned cold now.
 pub const RATE_MS: f64 = 60.0;
+/// How many times rather a prompt that is long to read is placed on a replica that no more urgent, home-bound requests
+/// depend on: these wait behind it elsewhere, and have nowhere else to go.
+pub const NOT_NEEDED_WEIGHT: f64 = 2.0;
 /// ms. A step down a prompt's agreed order of replicas, so that all proxies overflow to the same one.
 pub const ORDER_MS: f64 = 3.0;
 /// ms. A replica that waits for nobody's first piece longer than this is quiet: new requests go elsewhere.
--- a/coordination/src/placement/mod.rs
+++ b/coordination/src/placement/mod.rs
@@ -5,6 +5,7 @@
 mod bucket;
 mod budget;
 mod kept;
+mod needed;
 mod nominate;
 mod reach;
 mod reuse;
@@ -15,6 +16,7 @@
 pub use bucket::Bucket;
 pub use budget::Budget;
 pub use kept::Kept;
+pub use needed::Needed;
 use reach::Reach;
 use reuse::Reuse;
 
--- a/coordination/src/placement/nominate.rs
+++ b/coordination/src/placement/nominate.rs
@@ -6,14 +6,15 @@
 use wire_messages::{List, Name, Reading};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Averages, Kept, Reach, Reuse, Site, Travel, again_ms, carry_ms, chain, read_ms, shared, tokens};
+use super::{Averages, Kept, Needed, Reach, Reuse, Site, Travel, again_ms, carry_ms, chain, read_ms, shared, tokens};
 use crate::{
     Ms,
     bounds::Bounds,
     context::Standing,
     limits::{
         COLD_BURST_PART, COLD_PART, DOUBT_MS, DOUBT_NEWS, DOUBT_SHUNS, DOWN_COLD, EDGES_FALL, FAILING_EVERY, FILLING_MS, FULL_MS,
-        KEPT_TOKENS, LOAD_MS, OPENING_MS, ORDER_MS, RATE_MS, READ_AHEAD_LOAD, READING_TOLD, READINGS_EVERY, READINGS_MOST,
+        KEPT_TOKENS, LOAD_MS, NOT_NEEDED_WEIGHT, OPENING_MS, ORDER_MS, RATE_MS, READ_AHEAD_LOAD, READING_TOLD, READINGS_EVERY,
+        READINGS_MOST,
     },
     order::{weight, weight_of},
     pass::{Ask, Told},
@@ -79,6 +80,8 @@
     far: bool,
     /// Homes and evacuations let the request go there.
     allowed: bool,
+    /// More urgent, home-bound requests depend on it.
+    needed: bool,
     /// It gives signs of life, or it is time to look again.
     reached: bool,
 }
@@ -105,14 +108,25 @@
 }
 
 /// Places in the list, in the order that all proxies agree on for a prompt: copies that stand ready first, then, where
-/// each region has its own, replicas of this one.
+/// each region has its own, replicas of this one. A prompt that is long to read comes first on a replica that is not
+/// needed so many times as often as on one that is.
 fn agreed_order(all: &[Candidate], key: Option<u64>, regional: bool) -> Vec<usize> {
-    let rank = |c: &Candidate| (c.stands, !(regional && c.zone.far), key.map_or(0, |k| weight_of(k, c.row.site.number)));
+    let weight = |c: &Candidate| {
+        let hash = key.map_or(0, |k| weight_of(k, c.row.site.number));
+        if regional || c.zone.needed { hash } else { raised(hash, NOT_NEEDED_WEIGHT) }
+    };
+    let rank = |c: &Candidate| (c.stands, !(regional && c.zone.far), weight(c));
     let mut order: Vec<((bool, bool, u64), usize)> = all.iter().map(rank).zip(0..).collect();
     order.sort_unstable_by(|a, b| b.cmp(a));
     order.into_iter().map(|o| o.1).collect()
 }
 
+/// A hash that is drawn so many times and of which the highest counts: what it would be, with no further draws.
+fn raised(hash: u64, times: f64) -> u64 {
+    let part = (hash as f64 / u64::MAX as f64).powf(1.0 / times);
+    (part * u64::MAX as f64) as u64
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Placement {
     rows: BTreeMap<String, Row>,
@@ -122,6 +136,8 @@
     pub travel: Travel,
     pub bounds: Bounds,
     pub policy: Policy,
+    /// Regions that home-bound requests depend on.
+    pub needed: Needed,
     engines: BTreeMap<String, EngineSpec>,
     /// By service.
     averages: BTreeMap<String, Averages>,
@@ -248,7 +264,7 @@
         let mut all: Vec<Candidate> = vec![];
         for id in ids.into_iter().filter(|id| !held_back.contains(id)) {
             let Some(row) = self.rows.get(id.as_str()) else { continue };
-            let zone = self.view(&mut zones, &row.site.zone, w, now);
+            let zone = self.view(service, &mut zones, &row.site.zone, w, now);
             if zone.allowed {
                 all.push(Candidate { id, row, zone, keeps: false, stands: false, cost: 0.0 });
             }
@@ -284,7 +300,7 @@
     }
 
     /// What a zone is like for this request: worked out once for all its replicas.
-    fn view<'a>(&'a self, seen: &mut Vec<ZoneView<'a>>, zone: &'a str, w: &Want, now: Ms) -> ZoneView<'a> {
+    fn view<'a>(&'a self, service: &str, seen: &mut Vec<ZoneView<'a>>, zone: &'a str, w: &Want, now: Ms) -> ZoneView<'a> {
         if let Some(v) = seen.iter().find(|v| v.name == zone) {
             return *v;
         }
@@ -293,7 +309,8 @@
         let region_counts = self.policy.has(Mechanism::RegionReach) && far;
         let reached = (!zone_counts || self.reach.may_try_zone(zone, now)) && (!region_counts || self.reach.may_try(region, now));
         let allowed = self.allows(zone, w);
-        let v = ZoneView { name: zone, way: self.travel.ms(zone), far, allowed, reached };
+        let needed = self.policy.has(Mechanism::NeededRegions) && self.needed.by_more_urgent(service, w.lane.rank, region);
+        let v = ZoneView { name: zone, way: self.travel.ms(zone), far, allowed, needed, reached };
         seen.push(v);
         v
     }
--- a/coordination/src/policy.rs
+++ b/coordination/src/policy.rs
@@ -29,6 +29,7 @@
 mechanisms! {
     AgreedOrder "agreed_order" "Proxies rank replicas for a prompt's shared parts in the same order."
     KeptParts "kept_parts" "A replica that lately got a prompt's shared parts is taken to keep them."
+    NeededRegions "needed_regions" "Long prompts keep off regions that more urgent, home-bound requests depend on."
     RegionCopy "region_copy" "Shared parts that are asked for often get a copy in each region."
     ToldReadings "told_readings" "Proxies tell each other of long prompts that they sent."
     CarryCost "carry_cost" "A request's bytes cost something where they go to another region."
--- a/coordination/src/proxy/news.rs
+++ b/coordination/src/proxy/news.rs
@@ -13,7 +13,7 @@
     control::{LEAVING, SPEC, evacuated},
     limits::CONTEXT_TOKENS,
     pass::{Ask, Paths},
-    placement::{Nominee, chain, shared, tokens},
+    placement::{Needed, Nominee, chain, shared, tokens},
     register::{CONTEXT, DUTY},
 };
 
@@ -51,6 +51,7 @@
             let mut s = (self.reader)(&c.value.0);
             self.read = stamp(c);
             // Tenants bring paths by the ten thousand: the index alone has them.
+            self.placement.needed = Needed::new(s.as_ref().map_or(&[], |s| &s.paths));
             self.paths = Paths::new(s.as_mut().map_or(vec![], |s| std::mem::take(&mut s.paths)));
             for v in s.iter().flat_map(|s| &s.services) {
                 v.engine.iter().for_each(|e| self.placement.set_engine(&v.name, e));
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -5,7 +5,7 @@
 use coordination::{
     bounds::Bounds,
     pass::{Ask, Told},
-    placement::{Budget, Placement, Want},
+    placement::{Budget, Needed, Placement, Want},
     wire::Reading,
 };
 use googletest::prelude::*;
@@ -600,3 +600,30 @@
     expect_that!(looks, all!(ge(2), le(6)), "{dark:?}");
     expect_that!(lit_again, ge(30), "of the 100 requests that come later than 3 s after the zone is back");
 }
+
+/// What is long to read keeps off the replicas that more urgent requests have nowhere else to go to; all proxies agree.
+#[gtest]
+fn long_prompts_keep_off_regions_that_home_bound_requests_depend_on() {
+    const PROMPTS: u64 = 600;
+    let all: Vec<PlacedReplica> = (0..30).map(|i| replica(&format!("r{i}"), ["a", "a", "b"][i % 3], false)).collect();
+    let ids: Vec<String> = all.iter().map(|r| r.id.clone()).collect();
+    let long = PathSpec { rank: 1, ..lane(&[]) };
+    let placed = |bound_rank: u32, homes: &[&str]| {
+        let mut fleet = fleet(6, &all);
+        let short = PathSpec { rank: bound_rank, ..lane(homes) };
+        fleet.iter_mut().for_each(|p| p.needed = Needed::new(&[short.clone(), long.clone()]));
+        let first = |n: u64| ask(&[(n, 13_000), (n << 32, 3_000)]);
+        (0..PROMPTS)
+            .filter(|n| {
+                let to: BTreeSet<String> =
+                    fleet.iter_mut().filter_map(|p| go(&mut p.clone(), &ids, &long, &first(*n), true, 10)).collect();
+                expect_that!(to, len(eq(1)), "proxies disagree about {n}");
+                to.iter().any(|id| fleet[0].zone(id) == Some("b"))
+            })
+            .count()
+    };
+    // A third of the replicas stand in the region that is free: half of the prompts go there.
+    expect_that!(placed(0, &["ra"]), all!(ge(260), le(340)));
+    expect_that!(placed(2, &["ra"]), all!(ge(160), le(240)), "less urgent ones do not count");
+    expect_that!(placed(0, &["ra", "rb", "rc"]), all!(ge(160), le(240)), "nor do those that may go anywhere");
+}
