Move reconfiguration and catching up from the control daemon to the registers

Cause: the explorer drives the registers alone, and what a change of voters rests on (who adopts a member epoch, whom a new voter reads, when it votes) stood in the control daemon, out of its reach. Change: register/reconfiguration.rs holds it, with the disk's number and the daemons that were read; the control daemon keeps the bootstrap, heartbeats and timers, and acts on what a reply has changed.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -117,9 +117,9 @@
     }
 
     /// The registers of this daemon, with what its disk held.
-    fn registers(&self, rows: Vec<Row>, now: Ms) -> Registers {
+    fn registers(&self, disk_id: u64, rows: Vec<Row>, now: Ms) -> Registers {
         let lease = self.bounds.lease();
-        let mut registers = Registers::new(self.name.clone(), rows, lease, now);
+        let mut registers = Registers::new(self.name.clone(), disk_id, rows, lease, now);
         registers.set_addr(&self.name, &self.addr);
         registers.spec_parser = self.spec_parser;
         registers
@@ -172,7 +172,7 @@
         let node = config.node(incarnation);
         let mut membership = Membership::new(node, config.seeds.clone(), incarnation);
         membership.set_regions(config.regions.clone());
-        let mut registers = config.registers(rows, now);
+        let mut registers = config.registers(disk_id, rows, now);
         let started_blank = registers.members.member_epoch == 0;
         // This is written to disk: one of the first voters that restarts is not configured to bootstrap any more, nor
         // with whom.
@@ -192,7 +192,7 @@
             parsed: ParsedState::new(config.spec_parser),
             peers: Peers::default(),
             comparison: StateComparison::default(),
-            voter_membership: VoterMembership::new(disk_id, started_blank, bootstraps, now),
+            voter_membership: VoterMembership::new(started_blank, bootstraps, now),
             suspension: SuspensionDetector::new(now),
             fleet_contact: FleetContact::new(now),
             writes: PendingWrites::new(incarnation),
@@ -266,7 +266,10 @@
             Message::ForwardRequest(request) => self.on_forward(addr, request, now, &mut out),
             Message::ForwardReply(reply) => self.on_forward_reply(reply, now, &mut out),
             Message::Bootstrap(bootstrap) => self.on_bootstrap(bootstrap, &mut out),
-            Message::SlotsRequest(request) => self.on_slots_request(addr, request, now, &mut out),
+            Message::SlotsRequest(request) => {
+                self.registers
+                    .on_slots_request(addr, request, now, &mut out);
+            }
             Message::SlotsReply(reply) => self.on_slots_reply(from, reply, now, &mut out),
             Message::Poll(poll) => self.on_poll(addr, poll, now, &mut out),
             Message::ContextDemand(demand) => self.on_demand(from, demand, now),
--- a/coordination/src/control/heartbeats.rs
+++ b/coordination/src/control/heartbeats.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use wire_messages::{Bootstrap, Heartbeat, List, Name, PeerState, SlotsRequest};
+use wire_messages::{Bootstrap, Heartbeat, List, Name, PeerState};
 
 use super::{Control, state_comparison::Digests, voters::JOINER_WINDOW};
 use crate::{
@@ -52,7 +52,7 @@
         let is_lagging = heartbeat.member_epoch > self.registers.members.member_epoch
             || (is_voter && missed_change);
         if is_lagging && !is_blank && self.comparison.take_slots_request_turn(now) {
-            out.push(send(addr, self.slots_request()));
+            out.push(send(addr, self.registers.slots_request()));
         }
         if is_blank {
             self.offer_first_voters(addr, heartbeat.disk_id, out);
@@ -71,20 +71,13 @@
         }
     }
 
-    pub(super) fn slots_request(&self) -> SlotsRequest {
-        SlotsRequest {
-            member_epoch: self.registers.members.member_epoch,
-            known: self.registers.slot_metadata(),
-        }
-    }
-
     pub(super) fn send_heartbeats(&mut self, now: Ms, out: &mut Effects) {
         if !self.peers.take_heartbeat_turn(now) {
             return;
         }
         let heartbeat = Heartbeat {
             member_epoch: self.registers.members.member_epoch,
-            disk_id: self.voter_membership.disk_id(),
+            disk_id: self.registers.disk_id(),
             zone: self.config.zone.clone(),
             state: self.own_state(now),
             committed_digest: self.registers.committed_digest(),
@@ -122,7 +115,7 @@
             return PeerState::Voter;
         }
         let is_new = now.saturating_sub(self.started_at) < JOINER_WINDOW;
-        if self.is_listed_voter() {
+        if self.registers.is_listed_voter() {
             PeerState::CatchingUp
         } else if self.voter_membership.started_blank() && is_new {
             PeerState::Joiner
--- a/coordination/src/control/status.rs
+++ b/coordination/src/control/status.rs
@@ -143,7 +143,8 @@
 
     /// Whether this daemon does its part, and a word on what it lacks.
     pub fn health(&self) -> Health {
-        let is_learner = self.registers.members.member_epoch > 0 && !self.is_listed_voter();
+        let is_learner =
+            self.registers.members.member_epoch > 0 && !self.registers.is_listed_voter();
         let detail = match (
             self.disk_healthy,
             self.registers.members.voting,
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -21,6 +21,7 @@
 //! | `confirmation` | leases and reads: ownership that a majority has confirmed |
 //! | `prior_writes` | repeated orders |
 //! | `catching_up` | member epochs and slots that are taken over from others |
+//! | `reconfiguration` | changes of the voters, and how a new one catches up |
 //! | `timers` | what happens as time passes |
 
 use std::collections::BTreeMap;
@@ -38,6 +39,7 @@
 use lease_grants::LeaseGrants;
 use ownership::Ownership;
 use prior_writes::ReleaseCache;
+use reconfiguration::CatchUp;
 use slots::{Slots, committed_change, is_committed};
 
 mod acceptor;
@@ -52,6 +54,7 @@
 mod ownership;
 mod prior_writes;
 mod proposer;
+mod reconfiguration;
 mod slots;
 mod timers;
 
@@ -60,6 +63,7 @@
 pub use member_config::MemberConfig;
 pub use ownership::DisplacedRequest;
 pub use prior_writes::REPLACED_VALUES_KEPT;
+pub use reconfiguration::SlotsReplyOutcome;
 
 /// All registers of one control daemon.
 #[derive(Clone, Debug)]
@@ -67,6 +71,7 @@
     name: Name,
     /// Who votes, under which member epoch.
     pub members: MemberConfig,
+    catch_up: CatchUp,
     /// Addresses of control daemons that do not vote: commits are sent to them too.
     pub followers: Vec<Name>,
     /// Addresses that voters have now, by name, where they differ from those in the member configuration.
@@ -87,11 +92,12 @@
 }
 
 impl Registers {
-    /// The registers as they are on disk. `lease_duration` is in ms.
-    pub fn new(name: Name, rows: Vec<Row>, lease_duration: Ms, now: Ms) -> Self {
+    /// The registers as they are on the disk with this number. `lease_duration` is in ms.
+    pub fn new(name: Name, disk_id: u64, rows: Vec<Row>, lease_duration: Ms, now: Ms) -> Self {
         let mut registers = Registers {
             name,
             members: MemberConfig::default(),
+            catch_up: CatchUp::new(disk_id),
             followers: Vec::new(),
             addrs: BTreeMap::new(),
             epochs: EpochGenerator::default(),
--- a/coordination/src/register/tests.rs
+++ b/coordination/src/register/tests.rs
@@ -19,7 +19,12 @@
 }
 
 fn voters() -> Vec<Voter> {
-    (0..VOTER_COUNT)
+    voters_of(VOTER_COUNT)
+}
+
+/// So many voters.
+fn voters_of(count: usize) -> Vec<Voter> {
+    (0..count)
         .map(|index| Voter {
             name: name(index),
             disk_id: index as u64 + 1,
@@ -42,7 +47,13 @@
 
 /// A voter that has just started with nothing else on its disk.
 fn voter(index: usize) -> Registers {
-    Registers::new(name(index), vec![voting_row()], LEASE_DURATION, 0)
+    Registers::new(
+        name(index),
+        index as u64 + 1,
+        vec![voting_row()],
+        LEASE_DURATION,
+        0,
+    )
 }
 
 fn accept(key: &str, epoch: u64, version: u64, value: &str) -> Accept {
--- a/coordination/src/register/tests/acceptor.rs
+++ b/coordination/src/register/tests/acceptor.rs
@@ -210,7 +210,7 @@
 fn a_voter_that_starts_or_begins_to_vote_waits_a_lease_out() {
     let key = format!("{ROLLOUT_PREFIX}s");
     let rows = vec![voter(0).members_row()];
-    let started = Registers::new(name(0), rows, LEASE_DURATION, 1_000);
+    let started = Registers::new(name(0), 1, rows, LEASE_DURATION, 1_000);
     let mut begun_to_vote = voter(0);
     begun_to_vote.skip_lease_wait();
     begun_to_vote.start_voting(1_000);
--- a/coordination/src/register/tests/explore.rs
+++ b/coordination/src/register/tests/explore.rs
@@ -365,6 +365,7 @@
         node.unsynced.clear();
         node.registers = Registers::new(
             name(at),
+            at as u64 + 1,
             node.disk.values().cloned().collect(),
             LEASE_DURATION,
             step,
--- a/coordination/src/register/tests/proposer.rs
+++ b/coordination/src/register/tests/proposer.rs
@@ -27,7 +27,7 @@
     /// Starts a voter again from its disk.
     fn restart(&mut self, index: usize) {
         let rows = self.disks[index].clone();
-        self.voters[index] = Registers::new(name(index), rows, LEASE_DURATION, 1);
+        self.voters[index] = Registers::new(name(index), index as u64 + 1, rows, LEASE_DURATION, 1);
     }
 
     /// Delivers one message, and returns what the receiver sends once it has synced.
--- a/coordination/src/register/tests/random_faults.rs
+++ b/coordination/src/register/tests/random_faults.rs
@@ -73,7 +73,13 @@
     fn start(&mut self, index: usize) {
         self.incarnations[index] += 1;
         let rows = self.disks[index].values().cloned().collect();
-        self.voters[index] = Some(Registers::new(name(index), rows, LEASE_DURATION, self.now));
+        self.voters[index] = Some(Registers::new(
+            name(index),
+            index as u64 + 1,
+            rows,
+            LEASE_DURATION,
+            self.now,
+        ));
     }
 
     fn crash(&mut self, index: usize) {
