Report unreachable edges from control daemons to agents

Cause: an agent took a lost edge for alive until gossip noticed, 170 ms for each node of the fleet. Its proxy divides the retry budget, slow-start rates and connections by the live edges, makes run-once ids of three of them, and prefill reports went to the dead. Change: a control daemon in contact reports the edges that it has not heard from for 2 s, as digests of their names, in its answers to polls, and only where the agent lacks the newest report. An agent leaves out whom most of the responding daemons report. Selections and voter counts are varints now, so that polls and updates are shorter than before.

--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -34,6 +34,7 @@
 mod state_comparison;
 mod status;
 mod suspension;
+mod unreachable_edges;
 mod voters;
 mod writes;
 
@@ -58,6 +59,7 @@
 use rollouts::Rollouts;
 use state_comparison::StateComparison;
 use suspension::SuspensionDetector;
+use unreachable_edges::UnreachableEdgeReport;
 use voters::VoterMembership;
 use writes::PendingWrites;
 
@@ -143,6 +145,7 @@
     voter_membership: VoterMembership,
     suspension: SuspensionDetector,
     fleet_contact: FleetContact,
+    unreachable_edges: UnreachableEdgeReport,
     writes: PendingWrites,
     change_feed: ChangeFeed,
     followers: Followers,
@@ -195,6 +198,7 @@
             voter_membership: VoterMembership::new(started_blank, bootstraps, now),
             suspension: SuspensionDetector::new(now),
             fleet_contact: FleetContact::new(now),
+            unreachable_edges: UnreachableEdgeReport::default(),
             writes: PendingWrites::new(incarnation),
             change_feed: ChangeFeed::default(),
             followers: Followers::default(),
@@ -295,6 +299,7 @@
         self.save_bootstrap(&mut out);
         self.send_heartbeats(now, &mut out);
         self.introduce(now, &mut out);
+        self.check_unreachable_edges(now);
         self.request_missing_slots(now, &mut out);
         let is_live = self.live_voters(now);
         let wanted_roles = self.wanted_roles();
--- a/coordination/src/control/change_feed.rs
+++ b/coordination/src/control/change_feed.rs
@@ -184,7 +184,35 @@
         now: Ms,
         out: &mut Effects,
     ) {
-        let mut update = self.build_update(follower, is_snapshot, now);
+        let update = self.build_update(follower, is_snapshot, now);
+        Self::deliver_update(addr, follower, update, through_limit, now, out);
+    }
+
+    /// Answers a poll like a push, with the report of unreachable edges where the agent lacks the newest.
+    pub(super) fn send_poll_answer(
+        &self,
+        addr: &Name,
+        follower: &mut Follower,
+        through_limit: u64,
+        is_snapshot: bool,
+        now: Ms,
+        out: &mut Effects,
+    ) {
+        let update = Update {
+            unreachable_edges: self.lacking_unreachable_edges(follower),
+            ..self.build_update(follower, is_snapshot, now)
+        };
+        Self::deliver_update(addr, follower, update, through_limit, now, out);
+    }
+
+    fn deliver_update(
+        addr: &Name,
+        follower: &mut Follower,
+        mut update: Update,
+        through_limit: u64,
+        now: Ms,
+        out: &mut Effects,
+    ) {
         let changes = update.changes.iter();
         let bytes: usize = changes.map(|change| change.value.0.len()).sum();
         // It arrives behind what is still in flight.
@@ -208,9 +236,11 @@
             selected_services: self.counters.services().cloned().collect(),
             is_snapshot: is_snapshot.into(),
             is_settled: self.is_settled.into(),
-            voter_count: self.registers.members.voters.len() as u32,
+            voter_count: self.registers.members.voters.len() as u64,
             changes: List(pending.changes),
             leases: self.current_leases(now),
+            // A push does not know what the agent has got meanwhile.
+            unreachable_edges: List::default(),
         }
     }
 
--- a/coordination/src/control/counters.rs
+++ b/coordination/src/control/counters.rs
@@ -18,12 +18,12 @@
     /// By service when its counters were last wanted here.
     wanted_at: BTreeMap<Name, Ms>,
     /// How often the selection changed.
-    selection: u32,
+    selection: u64,
 }
 
 impl CounterSelection {
     /// The number of the present selection: counters that were sent for another one are not accepted.
-    pub(super) fn selection(&self) -> u32 {
+    pub(super) fn selection(&self) -> u64 {
         self.selection
     }
 
--- a/coordination/src/control/directory.rs
+++ b/coordination/src/control/directory.rs
@@ -246,7 +246,7 @@
     }
 
     /// How long ago an edge was last heard from, by its own polls or by gossip.
-    fn unheard_for(&self, edge: &Node, now: Ms) -> Ms {
+    pub(super) fn unheard_for(&self, edge: &Node, now: Ms) -> Ms {
         let by_poll = self
             .followers
             .get(&edge.name)
--- a/coordination/src/control/followers.rs
+++ b/coordination/src/control/followers.rs
@@ -39,6 +39,8 @@
     pub(super) open_streams: OpenStreamCounts,
     versions: Vec<Change>,
     pub(super) in_flight: InFlight,
+    /// Version of the report of unreachable edges that it has from this daemon's incarnation.
+    pub(super) unreachable_edges_version: u64,
 }
 
 impl Follower {
@@ -55,6 +57,7 @@
             open_streams: OpenStreamCounts::new(),
             versions: std::mem::take(&mut poll.versions.0),
             in_flight: InFlight::default(),
+            unreachable_edges_version: 0,
         };
         let Some(previous) = previous else {
             return follower;
@@ -150,6 +153,9 @@
     pub(super) fn on_poll(&mut self, addr: &Name, mut poll: Poll, now: Ms, out: &mut Effects) {
         let previous = self.followers.0.remove(&poll.node.name);
         let mut follower = Follower::from_poll(previous, &mut poll, now);
+        if poll.source_incarnation == self.incarnation {
+            follower.unreachable_edges_version = poll.unreachable_edges_version;
+        }
         self.accept_poll_counters(&mut follower, &mut poll, now);
         // This is first hand: gossip in a large fleet takes longer.
         self.membership.on_description(&follower.node, now, out);
@@ -202,13 +208,13 @@
         if now >= in_flight.until || acknowledged >= in_flight.through_position {
             follower.after_position = acknowledged;
             let through_position = self.change_feed.position();
-            self.send_update(addr, follower, through_position, needs_snapshot, now, out);
+            self.send_poll_answer(addr, follower, through_position, needs_snapshot, now, out);
             return;
         }
         follower.after_position = in_flight.through_position;
         if !needs_snapshot {
             // Its position stays where it says that it is.
-            self.send_update(addr, follower, acknowledged, needs_snapshot, now, out);
+            self.send_poll_answer(addr, follower, acknowledged, needs_snapshot, now, out);
         }
     }
 }
--- a/coordination/src/edge_agent.rs
+++ b/coordination/src/edge_agent.rs
@@ -143,7 +143,7 @@
                 self.membership.set_http_addr(&report.http_addr);
                 self.proxy.on_report(addr, report, now);
             }
-            Message::PrefillReport(report) => self.on_prefill_report(addr, report, &mut out),
+            Message::PrefillReport(report) => self.on_prefill_report(addr, report, now, &mut out),
             Message::ContextDemand(demand) => self.on_context_demand(addr, demand, &mut out),
             _ => {}
         }
@@ -266,7 +266,7 @@
 
     /// Sends prefills that the own proxy reports to the edges of its region and of the region that
     /// it sent them to: those share replicas with it. What other edges report goes to the proxy.
-    fn on_prefill_report(&self, from: &Name, report: PrefillReport, out: &mut Effects) {
+    fn on_prefill_report(&self, from: &Name, report: PrefillReport, now: Ms, out: &mut Effects) {
         let Some(proxy_addr) = self.proxy.addr() else {
             return;
         };
@@ -280,8 +280,7 @@
                 || region_of(&self.regions, &edge.zone) == &*report.region
         };
         out.extend(
-            self.membership
-                .live(NodeRole::Edge)
+            self.live_edges(now)
                 .filter(|edge| edge.name != me.name)
                 .filter(shares_replicas)
                 .map(|edge| send(&edge.addr, report.clone())),
@@ -327,11 +326,19 @@
         let update = ProxyUpdate {
             decision: self.update_serving_rule(now, out),
             leases: self.leases.unexpired(now),
-            nodes: List(self.with_me(self.membership.live(NodeRole::Edge))),
+            nodes: List(self.with_me(self.live_edges(now))),
         };
         self.proxy.send_update(&self.state_table, update, now, out);
     }
 
+    /// Other edges that count as alive, by gossip and by the control daemons' reports.
+    fn live_edges(&self, now: Ms) -> impl Iterator<Item = &Node> {
+        let unreachable = self.sources.unreachable_edges(now);
+        self.membership
+            .live(NodeRole::Edge)
+            .filter(move |edge| !unreachable.contains(edge))
+    }
+
     /// Nodes and this one.
     fn with_me<'a>(&'a self, nodes: impl Iterator<Item = &'a Node>) -> Vec<Node> {
         nodes.chain([self.membership.me()]).cloned().collect()
--- a/coordination/src/edge_agent/control_sources.rs
+++ b/coordination/src/edge_agent/control_sources.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use wire_messages::{Change, List, Name, Node, Poll, Update};
+use wire_messages::{Change, List, Name, Node, Poll, UnreachableEdges, Update};
 
 use super::{
     local_proxy::{CountersSince, ProxyLink},
@@ -13,7 +13,7 @@
 use crate::{
     Effects, Ms,
     effect::send,
-    membership::{Membership, NodeRole},
+    membership::{Membership, NodeRole, name_digest},
     state_table::StateTable,
     timing::{LEASE_DURATION, TICK_INTERVAL},
 };
@@ -69,7 +69,9 @@
     /// The services whose counters it keeps, by its newest response, and the number of that
     /// selection.
     selected_services: Vec<Name>,
-    selection: u32,
+    selection: u64,
+    /// The edges that it does not hear from, by its newest report.
+    unreachable_edges: UnreachableEdges,
 }
 
 impl ControlSource {
@@ -106,6 +108,9 @@
         if !update.leases.is_empty() {
             self.lease_received_at = now;
         }
+        if let Some(report) = update.unreachable_edges.last() {
+            self.unreachable_edges = report.clone();
+        }
     }
 
     fn holds_role(&self, now: Ms) -> bool {
@@ -117,6 +122,16 @@
     }
 }
 
+/// Edges that are unreachable, by digests of their names.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UnreachableEdgeSet(BTreeSet<u32>);
+
+impl UnreachableEdgeSet {
+    pub fn contains(&self, edge: &Node) -> bool {
+        !self.0.is_empty() && self.0.contains(&name_digest(&edge.name))
+    }
+}
+
 /// What polls to all daemons have in common.
 pub(super) struct PollContext<'a> {
     pub membership: &'a Membership,
@@ -185,6 +200,24 @@
         true
     }
 
+    /// The edges that most of the responding control daemons which can know do not hear from. Gossip notices them too,
+    /// but the later the larger the fleet is.
+    pub fn unreachable_edges(&self, now: Ms) -> UnreachableEdgeSet {
+        let reports: Vec<&UnreachableEdges> = self
+            .by_name
+            .values()
+            .filter(|source| source.is_responding(now))
+            .map(|source| &source.unreachable_edges)
+            .filter(|report| report.version > 0)
+            .collect();
+        let mut report_counts: BTreeMap<u32, usize> = BTreeMap::new();
+        for digest in reports.iter().flat_map(|report| report.edges.iter()) {
+            *report_counts.entry(*digest).or_default() += 1;
+        }
+        report_counts.retain(|_, count| *count * 2 > reports.len());
+        UnreachableEdgeSet(report_counts.into_keys().collect())
+    }
+
     /// Whether the process did not run for a while, so that a poll is long overdue.
     pub fn was_suspended(&self, now: Ms) -> bool {
         self.next_poll > 0 && now > self.next_poll + SUSPENSION_MIN_GAP
@@ -289,6 +322,7 @@
         counters_since,
         counters_through: reported.through_report,
         selection: source.selection,
+        unreachable_edges_version: source.unreachable_edges.version,
         counters: reported.counters,
         open_streams: reported.open_streams,
         ..Poll::default()
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -9,16 +9,16 @@
 
 use wire_messages::{List, Name, Node, Shuffle};
 
-pub use self::{
-    known_nodes::NODE_TIMEOUT_PER_NODE,
-    shuffle::{MAX_SHUFFLE_INTERVAL, SHUFFLE_INTERVAL},
-    view::VIEW_SIZE,
-};
 use self::{
     known_nodes::{KnownNode, KnownNodes, description_digest},
     shuffle::ShuffleContent,
     view::PartialView,
 };
+pub use self::{
+    known_nodes::{NODE_TIMEOUT_PER_NODE, name_digest},
+    shuffle::{MAX_SHUFFLE_INTERVAL, SHUFFLE_INTERVAL},
+    view::VIEW_SIZE,
+};
 use crate::{
     Effects, Ms,
     effect::send,
--- a/coordination/src/membership/known_nodes.rs
+++ b/coordination/src/membership/known_nodes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use wire_messages::{Name, Node, NodeHeartbeat};
-use xxhash_rust::xxh3::Xxh3Default;
+use xxhash_rust::xxh3::{Xxh3Default, xxh3_64};
 
 use crate::{
     Effects, Ms,
@@ -85,6 +85,11 @@
     hasher.digest() as u32
 }
 
+/// Digest of a node's name.
+pub fn name_digest(name: &str) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
+}
+
 /// When a heartbeat of that age was made.
 fn heartbeat_time(age: u16, now: Ms) -> Ms {
     now.saturating_sub(Ms::from(age) * HEARTBEAT_AGE_UNIT)
--- a/coordination/tests/context_duty.rs
+++ b/coordination/tests/context_duty.rs
@@ -129,6 +129,7 @@
                     has_versions: 1,
                     versions: List::default(),
                     selection: 0,
+                    unreachable_edges_version: 0,
                 };
                 self.deliver(i, &name, poll.into());
             }
--- a/coordination/tests/directory_loss.rs
+++ b/coordination/tests/directory_loss.rs
@@ -1,5 +1,5 @@
-//! How long the directory names edges that are gone, at any size of the fleet and any share of it that is lost, and whether
-//! it ever leaves a live one out. Prints a row a case; `SIZES=22,44,88,176,352` plays other sizes (`-- --nocapture`).
+//! How long the directory names edges that are gone, and agents tell their proxies of them, at any size of the fleet and
+//! any share of it that is lost, and whether either ever leaves a live one out. Prints a row a case; `SIZES=22,44,88,176,352` plays other sizes (`-- --nocapture`).
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -33,8 +33,10 @@
 const OBSERVATION_TIME: Ms = 20_000;
 /// ms between two questions.
 const OBSERVATION_INTERVAL: Ms = 100;
-/// ms. The bound on how long the directory of a daemon in contact names an edge after its last message.
+/// ms. The bound on how long the directory of a daemon in contact, or an agent, names an edge after its last message.
 const MAX_NAMED_AFTER_LOSS: Ms = 3_000;
+/// ms. Agents tell their proxies of the live edges this often.
+const PROXY_UPDATE_INTERVAL: Ms = 300;
 
 /// What happens to one control daemon as the edges are lost.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -81,6 +83,8 @@
     queue: BTreeMap<(Ms, u64), (Name, Name, Message)>,
     sequence: u64,
     rng: fastrand::Rng,
+    /// The edges that each agent last told its proxy of.
+    told_proxies: BTreeMap<Name, BTreeSet<Name>>,
 }
 
 fn row_key(row: &Row) -> String {
@@ -101,6 +105,7 @@
             queue: BTreeMap::new(),
             sequence: 0,
             rng: fastrand::Rng::with_seed(seed),
+            told_proxies: BTreeMap::new(),
         };
         for i in 0..CONTROLS {
             deployment.add_control(i, true);
@@ -181,6 +186,13 @@
     fn carry(&mut self, from: &Name, effects: Effects) {
         for effect in effects {
             match effect {
+                Effect::Send {
+                    msg: Message::TableUpdate(update),
+                    ..
+                } => {
+                    let edges = update.nodes.iter().map(|node| node.name.clone());
+                    self.told_proxies.insert(from.clone(), edges.collect());
+                }
                 Effect::Send { to, msg } => {
                     let is_cut = to != *from
                         && self
@@ -442,3 +454,49 @@
         }
     }
 }
+
+/// What was observed of agents after a loss.
+#[derive(Debug, Default)]
+struct ObservedAgents {
+    /// ms from the loss to the last time at which a live agent's proxy had been told that a lost edge lives.
+    told_for: Ms,
+    /// Live edges that a live agent left out, summed over all times of asking.
+    left_out: usize,
+}
+
+fn run_agents_case(edges: usize, percent: usize) -> ObservedAgents {
+    let mut deployment = Deployment::new(edges, 7);
+    deployment.run(DISCOVERY_TIME);
+    deployment.lose_edges(percent);
+    let lost_at = deployment.now;
+    let all: BTreeSet<Name> = deployment.edges.keys().cloned().collect();
+    let live: BTreeSet<Name> = all.difference(&deployment.gone).cloned().collect();
+    let mut observed = ObservedAgents::default();
+    while deployment.now < lost_at + OBSERVATION_TIME {
+        deployment.run(OBSERVATION_INTERVAL);
+        for agent in &live {
+            let told = &deployment.told_proxies[agent];
+            observed.left_out += live.difference(told).count();
+            if !told.is_disjoint(&deployment.gone) {
+                observed.told_for = deployment.now - lost_at;
+            }
+        }
+    }
+    println!("{edges:4} edges, {percent:2}% lost, agents: {observed:?}");
+    observed
+}
+
+#[gtest]
+fn lost_edge_counts_as_live_at_no_agent_for_over_3_s_and_no_live_one_is_left_out() {
+    for edges in sizes(&[22, 88]) {
+        for percent in [10, 30, 70] {
+            let observed = run_agents_case(edges, percent);
+            expect_that!(
+                observed.told_for,
+                le(MAX_NAMED_AFTER_LOSS + PROXY_UPDATE_INTERVAL),
+                "{edges} edges, {percent}% lost"
+            );
+            expect_that!(observed.left_out, eq(0), "{edges} edges, {percent}% lost");
+        }
+    }
+}
--- a/coordination/tests/edge_agent.rs
+++ b/coordination/tests/edge_agent.rs
@@ -361,7 +361,7 @@
 }
 
 /// A settled update by which a daemon tells its selection of services.
-fn selection(selection: u32, services: &[&str], poll_sent_at: Ms) -> Update {
+fn selection(selection: u64, services: &[&str], poll_sent_at: Ms) -> Update {
     Update {
         poll_sent_at,
         source_incarnation: 1,
@@ -394,7 +394,7 @@
     };
     // A proxy that has nothing new to report, and what the agent then polls: daemon, selection and
     // services.
-    let reported = |agent: &mut EdgeAgent, now: Ms| -> Vec<(Name, u32, Vec<Name>)> {
+    let reported = |agent: &mut EdgeAgent, now: Ms| -> Vec<(Name, u64, Vec<Name>)> {
         let unchanged = ProxyReport {
             after_change: 1,
             counters: List::default(),
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -5,7 +5,7 @@
 use crate::{
     Blob, ChainDemand, Change, ForwardOutcome, Lease, List, Name, Node, NodeHeartbeat, OpenStreams,
     OutcomeCounters, OwnedKey, PeerState, Precondition, Prefill, ProxyLease, RangeDigest,
-    ReplacedValue, Slot, Varint, Voter, parts::parts,
+    ReplacedValue, Slot, UnreachableEdges, Varint, Voter, parts::parts,
 };
 
 /// Declares messages: structures as `parts!` makes them, and [`Message`] over them, each behind a tag of one byte.
@@ -218,7 +218,7 @@
         /// The newest report that the message covers.
         counters_through: u64 as Varint,
         /// Selection of services by the daemon that the counters follow.
-        selection: u32,
+        selection: u64 as Varint,
         /// Counters of the selected services.
         counters: List<OutcomeCounters>,
         /// Streams that are open or have ended.
@@ -227,6 +227,8 @@
         has_versions: u8,
         /// Metadata of every key that the agent has.
         versions: List<Change>,
+        /// Version of the newest [`UnreachableEdges`] that the agent has from that incarnation; 0: none.
+        unreachable_edges_version: u64 as Varint,
     }
 
     /// A control daemon's answer to [`Poll`], or a push of what was just committed.
@@ -240,7 +242,7 @@
         /// The newest report of counters that the sender has.
         counters_through: u64,
         /// Number of the sender's selection of services.
-        selection: u32,
+        selection: u64 as Varint,
         /// Services whose counters the sender keeps.
         selected_services: List<Name>,
         /// 1: it holds every key, not only what changed.
@@ -248,11 +250,13 @@
         /// 1: everything that the sender has is known to be committed.
         is_settled: u8,
         /// How many voters there are.
-        voter_count: u32,
+        voter_count: u64 as Varint,
         /// Committed values.
         changes: List<Change>,
         /// Leases under the roles that the sender holds.
         leases: List<Lease>,
+        /// The edges that the sender does not hear from; empty where the agent has the newest report already.
+        unreachable_edges: List<UnreachableEdges>,
     }
 
     /// Gossip of membership between neighbours. One exchange has up to four messages, two in each direction.
--- a/wire-messages/src/parts.rs
+++ b/wire-messages/src/parts.rs
@@ -49,6 +49,14 @@
         heartbeat_age: u16,
     }
 
+    /// The edges that a control daemon does not hear from.
+    UnreachableEdges {
+        /// Rises with each change of the report within an incarnation of the daemon; 0: it cannot know which they are.
+        version: u64 as Varint,
+        /// Digests of their names.
+        edges: List<u32>,
+    }
+
     /// A heartbeat of a node whose description the receiver most likely has.
     NodeHeartbeat {
         /// Digest of the node's description.
