Judge times to the first chunk by their spread, not by their mean alone

Cause: good releases were reverted in soaks. A version was condemned when the mean logarithm of its times to the first chunk exceeded the others' by 1.125 doublings on 12 chunks. Where some answers come at once and others in 350 ms, a mean of so few spreads by a doubling itself, and it is looked at every 300 ms on each lane. Change: the excess must besides be four standard deviations. The variance is taken between reports (a report with k chunks of sum s adds s*s/k), so that no counter is added to polls.

--- a/coordination/src/version_health/counts.rs
+++ b/coordination/src/version_health/counts.rs
@@ -49,9 +49,37 @@
     first_chunks,
     /// Sum of `log_ms` of the times to the first chunks.
     first_chunk_log_sum,
+    /// Reports that brought first chunks.
+    first_chunk_reports,
+    /// Over these reports the sum of the square of each one's sum of `log_ms`, divided by its first chunks.
+    first_chunk_square_sum,
 }
 
 impl OutcomeCounts {
+    /// What one report adds, with what its first chunks tell of the spread of all.
+    pub(super) fn as_report(self) -> OutcomeCounts {
+        if self.first_chunks == 0 {
+            return self;
+        }
+        OutcomeCounts {
+            first_chunk_reports: 1,
+            first_chunk_square_sum: self.first_chunk_log_sum * self.first_chunk_log_sum
+                / self.first_chunks,
+            ..self
+        }
+    }
+
+    /// Variance of `log_ms` of the times to the first chunks: between reports, as the mean of few chunks spreads the
+    /// more the fewer they are. 0 where there are too few reports to tell.
+    pub(super) fn first_chunk_log_variance(&self) -> f64 {
+        if self.first_chunk_reports < 2 {
+            return 0.0;
+        }
+        let sum = self.first_chunk_log_sum as f64;
+        let square_sum = self.first_chunk_square_sum as f64 - sum * sum / self.first_chunks as f64;
+        square_sum.max(0.0) / (self.first_chunk_reports - 1) as f64
+    }
+
     pub(super) fn failures(&self) -> Rate {
         Rate {
             ended: self.ended,
--- a/coordination/src/version_health/placed_verdict.rs
+++ b/coordination/src/version_health/placed_verdict.rs
@@ -26,6 +26,9 @@
 const MIN_BURST_FAILURES: u64 = 3;
 /// Doublings of the mean time to a first chunk that make a version slow: 2.2 times, where bad ones take several.
 const SLOW_DOUBLINGS: f64 = 1.125 * LOG_UNITS_PER_DOUBLING;
+/// Standard deviations by which times must exceed the others' besides: they are looked at again and again, and a few
+/// slow ones among many quick ones double a mean of few by chance.
+const SLOW_SIGMA: f64 = 4.0;
 /// First chunks on both sides before times are compared: a mean of so many is within a third of a doubling.
 const MIN_FIRST_CHUNKS: u64 = 12;
 
@@ -62,12 +65,28 @@
     first_chunks: u64,
     /// By how much the sum of logarithms exceeds the others' mean.
     log_excess: f64,
+    /// Variance of that excess, were the version like the others.
+    variance: f64,
 }
 
 impl FirstChunkDelay {
+    /// The delay of a version's first chunks against the others' on one lane.
+    fn of(own: &OutcomeCounts, others: &OutcomeCounts) -> Self {
+        let (count, others_count) = (own.first_chunks as f64, others.first_chunks as f64);
+        let others_mean = others.first_chunk_log_sum as f64 / others_count;
+        // The others' mean is known the less surely the fewer they are.
+        let variance = others.first_chunk_log_variance() * count * (1.0 + count / others_count);
+        FirstChunkDelay {
+            first_chunks: own.first_chunks,
+            log_excess: own.first_chunk_log_sum as f64 - others_mean * count,
+            variance,
+        }
+    }
+
     fn is_late(self) -> bool {
         self.first_chunks >= MIN_FIRST_CHUNKS
             && self.log_excess >= SLOW_DOUBLINGS * self.first_chunks as f64
+            && self.log_excess >= SLOW_SIGMA * self.variance.sqrt()
     }
 }
 
@@ -225,16 +244,13 @@
             {
                 continue;
             }
-            let others_mean = others.first_chunk_log_sum as f64 / others.first_chunks as f64;
-            let delay = FirstChunkDelay {
-                first_chunks: own.first_chunks,
-                log_excess: own.first_chunk_log_sum as f64 - others_mean * own.first_chunks as f64,
-            };
+            let delay = FirstChunkDelay::of(&own, &others);
             if others.first_chunks >= MIN_FIRST_CHUNKS && delay.is_late() {
                 return true;
             }
             all_lanes.first_chunks += delay.first_chunks;
             all_lanes.log_excess += delay.log_excess;
+            all_lanes.variance += delay.variance;
         }
         all_lanes.is_late()
     }
--- a/coordination/src/version_health/sources.rs
+++ b/coordination/src/version_health/sources.rs
@@ -56,7 +56,7 @@
         Some(if is_first_report {
             recent_counts(reported)
         } else {
-            counts.minus(known)
+            counts.minus(known).as_report()
         })
     }
 }
@@ -71,6 +71,7 @@
         first_chunks: reported.first_chunks,
         first_chunk_log_sum: reported.first_chunk_log_sum,
         failed_replicas: reported.failed_replicas,
+        ..OutcomeCounts::default()
     }
 }
 
