Soak: partitions between the processes, drawn beside everything else

Cause: the soak had no faults of links; partitions met no outage, release, replaced disk or restart of real processes. A seed draws partitions of a control machine, of edges or of a zone, both ways or one, besides what it drew before. A check of its own holds a control daemon that is cut off to tell nothing older than was acknowledged, and is seen failing; cut edges excuse a late drain and no lost request.

--- a/coordination/src/register/tests/random_faults.rs
+++ b/coordination/src/register/tests/random_faults.rs
@@ -15,7 +15,7 @@
     Deliver {
         to: usize,
         from: usize,
-        message: Message,
+        message: Box<Message>,
     },
     Synced {
         at: usize,
@@ -122,6 +122,7 @@
         let is_to_itself = to == from;
         let delay = if is_to_itself { 0 } else { self.rng.u64(1..40) };
         if is_to_itself || self.rng.u8(..) > 12 {
+            let message = Box::new(message);
             self.schedule(delay, Event::Deliver { to, from, message });
         }
     }
@@ -156,7 +157,7 @@
                 }
                 self.carry_out(at, then);
             }
-            Event::Deliver { to, from, message } => self.deliver(to, from, message),
+            Event::Deliver { to, from, message } => self.deliver(to, from, *message),
         }
     }
 
--- a/fleet-tools/src/soak.rs
+++ b/fleet-tools/src/soak.rs
@@ -5,6 +5,7 @@
 pub mod checks;
 pub mod faults;
 pub mod history;
+pub mod links;
 pub mod operators;
 pub mod plan;
 pub mod releases;
--- a/fleet-tools/src/soak/checks.rs
+++ b/fleet-tools/src/soak/checks.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 
 use super::history::{
-    Answered, Arrived, End, Event, Ms, Observed, ReleaseEnd, Tried, Trouble, Usage,
+    Answered, Arrived, End, Event, Ms, Observed, Read, ReleaseEnd, Tried, Trouble, Usage,
 };
 
 /// Checkers of the simulator that are asked.
@@ -55,7 +55,7 @@
 
 type Check = fn(&Observed) -> Vec<String>;
 
-const ORDER: [(&str, Check); 13] = [
+const ORDER: [(&str, Check); 14] = [
     ("shared", shared),
     ("own_answer", own_answer),
     ("lost", lost_in_order),
@@ -63,6 +63,7 @@
     ("one_winner", one_winner),
     ("repeats", repeats),
     ("older_read", older_read),
+    ("stale_read_while_cut", stale_read_while_cut),
     ("one_register", one_register),
     ("bad_release", bad_release),
     ("kept", |o| o.lost_changes.clone()),
@@ -240,7 +241,7 @@
             let stop = here().find(near);
             // A connection may also be of a former life of its edge, which its caller notices only now.
             let former = here().any(|e| {
-                e.trouble != Trouble::Hangup
+                !matches!(e.trouble, Trouble::Hangup | Trouble::Cut)
                     && e.from + SLACK >= t.opened
                     && e.from <= t.ended + SLACK
             });
@@ -324,22 +325,43 @@
         .collect()
 }
 
+/// What is wrong with a read, if it told an older configuration than was acknowledged before it was sent.
+fn older_than_acknowledged(o: &Observed, r: &Read) -> Option<String> {
+    let acked = o
+        .changes
+        .iter()
+        .filter(|c| c.is_accepted() && c.answered < r.sent)
+        .map(|c| c.release)
+        .max()?;
+    (r.release < acked).then(|| {
+        format!(
+            "{} told release {} at {} ms, {acked} had been acknowledged",
+            r.machine, r.release, r.sent
+        )
+    })
+}
+
 fn older_read(o: &Observed) -> Vec<String> {
-    let older = o.reads.iter().filter_map(|r| {
-        let acked = o
-            .changes
-            .iter()
-            .filter(|c| c.is_accepted() && c.answered < r.sent)
-            .map(|c| c.release)
-            .max()?;
-        (r.release < acked).then(|| {
-            format!(
-                "{} told release {} at {} ms, {acked} had been acknowledged",
-                r.machine, r.release, r.sent
-            )
-        })
-    });
-    older.collect()
+    o.reads
+        .iter()
+        .filter_map(|r| older_than_acknowledged(o, r))
+        .collect()
+}
+
+/// Whether a read was under way while its control daemon was cut off from the others.
+pub fn is_read_while_cut(o: &Observed, r: &Read) -> bool {
+    o.events.iter().any(|e| {
+        e.trouble == Trouble::Cut && e.machine == r.machine && e.from <= r.at && e.until >= r.sent
+    })
+}
+
+/// A control daemon that is cut off does not know what the others accept: it may be silent, and never tell what is older.
+fn stale_read_while_cut(o: &Observed) -> Vec<String> {
+    o.reads
+        .iter()
+        .filter(|r| is_read_while_cut(o, r))
+        .filter_map(|r| older_than_acknowledged(o, r))
+        .collect()
 }
 
 /// Whether the configurations that were told, to operators and readers, could be those of a single register.
@@ -471,9 +493,20 @@
         .iter()
         .filter_map(|r| Some((r.id.as_str(), r.draining?)))
         .collect();
+    let edges: BTreeMap<&str, usize> = o.tried.iter().map(|t| (t.id.as_str(), t.edge)).collect();
+    // An edge that is cut off is not told; it is held to it once it is in touch again.
+    let was_cut = |a: &Arrived, since: Ms| {
+        let edge = edges.get(a.id.as_str()).copied();
+        o.events.iter().any(|e| {
+            e.trouble == Trouble::Cut
+                && e.edge == edge
+                && e.from <= a.at
+                && e.until.saturating_add(CONTACT) >= a.at - since
+        })
+    };
     let late = o.arrived.iter().filter_map(|a| {
         let since = a.at.checked_sub(*told.get(a.replica.as_str())?)?;
-        (a.ran && since > DRAIN + SLACK).then(|| {
+        (a.ran && since > DRAIN + SLACK && !was_cut(a, since)).then(|| {
             format!(
                 "{} came to {} {since} ms after it began to drain",
                 a.id, a.replica
--- a/fleet-tools/src/soak/faults.rs
+++ b/fleet-tools/src/soak/faults.rs
@@ -14,8 +14,8 @@
 
 use super::{
     history::{Ms, ReplicaEnd, Trouble},
-    operators,
-    plan::Action,
+    links, operators,
+    plan::{Action, Direction},
     releases,
     run::Soak,
 };
@@ -29,6 +29,8 @@
 /// How long a replica that leaves serves on behind its drain's bound.
 const DRAIN_SLACK: Duration = Duration::from_secs(2);
 const DRAIN: Duration = Duration::from_secs(4);
+/// What the health of a control daemon says that votes.
+const SERVES: &str = "\"serves\"";
 /// A control machine is whole again once it says so; only trouble takes so long.
 const WHOLE: Duration = Duration::from_secs(60);
 
@@ -98,7 +100,9 @@
     s.release(machine);
 }
 
-async fn healthy(control: &str) -> bool {
+/// Whether a control daemon votes again. One that stands by without a vote calls itself healthy too, but here each has
+/// a place among the voters, and one that was given an empty disk counts as lost until it votes.
+async fn votes(control: &str) -> bool {
     let q = Asked {
         method: "GET",
         path: "/v1/health".into(),
@@ -106,18 +110,20 @@
     };
     send(control, &q, None)
         .await
-        .is_some_and(|a| status(&a) == 200)
+        .is_some_and(|a| status(&a) == 200 && String::from_utf8_lossy(&a.body).contains(SERVES))
 }
 
 /// One control machine at a time may be in trouble: so much is promised to be borne.
 async fn alone<F: Future<Output = ()>>(s: &Soak, f: F) {
+    // Kept until all are well: a lost disk counts until its successor has read the others.
+    let _turn = s.core_turn.lock().await;
     while !s.core_is_calm() {
         sleep(LOOK).await;
     }
     f.await;
     let until = Instant::now() + WHOLE;
     for c in s.controls() {
-        while !healthy(&c).await && Instant::now() < until {
+        while !votes(&c).await && Instant::now() < until {
             sleep(LOOK).await;
         }
     }
@@ -242,6 +248,29 @@
     tokio::join!(kill_edges(s, edges, down), restart);
 }
 
+/// Cuts off machines of which one serves control: so much is promised to be borne, as one control machine at a time.
+async fn cut_core(s: &Soak, core: usize, machines: &[usize], direction: Direction, long: Ms) {
+    let cut = async {
+        if s.claim(core) {
+            links::cut_off(s, machines, direction, long).await;
+            s.release(core);
+        }
+    };
+    alone(s, cut).await;
+}
+
+async fn cut_zone(s: &Soak, zone: usize, direction: Direction, long: Ms) {
+    let zone = s.d.zones[zone].0;
+    let machines: Vec<usize> = {
+        let all = &s.machines.borrow().all;
+        (0..all.len()).filter(|i| all[*i].zone == zone).collect()
+    };
+    match machines.iter().find(|i| **i < s.d.core.len()) {
+        Some(core) => cut_core(s, *core, &machines, direction, long).await,
+        None => links::cut_off(s, &machines, direction, long).await,
+    }
+}
+
 /// Carries one action out, to its end.
 pub async fn carry_out(s: Rc<Soak>, a: Action, seed: u64) {
     let mut rng = Rng::with_seed(seed);
@@ -270,5 +299,23 @@
         Action::CrashReplicas { count, down } => replicas(&s, count, false, down, &mut rng).await,
         Action::DrainReplica { down } => replicas(&s, 1, true, down, &mut rng).await,
         Action::Wipe { machine } => alone(&s, wipe(&s, machine)).await,
+        Action::CutCore {
+            machine,
+            direction,
+            long,
+        } => cut_core(&s, machine, &[machine], direction, long).await,
+        Action::CutEdges {
+            edges,
+            direction,
+            long,
+        } => {
+            let machines: Vec<usize> = edges.iter().map(|e| s.edge_at(*e)).collect();
+            links::cut_off(&s, &machines, direction, long).await;
+        }
+        Action::CutZone {
+            zone,
+            direction,
+            long,
+        } => cut_zone(&s, zone, direction, long).await,
     }
 }
--- a/fleet-tools/src/soak/history.rs
+++ b/fleet-tools/src/soak/history.rs
@@ -58,6 +58,8 @@
     Hangup,
     /// Killed, and started again with an empty disk.
     Wiped,
+    /// Frames from or to the other machines' processes, or both, are dropped.
+    Cut,
 }
 
 /// One machine's trouble from its beginning until its processes run again.
--- a/fleet-tools/src/soak/plan.rs
+++ b/fleet-tools/src/soak/plan.rs
@@ -70,6 +70,34 @@
     Release {
         bad: bool,
     },
+    /// A control machine is cut off from all other machines.
+    CutCore {
+        machine: usize,
+        direction: Direction,
+        long: Ms,
+    },
+    /// Edges are cut off from all other machines.
+    CutEdges {
+        edges: Vec<usize>,
+        direction: Direction,
+        long: Ms,
+    },
+    /// All machines of a zone are cut off from all others.
+    CutZone {
+        zone: usize,
+        direction: Direction,
+        long: Ms,
+    },
+}
+
+/// Which frames a network partition drops, as the machines see it that are cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    Both,
+    /// They are not heard.
+    Outbound,
+    /// They hear nobody.
+    Inbound,
 }
 
 /// What there is to act on.
@@ -160,6 +188,54 @@
     }
 }
 
+/// ms. Mean time between two partitions, which overlap with everything else.
+const PARTITION_PACE: Ms = 5_000;
+/// So that partitions do not change what else a seed draws.
+const PARTITION_SEED: u64 = 0x5bd1_e995;
+
+fn direction(r: &mut Rng) -> Direction {
+    match r.u32(0..4) {
+        0 | 1 => Direction::Both,
+        2 => Direction::Outbound,
+        _ => Direction::Inbound,
+    }
+}
+
+fn partition(r: &mut Rng, s: Size) -> Action {
+    let (direction, long) = (direction(r), r.u64(500..10_000));
+    match r.u32(0..10) {
+        0..4 => Action::CutCore {
+            machine: r.usize(0..s.core),
+            direction,
+            long,
+        },
+        4..8 => Action::CutEdges {
+            edges: some(r, s.edges, 0.3),
+            direction,
+            long,
+        },
+        _ => Action::CutZone {
+            zone: r.usize(0..s.zones),
+            direction,
+            long,
+        },
+    }
+}
+
+/// The partitions of a soak of so long.
+fn partitions(seed: u64, long: Ms, size: Size) -> Vec<Step> {
+    let mut r = Rng::with_seed(seed ^ PARTITION_SEED);
+    let mut steps = vec![];
+    let mut at = 0;
+    loop {
+        at += r.u64(1..2 * PARTITION_PACE);
+        if at + LAST > long {
+            return steps;
+        }
+        steps.push((at, partition(&mut r, size)));
+    }
+}
+
 /// The steps of a soak of so long, by when they begin. A series of stopped edges always comes first.
 pub fn draw(seed: u64, long: Ms, size: Size) -> Vec<Step> {
     let mut r = Rng::with_seed(seed);
@@ -180,6 +256,7 @@
         }
         steps.push((at, action(&mut r, size)));
     }
+    steps.extend(partitions(seed, long, size));
     steps.sort_by_key(|s| s.0);
     steps
 }
--- a/fleet-tools/src/soak/report.rs
+++ b/fleet-tools/src/soak/report.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use super::{
-    checks::Finding,
+    checks::{Finding, is_read_while_cut},
     history::{End, Observed, Usage},
 };
 
@@ -32,6 +32,8 @@
     pub troubles: usize,
     pub changes: usize,
     pub reads: usize,
+    /// Of the configurations read, those that a control daemon told while it was cut off.
+    pub reads_while_cut: usize,
     pub resolutions: usize,
     pub findings: usize,
 }
@@ -55,6 +57,7 @@
         troubles: o.events.len(),
         changes: o.changes.len(),
         reads: o.reads.len(),
+        reads_while_cut: o.reads.iter().filter(|r| is_read_while_cut(o, r)).count(),
         resolutions: o.directed.len(),
         findings,
     }
@@ -94,8 +97,8 @@
             .collect();
         row("releases", releases.join(", "));
         row(
-            "configurations read, answers of the directory",
-            format!("{}, {}", t.reads, t.resolutions),
+            "configurations read, of these from a daemon that was cut off, answers of the directory",
+            format!("{}, {}, {}", t.reads, t.reads_while_cut, t.resolutions),
         );
         let uses = |all: &[Usage]| {
             let memory = most(all, |u| u.memory_kb) >> 10;
--- a/fleet-tools/src/soak/run.rs
+++ b/fleet-tools/src/soak/run.rs
@@ -21,11 +21,13 @@
 use super::{
     callers, faults,
     history::{Arrived, Directed, Event, Ms, Observed, Trouble},
+    links,
     operators::{self, Orders},
     plan::{self, Size, Step},
     releases::{self, Releases},
     resources,
 };
+use crate::link::Link;
 
 /// Bound on the start and on the return of service: only trouble takes so long.
 const PATIENCE: Duration = Duration::from_secs(180);
@@ -56,7 +58,11 @@
     pub orders: Orders,
     pub releases: Releases,
     pub over: Cell<bool>,
+    /// What is dropped between the processes.
+    pub link: Link,
     began: Instant,
+    /// Whoever has it may put a control machine in trouble, until all are well again.
+    pub core_turn: tokio::sync::Mutex<()>,
     /// Machines that something is done to.
     busy: RefCell<BTreeSet<usize>>,
 }
@@ -194,7 +200,7 @@
 
 fn start(o: &Options) -> io::Result<Soak> {
     let d = Deployment::sized(o.processes);
-    let mut machines = Machines::start(d, &o.program)?;
+    let mut machines = Machines::start_behind_relays(d, &o.program)?;
     machines.keeps = true;
     let world = Shared::default();
     world::serve_list(&world, (machines.list(), d.ports.list))?;
@@ -223,7 +229,9 @@
         orders: Orders::default(),
         releases: Releases::new(d.versions[0]),
         over: Cell::new(false),
+        link: Link::default(),
         began: Instant::now(),
+        core_turn: tokio::sync::Mutex::default(),
         busy: RefCell::default(),
     })
 }
@@ -282,6 +290,10 @@
 pub async fn soak(o: &Options) -> Result<(Observed, PathBuf), String> {
     let s = Rc::new(start(o).map_err(|e| e.to_string())?);
     let folder = s.machines.borrow().folder.clone();
+    let relayed = links::relayed(&s.machines.borrow());
+    links::relay_all(&s.link, relayed)
+        .await
+        .map_err(|e| format!("starting relays: {e}"))?;
     begin(&s).await?;
     let size = Size {
         edges: s.d.edges.len(),
--- a/fleet-tools/tests/soak_checks.rs
+++ b/fleet-tools/tests/soak_checks.rs
@@ -244,6 +244,48 @@
     }
 }
 
+#[gtest]
+fn a_cut_off_daemon_that_tells_an_older_configuration_is_found() {
+    let cut = |from, until| Event {
+        machine: "core-1".into(),
+        edge: None,
+        ..event(Trouble::Cut, from, until)
+    };
+    let stale = ("stale_read_while_cut", Basis::Order);
+    // Release 3 was acknowledged at 1.1 s.
+    let plant = |from, until| {
+        move |o: &mut Observed| {
+            o.events.push(cut(from, until));
+            o.reads[1] = read(1, 2_000);
+        }
+    };
+    expect_that!(found(plant(1_500, 3_000)), contains(eq(&stale)));
+    expect_that!(found(plant(1_500, 1_900)), not(contains(eq(&stale))));
+    // It may tell what is newest, or nothing.
+    expect_that!(found(|o| o.events.push(cut(1_500, 3_000))), is_empty());
+}
+
+#[gtest]
+fn an_edge_that_is_cut_off_is_no_excuse_for_a_lost_request_and_one_for_a_late_drain() {
+    let cut = |o: &mut Observed| o.events.push(event(Trouble::Cut, 5_000, 30_000));
+    let lost = |o: &mut Observed| {
+        o.events.clear();
+        o.tried.truncate(1);
+        o.tried[0].end = End::NoAnswer;
+        cut(o);
+    };
+    expect_that!(found(lost), eq(&vec![("lost", Basis::Order)]));
+    let drained = |o: &mut Observed| {
+        o.replica_ends.push(ReplicaEnd {
+            id: "i-1".into(),
+            draining: Some(5_000),
+            at: 30_000,
+        });
+        cut(o);
+    };
+    expect_that!(found(drained), is_empty());
+}
+
 #[gtest]
 fn configurations_that_no_single_register_could_tell_are_found() {
     let order = vec![("one_register", Basis::Order)];
