Release each held request of the channel limit's test by its own notification

The test held two requests by one notification, woke one and awaited the answer of the first that it had sent. A notification wakes whoever waited first; on a busy machine the second request may reach the replica first, so that the other one was woken. Change: a release for each request, by its id. What is expected is unchanged.

--- a/edge-proxy/tests/pass.rs
+++ b/edge-proxy/tests/pass.rs
@@ -604,9 +604,18 @@
 #[gtest]
 fn no_more_channels_are_opened_than_a_replica_lets_this_edge_have() {
     run(async {
-        let go = Arc::new(Notify::new());
-        let n = go.clone();
-        let r = Replica::start(move |_, g| vec![Act::Wait(n.clone()), say(whole(g, "x"))]).await;
+        // One release for each request: they may reach the replica in either order.
+        let releases = ["a0", "a1", "c"].map(|round| (round, Arc::new(Notify::new())));
+        let release_of = {
+            let releases = releases.clone();
+            move |round: &str| releases.iter().find(|r| r.0 == round).unwrap().1.clone()
+        };
+        let release = release_of.clone();
+        let r = Replica::start(move |_, g| {
+            let round = g.header("round").unwrap();
+            vec![Act::Wait(release_of(round)), say(whole(g, "x"))]
+        })
+        .await;
         let e = Edge::start(
             Lane {
                 channels: 3,
@@ -616,20 +625,20 @@
         )
         .await;
         let mut open = vec![];
-        for i in 0..2 {
+        for round in ["a0", "a1"] {
             let mut d = Downstream::to(e.addr).await;
-            d.send(request(&format!("a{i}"), "q")).await;
-            open.push(d);
+            d.send(request(round, "q")).await;
+            open.push((round, d));
         }
         e.until(|_| r.count() == 2).await;
         let a = ask(&e, request("b", "q")).await;
         expect_that!((a.status, r.count()), eq((503, 2)));
-        for mut d in open {
-            go.notify_one();
+        for (round, mut d) in open {
+            release(round).notify_one();
             expect_that!(d.answer().await.status, eq(200));
         }
         // None is held against the replica: it takes the next at once.
-        go.notify_one();
+        release("c").notify_one();
         expect_that!(
             (ask(&e, request("c", "q")).await.status, e.tallies().2),
             eq((200, 0))
