Judge placed versions by what is known of the others' rates

Change: Fisher's exact test besides the rates' comparison (significance.rs), against the others' last half minute, which a new phase no longer forgets; the spread of first chunks is taken over both sides, each about its own mean.

--- a/coordination/src/version_health.rs
+++ b/coordination/src/version_health.rs
@@ -10,6 +10,7 @@
 mod baseline_verdict;
 mod counts;
 mod placed_verdict;
+mod significance;
 mod sources;
 mod windows;
 
--- a/coordination/src/version_health/counts.rs
+++ b/coordination/src/version_health/counts.rs
@@ -69,15 +69,29 @@
         }
     }
 
-    /// Variance of `log_ms` of the times to the first chunks: between reports, as the mean of few chunks spreads the
-    /// more the fewer they are. 0 where there are too few reports to tell.
-    pub(super) fn first_chunk_log_variance(&self) -> f64 {
-        if self.first_chunk_reports < 2 {
+    /// Variance of `log_ms` of the times to the first chunks, as far as both sides together tell, each about its own
+    /// mean: between reports, as the mean of few chunks spreads the more the fewer they are. A few reports of one side
+    /// may happen to be alike. 0 where there are too few reports to tell.
+    pub(super) fn pooled_first_chunk_log_variance(&self, other: &OutcomeCounts) -> f64 {
+        let sides = [self, other].map(OutcomeCounts::first_chunk_log_deviation);
+        let degrees: u64 = sides.iter().map(|side| side.degrees_of_freedom).sum();
+        let squares: f64 = sides.iter().map(|side| side.square_sum).sum();
+        if degrees == 0 {
             return 0.0;
         }
+        squares / degrees as f64
+    }
+
+    fn first_chunk_log_deviation(&self) -> Deviation {
+        if self.first_chunk_reports < 2 {
+            return Deviation::default();
+        }
         let sum = self.first_chunk_log_sum as f64;
         let square_sum = self.first_chunk_square_sum as f64 - sum * sum / self.first_chunks as f64;
-        square_sum.max(0.0) / (self.first_chunk_reports - 1) as f64
+        Deviation {
+            square_sum: square_sum.max(0.0),
+            degrees_of_freedom: self.first_chunk_reports - 1,
+        }
     }
 
     pub(super) fn failures(&self) -> Rate {
@@ -95,6 +109,15 @@
     }
 }
 
+/// How far values lie from their mean.
+#[derive(Clone, Copy, Default)]
+struct Deviation {
+    /// Sum of the squares of their distances.
+    square_sum: f64,
+    /// How many of these are free.
+    degrees_of_freedom: u64,
+}
+
 /// Requests sent to replicas.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SentCounts {
--- a/coordination/src/version_health/placed_verdict.rs
+++ b/coordination/src/version_health/placed_verdict.rs
@@ -6,12 +6,16 @@
 use super::{
     Verdict, VersionHealth,
     counts::{LOG_UNITS_PER_DOUBLING, OutcomeCounts, Rate},
+    significance::chance_of_as_many_bad,
     windows::{CounterKey, HEALTH_WINDOWS, LONG_WINDOW, SINCE_RESTART},
 };
 use crate::Ms;
 
 /// Standard deviations by which bad ends must exceed the others' rate: three where the others have none at all.
 const FAILURE_SIGMA: f64 = 3.0;
+/// Probability from which on chance could have made both sides differ so, as far as the others' rate is known: verdicts
+/// are looked for again and again, on each lane and in each window.
+const MAX_CHANCE: f64 = 3e-5;
 /// Standard deviations from which on a version is doubted: it may stay and gets no more.
 const SUSPICION_SIGMA: f64 = 1.0;
 /// ms. Windows in which a version that is about to be completed may not be doubted.
@@ -75,11 +79,11 @@
         let (count, others_count) = (own.first_chunks as f64, others.first_chunks as f64);
         let others_mean = others.first_chunk_log_sum as f64 / others_count;
         // The others' mean is known the less surely the fewer they are.
-        let variance = others.first_chunk_log_variance() * count * (1.0 + count / others_count);
+        let variance = own.pooled_first_chunk_log_variance(others);
         FirstChunkDelay {
             first_chunks: own.first_chunks,
             log_excess: own.first_chunk_log_sum as f64 - others_mean * count,
-            variance,
+            variance: variance * count * (1.0 + count / others_count),
         }
     }
 
@@ -106,6 +110,11 @@
         self.exceeds_chance(other, FAILURE_SIGMA + self.expected_bad(other).min(1.0))
     }
 
+    /// Whether chance can't have made this rate of what is known of the other.
+    fn differs_beyond_chance(self, other: Rate) -> bool {
+        chance_of_as_many_bad(self, other) < MAX_CHANCE
+    }
+
     /// Bad ends that the other's rate alone makes among as many requests.
     fn expected_bad(self, other: Rate) -> f64 {
         self.ended as f64 * other.bad as f64 / other.ended.max(1) as f64
@@ -168,7 +177,11 @@
     }
 
     fn fails_more_than_others(&self, comparison: Comparison, now: Ms) -> bool {
-        let others_over_long = self.others_failures(comparison, LONG_WINDOW, now);
+        // What the others always have doesn't change with the phase of a release.
+        let others_over_long = self
+            .windows
+            .sum_across_restarts(now, LONG_WINDOW, |key| comparison.is_others(key))
+            .failures();
         HEALTH_WINDOWS
             .into_iter()
             .any(|window| self.fails_more_in_window(comparison, others_over_long, window, now))
@@ -188,8 +201,11 @@
         }
         let others = self.others_failures(comparison, window, now);
         // What befalls both in one window is no fault of the new one, nor is what the others always have.
-        let is_worse =
-            |rate: Rate| rate.is_worse_than(others) && rate.is_worse_than(others_over_long);
+        let is_worse = |rate: Rate| {
+            rate.is_worse_than(others)
+                && rate.is_worse_than(others_over_long)
+                && rate.differs_beyond_chance(others_over_long)
+        };
         if !is_worse(own) {
             return false;
         }
@@ -225,7 +241,10 @@
     fn is_slow(&self, comparison: Comparison, window: Ms, now: Ms) -> bool {
         [true, false].into_iter().any(|cached| {
             let Compared { own, others } = self.compare(comparison, Some(cached), window, now);
-            others.ended >= MIN_FIRST_CHUNKS && own.slowness().is_worse_than(others.slowness())
+            let (own_slowness, others_slowness) = (own.slowness(), others.slowness());
+            others.ended >= MIN_FIRST_CHUNKS
+                && own_slowness.is_worse_than(others_slowness)
+                && own_slowness.differs_beyond_chance(others_slowness)
         })
     }
 
--- a/coordination/src/version_health/windows.rs
+++ b/coordination/src/version_health/windows.rs
@@ -82,6 +82,8 @@
     /// Totals at the last restart: nothing before it counts.
     restart_totals: Vec<OutcomeCounts>,
     ended: VecDeque<EndedWindow>,
+    /// How many of these had ended at the last restart, the one that it ended last.
+    ended_before_restart: usize,
     /// Added since the last window ended.
     current: BTreeMap<KeyIndex, OutcomeCounts>,
 }
@@ -117,6 +119,7 @@
         let is_old = |window: &EndedWindow| now.saturating_sub(window.ended_at) > LONG_WINDOW;
         while self.ended.get(1).is_some_and(is_old) {
             self.ended.pop_front();
+            self.ended_before_restart = self.ended_before_restart.saturating_sub(1);
         }
     }
 
@@ -131,16 +134,22 @@
         });
     }
 
+    /// Begins anew. What was counted before stays known to `sum_across_restarts` alone.
     pub(super) fn restart(&mut self, now: Ms) {
-        self.ended.clear();
         self.end_window(now);
+        self.ended_before_restart = self.ended.len();
         self.restart_totals = self.totals.clone();
     }
 
-    /// ms since the oldest remembered window ended; 0 without any.
+    /// The oldest window that matters after the last restart: the one that the restart ended, while it is remembered.
+    fn first_position(&self) -> usize {
+        self.ended_before_restart.saturating_sub(1)
+    }
+
+    /// ms since the oldest window that matters ended; 0 without any.
     pub(super) fn age(&self, now: Ms) -> Ms {
         self.ended
-            .front()
+            .get(self.first_position())
             .map_or(0, |window| now.saturating_sub(window.ended_at))
     }
 
@@ -173,10 +182,7 @@
         window: Ms,
         picks: impl Fn(&CounterKey) -> bool,
     ) -> OutcomeCounts {
-        let mut is_picked = vec![false; self.totals.len()];
-        for (key, index) in &self.keys {
-            is_picked[index.position()] = picks(key);
-        }
+        let is_picked = self.are_picked(picks);
         let mut sum = OutcomeCounts::default();
         self.visit(now, window, |key, counts| {
             if is_picked[key.position()] {
@@ -186,6 +192,37 @@
         sum
     }
 
+    /// Counts within the last `window` ms, of keys that are picked, those from before the last restart too.
+    pub(super) fn sum_across_restarts(
+        &self,
+        now: Ms,
+        window: Ms,
+        picks: impl Fn(&CounterKey) -> bool,
+    ) -> OutcomeCounts {
+        let is_picked = self.are_picked(picks);
+        let first = self
+            .last_ended_before(now, window)
+            .map_or(0, |before| before + 1);
+        let ended = self.ended.iter().skip(first);
+        ended
+            .flat_map(|window| &window.additions)
+            .map(|addition| (addition.key, addition.counts))
+            .chain(self.current.iter().map(|(key, counts)| (*key, *counts)))
+            .filter(|(key, _)| is_picked[key.position()])
+            .fold(OutcomeCounts::default(), |sum, (_, counts)| {
+                sum.plus(counts)
+            })
+    }
+
+    /// Of each key, by its number, whether it is picked.
+    fn are_picked(&self, picks: impl Fn(&CounterKey) -> bool) -> Vec<bool> {
+        let mut is_picked = vec![false; self.totals.len()];
+        for (key, index) in &self.keys {
+            is_picked[index.position()] = picks(key);
+        }
+        is_picked
+    }
+
     /// What a version counted on each lane within the last `window` ms, in one go over all that was counted: lanes are
     /// many.
     pub(super) fn sums_by_lane(
@@ -225,8 +262,14 @@
             .fold(OutcomeCounts::default(), OutcomeCounts::plus)
     }
 
-    /// The last window that had ended when the given one began: what came after it lies in the given one.
+    /// The last window that had ended when the given one began: what came after it lies in the given one. None if the
+    /// last restart came later.
     fn window_start(&self, now: Ms, window: Ms) -> Option<usize> {
+        self.last_ended_before(now, window)
+            .filter(|position| *position >= self.first_position())
+    }
+
+    fn last_ended_before(&self, now: Ms, window: Ms) -> Option<usize> {
         self.ended
             .iter()
             .rposition(|ended| now.saturating_sub(ended.ended_at) >= window)
@@ -299,7 +342,9 @@
                 0
             }
         };
-        let start = self.window_start(now, window).unwrap_or(0);
+        let start = self
+            .window_start(now, window)
+            .unwrap_or_else(|| self.first_position());
         let mut sum = 0;
         let mut failures: Vec<FailuresUntil> = vec![];
         for ended in self.ended.iter().skip(start) {
