Digest a simulated run's effects only where they are asked for

Change: an optional digest. The version of the report of unreachable edges is computed in one place.

--- a/coordination/src/control/unreachable_edges.rs
+++ b/coordination/src/control/unreachable_edges.rs
@@ -31,21 +31,21 @@
         }
     }
 
-    /// The report as it is sent. Version 0: this daemon has nothing to report.
+    /// The version of the report as it is sent; 0 where this daemon has nothing to report.
+    fn version(&self) -> u64 {
+        self.edges.as_ref().map_or(0, |_| self.changes)
+    }
+
     fn message(&self) -> UnreachableEdges {
-        match &self.edges {
-            Some(edges) => UnreachableEdges {
-                version: self.changes,
-                edges: List(edges.clone()),
-            },
-            None => UnreachableEdges::default(),
+        UnreachableEdges {
+            version: self.version(),
+            edges: List(self.edges.clone().unwrap_or_default()),
         }
     }
 
     /// What a follower lacks that has the report of this version.
     pub(super) fn after_version(&self, version: u64) -> List<UnreachableEdges> {
-        let current_version = self.edges.as_ref().map_or(0, |_| self.changes);
-        if version == current_version {
+        if version == self.version() {
             return List::default();
         }
         List(vec![self.message()])
--- a/fleet-simulator/src/main.rs
+++ b/fleet-simulator/src/main.rs
@@ -18,6 +18,7 @@
 use fleet_simulator::{
     checkers::{self, Found},
     deployment::Deployment,
+    effect_digest::EffectDigest,
     figures::Figures,
     history::History,
     schedule::{self, NAMES, Schedule},
@@ -257,6 +258,7 @@
         length: schedule::length(name),
         off: l.off,
         policy: l.policy,
+        with_effect_digest: l.digests,
     };
     let w = c.world(&s);
     let found = checkers::check(&w.h);
@@ -303,7 +305,7 @@
     };
     let digests = if l.digests {
         Digests {
-            effects: w.effects.value(),
+            effects: w.effect_digest.as_ref().map_or(0, EffectDigest::value),
             observed: rendezvous_weight(&observed(&w.h), ""),
         }
     } else {
--- a/fleet-simulator/src/shrink.rs
+++ b/fleet-simulator/src/shrink.rs
@@ -5,6 +5,7 @@
 use crate::{
     checkers,
     deployment::Deployment,
+    effect_digest::EffectDigest,
     history::Ms,
     schedule::Schedule,
     world::{Guard, World},
@@ -17,6 +18,8 @@
     pub length: Ms,
     pub off: Option<Guard>,
     pub policy: Policy,
+    /// Whether a digest of all effects is made.
+    pub with_effect_digest: bool,
 }
 
 impl Case<'_> {
@@ -24,6 +27,7 @@
         let mut w = World::new(self.d.clone(), self.seed, self.length, s.clone());
         w.off = self.off;
         w.policy = self.policy;
+        w.effect_digest = self.with_effect_digest.then(EffectDigest::default);
         w.run();
         w
     }
--- a/fleet-simulator/src/shrink/tests.rs
+++ b/fleet-simulator/src/shrink/tests.rs
@@ -14,6 +14,7 @@
         seed: 1,
         length: 25_000,
         off: Some(Guard::Evacuation),
+        with_effect_digest: false,
         policy: Policy::default(),
     };
     expect_true!(c.fails(&s, "evacuated"));
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -351,8 +351,8 @@
     pub now: Ms,
     pub h: History,
     pub trace: VecDeque<String>,
-    /// Everything that the daemons asked for so far.
-    pub effects: EffectDigest,
+    /// Of everything that the daemons asked for so far; none unless builds are compared, as it takes a good part of a run.
+    pub effect_digest: Option<EffectDigest>,
     rng: fastrand::Rng,
     seq: u64,
     queue: BTreeMap<(Ms, u64), Ev>,
@@ -494,7 +494,7 @@
                 ..History::default()
             },
             trace: VecDeque::new(),
-            effects: EffectDigest::default(),
+            effect_digest: None,
             rng,
             seq: 0,
             queue: BTreeMap::new(),
--- a/fleet-simulator/src/world/daemons.rs
+++ b/fleet-simulator/src/world/daemons.rs
@@ -131,10 +131,16 @@
         self.after(TICK_INTERVAL, Ev::Tick(t));
     }
 
+    fn digest_effects(&mut self, by: &str, effects: &Effects) {
+        if let Some(digest) = &mut self.effect_digest {
+            digest.update(by, effects, self.now);
+        }
+    }
+
     pub(super) fn carry_agent(&mut self, i: usize, out: Effects) {
         let (name, addr): (Name, Name) =
             (self.edges[i].name.as_str().into(), self.edges[i].addr('a'));
-        self.effects.update(&name, &out, self.now);
+        self.digest_effects(&name, &out);
         for e in out {
             match e {
                 Effect::Send { to, msg } => self.post(To::Agent(i), &name, &addr, &to, msg),
@@ -148,7 +154,7 @@
 
     pub(super) fn carry(&mut self, i: usize, out: Effects) {
         let (name, addr) = (self.ctl[i].p.name.clone(), self.ctl[i].p.addr.clone());
-        self.effects.update(&name, &out, self.now);
+        self.digest_effects(&name, &out);
         for e in out {
             match e {
                 Effect::Send { to, msg } if to == addr => {
--- a/fleet-simulator/src/world/network.rs
+++ b/fleet-simulator/src/world/network.rs
@@ -240,7 +240,9 @@
             self.edges[i].addr('x'),
             self.edges[i].addr('a'),
         );
-        self.effects.message(&name, &msg);
+        if let Some(digest) = &mut self.effect_digest {
+            digest.message(&name, &msg);
+        }
         self.post(To::Proxy(i), &name, &addr, &to, msg);
     }
 }
