Take no message that waited in a resumed daemon for a fresh sign of life

A control daemon was suspended for 3.4 s, ran for 2 ms and was suspended for 3.2 s more; two edges were killed 0.3 s after the first suspension began. Resumed, it read the polls that had waited since then, took them for fresh and named both edges for 1.5 s, 6.3 to 7.9 s after their end. Change: what is received within half a second of a resumption counts as sent when the process last ran; suspensions that follow each other within that time are one.

--- a/coordination/src/control/directory.rs
+++ b/coordination/src/control/directory.rs
@@ -245,18 +245,18 @@
         log_event(events::UNREACHABLE_EDGES_LISTED, caller.region, text)
     }
 
-    /// How long ago an edge was last heard from, by its own polls or by gossip.
+    /// How long ago an edge was last heard from at least, by its own polls or by gossip.
     pub(super) fn unheard_for(&self, edge: &Node, now: Ms) -> Ms {
         let by_poll = self
             .followers
             .get(&edge.name)
             .map(|follower| now.saturating_sub(follower.polled_at));
         let by_gossip = self.membership.unheard_for(&edge.name, now);
-        by_poll
-            .into_iter()
-            .chain(by_gossip)
-            .min()
-            .unwrap_or(Ms::MAX)
+        let unheard_for = by_poll.into_iter().chain(by_gossip).min();
+        unheard_for.map_or(Ms::MAX, |unheard_for| {
+            let heard_at = now.saturating_sub(unheard_for);
+            now - self.suspension.earliest_sent(heard_at)
+        })
     }
 
     fn log_distant(
--- a/coordination/src/control/suspension.rs
+++ b/coordination/src/control/suspension.rs
@@ -13,6 +13,9 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SuspensionDetector {
     last_tick: Ms,
+    /// When the process last ran before the newest suspension, or before several that followed each other closely.
+    suspended_since: Ms,
+    /// When the grace after it ended.
     suspended_until: Ms,
 }
 
@@ -20,6 +23,7 @@
     pub(super) fn new(now: Ms) -> Self {
         SuspensionDetector {
             last_tick: now,
+            suspended_since: 0,
             suspended_until: 0,
         }
     }
@@ -41,8 +45,22 @@
     /// Whether the process was suspended until just now.
     pub(super) fn was_suspended(&mut self, now: Ms) -> bool {
         if !self.ticked_lately(now) {
+            // A short run may leave messages in the sockets.
+            if self.last_tick >= self.suspended_until {
+                self.suspended_since = self.last_tick;
+            }
             self.suspended_until = now + RESUME_GRACE;
         }
         now < self.suspended_until
     }
+
+    /// The earliest time at which what was received then may have been sent: it may have waited since the process was
+    /// suspended.
+    pub(super) fn earliest_sent(&self, received_at: Ms) -> Ms {
+        if (self.suspended_since..self.suspended_until).contains(&received_at) {
+            self.suspended_since
+        } else {
+            received_at
+        }
+    }
 }
--- a/coordination/tests/directory_loss.rs
+++ b/coordination/tests/directory_loss.rs
@@ -80,6 +80,9 @@
     edges: BTreeMap<Name, EdgeHost>,
     gone: BTreeSet<Name>,
     cut: Option<Name>,
+    /// A control daemon that does not run now, and the messages that wait for it.
+    suspended: Option<Name>,
+    waiting: Vec<(Name, Message)>,
     queue: BTreeMap<(Ms, u64), (Name, Name, Message)>,
     sequence: u64,
     rng: fastrand::Rng,
@@ -102,6 +105,8 @@
             edges: BTreeMap::new(),
             gone: BTreeSet::new(),
             cut: None,
+            suspended: None,
+            waiting: vec![],
             queue: BTreeMap::new(),
             sequence: 0,
             rng: fastrand::Rng::with_seed(seed),
@@ -223,6 +228,9 @@
     }
 
     fn deliver(&mut self, to: &Name, from: &Name, msg: Message) {
+        if self.suspended.as_ref() == Some(to) {
+            return self.waiting.push((from.clone(), msg));
+        }
         let now = self.now;
         let out = match (
             self.edges.get_mut(to),
@@ -281,7 +289,12 @@
             }
             if self.now.is_multiple_of(TICK_INTERVAL) {
                 let now = self.now;
-                for name in self.controls.keys().cloned().collect::<Vec<_>>() {
+                let suspended = self.suspended.clone();
+                let running = self
+                    .controls
+                    .keys()
+                    .filter(|c| Some(*c) != suspended.as_ref());
+                for name in running.cloned().collect::<Vec<_>>() {
                     let brain = self.controls.get_mut(&name).and_then(|c| c.brain.as_mut());
                     let out = brain.map(|c| c.tick(now)).unwrap_or_default();
                     self.carry(&name, out);
@@ -290,6 +303,16 @@
         }
     }
 
+    /// Lets the suspended daemon run again: it takes what waited, all at once.
+    fn resume(&mut self) {
+        let Some(resumed) = self.suspended.take() else {
+            return;
+        };
+        for (from, msg) in std::mem::take(&mut self.waiting) {
+            self.deliver(&resumed, &from, msg);
+        }
+    }
+
     /// Edges that a daemon names to callers of all zones; none if it names none.
     fn named_edges(&mut self, control: &Name) -> Option<BTreeSet<Name>> {
         let now = self.now;
@@ -455,6 +478,41 @@
     }
 }
 
+/// Messages that waited while a daemon was suspended were sent at any time since: those of an edge that was lost
+/// meanwhile are no sign of life.
+#[gtest]
+fn resumed_daemon_names_no_edge_that_was_lost_early_in_its_suspension() {
+    const SUSPENSIONS: [Ms; 2] = [3_400, 3_200];
+    for edges in sizes(&[22, 88]) {
+        let mut deployment = Deployment::new(edges, 7);
+        deployment.run(DISCOVERY_TIME);
+        let resumed = Name::from("c1");
+        deployment.suspended = Some(resumed.clone());
+        deployment.run(300);
+        deployment.lose_edges(50);
+        deployment.run(SUSPENSIONS[0] - 300);
+        // Too short a run for its polls to be answered.
+        deployment.resume();
+        deployment.run(2);
+        deployment.suspended = Some(resumed.clone());
+        deployment.run(SUSPENSIONS[1]);
+        deployment.resume();
+        let mut named_lost = 0;
+        let mut empty_for = 0;
+        for after in (0..OBSERVATION_TIME).step_by(OBSERVATION_INTERVAL as usize) {
+            let named_edges = deployment.named_edges(&resumed).unwrap_or_default();
+            named_lost += named_edges.intersection(&deployment.gone).count();
+            if named_edges.is_empty() {
+                empty_for = after + OBSERVATION_INTERVAL;
+            }
+            deployment.run(OBSERVATION_INTERVAL);
+        }
+        println!("{edges:4} edges, resumed: named {named_lost} lost ones, none for {empty_for} ms");
+        expect_that!(named_lost, eq(0), "{edges} edges");
+        expect_that!(empty_for, le(1_500), "{edges} edges");
+    }
+}
+
 /// What was observed of agents after a loss.
 #[derive(Debug, Default)]
 struct ObservedAgents {
