--- a/fleet-simulator/src/main.rs
+++ b/fleet-simulator/src/main.rs
@@ -21,15 +21,15 @@
     effect_digest::EffectDigest,
     figures::Figures,
     history::History,
-    schedule::{self, NAMES, Schedule},
+    schedule::{self, SCHEDULES, Schedule},
     shrink,
     world::Guard,
 };
 
 fn main() {
-    let list: String = NAMES
+    let list: String = SCHEDULES
         .iter()
-        .map(|(n, h)| format!("  {n:18} {h}\n"))
+        .map(|schedule| format!("  {:18} {}\n", schedule.name, schedule.summary))
         .collect();
     let number = |n: &'static str, d: &'static str, h: &'static str| {
         Arg::new(n)
@@ -100,9 +100,9 @@
     }
     let deployments: Vec<Deployment> = deployments.into_iter().map(|d| d.scaled(scale)).collect();
     let names: Vec<&str> = match text("schedule").as_str() {
-        "all" => NAMES.iter().map(|n| n.0).collect(),
-        n => match NAMES.iter().find(|x| x.0 == n) {
-            Some(x) => vec![x.0],
+        "all" => SCHEDULES.iter().map(|schedule| schedule.name).collect(),
+        n => match SCHEDULES.iter().find(|schedule| schedule.name == n) {
+            Some(schedule) => vec![schedule.name],
             None => bad(format!("no schedule {n}; --help lists them")),
         },
     };
--- a/fleet-simulator/tests/never.rs
+++ b/fleet-simulator/tests/never.rs
@@ -5,7 +5,7 @@
 use fleet_simulator::{
     checkers,
     deployment::Deployment,
-    schedule::{self, NAMES},
+    schedule::{self, SCHEDULES},
     world::{Guard, World},
 };
 use googletest::prelude::*;
@@ -48,9 +48,9 @@
 #[gtest]
 fn every_schedule_holds_for_both_deployments() {
     let cases = DEPLOYMENTS.iter().flat_map(|d| {
-        NAMES
+        SCHEDULES
             .iter()
-            .flat_map(move |n| (1..=SEEDS).map(move |s| (*d, n.0, s)))
+            .flat_map(move |n| (1..=SEEDS).map(move |s| (*d, n.name, s)))
     });
     expect_that!(failing(cases.collect()), is_empty());
 }
