--- a/coordination/tests/replacing.rs
+++ b/coordination/tests/replacing.rs
@@ -304,6 +304,25 @@
     }
 }
 
+/// A partition may be in one direction only: a holder whose messages arrive and that hears nobody can confirm nothing.
+#[gtest]
+fn a_lease_moves_when_its_holder_hears_nobody() {
+    for seed in 0..20 {
+        let mut fleet = three_daemons(seed);
+        fleet.write_until_accepted("rollout/s", b"duty", 5_000);
+        fleet.run_until(5_000, |fleet| owner_of(fleet, "rollout/s").is_some());
+        fleet.run(4_000);
+        let former = owner_of(&fleet, "rollout/s").unwrap();
+        let unheard = addr(former);
+        fleet.delivers = Box::new(move |_, to, _| *to != unheard);
+        let duration = fleet.run_until(12_000, |fleet| {
+            (0..3).any(|index| index != former && owns(fleet, index, "rollout/s"))
+        });
+        // As after its end, and what it takes to notice.
+        expect_that!(duration, some(le(4_500)), "seed {seed}");
+    }
+}
+
 /// A write whose owner dies with it ends well within the answer bound, and the same write again is no conflict.
 #[gtest]
 fn a_write_forwarded_to_an_owner_that_dies_reaches_the_next_owner() {
--- a/fleet-simulator/src/world.rs
+++ b/fleet-simulator/src/world.rs
@@ -4,28 +4,22 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use coordination::{
-    Effect, Effects, Row, WriteOutcome, claims,
-    control::{
-        Control, ControlConfig, DRAINING_PREFIX, KILL_SWITCH_KEY, PLAN_PREFIX, SPEC_KEY,
-        ZONE_PREFIX,
-    },
+    Effects, Row, claims,
+    control::{Control, ControlConfig},
     edge_agent::EdgeAgent,
     policy::Policy,
-    proxy::{Admission, Assignment, OutcomeClass, Proxy},
-    register::ROLLOUT_PREFIX,
-    rendezvous::text_digest,
-    request::{AttemptError, Request, Step, StepResult},
+    proxy::{Assignment, Proxy},
+    request::{AttemptError, Request, StepResult},
     rollout::Order,
-    state_table::{VersionStamp, version_stamp},
-    stream::{CheckedLine, LineChecker},
+    state_table::VersionStamp,
+    stream::LineChecker,
 };
 use remote_calls::{
-    Fault as CallFault, LoadedWeights, NominateRequest, Nomination, OrderAction, Outcome,
-    PlatformList, PlatformReplica, PlatformReplicaState, ReleasePlan, ReplicaReport, ResumePoint,
-    RunRequest, ServiceMode, Spec, StreamEnd, StreamLine, StreamStart, ZoneState,
+    Fault as CallFault, Outcome, PlatformReplica, RunRequest, ServiceMode, Spec, StreamEnd,
+    StreamLine,
 };
 use serde::Deserialize;
-use wire_messages::{ClaimRequest, Message, Name, Node};
+use wire_messages::{Message, Name};
 
 mod callers;
 mod daemons;
@@ -43,8 +37,8 @@
     deployment::Deployment,
     effect_digest::EffectDigest,
     faults::{Fault, How},
-    history::{Bad, Cached, Capacity, Cold, History, Loss, Ms, Run, Told, ZoneWord},
-    wrong::{Spoiler, Wrong, piece_line},
+    history::{Capacity, History, Ms, Told},
+    wrong::{Spoiler, Wrong},
 };
 
 /// ms. Hello of proxies, as the shell sends it.
--- a/fleet-simulator/src/world/callers.rs
+++ b/fleet-simulator/src/world/callers.rs
@@ -1,7 +1,22 @@
 //! Callers: who comes, where they are sent, and each request's way through a proxy.
 
-use super::*;
-use coordination::{claims::CLAIM_TIMEOUT, proxy::SLOW_FACTOR};
+use coordination::{
+    claims::{self, CLAIM_TIMEOUT},
+    proxy::{Admission, OutcomeClass, SLOW_FACTOR},
+    rendezvous::text_digest,
+    request::{AttemptError, Request, Step, StepResult},
+    stream::{CheckedLine, LineChecker},
+};
+use remote_calls::{
+    Fault as CallFault, NominateRequest, Nomination, Outcome, ResumePoint, RunRequest, StreamLine,
+};
+use wire_messages::ClaimRequest;
+
+use super::{
+    ASTRAY, COMES, Ev, Flow, Guard, HELD_BACK, KEYED, LATE, LATE_REPEATS, PATIENCE, REPEATS,
+    RESUME_SAME, To, World, lost_line,
+};
+use crate::history::{Ms, Told};
 
 /// With the guard off a replica's failures are not held against it.
 fn spared(off: Option<Guard>, e: OutcomeClass) -> OutcomeClass {
--- a/fleet-simulator/src/world/daemons.rs
+++ b/fleet-simulator/src/world/daemons.rs
@@ -1,11 +1,17 @@
 //! Starting, ticking and stopping the daemons, and carrying out what their brains ask, disks included.
 
 use coordination::{
+    Effect, Effects, Row,
     bounds::Bounds,
+    control::Control,
+    edge_agent::EdgeAgent,
+    proxy::Proxy,
     timing::{REPORT_INTERVAL, TICK_INTERVAL},
 };
+use wire_messages::{Name, Node};
 
-use super::*;
+use super::{Ev, Guard, HELLO_EVERY, To, World, row_key};
+use crate::history::Ms;
 
 impl World {
     pub(super) fn start(&mut self, t: To) {
--- a/fleet-simulator/src/world/engine.rs
+++ b/fleet-simulator/src/world/engine.rs
@@ -2,18 +2,22 @@
 //! section has in place of the nominated requests of the others. Proxies choose as they do on a platform that places
 //! versions; travel between regions takes the deployment's time.
 
-use std::sync::Arc;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use coordination::{
     exchange::{AttemptOutcome, RequestHead, ResponseSignals as Heard},
     placement::{CONNECT_COST_MS, IDLE_CONNECTION_MAX_AGE, shared_prefix},
+    proxy::{Admission, Assignment},
 };
 use remote_calls::PathSpec;
 
-use super::*;
+use super::{Ev, Guard, OPEN_LIMIT, TRAFFIC_FROM, To, World};
 use crate::{
-    deployment::{Class, EngineSection, Shared},
-    history::Pass,
+    deployment::{Class, Deployment, EngineSection, Shared},
+    history::{Ms, Pass, Run},
 };
 
 mod model;
--- a/fleet-simulator/src/world/faults.rs
+++ b/fleet-simulator/src/world/faults.rs
@@ -1,6 +1,12 @@
 //! What each fault does to the fleet.
 
-use super::*;
+use coordination::control::KILL_SWITCH_KEY;
+
+use super::{Badness, Cut, Ev, Guard, LOOK_AGAIN, Net, To, What, World};
+use crate::{
+    faults::Fault,
+    history::{Bad, Loss, Ms},
+};
 
 impl World {
     pub(super) fn kill_control(&mut self, at: usize) {
--- a/fleet-simulator/src/world/network.rs
+++ b/fleet-simulator/src/world/network.rs
@@ -1,7 +1,11 @@
 //! The network between machines, and what each process does when a message reaches it.
 
-use super::*;
-use coordination::timing::SLOW_START_DURATION;
+use coordination::{control::ZONE_PREFIX, request::StepResult, timing::SLOW_START_DURATION};
+use remote_calls::{LoadedWeights, PlatformList, ReplicaReport};
+use wire_messages::{Message, Name};
+
+use super::{CACHE, Ev, Guard, LONG, SLOTS, To, World};
+use crate::history::Ms;
 
 impl World {
     pub(super) fn machine(&self, t: To) -> (String, String) {
--- a/fleet-simulator/src/world/operators.rs
+++ b/fleet-simulator/src/world/operators.rs
@@ -1,6 +1,17 @@
 //! Operators' calls and what they were answered.
 
-use super::*;
+use std::collections::BTreeSet;
+
+use coordination::{
+    WriteOutcome,
+    control::{DRAINING_PREFIX, PLAN_PREFIX, SPEC_KEY, ZONE_PREFIX},
+    register::ROLLOUT_PREFIX,
+    state_table::version_stamp,
+};
+use remote_calls::{ReleasePlan, Spec, ZoneState};
+
+use super::{Ctl, Ev, Guard, Op, PLACED_IN, READ_AFTER, SAMPLE, To, WARN_AGAIN, What, World};
+use crate::history::{Ms, ZoneWord};
 
 impl World {
     pub(super) fn write(
--- a/fleet-simulator/src/world/placing.rs
+++ b/fleet-simulator/src/world/placing.rs
@@ -1,12 +1,16 @@
 //! A platform that places versions: what it lists, and what it starts and stops at an order.
 
 use coordination::{
+    control::PLAN_PREFIX,
+    register::ROLLOUT_PREFIX,
     rollout::VersionedPlan,
     rollout_status::{RolloutStatus, rollout_status},
     timing::SLOW_START_DURATION,
 };
+use remote_calls::{PlatformReplica, PlatformReplicaState, ReleasePlan};
 
-use super::*;
+use super::{ASKED_EVERY, Ev, PLACED_AFTER, RELEASED, Rep, TAKEN_AWAY, TRAFFIC_FROM, World};
+use crate::history::Ms;
 
 impl World {
     /// The platform's list. Where it places versions it tells what each replica has loaded and how cold it is.
--- a/fleet-simulator/src/world/replicas.rs
+++ b/fleet-simulator/src/world/replicas.rs
@@ -1,6 +1,23 @@
 //! The platform and its replicas: starting, loading, running, and being ordered about.
 
-use super::*;
+use std::collections::{BTreeMap, VecDeque};
+
+use coordination::{
+    proxy::Assignment, rendezvous::text_digest, request::AttemptError, rollout::Order,
+};
+use remote_calls::{
+    Fault as CallFault, OrderAction, Outcome, PlatformReplica, PlatformReplicaState, RunRequest,
+    StreamEnd, StreamLine, StreamStart,
+};
+
+use super::{
+    Badness, CACHE, Ev, LOAD, OPEN_LIMIT, Rep, SLOTS, SLOW_TIMES, To, Work, World, lost_line,
+};
+use crate::{
+    faults::How,
+    history::{Cached, Cold, Ms, Run},
+    wrong::{Spoiler, Wrong, piece_line},
+};
 
 impl World {
     /// ms. Loading a version, now.
--- a/fleet-simulator/src/world/sick.rs
+++ b/fleet-simulator/src/world/sick.rs
@@ -1,10 +1,10 @@
 //! Replicas that are ill and say otherwise, and specs that grow long.
 
 use remote_calls::LaneSpec;
-use wire_messages::{Envelope, encode};
+use wire_messages::{Envelope, Message, encode};
 
-use super::*;
-use crate::history::Sick;
+use super::{Ev, To, World};
+use crate::history::{Ms, Sick};
 
 impl World {
     fn sick(&mut self, id: &str, percent: u32, ms: Ms) {
