Explore four scenarios at a time, and drop worlds once their successors are known

Change: four at a time over all tests of the process; a world is dropped when it has been expanded. The same states are visited.

--- a/coordination/src/register/tests/explore.rs
+++ b/coordination/src/register/tests/explore.rs
@@ -8,7 +8,7 @@
 
 use std::{
     collections::{BTreeMap, HashSet, VecDeque},
-    sync::Arc,
+    sync::{Arc, Condvar, Mutex},
 };
 
 use googletest::prelude::*;
@@ -47,17 +47,47 @@
     violation: Option<String>,
 }
 
+/// Scenarios that are explored at the same time: each keeps the worlds of its last steps in memory.
+const MAX_CONCURRENT: usize = 4;
+
+/// How many are explored now, over all tests of this process.
+static CONCURRENT: Mutex<usize> = Mutex::new(0);
+static ONE_ENDED: Condvar = Condvar::new();
+
+/// One of the `MAX_CONCURRENT` places, until it is dropped.
+struct Place;
+
+impl Place {
+    fn take() -> Place {
+        let concurrent = CONCURRENT.lock().unwrap();
+        let mut concurrent = ONE_ENDED
+            .wait_while(concurrent, |concurrent| *concurrent >= MAX_CONCURRENT)
+            .unwrap();
+        *concurrent += 1;
+        Place
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *CONCURRENT.lock().unwrap() -= 1;
+        ONE_ENDED.notify_one();
+    }
+}
+
 /// Visits all orders, the shortest first, until something is violated, none is left, or a bound is reached.
 fn explore(world: World, max_depth: u32, max_states: usize) -> Explored {
+    let _place = Place::take();
     let mut seen = HashSet::from([world.digest()]);
     let mut states: Vec<(World, Trace)> = vec![(world, None)];
     for depth in 0..max_depth {
         let mut next = vec![];
-        for (world, trace) in &states {
+        // Each is dropped once its successors are known: a world takes kilobytes.
+        for (world, trace) in states {
             for action in world.actions() {
                 let mut after = world.clone();
                 after.apply(action);
-                if after.changed_nothing_since(world) || !seen.insert(after.digest()) {
+                if after.changed_nothing_since(&world) || !seen.insert(after.digest()) {
                     continue;
                 }
                 let trace = Some(Arc::new(Step {
