Log and count attempts at replicas that warm up

Event 505 SLOW_START_ATTEMPT is logged with a proxy's first attempt during a warm-up: how the proxy knows of it, how long it takes it to last, its share of the rate, the edges it counts and those ahead of it. Counter slow_start_attempts at /v1/counters counts all such attempts. The slow start moves from selection.rs and replica_view.rs to a module of its own, without a change of what it allows; the tests of placement pass unchanged.

--- a/coordination/src/events.rs
+++ b/coordination/src/events.rs
@@ -88,6 +88,7 @@
     502 ATTEMPT_FAILED Warn "An attempt at a replica ended without its end marker."
     503 RETRIED Info "A request that had not started anywhere was retried at a second replica."
     504 RETRY_BUDGET_EXHAUSTED Info "A retry was not made: the retry budget is spent."
+    505 SLOW_START_ATTEMPT Info "The first attempt at a replica that warms up; how this proxy knows of the warm-up, its share of the replica's rate, and among how many edges, are logged."
     600 RUNBOOK_STEP Info "A runbook step ended."
     601 RUNBOOK_STOPPED Error "A runbook stopped at a failed step."
 }
--- a/coordination/src/placement/events.rs
+++ b/coordination/src/placement/events.rs
@@ -4,7 +4,10 @@
 
 use wire_messages::{List, Name, Prefill};
 
-use super::{Candidate, Placement, selection::cacheable_blocks, shared_prefix};
+use super::{
+    Candidate, Placement, SlowStartAttempt, WarmupEvidence, selection::cacheable_blocks,
+    shared_prefix,
+};
 use crate::{
     Ms,
     exchange::{RequestHead, ResponseSignals},
@@ -21,11 +24,16 @@
 impl Placement {
     // ---- attempts of this proxy ----
 
-    /// Records that an attempt was sent to the chosen replica.
-    pub fn on_sent(&mut self, candidate: &Candidate, head: &RequestHead, now: Ms) {
-        let Some(entry) = self.replicas.get_mut(&candidate.id) else {
-            return;
-        };
+    /// Records that an attempt was sent to the chosen replica. Returns how that begins this proxy's use of a replica
+    /// that warms up, if it does.
+    pub fn on_sent(
+        &mut self,
+        candidate: &Candidate,
+        head: &RequestHead,
+        now: Ms,
+    ) -> Option<SlowStartAttempt> {
+        let slow_start = self.first_slow_start_attempt(&candidate.id, now);
+        let entry = self.replicas.get_mut(&candidate.id)?;
         entry.view.on_sent(candidate.prefill_ms, now);
         let number = entry.view.number;
         let zone = &entry.view.zone;
@@ -44,6 +52,7 @@
                 blocks: List(blocks),
             });
         }
+        slow_start
     }
 
     fn record_cached(&mut self, replica_number: u64, blocks: &[u64], now: Ms) {
@@ -99,7 +108,7 @@
                 .record_load(running + waiting);
         }
         if let Some(left_ms) = signals.warmup_left_ms.filter(|left_ms| *left_ms > 0) {
-            view.start_slow(now + left_ms, now);
+            view.start_slow(now + left_ms, WarmupEvidence::Response, now);
         }
         if signals.is_other_replica {
             return;
@@ -108,7 +117,7 @@
             .on_recovered(now)
             .is_some_and(|failed_for| failed_for >= RESTART_AFTER)
         {
-            view.start_slow(now + slow_start_ms, now);
+            view.start_slow(now + slow_start_ms, WarmupEvidence::Recovery, now);
         }
     }
 
--- a/coordination/src/placement/mod.rs
+++ b/coordination/src/placement/mod.rs
@@ -19,6 +19,7 @@
 mod retry_budget;
 mod selection;
 mod service_averages;
+mod slow_start;
 mod suspicion;
 mod token_bucket;
 
@@ -34,6 +35,7 @@
 pub use retry_budget::RetryBudget;
 pub use selection::{Candidate, PlacementRequest};
 pub use service_averages::ServiceAverages;
+pub use slow_start::{SlowStartAttempt, SlowStartShare, WarmupEvidence};
 pub use token_bucket::TokenBucket;
 
 pub(crate) use network_latency::CROSS_REGION_ROUND_TRIP_MS;
@@ -170,7 +172,9 @@
         entry.addr.clone_from(&replica.addr);
         entry.version.clone_from(&replica.version);
         if replica.cold {
-            entry.view.start_slow(now + slow_start_ms.max(1), now);
+            entry
+                .view
+                .start_slow(now + slow_start_ms.max(1), WarmupEvidence::Record, now);
         }
         self.replica_ids.insert(number, replica.id.clone());
     }
@@ -206,6 +210,13 @@
         })
     }
 
+    /// Returns whether a replica is known to be warming up.
+    pub fn is_warming_up(&self, id: &str, now: Ms) -> bool {
+        self.replicas
+            .get(id)
+            .is_some_and(|entry| entry.view.is_warming_up(now))
+    }
+
     /// Returns the zone of a replica, if known.
     pub fn zone_of(&self, id: &str) -> Option<&str> {
         self.replicas.get(id).map(|entry| entry.view.zone.as_str())
--- a/coordination/src/placement/replica_view.rs
+++ b/coordination/src/placement/replica_view.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use super::{ServiceAverages, TokenBucket, suspicion::Suspicion};
+use super::{ServiceAverages, WarmupEvidence, slow_start::Warmup, suspicion::Suspicion};
 use crate::{Ms, exchange::ResponseSignals};
 
 /// Time without any data from a replica, while attempts wait for their first chunk, after which it counts as
@@ -32,8 +32,6 @@
 /// Time constant with which the rate of this proxy's own attempts decays, in ms; with this value the decayed sum of
 /// recent attempts is a rate per second.
 const ATTEMPT_RATE_DECAY_MS: f64 = 1_000.0;
-/// Depth of the slow-start token bucket: attempts on a replica that is warming up never come in bursts.
-const SLOW_START_BUCKET_DEPTH: f64 = 1.0;
 
 /// Load reported in a response.
 #[derive(Clone, Copy, Debug)]
@@ -79,8 +77,8 @@
     /// Time since which some attempt has waited without any data, and the time of the last data from the replica.
     waiting_since: Option<Ms>,
     last_response_at: Ms,
-    slow_start_until: Ms,
-    slow_start_bucket: Option<TokenBucket>,
+    /// The newest warm-up, which may be complete.
+    warmup: Option<Warmup>,
 }
 
 impl ReplicaView {
@@ -105,7 +103,9 @@
         self.attempt_rate = self.attempts_per_second(now) + 1.0;
         self.sent_at = now;
         self.waiting_since.get_or_insert(now);
-        self.draw_slow_start(now);
+        if let Some(warmup) = self.warmup.as_mut().filter(|warmup| now < warmup.until) {
+            warmup.on_sent(now);
+        }
     }
 
     /// Records that the first chunk of an attempt arrived `late_ms` later than expected.
@@ -267,36 +267,29 @@
     // ---- slow start ----
 
     /// Marks the replica as warming up until `until`; meanwhile it can serve only a low rate.
-    pub fn start_slow(&mut self, until: Ms, now: Ms) {
+    pub fn start_slow(&mut self, until: Ms, evidence: WarmupEvidence, now: Ms) {
         if !self.is_warming_up(now) {
-            self.slow_start_bucket = None;
+            self.warmup = Some(Warmup::new(evidence, until));
+        }
+        if let Some(warmup) = &mut self.warmup {
+            warmup.until = warmup.until.max(until);
         }
-        self.slow_start_until = self.slow_start_until.max(until);
+    }
+
+    /// Returns the warm-up that is in progress.
+    pub(super) fn warmup(&self, now: Ms) -> Option<&Warmup> {
+        self.warmup.as_ref().filter(|warmup| now < warmup.until)
     }
 
     /// Returns whether the replica is still warming up.
     pub fn is_warming_up(&self, now: Ms) -> bool {
-        now < self.slow_start_until
+        self.warmup(now).is_some()
     }
 
     /// Returns whether the replica may get another attempt from this proxy, whose share is `rate` per second during
     /// warm-up.
     pub fn slow_start_allows(&mut self, rate: f64, now: Ms) -> bool {
-        if !self.is_warming_up(now) {
-            return true;
-        }
-        let bucket = self
-            .slow_start_bucket
-            .get_or_insert_with(|| TokenBucket::new(rate, SLOW_START_BUCKET_DEPTH, now));
-        bucket.set_rate(rate, now);
-        bucket.has_token(now)
-    }
-
-    fn draw_slow_start(&mut self, now: Ms) {
-        if now < self.slow_start_until
-            && let Some(bucket) = &mut self.slow_start_bucket
-        {
-            bucket.try_draw(now);
-        }
+        let warmup = self.warmup.as_mut().filter(|warmup| now < warmup.until);
+        warmup.is_none_or(|warmup| warmup.allows(rate, now))
     }
 }
--- a/coordination/src/placement/selection.rs
+++ b/coordination/src/placement/selection.rs
@@ -11,12 +11,6 @@
     policy::Mechanism,
 };
 
-/// Fraction of the slow-start rate of a replica that all proxies together use; the rest covers proxies that do not know
-/// of each other.
-const SLOW_START_RATE_FRACTION: f64 = 0.9;
-/// Fraction of the burst that a replica accepts above its slow-start rate, available to the proxies' first attempts
-/// together.
-const SLOW_START_BURST_FRACTION: f64 = 0.7;
 /// Minimum size of a shared block that is tracked, in tokens.
 const CACHED_BLOCK_TOKENS_MIN: u32 = 200;
 
@@ -183,7 +177,7 @@
     // ---- zones ----
 
     /// Returns whether home regions and evacuations permit a zone for a request.
-    fn is_zone_allowed(&self, zone: &str, request: &PlacementRequest) -> bool {
+    pub(super) fn is_zone_allowed(&self, zone: &str, request: &PlacementRequest) -> bool {
         let region = self.latency.region(zone);
         let homes = &request.lane.homes;
         let is_home = homes.is_empty() || homes.iter().any(|home| home == region);
@@ -226,59 +220,4 @@
         (!checks_zone || self.reachability.may_try_zone(zone, now))
             && (!checks_region || self.reachability.may_try_region(region, now))
     }
-
-    // ---- slow start ----
-
-    /// Returns the replicas that are warming up and have used up this proxy's share of their slow-start rate.
-    fn held_back_by_slow_start<'a>(
-        &mut self,
-        service: &str,
-        ids: &[&'a String],
-        request: &PlacementRequest,
-        now: Ms,
-    ) -> Vec<&'a String> {
-        let warming_up: Vec<&String> = ids
-            .iter()
-            .copied()
-            .filter(|id| {
-                self.replicas.get(id.as_str()).is_some_and(|entry| {
-                    entry.view.is_warming_up(now) && self.is_zone_allowed(&entry.view.zone, request)
-                })
-            })
-            .collect();
-        let mut held_back = vec![];
-        for id in warming_up {
-            let rate = self.own_slow_start_rate(service, id);
-            if let Some(entry) = self.replicas.get_mut(id.as_str())
-                && !entry.view.slow_start_allows(rate, now)
-            {
-                held_back.push(id);
-            }
-        }
-        held_back
-    }
-
-    /// Returns this proxy's share of a replica's slow-start rate; 0 if other proxies are to warm it up.
-    fn own_slow_start_rate(&self, service: &str, replica_id: &str) -> f64 {
-        let engine_rate = self
-            .engines
-            .get(service)
-            .and_then(|engine| engine.cold_rate)
-            .filter(|_| self.policy.is_enabled(Mechanism::ColdRamp));
-        let Some(rate) = engine_rate.filter(|rate| *rate > 0.0) else {
-            return f64::MAX;
-        };
-        // All proxies that warm the replica up may send an attempt at the same moment, so there are no more of them
-        // than the attempts that the replica accepts above its rate.
-        let burst = rate * (self.bounds.cold_over - 1.0).max(0.0) + self.bounds.cold_slack;
-        let proxies = self
-            .edge_count()
-            .min((burst * SLOW_START_BURST_FRACTION).max(1.0) as usize)
-            .max(1);
-        if self.edges.edges_ahead(replica_id) >= proxies {
-            0.0
-        } else {
-            rate * SLOW_START_RATE_FRACTION / proxies as f64
-        }
-    }
 }
--- a/coordination/src/proxy/assignment.rs
+++ b/coordination/src/proxy/assignment.rs
@@ -2,7 +2,7 @@
 
 use remote_calls::{Fault, GroupRole};
 
-use crate::Ms;
+use crate::{Ms, placement::SlowStartAttempt};
 
 /// Age above which an assignment is renewed before the replica is called: the process must have been suspended, and
 /// leases may have expired.
@@ -29,6 +29,8 @@
     pub assigned_at: Ms,
     /// Number of the attempt if the request is routed by host and path, otherwise 0.
     pub attempt: u64,
+    /// Set if this is the proxy's first attempt at a replica that warms up.
+    pub slow_start: Option<SlowStartAttempt>,
 }
 
 impl Assignment {
--- a/coordination/src/proxy/by_name.rs
+++ b/coordination/src/proxy/by_name.rs
@@ -129,6 +129,7 @@
             cached,
             assigned_at: now,
             attempt: 0,
+            slow_start: None,
         };
         self.record_sent(&assignment);
         assignment
--- a/coordination/src/proxy/by_path.rs
+++ b/coordination/src/proxy/by_path.rs
@@ -139,7 +139,10 @@
         now: Ms,
     ) -> Assignment {
         let assumed_cached = self.count_context_request(lane, &service, &candidate, head, now);
-        self.placement.on_sent(&candidate, head, now);
+        if self.placement.is_warming_up(&candidate.id, now) {
+            self.count("slow_start_attempts");
+        }
+        let slow_start = self.placement.on_sent(&candidate, head, now);
         self.last_attempt += 1;
         self.open_attempts.insert(
             self.last_attempt,
@@ -163,6 +166,7 @@
             cached: candidate.cached,
             assigned_at: now,
             attempt: self.last_attempt,
+            slow_start,
         };
         self.record_sent(&assignment);
         assignment
--- a/coordination/src/request/tests.rs
+++ b/coordination/src/request/tests.rs
@@ -26,6 +26,7 @@
         cached: false,
         assigned_at: 0,
         attempt: 0,
+        slow_start: None,
     }
 }
 fn outcome(step: Step) -> Option<Outcome> {
--- a/edge-proxy/src/exchange.rs
+++ b/edge-proxy/src/exchange.rs
@@ -253,6 +253,13 @@
         match admission {
             Admission::Assigned(assignment) => {
                 self.service.clone_from(&assignment.service);
+                if let Some(attempt) = &assignment.slow_start {
+                    event(
+                        events::SLOW_START_ATTEMPT,
+                        &assignment.replica,
+                        &attempt.to_string(),
+                    );
+                }
                 Ok(Attempt::new(self.proxy.clone(), assignment))
             }
             Admission::Rejected(fault) => Err(self.reject(fault)),
