Divide the warm-up limit among a committed roster of edges

What callers saw: one cold replica got more requests in a second than the fleet may send it. Cause of the fault found: each edge divided the replica's rate among the edges that it had heard of itself, and took itself for one of the at most 12 that warm the replica up if it knew of fewer than 12 ahead of it. Edges that have just started, or that a partition separates, know few others.

The lease holder of the new key edges now keeps a roster of the fleet's edges. Agents get it with the other committed values that they must read before they serve, and pass it to their proxies. A proxy's share depends on the roster alone: 12 edges of it warm a replica, and an edge that isn't listed sends it nothing.

--- a/coordination/examples/nominate.rs
+++ b/coordination/examples/nominate.rs
@@ -10,6 +10,7 @@
 
 use coordination::{
     bounds::Bounds,
+    edge_roster::EdgeRoster,
     exchange::{RequestHead, ResponseSignals},
     placement::{Placement, PlacementRequest},
 };
@@ -45,7 +46,12 @@
     let all: Vec<PlacedReplica> = (0..replicas).map(row).collect();
     let names: Vec<String> = (0..EDGES).map(|i| format!("edge-{i}")).collect();
     let mut p = Placement::new("edge-0", "a1", regions, Bounds::default());
-    p.set_edges(names, "edge-0", 0);
+    p.set_live_edges(names.len(), "edge-0");
+    let mut roster = EdgeRoster::default();
+    for name in &names {
+        roster.insert(name, "a1");
+    }
+    p.set_edge_roster(roster);
     p.set_engine(
         "s",
         &EngineSpec {
--- a/coordination/src/control.rs
+++ b/coordination/src/control.rs
@@ -24,6 +24,7 @@
 mod context_placement;
 mod counters;
 mod directory;
+mod edge_roster;
 mod fleet_contact;
 mod followers;
 mod forwarding;
@@ -49,6 +50,7 @@
 pub use directory::{
     Caller, FLEET_DISCOVERY_TIME, REMOTE_ROUTING_LOG_INTERVAL, Reach, Resolution, Unresolved,
 };
+pub use edge_roster::ROSTER_UPDATE_INTERVAL;
 pub use forwarding::FORWARD_TIMEOUT;
 pub use replica_list::call_rate_share;
 pub use usage_log::{LATE_WINDOWS_MAX, UNACCEPTED_REPORTS_MAX, UsageLog};
@@ -59,6 +61,7 @@
 use context_placement::ContextRole;
 use counters::CounterSelection;
 use directory::ResolutionCounts;
+use edge_roster::RosterRole;
 use fleet_contact::FleetContact;
 use followers::Followers;
 use parsed_state::ParsedState;
@@ -167,6 +170,8 @@
     /// State of the context placement roles that this daemon holds, by service.
     context_roles: BTreeMap<String, ContextRole>,
     usage_reports: UsageReports,
+    /// Set while this daemon maintains the roster of edges.
+    roster_role: Option<RosterRole>,
     resolution_counts: ResolutionCounts,
     /// Whether graceful shutdown has begun, in which other daemons take over this daemon's keys.
     pub stopping: bool,
@@ -223,6 +228,7 @@
             rollouts: Rollouts::default(),
             context_roles: BTreeMap::new(),
             usage_reports: UsageReports::default(),
+            roster_role: None,
             resolution_counts: ResolutionCounts::default(),
             stopping: false,
             disk_healthy: true,
@@ -325,6 +331,7 @@
         self.select_counters(now, &is_live);
         self.change_voters(now, &is_live, &mut out);
         self.detect_stalled_loops(now, &is_live, &mut out);
+        self.maintain_edge_roster(now, &mut out);
         self.writes.expire(now);
         self.retry_forwarded(now, &mut out);
         self.update_settled(&mut out);
--- a/coordination/src/control/context_placement.rs
+++ b/coordination/src/control/context_placement.rs
@@ -11,7 +11,7 @@
     context::{self, DEMAND_REPORT_MAX_AGE, DemandCount, FleetDemand, PromptChain, homes_digest},
     effect::log_event,
     events, regions,
-    register::{CONTEXT_PREFIX, Expect, ROLLOUT_PREFIX, USAGE_KEY},
+    register::{CONTEXT_PREFIX, EDGE_ROSTER_KEY, Expect, ROLLOUT_PREFIX, USAGE_KEY},
 };
 
 /// Minimum interval between writes of a service's context record, in ms: each write is synced to disk and sent to every
@@ -42,9 +42,17 @@
 
 impl Control {
     /// Returns the keys of the singleton roles that this daemon acquires where it is next in order: each service's
-    /// rollout, its context placement if that is on, and usage reporting if usage is counted.
+    /// rollout, its context placement if that is on, the roster of edges if there are services, and usage reporting if
+    /// usage is counted.
     pub(super) fn wanted_roles(&self) -> Vec<Name> {
         let mut keys = vec![];
+        let has_services = self
+            .parsed
+            .spec()
+            .is_some_and(|spec| !spec.services.is_empty());
+        if has_services {
+            keys.push(EDGE_ROSTER_KEY.into());
+        }
         if self.config.bounds.usage_window > 0 {
             keys.push(USAGE_KEY.into());
         }
--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod context;
 pub mod control;
 pub mod edge_agent;
+pub mod edge_roster;
 pub mod effect;
 pub mod event_stream;
 pub mod events;
--- a/coordination/src/placement/edge_set.rs
+++ b/coordination/src/placement/edge_set.rs
@@ -1,22 +1,18 @@
 //! The edges of the fleet, among which fleet-wide limits are divided.
 
-use crate::{Ms, rendezvous::rendezvous_weight};
+use crate::edge_roster::EdgeRoster;
 
-/// Delay before a lower edge count takes effect: the missing edges may only be partitioned and still use their shares.
-const SMALLER_COUNT_DELAY: Ms = 15_000;
-
-/// Names of all edges, and the number of edges that share a limit.
+/// This proxy's edge among all edges.
 #[derive(Clone, Debug, Default)]
 pub struct EdgeSet {
-    names: Vec<String>,
     own_name: String,
-    /// Highest recent number of edges, and when it was last observed.
-    count: usize,
-    counted_at: Ms,
+    /// Live edges that the agent knows, including this one.
+    live_count: usize,
+    roster: EdgeRoster,
 }
 
 impl EdgeSet {
-    /// Creates a set that contains only this proxy's edge.
+    /// Creates a set of which only this proxy's edge is known.
     pub fn new(own_name: &str) -> Self {
         EdgeSet {
             own_name: own_name.into(),
@@ -24,20 +20,29 @@
         }
     }
 
-    /// Replaces the names of all edges.
-    pub fn set(&mut self, names: Vec<String>, own_name: &str, now: Ms) {
-        let count = names.len().max(1);
-        if count >= self.count || now.saturating_sub(self.counted_at) > SMALLER_COUNT_DELAY {
-            self.count = count;
-            self.counted_at = now;
-        }
-        self.names = names;
+    /// Sets the number of live edges that the agent knows, and the name of this proxy's edge.
+    pub fn set_live(&mut self, count: usize, own_name: &str) {
+        self.live_count = count;
         self.own_name = own_name.into();
     }
 
-    /// Returns the number of edges that share the limits; at least one.
+    /// Replaces the committed roster.
+    pub fn set_roster(&mut self, roster: EdgeRoster) {
+        self.roster = roster;
+    }
+
+    /// Returns the number of edges for pacing messages and weighing costs, at least one. A hard limit is divided by
+    /// [`EdgeSet::sharing_edges`] instead.
     pub fn count(&self) -> usize {
-        self.count.max(1)
+        self.roster.len().max(self.live_count).max(1)
+    }
+
+    /// Returns the number of edges that share fleet-wide limits; `None` if this edge is not known to be one of them
+    /// and so has no share.
+    pub fn sharing_edges(&self) -> Option<usize> {
+        self.roster
+            .contains(&self.own_name)
+            .then(|| self.roster.len())
     }
 
     /// Returns the name of this proxy's edge.
@@ -47,12 +52,6 @@
 
     /// Returns the number of edges that precede this one in the agreed order for a replica.
     pub fn edges_ahead(&self, replica_id: &str) -> usize {
-        let own_weight = rendezvous_weight(replica_id, &self.own_name);
-        self.names
-            .iter()
-            .filter(|name| {
-                **name != self.own_name && rendezvous_weight(replica_id, name) > own_weight
-            })
-            .count()
+        self.roster.edges_ahead(&self.own_name, replica_id)
     }
 }
--- a/coordination/src/placement/mod.rs
+++ b/coordination/src/placement/mod.rs
@@ -50,6 +50,7 @@
     Ms,
     bounds::Bounds,
     context::PlacedContext,
+    edge_roster::EdgeRoster,
     policy::{Mechanism, Policy},
 };
 use edge_set::EdgeSet;
@@ -112,12 +113,17 @@
 
     // ---- configuration and membership ----
 
-    /// Replaces the names of all edges that serve callers, including this one.
-    pub fn set_edges(&mut self, names: Vec<String>, own_name: &str, now: Ms) {
-        self.edges.set(names, own_name, now);
+    /// Sets the number of live edges that the agent knows, including this one, and the name of this one.
+    pub fn set_live_edges(&mut self, count: usize, own_name: &str) {
+        self.edges.set_live(count, own_name);
     }
 
-    /// Returns the number of edges that share fleet-wide limits; at least one.
+    /// Replaces the roster of the edges that share fleet-wide limits.
+    pub fn set_edge_roster(&mut self, roster: EdgeRoster) {
+        self.edges.set_roster(roster);
+    }
+
+    /// Returns the number of edges for pacing messages and weighing costs; at least one.
     pub fn edge_count(&self) -> usize {
         self.edges.count()
     }
--- a/coordination/src/placement/slow_start.rs
+++ b/coordination/src/placement/slow_start.rs
@@ -5,11 +5,11 @@
 use super::{Placement, PlacementRequest, TokenBucket};
 use crate::{Ms, policy::Mechanism};
 
-/// Fraction of the slow-start rate of a replica that all proxies together use; the rest covers proxies that do not know
-/// of each other.
+/// Fraction of the slow-start rate of a replica that all proxies together use; the rest covers proxies that have not
+/// received the newest roster.
 const SLOW_START_RATE_FRACTION: f64 = 0.9;
 /// Fraction of the burst that a replica accepts above its slow-start rate, available to the proxies' first attempts
-/// together.
+/// together; the rest covers proxies of other rosters.
 const SLOW_START_BURST_FRACTION: f64 = 0.7;
 
 /// Depth of the token bucket: attempts on a replica that is warming up never come in bursts.
@@ -76,11 +76,11 @@
 }
 
 /// One proxy's share of the slow-start rate of a replica.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct SlowStartShare {
     /// Attempts per second; 0 if other proxies are to warm the replica up.
     pub rate: f64,
-    /// Edges that this proxy knows.
+    /// Edges of the roster; 0 if this proxy's edge is not listed and so has no share.
     pub edges: usize,
     /// Edges that precede this proxy's in the agreed order for the replica.
     pub edges_ahead: usize,
@@ -155,10 +155,11 @@
         // All proxies that warm the replica up may send an attempt at the same moment, so there are no more of them
         // than the attempts that the replica accepts above its rate.
         let burst = rate * (self.bounds.cold_over - 1.0).max(0.0) + self.bounds.cold_slack;
-        let proxies = self
-            .edge_count()
-            .min((burst * SLOW_START_BURST_FRACTION).max(1.0) as usize)
-            .max(1);
+        let proxies_max = (burst * SLOW_START_BURST_FRACTION).max(1.0) as usize;
+        let Some(edges) = self.edges.sharing_edges() else {
+            return Some(SlowStartShare::default());
+        };
+        let proxies = edges.min(proxies_max);
         let edges_ahead = self.edges.edges_ahead(replica_id);
         Some(SlowStartShare {
             rate: if edges_ahead >= proxies {
@@ -166,7 +167,7 @@
             } else {
                 rate * SLOW_START_RATE_FRACTION / proxies as f64
             },
-            edges: self.edge_count(),
+            edges,
             edges_ahead,
         })
     }
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -98,6 +98,7 @@
     // Derived from the state table.
     parse_spec: SpecParser,
     spec_stamp: VersionStamp,
+    roster_stamp: VersionStamp,
     spec: Option<Arc<Spec>>,
     lanes: LaneIndex,
     /// `None` if the spec defines no tenants.
@@ -145,6 +146,7 @@
             edges: Vec::new(),
             parse_spec: parse_native_spec,
             spec_stamp: (0, 0),
+            roster_stamp: (0, 0),
             spec: None,
             lanes: LaneIndex::default(),
             tenants: None,
--- a/coordination/src/proxy/table_updates.rs
+++ b/coordination/src/proxy/table_updates.rs
@@ -13,6 +13,7 @@
 use crate::{
     Ms,
     control::{DRAINING_PREFIX, SPEC_KEY, evacuated},
+    edge_roster::EDGE_ROSTER_KEY,
     exchange::LaneIndex,
     placement::HomeBoundDemand,
     register::ROLLOUT_PREFIX,
@@ -44,7 +45,7 @@
             } else {
                 0
             });
-        self.set_placement_edges(now);
+        self.set_placement_edges();
         let mut has_changed = false;
         for change in &update.changes.0 {
             has_changed |= self.state_table.merge(change);
@@ -57,18 +58,18 @@
         }
     }
 
-    fn set_placement_edges(&mut self, now: Ms) {
+    fn set_placement_edges(&mut self) {
         let serving = || self.edges.iter().filter(|edge| !edge.http_addr.is_empty());
         // Edges are named after their agents, so the proxy identifies its own by the address where it serves clients.
         let own_name = serving()
             .find(|edge| edge.http_addr == self.http_addr)
             .map_or(&self.name, |edge| &edge.name);
-        let names = serving().map(|edge| edge.name.to_string()).collect();
-        self.placement.set_edges(names, own_name, now);
+        self.placement.set_live_edges(serving().count(), own_name);
     }
 
     fn read_state_table(&mut self, now: Ms) {
         self.read_spec();
+        self.read_edge_roster();
         self.draining = self
             .state_table
             .with_prefix(DRAINING_PREFIX)
@@ -116,6 +117,19 @@
         self.spec = spec.map(Arc::new);
     }
 
+    fn read_edge_roster(&mut self) {
+        let stamp = self
+            .state_table
+            .get(EDGE_ROSTER_KEY)
+            .map_or((0, 0), version_stamp);
+        if stamp == self.roster_stamp {
+            return;
+        }
+        self.roster_stamp = stamp;
+        let roster = self.state_table.read(EDGE_ROSTER_KEY).unwrap_or_default();
+        self.placement.set_edge_roster(roster);
+    }
+
     fn read_rollouts(&mut self, now: Ms) {
         let changed: Vec<(String, VersionStamp)> = self
             .state_table
--- a/coordination/src/register.rs
+++ b/coordination/src/register.rs
@@ -62,7 +62,7 @@
 
 pub use expectation::Expect;
 pub(crate) use keys::is_sent_to_edges;
-pub use keys::{CONTEXT_PREFIX, MEMBERS_KEY, ROLLOUT_PREFIX, USAGE_KEY};
+pub use keys::{CONTEXT_PREFIX, EDGE_ROSTER_KEY, MEMBERS_KEY, ROLLOUT_PREFIX, USAGE_KEY};
 pub use member_config::MemberConfig;
 pub use ownership::DisplacedRequest;
 pub use prior_writes::REPLACED_VALUES_KEPT;
--- a/coordination/src/register/keys.rs
+++ b/coordination/src/register/keys.rs
@@ -9,12 +9,17 @@
 pub const CONTEXT_PREFIX: &str = "context/";
 /// Key of the usage reports that the platform has not accepted yet; its owner reports usage to the platform.
 pub const USAGE_KEY: &str = "usage";
+/// Key of the roster of edges (a singleton role). Its owner maintains the roster.
+pub const EDGE_ROSTER_KEY: &str = "edges";
 /// Key whose value is the set of voters.
 pub const MEMBERS_KEY: &str = "members";
 
 /// Returns whether a key is leased: its owner acts outside the registers, where no epoch would stop a former owner.
 pub(super) fn is_leased(key: &str) -> bool {
-    key.starts_with(ROLLOUT_PREFIX) || key.starts_with(CONTEXT_PREFIX) || key == USAGE_KEY
+    key.starts_with(ROLLOUT_PREFIX)
+        || key.starts_with(CONTEXT_PREFIX)
+        || key == USAGE_KEY
+        || key == EDGE_ROSTER_KEY
 }
 
 /// Returns whether a key keeps its history: operators write it, and may repeat a write whose answer they did not
--- a/coordination/tests/placement.rs
+++ b/coordination/tests/placement.rs
@@ -4,6 +4,7 @@
 
 use coordination::{
     bounds::Bounds,
+    edge_roster::EdgeRoster,
     exchange::{RequestHead, ResponseSignals},
     placement::{HomeBoundDemand, Placement, PlacementRequest, RetryBudget},
     wire::Prefill,
@@ -39,6 +40,13 @@
         .map(|(z, r)| (z.to_string(), r.to_string()))
         .into()
 }
+fn roster(names: &[String]) -> EdgeRoster {
+    let mut roster = EdgeRoster::default();
+    for name in names {
+        roster.insert(name, "a");
+    }
+    roster
+}
 /// Proxies of a fleet, spread over three zones, that all know the same replicas.
 fn fleet(n: usize, all: &[PlacedReplica]) -> Vec<Placement> {
     let names: Vec<String> = (0..n).map(|i| format!("e{i}")).collect();
@@ -49,7 +57,8 @@
             regions(),
             Bounds::default(),
         );
-        p.set_edges(names.clone(), &names[i], 0);
+        p.set_live_edges(n, &names[i]);
+        p.set_edge_roster(roster(&names));
         p.set_engine("s", &engine());
         p.set_replicas("s", all, &BTreeSet::new(), 0);
         p
@@ -862,7 +871,8 @@
         .map(|z| (z.to_string(), "one".to_string()))
         .into();
     let mut p = Placement::new("me", "lit", regions, Bounds::default());
-    p.set_edges(vec!["me".into()], "me", 0);
+    p.set_live_edges(1, "me");
+    p.set_edge_roster(roster(&["me".into()]));
     p.set_engine("s", &engine());
     p.set_replicas("s", &all, &BTreeSet::new(), 0);
     let l = lane(&[]);
--- a/coordination/tests/slow_start_limit.rs
+++ b/coordination/tests/slow_start_limit.rs
@@ -197,3 +197,34 @@
     };
     expect_that!(most_with_known_edges(known), le(limit()));
 }
+
+// Guards against edges that are in the middle of receiving a new roster: the fleet grew or shrank by a zone or a region.
+#[gtest]
+fn edges_with_rosters_of_different_age_keep_the_warmup_limit() {
+    let all = roster(0..EDGES);
+    let zone_left = roster((0..EDGES).filter(|index| index % ZONES.len() != 2));
+    let region_left = roster((0..EDGES).filter(|index| index % ZONES.len() % 3 != 2));
+    for (other, what) in [(&zone_left, "zone"), (&region_left, "region")] {
+        let mut proxies: Vec<Proxy> = (0..EDGES)
+            .map(|index| {
+                proxy(
+                    index,
+                    0..EDGES,
+                    if index < EDGES / 2 { &all } else { other },
+                )
+            })
+            .collect();
+        expect_that!(most_in_a_second(&mut proxies), le(limit()), "a {what}");
+    }
+}
+
+// Guards against an edge that is not known to be one of those that share the limit, as one that has just joined.
+#[gtest]
+fn edges_outside_the_roster_send_nothing_to_a_replica_that_warms_up() {
+    for roster in [roster(0..0), roster(EDGES..2 * EDGES)] {
+        let mut proxies: Vec<Proxy> = (0..EDGES)
+            .map(|index| proxy(index, 0..EDGES, &roster))
+            .collect();
+        expect_that!(most_in_a_second(&mut proxies), eq(0));
+    }
+}
