Share a replica's connections among edges of the roster only

What callers would see: a replica resets the connections beyond those that it accepts. Cause: the third limit that each edge divided by a count of its own. An edge outside the roster now opens two connections to a replica at most, the minimum that any edge has.

Evidence: connections_of_all_edges_together_stay_within_what_a_replica_accepts, 294 edges, 1,900 accepted: 111,720 before for edges outside the roster and for a fleet without one, 588 now.

--- a/coordination/src/placement/mod.rs
+++ b/coordination/src/placement/mod.rs
@@ -246,11 +246,13 @@
             .get(service)
             .map_or(0, |engine| engine.channels as usize);
         if accepted == 0 {
-            usize::MAX
-        } else {
-            // A fifth is reserved for proxies that do not know of each other yet.
-            (accepted * 4 / 5 / self.edge_count()).max(CONNECTIONS_MIN)
+            return usize::MAX;
         }
+        // A fifth is reserved for proxies that have not received the newest roster.
+        let share = self
+            .sharing_edges()
+            .map_or(0, |edges| accepted * 4 / 5 / edges.max(1));
+        share.max(CONNECTIONS_MIN)
     }
 
     /// Returns whether a replica recently failed requests of the region.
--- a/coordination/tests/shared_limits.rs
+++ b/coordination/tests/shared_limits.rs
@@ -5,7 +5,7 @@
 
 use coordination::{Ms, bounds::Bounds, proxy::Proxy};
 use googletest::prelude::*;
-use support::edge_fleet::{EDGES, START, roster};
+use support::edge_fleet::{CONNECTIONS, EDGES, START, roster};
 
 /// Retries that the largest deployment allows in each window beyond a share of first attempts.
 const RETRY_SLACK: f64 = 628.0;
@@ -70,3 +70,16 @@
         expect_that!(drawn as f64, le(RETRY_SLACK), "{knowledge:?}");
     }
 }
+
+// Guards against a replica's connections being granted in full to each edge that doesn't know the others.
+#[gtest]
+fn connections_of_all_edges_together_stay_within_what_a_replica_accepts() {
+    for knowledge in ALL {
+        let opened: usize = fleet(knowledge)
+            .iter()
+            .map(|proxy| proxy.max_connections(SERVICE))
+            .sum();
+        expect_that!(opened, le(CONNECTIONS), "{knowledge:?}");
+        expect_that!(opened, ge(EDGES), "{knowledge:?}");
+    }
+}
