Simulator: a region's daemons and engines restart together

The engines keep their ids and are cold, and their region's edges have just started: the pattern of the incident, which no schedule had.

--- a/fleet-simulator/src/faults.rs
+++ b/fleet-simulator/src/faults.rs
@@ -134,6 +134,11 @@
         zone: usize,
         ms: Option<Ms>,
     },
+    /// Every process and replica of a zone's region stops, and starts again; its replicas keep their ids and are cold.
+    RestartRegion {
+        zone: usize,
+        down: Ms,
+    },
     /// An edge machine is replaced by an empty one of another name at a new address.
     ReplaceEdge {
         at: usize,
@@ -292,7 +297,9 @@
             Fault::LoseRegion { ms: Some(ms), .. }
             | Fault::Network { ms, .. }
             | Fault::Misbehave { ms, .. } => *ms,
-            Fault::ReplaceEdge { down, .. } | Fault::ReplicaMoves { down, .. } => *down,
+            Fault::RestartRegion { down, .. }
+            | Fault::ReplaceEdge { down, .. }
+            | Fault::ReplicaMoves { down, .. } => *down,
             Fault::ReplicaLeaves { gone_in, .. } => *gone_in,
             Fault::When { then, .. } => return then.disturbs(),
             Fault::LoadSlow { load, ms } => load + ms,
--- a/fleet-simulator/src/schedule/registry.rs
+++ b/fleet-simulator/src/schedule/registry.rs
@@ -402,6 +402,11 @@
         "a region with its engines is lost for a while",
         ScheduleBuilder::engine_region_lost,
     ),
+    schedule(
+        "engine_region_restarts",
+        "a region's daemons and engines restart together, and the engines are cold",
+        ScheduleBuilder::engine_region_restarts,
+    ),
     schedule(
         "grey",
         "replicas fail part of what they are sent and say that they are well",
--- a/fleet-simulator/src/schedule/traffic.rs
+++ b/fleet-simulator/src/schedule/traffic.rs
@@ -1,7 +1,7 @@
 //! Schedules of traffic, regions and callers.
 
 use super::{
-    FROM,
+    FROM, LENGTH,
     builder::{ScheduleBuilder, start_time},
 };
 use crate::{
@@ -33,6 +33,29 @@
         ));
     }
 
+    /// A region's processes and engines restart together; the engines are cold and run at once.
+    pub(super) fn engine_region_restarts(&mut self) {
+        self.faults.extend([
+            (0, Fault::Places),
+            (
+                FROM,
+                Fault::LoadSlow {
+                    load: 0,
+                    ms: LENGTH,
+                },
+            ),
+        ]);
+        for time in [20_000, 40_000] {
+            self.faults.push((
+                time + self.rng.u64(..2_000),
+                Fault::RestartRegion {
+                    zone: self.rng.usize(..6),
+                    down: self.rng.u64(1_000..6_000),
+                },
+            ));
+        }
+    }
+
     /// A crowd comes at once.
     pub(super) fn crowd(&mut self) {
         self.faults.push((
--- a/fleet-simulator/src/world/faults.rs
+++ b/fleet-simulator/src/world/faults.rs
@@ -1,5 +1,7 @@
 //! What each fault does to the fleet.
 
+use std::collections::BTreeSet;
+
 use coordination::control::KILL_SWITCH_KEY;
 
 use super::{Badness, Cut, Ev, Guard, LOOK_AGAIN, Net, To, What, World};
@@ -96,6 +98,34 @@
         ms.into_iter()
             .for_each(|ms| self.after(ms, Ev::RegionBack { zone: zone.clone() }));
     }
+    fn restart_region(&mut self, zone: usize, down: Ms) {
+        let zones = &self.d.spec.zones;
+        let region: BTreeSet<String> = self
+            .d
+            .beside(&zones[zone % zones.len()].name)
+            .into_iter()
+            .collect();
+        for at in 0..self.ctl.len() {
+            if region.contains(&self.ctl[at].zone) {
+                self.kill_control(at);
+                self.after(down, Ev::Start(To::Control(at)));
+            }
+        }
+        for at in 0..self.edges.len() {
+            if region.contains(&self.edges[at].zone) {
+                self.kill_edge(at, Some(down));
+            }
+        }
+        let replicas: Vec<String> = self
+            .reps
+            .values()
+            .filter(|replica| region.contains(&replica.r.zone))
+            .map(|replica| replica.r.id.clone())
+            .collect();
+        for id in replicas {
+            self.replica_down(&id, Some(down));
+        }
+    }
     pub(super) fn region_back(&mut self, zone: &str) {
         self.lost_zones.remove(zone);
     }
@@ -222,6 +252,7 @@
                 });
             }
             Fault::LoseRegion { zone, ms } => self.lose_region(zone, ms),
+            Fault::RestartRegion { zone, down } => self.restart_region(zone, down),
             Fault::ReplaceEdge { at, down } => {
                 self.kill_edge(at, None);
                 let n = self.next_edge;
