--- a/fleet-simulator/tests/never.rs
+++ b/fleet-simulator/tests/never.rs
@@ -76,6 +76,12 @@
     expect_that!(failing(vec![("grown", "engine_flapping", 1)]), is_empty());
 }
 
+// Guards against an engine that has stopped flapping getting no requests any more.
+#[gtest]
+fn an_engine_of_a_grown_fleet_that_has_stopped_flapping_is_used_again() {
+    expect_that!(failing(vec![("grown", "engine_flapping", 3)]), is_empty());
+}
+
 /// Seeds that once failed; each commit that mended one names it.
 #[gtest]
 fn seeds_that_once_failed_hold() {
