--- a/coordination/tests/shared_limits.rs
+++ b/coordination/tests/shared_limits.rs
@@ -5,7 +5,7 @@
 
 use coordination::{Ms, bounds::Bounds, proxy::Proxy};
 use googletest::prelude::*;
-use support::edge_fleet::{CONNECTIONS, EDGES, START, roster};
+use support::edge_fleet::{CONNECTIONS, EDGES, START, record, roster};
 
 /// Retries that the largest deployment allows in each window beyond a share of first attempts.
 const RETRY_SLACK: f64 = 628.0;
@@ -47,7 +47,9 @@
     };
     let known = |index: usize| (index..index + known_count).map(|other| other % EDGES);
     (0..EDGES)
-        .map(|index| support::edge_fleet::proxy(index, known(index), &roster, bounds()))
+        .map(|index| {
+            support::edge_fleet::proxy(index, known(index), &roster, &record(true), bounds())
+        })
         .collect()
 }
 
--- a/coordination/tests/slow_start_limit.rs
+++ b/coordination/tests/slow_start_limit.rs
@@ -12,7 +12,7 @@
 use googletest::prelude::*;
 use remote_calls::PathSpec;
 use serde_json::Value;
-use support::edge_fleet::{EDGES, START, WARMUP, WARMUP_RATE, ZONES, lane, roster};
+use support::edge_fleet::{EDGES, START, WARMUP, WARMUP_RATE, ZONES, lane, record, roster};
 
 /// Length of the windows in which attempts are counted, in ms.
 const WINDOW: Ms = 1_000;
@@ -20,7 +20,7 @@
 const REQUEST_INTERVAL: Ms = 10;
 
 fn proxy(index: usize, known_edges: impl Iterator<Item = usize>, roster: &Value) -> Proxy {
-    support::edge_fleet::proxy(index, known_edges, roster, Bounds::default())
+    support::edge_fleet::proxy(index, known_edges, roster, &record(true), Bounds::default())
 }
 
 /// Returns the most attempts that all proxies together send to the replica within a second of its warm-up, if each
@@ -137,3 +137,16 @@
         expect_that!(most_in_a_second(&mut proxies), eq(0));
     }
 }
+
+// Guards against edges that have just started and read a record from before the replica turned cold.
+#[gtest]
+fn edges_that_have_just_started_keep_the_warmup_limit_at_a_replica_that_is_not_listed_as_cold() {
+    let roster = roster(0..EDGES);
+    let mut proxies: Vec<Proxy> = (0..EDGES)
+        .map(|index| {
+            let record = record(false);
+            support::edge_fleet::proxy(index, 0..EDGES, &roster, &record, Bounds::default())
+        })
+        .collect();
+    expect_that!(most_in_a_second(&mut proxies), all![ge(LEAST), le(limit())]);
+}
--- a/coordination/tests/support/edge_fleet.rs
+++ b/coordination/tests/support/edge_fleet.rs
@@ -60,11 +60,11 @@
             "engine": {"slots": 64, "cold_ms": WARMUP, "cold_rate": WARMUP_RATE, "channels": CONNECTIONS}}]})
 }
 
-/// The service's record with one replica, which warms up.
-fn record() -> Value {
+/// The service's record with one replica. `cold`: whether it is listed as warming up.
+pub fn record(cold: bool) -> Value {
     json!({"service": "s", "phase": "steady", "stable": "v1", "plan_version": 0, "failed_plan": 0, "since_ms": 0,
         "retiring": [], "alerts": [],
-        "replicas": [{"id": "r", "zone": "c1", "addr": "r", "version": "v1", "slots": 64, "cold": true}],
+        "replicas": [{"id": "r", "zone": "c1", "addr": "r", "version": "v1", "slots": 64, "cold": cold}],
         "groups": [{"role": "stable", "version": "v1", "share_percent": 100, "replicas": ["r"], "allow_unload": false}]})
 }
 
@@ -96,6 +96,7 @@
     index: usize,
     known_edges: impl Iterator<Item = usize>,
     roster: &Value,
+    record: &Value,
     bounds: Bounds,
 ) -> Proxy {
     let own = edge(index);
@@ -105,7 +106,7 @@
     let changes = vec![
         change("spec", 1, &spec()),
         change("edges", 1, roster),
-        change("rollout/s", 1, &record()),
+        change("rollout/s", 1, record),
     ];
     proxy.on_table_update(
         table_update(changes, known_edges.map(edge).collect()),
