--- a/coordination/src/placement/retry_budget.rs
+++ b/coordination/src/placement/retry_budget.rs
@@ -60,18 +60,13 @@
             .first_attempts += 1;
     }
 
-    /// Draws one retry if the budget allows it, and returns whether it did. `sharing_edges`: proxies that share the free
-    /// retries, or `None` if this one has no share of them.
-    pub fn try_draw_retry(
-        &mut self,
-        bounds: &Bounds,
-        sharing_edges: Option<usize>,
-        now: Ms,
-    ) -> bool {
+    /// Draws one retry if the budget allows it, and returns whether it did. `edge_count`: proxies that share the free
+    /// retries.
+    pub fn try_draw_retry(&mut self, bounds: &Bounds, edge_count: usize, now: Ms) -> bool {
         self.current_interval(now, bounds.retry_window);
         let first_attempts: u32 = self.intervals.iter().map(|i| i.first_attempts).sum();
         let retries: u32 = self.intervals.iter().map(|i| i.retries).sum();
-        let free = sharing_edges.map_or(0.0, |edges| bounds.retry_slack / edges.max(1) as f64);
+        let free = bounds.retry_slack / edge_count.max(1) as f64;
         let allowed =
             USABLE_BUDGET_FRACTION * (bounds.retry_share * f64::from(first_attempts) + free);
         if f64::from(retries + 1) > allowed {
--- a/coordination/src/proxy/by_path.rs
+++ b/coordination/src/proxy/by_path.rs
@@ -174,10 +174,10 @@
 
     /// Draws a retry from the fleet-wide budget; returns whether one was available.
     pub fn try_draw_retry(&mut self, service: &str, now: Ms) -> bool {
-        let sharing_edges = self.placement.sharing_edges();
+        let edge_count = self.placement.edge_count();
         let budget = self.retry_budgets.entry(service.into()).or_default();
         let is_drawn = self.placement.policy.is_enabled(Mechanism::SecondRounds)
-            && budget.try_draw_retry(&self.placement.bounds, sharing_edges, now);
+            && budget.try_draw_retry(&self.placement.bounds, edge_count, now);
         self.count(if is_drawn {
             "second_rounds"
         } else {
