--- a/coordination/tests/engines/mod.rs
+++ b/coordination/tests/engines/mod.rs
@@ -148,7 +148,7 @@
     format!("r{z}")
 }
 
-/// The edges as agents tell proxies of them, a third in each zone.
+/// The committed roster of these edges.
 fn edge_roster(nodes: &List<Node>) -> EdgeRoster {
     let mut roster = EdgeRoster::default();
     for node in nodes.iter() {
@@ -157,6 +157,7 @@
     roster
 }
 
+/// The edges as agents tell proxies of them, a third in each zone.
 fn edges(n: usize) -> List<Node> {
     let edge = |i: usize| Node {
         name: format!("e{i}").into(),
