--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -158,7 +158,8 @@
     Ok(broken == 0)
 }
 
-/// The proxies of all edges are killed at the same moment, and each is started again after a short delay.
+/// The proxies of half of the edges are killed at the same moment and started again after a short delay, and five seconds
+/// later those of the other half.
 fn restart(folder: &str, trouble: bool) -> Result<bool, String> {
     const RESTART_AFTER: Duration = Duration::from_millis(100);
     let mut fleet = Fleet::new(folder, 6, &[SERVICE])?;
@@ -168,16 +169,21 @@
     all_serve(&fleet, "/chat/x")?;
     sleep(CONTACT);
     let served_before = serve_round(&fleet, Duration::from_secs(3));
-    if trouble {
-        for edge in fleet.edges() {
-            fleet.kill(edge, 1);
+    let edges: Vec<usize> = fleet.edges().collect();
+    for half in edges.chunks(edges.len() / 2).filter(|_| trouble) {
+        for edge in half {
+            fleet.kill(*edge, 1);
         }
-        fleet.note("SIGKILL to the proxy of every edge");
+        fleet.note(format!(
+            "SIGKILL to the proxies of {} edges at once",
+            half.len()
+        ));
         sleep(RESTART_AFTER);
-        for edge in fleet.edges() {
-            fleet.start(edge, 1)?;
+        for edge in half {
+            fleet.start(*edge, 1)?;
         }
-        fleet.note("every proxy is started again");
+        fleet.note("these proxies are started again");
+        sleep(Duration::from_secs(5));
     }
     sleep(RECOVERY + Duration::from_secs(1));
     let served_after = serve_round(&fleet, Duration::from_secs(20));
