--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -8,6 +8,7 @@
     match case {
         "exposure" => exposure(&record, has_trouble),
         "founding" => founding(&record, has_trouble),
+        "unframed" => unframed(&record, has_trouble),
         _ => Err(io::Error::other("there is no such case")),
     }
 }
@@ -159,3 +160,47 @@
     ));
     Ok(taken.is_none() && served == 0)
 }
+
+/// LOST: edge machines are stopped in turn while replicas give answers without a length, which end with their connection.
+fn unframed(record: &Arc<Record>, has_trouble: bool) -> io::Result<bool> {
+    const GRACE_MS: u64 = 8_000;
+    let answer = |_: &World, _: &Replica, head: &Head| Reply::Unframed(format!("card for {}", head.get("x-attempt-id")));
+    let (mut fleet, world, _) = begin(record, Box::new(answer), 2)?;
+    let clients = Clients::new();
+    clients.resolve(fleet.core().iter().map(|index| fleet.machines[*index].directory()).collect(), PLAIN.0);
+    // Past the time after a configuration that counts as planned work.
+    thread::sleep(Duration::from_secs(6));
+    clients.start(record, 30, 500, PLAIN);
+    thread::sleep(Duration::from_secs(8));
+    let mut stopped = vec![];
+    if has_trouble {
+        for index in fleet.edges().into_iter().take(2) {
+            let machine = &fleet.machines[index];
+            machine.signal("TERM");
+            record.tell(&format!("SIGTERM to {}", machine.name));
+            stopped.push((machine.front(), record.now()));
+            thread::sleep(Duration::from_millis(1_300));
+        }
+    }
+    thread::sleep(Duration::from_millis(GRACE_MS + 1_000));
+    clients.stop.store(true, Ordering::Relaxed);
+    thread::sleep(Duration::from_millis(700));
+    let runs: HashMap<String, u64> = world.runs.lock().unwrap().iter().map(|run| (run.id.clone(), run.at)).collect();
+    let tries = clients.tries.lock().unwrap().clone();
+    let mut lost = 0;
+    for one in &tries {
+        let ran = runs.get(&one.id);
+        record.say(&format!("try {one:?} ran at {ran:?}"));
+        let planned = stopped.iter().any(|(front, at)| *front == one.front && one.sent >= *at && one.ended <= at + GRACE_MS + 1_000);
+        lost += u32::from(planned && ran.is_some() && !one.whole);
+    }
+    let whole = tries.iter().filter(|one| one.whole).count();
+    record.tell(&format!(
+        "{} tries, {} of them ran, {whole} got a whole answer; around a SIGTERM {lost} were passed on, ran to their end, and got none",
+        tries.len(), runs.len()
+    ));
+    for machine in &mut fleet.machines {
+        machine.kill();
+    }
+    Ok(lost > 0)
+}
