--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -9,6 +9,7 @@
         "exposure" => exposure(&record, has_trouble),
         "founding" => founding(&record, has_trouble),
         "unframed" => unframed(&record, has_trouble),
+        "killed-proxy" => killed_proxy(&record, has_trouble),
         _ => Err(io::Error::other("there is no such case")),
     }
 }
@@ -204,3 +205,43 @@
     }
     Ok(lost > 0)
 }
+
+/// Fault: before traffic starts, the proxy process of each edge machine in turn is killed once and started again after 0.1 s.
+fn killed_proxy(record: &Arc<Record>, has_trouble: bool) -> io::Result<bool> {
+    let number = |name: &str, default: u64| std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(default);
+    let (delay_ms, traffic_s) = (number("DELAY_MS", 100), number("TRAFFIC_S", 40));
+    let (mut fleet, world, _) = begin(record, Box::new(|_, _, _| Reply::Events(3)), 2)?;
+    thread::sleep(Duration::from_secs(1));
+    for index in fleet.edges() {
+        if has_trouble {
+            fleet.machines[index].kill_role("proxy");
+            record.tell(&format!("the proxy of {} is killed", fleet.machines[index].name));
+            thread::sleep(Duration::from_millis(delay_ms));
+            fleet.run_roles(index, &["proxy"])?;
+        }
+        thread::sleep(Duration::from_millis(1_000));
+    }
+    thread::sleep(Duration::from_secs(2));
+    record.tell("traffic starts");
+    let clients = Clients::new();
+    clients.resolve(fleet.core().iter().map(|index| fleet.machines[*index].directory()).collect(), CHAT.0);
+    clients.start(record, 30, 500, CHAT);
+    thread::sleep(Duration::from_secs(traffic_s));
+    clients.stop.store(true, Ordering::Relaxed);
+    thread::sleep(Duration::from_millis(500));
+    for index in fleet.edges() {
+        let machine = &mut fleet.machines[index];
+        let runs = machine.children.iter_mut().all(|(_, child)| matches!(child.try_wait(), Ok(None)));
+        let ready = call(machine.ready(), "GET", "/readiness", "", "", Duration::from_secs(1)).map_or(0, |answer| answer.0.status());
+        record.tell(&format!("{}: its processes run: {runs}; readiness {ready}", machine.name));
+    }
+    let mut by_status: BTreeMap<u16, u32> = BTreeMap::new();
+    for one in clients.tries.lock().unwrap().iter() {
+        record.say(&format!("try {one:?}"));
+        *by_status.entry(one.status).or_default() += 1;
+    }
+    let served = clients.tries.lock().unwrap().iter().filter(|one| one.status == 200 && one.whole).count();
+    let runs = world.runs.lock().unwrap().len();
+    record.tell(&format!("tries by status (0: none): {by_status:?}; {runs} runs at replicas; {served} served"));
+    Ok(served == 0)
+}
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -190,6 +190,14 @@
         }
         self.children.clear();
     }
+    /// Kills the process of one role.
+    pub fn kill_role(&mut self, role: &str) {
+        for (_, child) in self.children.iter_mut().filter(|(own, _)| *own == role) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.children.retain(|(own, _)| *own != role);
+    }
     /// Sends a signal by its name to all processes of the machine.
     pub fn signal(&self, signal: &str) {
         for (_, child) in &self.children {
@@ -386,9 +394,14 @@
 
     /// Starts a machine's processes with the commands of the deploy file.
     pub fn run(&mut self, index: usize) -> io::Result<()> {
+        let roles: &[&'static str] = if self.machines[index].is_core { &["control"] } else { &["agent", "proxy"] };
+        self.run_roles(index, roles)
+    }
+
+    /// Starts a machine's processes of these roles.
+    pub fn run_roles(&mut self, index: usize, roles: &[&'static str]) -> io::Result<()> {
         let file = self.file(index);
         let machine = &mut self.machines[index];
-        let roles: &[&'static str] = if machine.is_core { &["control"] } else { &["agent", "proxy"] };
         for role in roles {
             let log = File::options()
                 .create(true)
