--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -190,14 +190,6 @@
         }
         self.children.clear();
     }
-    /// Kills the process of one role.
-    pub fn kill_role(&mut self, role: &str) {
-        for (_, child) in self.children.iter_mut().filter(|(own, _)| *own == role) {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        self.children.retain(|(own, _)| *own != role);
-    }
     /// Sends a signal by its name to all processes of the machine.
     pub fn signal(&self, signal: &str) {
         for (_, child) in &self.children {
@@ -309,9 +301,8 @@
             .collect();
         let seeds = seeds.join(",");
         let (class, binds, disk, memory) = if machine.is_core {
-            let binds = format!(
-                "controlPlane = \"{ip}:{CONTROL}\"\ndirectory = \"{ip}:{DIRECTORY}\""
-            );
+            let binds =
+                format!("controlPlane = \"{ip}:{CONTROL}\"\ndirectory = \"{ip}:{DIRECTORY}\"");
             fs::create_dir_all(self.data(index))?;
             let data = format!("dataDirectory = \"{}\"", self.data(index).display());
             ("core", binds, data, "diskMb = 128")
@@ -322,7 +313,11 @@
         let last = INTERNAL + 15;
         let list = self.list();
         let name = &machine.name;
-        let served = if machine.is_core { "\"control\",\"registry\"" } else { "\"edge\"" };
+        let served = if machine.is_core {
+            "\"control\",\"registry\""
+        } else {
+            "\"edge\""
+        };
         let text = format!(
             r#"nodeName = "{name}"
 role = "{class}"
@@ -394,14 +389,13 @@
 
     /// Starts a machine's processes with the commands of the deploy file.
     pub fn run(&mut self, index: usize) -> io::Result<()> {
-        let roles: &[&'static str] = if self.machines[index].is_core { &["control"] } else { &["agent", "proxy"] };
-        self.run_roles(index, roles)
-    }
-
-    /// Starts a machine's processes of these roles.
-    pub fn run_roles(&mut self, index: usize, roles: &[&'static str]) -> io::Result<()> {
         let file = self.file(index);
         let machine = &mut self.machines[index];
+        let roles: &[&'static str] = if machine.is_core {
+            &["control"]
+        } else {
+            &["agent", "proxy"]
+        };
         for role in roles {
             let log = File::options()
                 .create(true)
@@ -451,7 +445,6 @@
     pub id: String,
     pub version: &'static str,
     pub replica: String,
-    pub failed: bool,
 }
 
 /// How a replica answers what it runs.
@@ -460,12 +453,6 @@
 pub enum Reply {
     /// A stream of so many events, 30 ms apart.
     Events(usize),
-    /// A failure of the replica's own.
-    Failure,
-    /// A plain body with a length.
-    Plain(String),
-    /// A plain body without a length, which ends with its connection.
-    Unframed(String),
 }
 
 pub struct World {
@@ -535,7 +522,11 @@
             }
             let id = head.get("x-attempt-id").to_string();
             if head.word(1) == "/health" {
-                write!(writer, "HTTP/1.1 200 OK\r\nX-Serving-Instance: {}\r\nContent-Length: 0\r\n\r\n", replica.id)?;
+                write!(
+                    writer,
+                    "HTTP/1.1 200 OK\r\nX-Serving-Instance: {}\r\nContent-Length: 0\r\n\r\n",
+                    replica.id
+                )?;
                 continue;
             }
             let target = head.get("x-target-instance");
@@ -545,40 +536,21 @@
             }
             replica.runs.fetch_add(1, Ordering::Relaxed);
             let reply = (self.answer)(self, replica, &head);
-            let failed = matches!(reply, Reply::Failure);
             self.runs.lock().unwrap().push(Run {
                 at: self.record.now(),
                 id: id.clone(),
                 version: replica.version,
                 replica: replica.id.clone(),
-                failed,
             });
             let common = format!("X-Attempt-Id: {id}\r\nX-Server-Seal: {}.{id}\r\nX-Weight-Versions: 1\r\nX-Instance-Load: 1,0,64\r\n", replica.id);
-            match reply {
-                Reply::Events(count) => {
-                    write!(writer, "HTTP/1.1 200 OK\r\n{common}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
-                    for number in 1..=count {
-                        thread::sleep(Duration::from_millis(30));
-                        let event = format!("id: {number}\ndata: {id}-{number}\n\n");
-                        write!(writer, "{:x}\r\n{event}\r\n", event.len())?;
-                    }
-                    write!(writer, "0\r\n\r\n")?;
-                }
-                Reply::Failure => {
-                    thread::sleep(Duration::from_millis(60));
-                    write!(writer, "HTTP/1.1 500 Internal Server Error\r\n{common}Content-Length: 0\r\n\r\n")?;
-                }
-                Reply::Plain(body) => {
-                    thread::sleep(Duration::from_millis(60));
-                    write!(writer, "HTTP/1.1 200 OK\r\n{common}Content-Length: {}\r\n\r\n{body}", body.len())?;
-                }
-                Reply::Unframed(body) => {
-                    thread::sleep(Duration::from_millis(60));
-                    write!(writer, "HTTP/1.1 200 OK\r\n{common}Connection: close\r\n\r\n{body}")?;
-                    writer.flush()?;
-                    return writer.shutdown(std::net::Shutdown::Both);
-                }
+            let Reply::Events(count) = reply;
+            write!(writer, "HTTP/1.1 200 OK\r\n{common}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+            for number in 1..=count {
+                thread::sleep(Duration::from_millis(30));
+                let event = format!("id: {number}\ndata: {id}-{number}\n\n");
+                write!(writer, "{:x}\r\n{event}\r\n", event.len())?;
             }
+            write!(writer, "0\r\n\r\n")?;
         }
     }
 
@@ -619,7 +591,10 @@
                     )
                 })
                 .collect();
-            let body = format!(r#"{{"instanceList":[{}],"nextToken":null}}"#, entries.join(","));
+            let body = format!(
+                r#"{{"instanceList":[{}],"nextToken":null}}"#,
+                entries.join(",")
+            );
             write!(writer, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
         }
     }
@@ -628,14 +603,13 @@
 // ---- the operator ----
 
 pub const CHAT: (&str, &str) = ("chat.example", "/chat/");
-pub const PLAIN: (&str, &str) = ("card.example", "/card/");
 
 pub fn configuration(release: u64) -> String {
     let limits = r#"{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}"#;
     let engine = r#"{"capacitySlots":64,"cacheTokens":348621,"tokenBytes":18432,"linkMbps":88000.0,"stride":4,"modelList":[{"name":"m"}]}"#;
     format!(
-        r#"{{"releaseNumber":{release},"routeTable":[{{"name":"r-chat","hostName":"{}","pathPrefix":"{}","routeType":"streaming","timeoutMs":5000,"targetLatencyMs":600,"priorityLevel":0,"targetService":"model","maxAttempts":1,"sessionAffinity":true,"resumable":false,"targetGapMs":300,"homeRegions":[]}},{{"name":"r-card","hostName":"{}","pathPrefix":"{}","routeType":"non_idempotent","timeoutMs":5000,"targetLatencyMs":500,"priorityLevel":0,"targetService":"model","maxAttempts":1,"homeRegions":[]}}],"serviceTable":[{{"name":"model","healthPath":"/health","maxConnections":360,"protocol":"h1","tls":false,"warmupS":3.0,"warmupRateS":26.0,"engine":{engine}}}],"limits":{limits}}}"#,
-        CHAT.0, CHAT.1, PLAIN.0, PLAIN.1
+        r#"{{"releaseNumber":{release},"routeTable":[{{"name":"r-chat","hostName":"{}","pathPrefix":"{}","routeType":"streaming","timeoutMs":5000,"targetLatencyMs":600,"priorityLevel":0,"targetService":"model","maxAttempts":1,"sessionAffinity":true,"resumable":false,"targetGapMs":300,"homeRegions":[]}}],"serviceTable":[{{"name":"model","healthPath":"/health","maxConnections":360,"protocol":"h1","tls":false,"warmupS":3.0,"warmupRateS":26.0,"engine":{engine}}}],"limits":{limits}}}"#,
+        CHAT.0, CHAT.1
     )
 }
 
@@ -653,7 +627,10 @@
         turn += 1;
         match call(address, method, path, headers, body, Duration::from_secs(1)) {
             Ok((head, text)) => {
-                record.say(&format!("operator {method} {path} at {address}: {} {text}", head.status()));
+                record.say(&format!(
+                    "operator {method} {path} at {address}: {} {text}",
+                    head.status()
+                ));
                 if (200..300).contains(&head.status()) {
                     return Some((record.now(), text));
                 }
@@ -677,7 +654,6 @@
     /// The status; 0 without an answer's head.
     pub status: u16,
     pub whole: bool,
-    pub on_kept: bool,
 }
 
 pub struct Clients {
@@ -696,9 +672,13 @@
     }
 
     fn addresses(text: &str) -> Vec<SocketAddr> {
-        let list = text.split_once("\"addressList\":[").map_or("", |rest| rest.1);
+        let list = text
+            .split_once("\"addressList\":[")
+            .map_or("", |rest| rest.1);
         let list = list.split(']').next().unwrap_or("");
-        list.split(',').filter_map(|one| one.trim_matches('"').parse().ok()).collect()
+        list.split(',')
+            .filter_map(|one| one.trim_matches('"').parse().ok())
+            .collect()
     }
 
     /// Asks the directory for each zone once a second.
@@ -710,7 +690,9 @@
                     let path = format!("/resolution?name={host}&region={region}&zone={name}");
                     for turn in 0..directories.len() {
                         let address = directories[(zone + turn) % directories.len()];
-                        if let Ok((head, text)) = call(address, "GET", &path, "", "", Duration::from_secs(1)) {
+                        if let Ok((head, text)) =
+                            call(address, "GET", &path, "", "", Duration::from_secs(1))
+                        {
                             let list = Self::addresses(&text);
                             if head.status() == 200 && !list.is_empty() {
                                 clients.fronts.lock().unwrap().insert(zone, list);
@@ -725,11 +707,19 @@
     }
 
     /// Starts `count` clients, a third in each zone, each with a request every `pause_ms`.
-    pub fn start(self: &Arc<Clients>, record: &Arc<Record>, count: usize, pause_ms: u64, lane: (&'static str, &'static str)) {
+    pub fn start(
+        self: &Arc<Clients>,
+        record: &Arc<Record>,
+        count: usize,
+        pause_ms: u64,
+        lane: (&'static str, &'static str),
+    ) {
         for number in 0..count {
             let (clients, record) = (self.clone(), record.clone());
             thread::spawn(move || {
-                thread::sleep(Duration::from_millis(pause_ms * number as u64 / count as u64));
+                thread::sleep(Duration::from_millis(
+                    pause_ms * number as u64 / count as u64,
+                ));
                 clients.run(&record, number, pause_ms, lane);
             });
         }
@@ -740,17 +730,23 @@
         let mut turn = number as u64;
         while !self.stop.load(Ordering::Relaxed) {
             let begun = Instant::now();
-            let fronts = self.fronts.lock().unwrap().get(&(number % 3)).cloned().unwrap_or_default();
+            let fronts = self
+                .fronts
+                .lock()
+                .unwrap()
+                .get(&(number % 3))
+                .cloned()
+                .unwrap_or_default();
             // Open connections to addresses that a new answer lacks are not used on.
             kept = kept.filter(|(front, _)| fronts.contains(front));
             turn += 1;
             if !fronts.is_empty() {
                 let id = format!("{number:04x}{turn:012x}");
-                let on_kept = kept.is_some();
                 let opened = kept.take().map_or_else(
                     || {
                         let front = fronts[(turn as usize * 7 + number / 3) % fronts.len()];
-                        TcpStream::connect_timeout(&front, Duration::from_secs(1)).map(|stream| (front, stream))
+                        TcpStream::connect_timeout(&front, Duration::from_secs(1))
+                            .map(|stream| (front, stream))
                     },
                     Ok,
                 );
@@ -758,7 +754,14 @@
                     let sent = record.now();
                     let result = self.request(&stream, &id, lane);
                     let (status, whole, stays) = result.unwrap_or((0, false, false));
-                    self.tries.lock().unwrap().push(Try { id, sent, ended: record.now(), front, status, whole, on_kept });
+                    self.tries.lock().unwrap().push(Try {
+                        id,
+                        sent,
+                        ended: record.now(),
+                        front,
+                        status,
+                        whole,
+                    });
                     if stays && whole {
                         kept = Some((front, stream));
                     }
@@ -769,7 +772,12 @@
         }
     }
 
-    fn request(&self, stream: &TcpStream, id: &str, lane: (&str, &str)) -> io::Result<(u16, bool, bool)> {
+    fn request(
+        &self,
+        stream: &TcpStream,
+        id: &str,
+        lane: (&str, &str),
+    ) -> io::Result<(u16, bool, bool)> {
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(6)))?;
         let body = format!("body of {id}");
