--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -115,6 +115,7 @@
             .iter_mut()
             .all(|(_, child)| matches!(child.try_wait(), Ok(None)))
     });
+    write_all(record, &clients, &world);
     let tries = clients.tries.lock().unwrap();
     let served = tries
         .iter()
@@ -269,20 +270,19 @@
             .filter(is_late)
             .cloned()
             .collect();
-        for run in late.iter().take(20) {
-            record.say(&format!("{run:?}"));
-        }
         record.tell(&format!(
             "round {round}: {} requests ran in {}, sent by machines in touch more than {EVACUATION_MS} ms after its evacuation was acknowledged",
             late.len(), ZONES[ZONE].0
         ));
         if !late.is_empty() {
             clients.stop.store(true, Ordering::Relaxed);
+            write_all(record, &clients, &world);
             return Ok(true);
         }
     }
     clients.stop.store(true, Ordering::Relaxed);
     thread::sleep(Duration::from_millis(300));
+    write_all(record, &clients, &world);
     Ok(false)
 }
 
@@ -292,22 +292,50 @@
     const EVACUATION_MS: u64 = 5_000;
     const DOWN_MS: u64 = 3_500;
     const ZONE: usize = 0;
-    let rounds: u64 = std::env::var("ROUNDS").ok().and_then(|v| v.parse().ok()).unwrap_or(7);
+    let rounds: u64 = std::env::var("ROUNDS")
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(7);
     let (mut fleet, world, controls) = begin(record, Box::new(|_, _, _| Reply::Events(3)), 2)?;
     let clients = Clients::new();
-    clients.resolve(fleet.core().iter().map(|index| fleet.machines[*index].directory()).collect(), CHAT.0);
+    clients.resolve(
+        fleet
+            .core()
+            .iter()
+            .map(|index| fleet.machines[*index].directory())
+            .collect(),
+        CHAT.0,
+    );
     clients.start(record, 45, 300, CHAT);
     thread::sleep(Duration::from_secs(3));
     let path = format!("/evacuation/{}", ZONES[ZONE].0);
-    let evacuate = |what: &str| operate(record, &controls, (what, &path, "", ""), 10_000).ok_or(io::Error::other("an evacuation was not taken"));
+    let evacuate = |what: &str| {
+        operate(record, &controls, (what, &path, "", ""), 10_000)
+            .ok_or(io::Error::other("an evacuation was not taken"))
+    };
     evacuate("POST")?;
     for round in 0..rounds {
         thread::sleep(Duration::from_millis(1_000));
         // The order goes to the daemon that has the zone's key.
-        let (_, status) = call(controls[0], "GET", "/v1/status", "", "", Duration::from_secs(1))?;
+        let (_, status) = call(
+            controls[0],
+            "GET",
+            "/v1/status",
+            "",
+            "",
+            Duration::from_secs(1),
+        )?;
         let name = owner_of(&status, &format!("zone/{}", ZONES[ZONE].0)).unwrap_or_default();
-        let owner = fleet.core().into_iter().find(|index| fleet.machines[*index].name == name).ok_or(io::Error::other("the key has no owner"))?;
-        let others: Vec<usize> = fleet.core().into_iter().filter(|index| *index != owner).collect();
+        let owner = fleet
+            .core()
+            .into_iter()
+            .find(|index| fleet.machines[*index].name == name)
+            .ok_or(io::Error::other("the key has no owner"))?;
+        let others: Vec<usize> = fleet
+            .core()
+            .into_iter()
+            .filter(|index| *index != owner)
+            .collect();
         if has_trouble {
             for index in &others {
                 fleet.machines[*index].kill();
@@ -334,30 +362,59 @@
         record.tell(&format!("operator POST {path}: acknowledged"));
         let mut in_touch_from = record.now();
         if has_trouble {
-            thread::sleep(Duration::from_millis((killed_at + DOWN_MS).max(acknowledged + 200).saturating_sub(record.now())));
+            thread::sleep(Duration::from_millis(
+                (killed_at + DOWN_MS)
+                    .max(acknowledged + 200)
+                    .saturating_sub(record.now()),
+            ));
             fleet.run(owner)?;
             in_touch_from = record.now() + CONTACT_MS;
             record.tell(&format!("{name} is started again, with its disk"));
         }
         let from = in_touch_from.max(acknowledged + EVACUATION_MS) + 300;
-        thread::sleep(Duration::from_millis((from + 2_000).saturating_sub(record.now())));
-        let sent: HashMap<String, u64> = clients.tries.lock().unwrap().iter().map(|one| (one.id.clone(), one.sent)).collect();
-        let in_zone: Vec<String> = world.replicas.lock().unwrap().iter().filter(|replica| replica.zone == ZONE).map(|replica| replica.id.clone()).collect();
-        let is_late = |run: &&Run| run.at >= from && in_zone.contains(&run.replica) && sent.get(&run.id).is_some_and(|at| *at >= from);
-        let late: Vec<Run> = world.runs.lock().unwrap().iter().filter(is_late).cloned().collect();
-        for run in late.iter().take(20) {
-            record.say(&format!("{run:?}"));
-        }
+        thread::sleep(Duration::from_millis(
+            (from + 2_000).saturating_sub(record.now()),
+        ));
+        let sent: HashMap<String, u64> = clients
+            .tries
+            .lock()
+            .unwrap()
+            .iter()
+            .map(|one| (one.id.clone(), one.sent))
+            .collect();
+        let in_zone: Vec<String> = world
+            .replicas
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|replica| replica.zone == ZONE)
+            .map(|replica| replica.id.clone())
+            .collect();
+        let is_late = |run: &&Run| {
+            run.at >= from
+                && in_zone.contains(&run.replica)
+                && sent.get(&run.id).is_some_and(|at| *at >= from)
+        };
+        let late: Vec<Run> = world
+            .runs
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(is_late)
+            .cloned()
+            .collect();
         record.tell(&format!(
             "round {round}: {} requests ran in {}, sent by machines in touch more than {EVACUATION_MS} ms after its evacuation was acknowledged",
             late.len(), ZONES[ZONE].0
         ));
         if !late.is_empty() {
             clients.stop.store(true, Ordering::Relaxed);
+            write_all(record, &clients, &world);
             return Ok(true);
         }
     }
     clients.stop.store(true, Ordering::Relaxed);
     thread::sleep(Duration::from_millis(300));
+    write_all(record, &clients, &world);
     Ok(false)
 }
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -794,6 +794,22 @@
     }
 }
 
+/// Writes what each client sent and got, and what each replica ran.
+pub fn write_all(record: &Record, clients: &Clients, world: &World) {
+    for one in clients.tries.lock().unwrap().iter() {
+        record.say(&format!(
+            "request {} sent at {} to {}: status {} at {}, whole {}",
+            one.id, one.sent, one.front, one.status, one.ended, one.whole
+        ));
+    }
+    for run in world.runs.lock().unwrap().iter() {
+        record.say(&format!(
+            "request {} ran at {} on {}",
+            run.id, run.at, run.replica
+        ));
+    }
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &arguments[..] else {
