Write the current value under the owner's epoch before answering from it

What callers saw: control processes were killed while an operator took an evacuation back, which no majority had; the operator evacuated again and that was acknowledged; seconds later the zone got traffic again, for good (EVAC).

Cause: an owner acknowledged a value that stood under an earlier epoch and wrote nothing. Voters order values by epoch, then version, so a newer version of the former owner on one disk was still newer for a later owner, which adopted it behind the acknowledgement.

Evidence: the explorer now knows orders that replace any value, and checks that none of them is committed above an opposite order acknowledged later.

Why it works: once a majority has the value under the owner's epoch, each later owner finds that one newer than anything that a former owner left.

The test a_read_waits_for_a_majority_of_replies_to_later_requests asked an owner under epoch 7 to read a value of epoch 5 and expected confirmations alone to be enough: that was the fault. Its value now stands under epoch 7, all its checks are as before, and a test of its own asks for the rewrite.

--- a/coordination/src/register/proposer.rs
+++ b/coordination/src/register/proposer.rs
@@ -89,6 +89,12 @@
                 self.write_next(key, version, now, out);
                 return;
             }
+            // A value of an earlier epoch does not bind yet: a voter may hold a newer one that its owner left behind
+            // uncommitted, and that a later owner would adopt. Raft's leaders commit in their own term for this reason.
+            if self.is_from_earlier_epoch(key, version) {
+                self.rewrite(key, version, now, out);
+                return;
+            }
             // Only an owner confirmed by a majority since the request was received may report the current version: an
             // owner that was superseded without knowing would return an older value.
             if !self.is_confirmed_since(key, received_at) {
@@ -179,6 +185,30 @@
         self.broadcast(accept, out);
     }
 
+    /// Writes the current value again under the owner's epoch, if this daemon's slot holds it.
+    fn rewrite(&mut self, key: &Name, version: u64, now: Ms, out: &mut Effects) {
+        let slot = self.slots.at_version(key, version).filter(|_| version > 0);
+        let (Some(slot), Some(ownership)) = (slot, self.ownerships.get_mut(key)) else {
+            return;
+        };
+        let rewrite = InFlightWrite::rewrite(slot, now);
+        let accept = rewrite.accept_message(key, ownership.epoch, self.members.member_epoch);
+        ownership.in_flight = Some(rewrite);
+        self.broadcast(accept, out);
+    }
+
+    /// Returns whether the current value was last written under an earlier epoch than this owner's.
+    fn is_from_earlier_epoch(&self, key: &Name, version: u64) -> bool {
+        let Some(ownership) = self.ownerships.get(key) else {
+            return false;
+        };
+        version > 0
+            && self
+                .slots
+                .at_version(key, version)
+                .is_some_and(|slot| slot.accepted_epoch < ownership.epoch)
+    }
+
     /// Counts a voter's acceptance; once a majority has accepted, the write is committed. A refusal with a higher epoch
     /// ends the ownership.
     #[allow(
@@ -254,28 +284,20 @@
 
     fn rewrite_over(&mut self, voter_slot: &Slot, now: Ms, out: &mut Effects) {
         let key = &voter_slot.key;
-        let Some(own_slot) = self
+        let is_newer_than_own = self
             .slots
             .get(key)
-            .filter(|own_slot| AcceptedStamp::of(voter_slot) > AcceptedStamp::of(own_slot))
-        else {
-            return;
-        };
-        let Some(ownership) = self.ownerships.get_mut(key).filter(|ownership| {
+            .is_some_and(|own_slot| AcceptedStamp::of(voter_slot) > AcceptedStamp::of(own_slot));
+        let Some(ownership) = self.ownerships.get(key).filter(|ownership| {
             ownership.in_flight.is_none() && ownership.epoch > voter_slot.accepted_epoch
         }) else {
             return;
         };
-        let OwnershipPhase::Owning { version } = ownership.phase else {
-            return;
-        };
-        if own_slot.version != version || version == 0 {
-            return;
+        if let OwnershipPhase::Owning { version } = ownership.phase
+            && is_newer_than_own
+        {
+            self.rewrite(key, version, now, out);
         }
-        let rewrite = InFlightWrite::rewrite(own_slot, now);
-        let accept = rewrite.accept_message(key, ownership.epoch, self.members.member_epoch);
-        ownership.in_flight = Some(rewrite);
-        self.broadcast(accept, out);
     }
 }
 
--- a/coordination/src/register/tests/explore.rs
+++ b/coordination/src/register/tests/explore.rs
@@ -18,7 +18,7 @@
 
 use super::*;
 use crate::WriteOutcome;
-use history::Request::{self, ChangeVoters, Put, Read, ReadMembers};
+use history::Request::{self, ChangeVoters, Overwrite, Put, Read, ReadMembers};
 use world::{Ablation, Action, NO_FAULTS, Scenario, Setup, World};
 
 mod history;
@@ -419,6 +419,26 @@
     expect_no_violation(&REGISTER_SCENARIOS);
 }
 
+/// The first voter owns the key, whose value is 1.
+const VALUE_ONE: &[Setup] = &[Setup::Call(0, FIRST_WRITE)];
+const OVERWRITE_BY_ONE: Request = Overwrite { value: 1 };
+const OVERWRITE_BY_TWO: Request = Overwrite { value: 2 };
+
+/// An order stays on its owner's disk, unanswered; another owner acknowledges the opposite order, which is current
+/// already; then the first owner acquires the key again.
+const ORDER_ON_A_MINORITY: Scenario = Scenario {
+    name: "an order on a minority of disks returns after the opposite order is acknowledged",
+    prologue: VALUE_ONE,
+    calls: &[(0, OVERWRITE_BY_TWO), (1, OVERWRITE_BY_ONE), (0, Read)],
+    ..NO_FAULTS
+};
+
+/// Guards against an unanswered order that one voter has on disk and that returns behind an acknowledged repeat.
+#[gtest]
+fn an_order_on_a_minority_does_not_return_after_the_opposite_order() {
+    expect_no_violation(&[ORDER_ON_A_MINORITY]);
+}
+
 #[gtest]
 fn no_order_of_changes_of_voters_violates_linearizability() {
     expect_no_violation(&MEMBER_SCENARIOS);
--- a/coordination/src/register/tests/explore/history.rs
+++ b/coordination/src/register/tests/explore/history.rs
@@ -10,18 +10,31 @@
         /// Version that the write expects to be current.
         on: u64,
     },
+    /// Replaces any value: conditional on the version that the called daemon knows to be committed, as control daemons
+    /// submit orders without a precondition.
+    Overwrite {
+        value: u8,
+    },
     Read,
     /// Makes the daemons with these indices, with their current disks, the voters.
     ChangeVoters(&'static [usize]),
     /// Reads the members key to acquire it, so that a later change of voters needs no acquisition.
     ReadMembers,
 }
-use Request::{Put, Read};
+use Request::{Overwrite, Put, Read};
 
 impl Request {
+    /// Returns the value that the request writes to the checked key, if it writes one.
+    fn written_value(self) -> Option<u8> {
+        match self {
+            Overwrite { value } | Put { value, .. } => Some(value),
+            _ => None,
+        }
+    }
+
     /// Returns whether the request concerns the key whose history is checked.
     fn is_for_checked_key(self) -> bool {
-        matches!(self, Put { .. } | Read)
+        matches!(self, Overwrite { .. } | Put { .. } | Read)
     }
 }
 
@@ -62,6 +75,32 @@
         .or_else(|| find_stale_result(&completed))
 }
 
+/// Describes an order that took effect although a later order with another value was acknowledged: its value is
+/// committed as `version`, above the acknowledged one, and no order since then wrote it. Linearizability allows this for
+/// an order without an answer; an operator who went on to the opposite order does not.
+pub(super) fn find_returned_order(calls: &[Call], version: u64, value: u8) -> Option<String> {
+    let completed: Vec<CompletedCall> = calls.iter().filter_map(CompletedCall::from_call).collect();
+    let was_sent_after = |began: Option<u64>| {
+        calls
+            .iter()
+            .any(|call| call.request.written_value() == Some(value) && call.began > began)
+    };
+    completed
+        .iter()
+        .find(|later| {
+            let is_acknowledged_overwrite =
+                matches!(later.call.request, Overwrite { value: acknowledged } if acknowledged != value)
+                    && matches!(later.end.outcome, WriteOutcome::Accepted(_));
+            is_acknowledged_overwrite
+                && version > later.version()
+                && !was_sent_after(later.call.began)
+        })
+        .map(|later| {
+            let acknowledged = later.call;
+            format!("value {value} is committed as version {version}, after {acknowledged:?}")
+        })
+}
+
 /// A call on the checked key that has ended with a definite outcome.
 #[derive(Clone, Copy)]
 struct CompletedCall<'a> {
--- a/coordination/src/register/tests/explore/world.rs
+++ b/coordination/src/register/tests/explore/world.rs
@@ -1,7 +1,7 @@
 //! The modelled system: voters and joiners with their disks, the network, the operators, and the possible next actions.
 
 use super::{
-    history::{Call, CallEnd, Request, find_violation},
+    history::{Call, CallEnd, Request, find_returned_order, find_violation},
     *,
 };
 use crate::voter_placement;
@@ -375,6 +375,15 @@
                 let value = Blob(vec![value]);
                 registers.propose(token, &KEY.into(), Some(on), value, step, &mut out);
             }
+            Request::Overwrite { value } => {
+                let known = registers
+                    .slots
+                    .get(KEY)
+                    .map_or(0, |slot| slot.committed_version);
+                let expect = Expect::UnchangedSince(known);
+                let value = Blob(vec![value]);
+                registers.propose(token, &KEY.into(), expect, value, step, &mut out);
+            }
             Request::Read => registers.read(token, &KEY.into(), step, &mut out),
             Request::ReadMembers => registers.read(token, &MEMBERS_KEY.into(), step, &mut out),
             Request::ChangeVoters(_) => {
@@ -583,6 +592,14 @@
             .or_else(|| self.find_ambiguous_version(KEY))
             .or_else(|| self.find_ambiguous_version(MEMBERS_KEY))
             .or_else(|| self.find_committed_rejected_write())
+            .or_else(|| self.find_returned_order())
+    }
+
+    /// Describes a committed order that returned behind a later acknowledged one.
+    fn find_returned_order(&self) -> Option<String> {
+        self.committed_slots(KEY)
+            .into_iter()
+            .find_map(|slot| find_returned_order(&self.calls, slot.version, slot.value.0[0]))
     }
 
     fn committed_slots(&self, key: &str) -> Vec<&Slot> {
--- a/coordination/src/register/tests/proposer.rs
+++ b/coordination/src/register/tests/proposer.rs
@@ -245,14 +245,13 @@
     }
 }
 
-/// A read is confirmed only by a majority of replies to requests sent since the read arrived.
-#[gtest]
-fn a_read_waits_for_a_majority_of_replies_to_later_requests() {
+/// Returns an owner under epoch 7 of a value that was committed as version 3 under `accepted_epoch`.
+fn owner_of_committed_value(accepted_epoch: u64) -> Registers {
     let key: Name = KEY.into();
     let mut registers = voter(0);
     let committed = Change {
         key: key.clone(),
-        epoch: 5,
+        epoch: accepted_epoch,
         version: 3,
         value: Blob("value".into()),
     };
@@ -261,7 +260,15 @@
         phase: OwnershipPhase::Owning { version: 3 },
         ..Ownership::preparing(7, VecDeque::new(), 0, 0)
     };
-    registers.ownerships.insert(key.clone(), ownership);
+    registers.ownerships.insert(key, ownership);
+    registers
+}
+
+/// A read is confirmed only by a majority of replies to requests sent since the read arrived.
+#[gtest]
+fn a_read_waits_for_a_majority_of_replies_to_later_requests() {
+    let key: Name = KEY.into();
+    let mut registers = owner_of_committed_value(7);
     registers.read(9, &key, 100, &mut vec![]);
     let mut finishes_read = |from: usize, epoch, request_sent_at, member_epoch| {
         let renewed = LeasesRenewed {
@@ -304,6 +311,50 @@
     expect_that!(finishes_read(2, 7, 100, 1), eq(true));
 }
 
+/// Guards against a read or a repeated write that is answered while a voter may hold a newer value of the former owner:
+/// the value is first written again under the owner's epoch.
+#[gtest]
+fn an_owner_writes_the_value_of_an_earlier_epoch_again_before_it_answers() {
+    let key: Name = KEY.into();
+    let repeat = |registers: &mut Registers, out: &mut Effects| {
+        registers.propose(9, &key, Some(2), Blob("value".into()), 100, out);
+    };
+    let read = |registers: &mut Registers, out: &mut Effects| registers.read(9, &key, 100, out);
+    let requests: [&dyn Fn(&mut Registers, &mut Effects); 2] = [&repeat, &read];
+    for request in requests {
+        let mut registers = owner_of_committed_value(5);
+        let mut out = vec![];
+        request(&mut registers, &mut out);
+        let sends = sync(&mut vec![], out);
+        let rewrite = accept(KEY, 7, 3, "value");
+        expect_that!(
+            sends,
+            each((anything(), eq(&Message::Accept(rewrite.clone()))))
+        );
+        expect_that!(sends, len(eq(VOTER_COUNT)));
+        // Once a majority has accepted it, the voters are asked to confirm the owner.
+        let mut out = vec![];
+        for voter in [0, 1] {
+            let reply = Accepted {
+                key: key.clone(),
+                epoch: 7,
+                version: 3,
+                promised_epoch: 7,
+                member_epoch: 1,
+                accepted: 1,
+            };
+            registers.on_accepted(&name(voter), reply, 101, &mut out);
+        }
+        expect_that!(slot(&registers, KEY).accepted_epoch, eq(7));
+        let sends = sync(&mut vec![], out);
+        expect_true!(
+            sends
+                .iter()
+                .any(|(_, message)| matches!(message, Message::RenewLeases(_)))
+        );
+    }
+}
+
 /// A new owner compares values by the epoch in which they were accepted, and includes the value in its own slot.
 #[gtest]
 fn a_new_owner_adopts_the_value_of_the_highest_epoch() {
