Explore steps that only replace a message by its reply

The explorer dropped each step that left all voters as they were and the number of messages no higher, as if the message were lost. A voter that confirms an owner without changing its state is such a step, and its reply was lost with it: what an owner acknowledges after a plain confirmation was not explored.

A step is now dropped only if there is one message less.

--- a/coordination/src/register/tests/explore/world.rs
+++ b/coordination/src/register/tests/explore/world.rs
@@ -657,14 +657,15 @@
         xxh3_128(&all.flat_map(u128::to_be_bytes).collect::<Vec<u8>>())
     }
 
-    /// Returns whether a step changed nothing but removed a message, which is equivalent to losing the message.
+    /// Returns whether a step changed nothing but removed a message, which is equivalent to losing the message. A step
+    /// that replaced the message by a reply is no such step.
     pub(super) fn changed_nothing_since(&self, before: &World) -> bool {
         let is_same = |(node, before): (&Arc<Node>, &Arc<Node>)| {
             Arc::ptr_eq(node, before) || node.digest == before.digest
         };
         self.step == before.step
             && self.budget == before.budget
-            && self.in_flight.len() <= before.in_flight.len()
+            && self.in_flight.len() < before.in_flight.len()
             && self.nodes.iter().zip(&before.nodes).all(is_same)
     }
 }
