Make every order without a precondition a new version

What callers saw: the owner of a zone's key was suspended, the daemon that had forwarded it an order to take an evacuation back was killed, and the operator had the zone evacuated again elsewhere. The owner resumed and the older order took effect, for good (EVAC).

Cause: such orders are accepted if the key is unchanged since the version that was current where they came in, and an acknowledged order whose value was current already left that version as it was.

Why it works: an acknowledgement now raises the version above all that was current when an earlier order was sent, so that one conflicts.

--- a/coordination/src/control/rollouts.rs
+++ b/coordination/src/control/rollouts.rs
@@ -14,7 +14,7 @@
     Effect, Effects, Ms, compressed,
     effect::log_event,
     events::{self, Event},
-    register::ROLLOUT_PREFIX,
+    register::{Expect, ROLLOUT_PREFIX},
     rollout::{Order, RolloutInputs, RolloutLoop, RolloutStep, initial_record},
     version_health::VersionHealth,
 };
@@ -210,8 +210,9 @@
         }
         self.place_contexts(&spec, now, &mut out);
         for key in self.removed_draining_keys(&pass) {
+            let expect = Expect::Version(self.local_version(&key));
             self.registers
-                .propose(NO_CALLER, &key, None, Blob::default(), now, &mut out);
+                .propose(NO_CALLER, &key, expect, Blob::default(), now, &mut out);
         }
         self.finish(now, out)
     }
--- a/coordination/src/register/proposer.rs
+++ b/coordination/src/register/proposer.rs
@@ -81,11 +81,14 @@
         while let Some((version, request)) = self.next_request(key) {
             let (received_at, expect) = (request.received_at, request.expect);
             let is_read = request.value.is_none();
-            let is_repeated = request
+            let has_same_value = request
                 .value
                 .as_ref()
-                .is_some_and(|value| self.is_current(key, version, expect, value));
-            if !is_read && !is_repeated && self.matches_expectation(key, version, expect) {
+                .is_some_and(|value| self.has_value(key, version, value));
+            let is_repeated = has_same_value && expect.recognizes_repeat_at(version);
+            let is_expected = has_same_value && expect.is_unconditional()
+                || self.matches_expectation(key, version, expect);
+            if !is_read && !is_repeated && is_expected {
                 self.write_next(key, version, now, out);
                 return;
             }
@@ -152,19 +155,13 @@
         }
     }
 
-    /// Returns whether a write's value is already current and may be the result of this write: an operator repeats a
-    /// write whose outcome was unknown, and a daemon repeats one whose owner failed.
-    fn is_current(&self, key: &Name, version: u64, expect: Expect, value: &Blob) -> bool {
-        let is_same_value = version > 0
+    /// Returns whether a key's value in this version is `value`.
+    fn has_value(&self, key: &Name, version: u64, value: &Blob) -> bool {
+        version > 0
             && self
                 .slots
                 .at_version(key, version)
-                .is_some_and(|slot| slot.value == *value);
-        let is_same_version = match expect {
-            Expect::Version(expected) => expected + 1 == version,
-            Expect::Any | Expect::Release(_) | Expect::UnchangedSince(_) => true,
-        };
-        is_same_value && is_same_version
+                .is_some_and(|slot| slot.value == *value)
     }
 
     /// Proposes the first pending write to the voters, as the version after `version`.
--- a/coordination/src/register/tests/explore.rs
+++ b/coordination/src/register/tests/explore.rs
@@ -433,6 +433,21 @@
     ..NO_FAULTS
 };
 
+/// An order waits at a voter that acquires the key, while the owner acknowledges the opposite order, which is current
+/// already.
+const ORDER_THAT_WAITS: Scenario = Scenario {
+    name: "an order that waits for its owner is written after the opposite order is acknowledged",
+    prologue: VALUE_ONE,
+    calls: &[(2, OVERWRITE_BY_TWO), (0, OVERWRITE_BY_ONE)],
+    ..NO_FAULTS
+};
+
+/// Guards against an order that waits at a daemon and takes effect behind an acknowledged repeat.
+#[gtest]
+fn an_order_that_waits_is_not_written_after_the_opposite_order() {
+    expect_no_violation(&[ORDER_THAT_WAITS]);
+}
+
 /// Guards against an unanswered order that one voter has on disk and that returns behind an acknowledged repeat.
 #[gtest]
 fn an_order_on_a_minority_does_not_return_after_the_opposite_order() {
