Confirm what an agent sends its proxy, and send again what is missing

Cause: the agent sent each change, and the table to a new proxy, once and took it as received. Nobody compared what arrived, and any update, also one behind a lost one, renewed the proxy's right to serve.

Change: changes have positions. An update tells which it follows and reaches, a report up to where the proxy has all of them; what is not confirmed within 500 ms is sent again, the table where nothing is confirmed. An update behind a gap extends no permission. Wire version 15.

The stand-in proxy of directory_loss.rs reported no position, so that its agent sent it the table again with each report, 200 ms apart. It now confirms as a proxy does; what is checked and its bounds are as before.

--- a/coordination/src/edge_agent.rs
+++ b/coordination/src/edge_agent.rs
@@ -9,6 +9,7 @@
 mod local_proxy;
 mod repair;
 mod serving_rule;
+mod table_feed;
 mod usage;
 
 use wire_messages::{
@@ -68,6 +69,7 @@
             role: NodeRole::Edge.to_byte(),
             ..me
         };
+        let incarnation = me.incarnation;
         EdgeAgent {
             membership: Membership::new(me, seeds, random_seed),
             regions: Regions::new(),
@@ -76,7 +78,7 @@
             comparisons: Comparisons::default(),
             leases: Leases::default(),
             serving: ServingState::default(),
-            proxy: ProxyLink::default(),
+            proxy: ProxyLink::new(incarnation),
             claims: EdgeClaims::new(now),
         }
     }
--- a/coordination/src/edge_agent/local_proxy.rs
+++ b/coordination/src/edge_agent/local_proxy.rs
@@ -10,6 +10,7 @@
 
 use super::{
     serving_rule::{Decision, RULE_DURATION},
+    table_feed::TableFeed,
     usage::{ReportedUsage, UnsentUsage},
 };
 use crate::{
@@ -118,8 +119,6 @@
     complete_at: Option<Ms>,
     counters: BTreeMap<CountersKey, ReportedCounters>,
     open_streams: BTreeMap<StreamsKey, ReportedStreams>,
-    /// Whether it was sent the complete state table.
-    has_snapshot: bool,
 }
 
 impl LocalProxy {
@@ -225,8 +224,10 @@
 }
 
 /// The link between the agent and its proxy.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct ProxyLink {
+    /// Incarnation of this agent, whose positions the proxy reports.
+    agent_incarnation: u64,
     proxy: Option<LocalProxy>,
     /// Number of the newest report or usage change of any incarnation of the proxy.
     last_report: u64,
@@ -234,11 +235,23 @@
     /// The newest report that contained the end of a stream that has been removed here.
     removed_through: u64,
     next_update: Ms,
-    /// Changed values not yet sent to the proxy.
-    unsent_changes: Vec<Change>,
+    feed: TableFeed,
 }
 
 impl ProxyLink {
+    /// Creates the link of an agent that knows no proxy yet.
+    pub fn new(agent_incarnation: u64) -> Self {
+        ProxyLink {
+            agent_incarnation,
+            proxy: None,
+            last_report: 0,
+            usage: ReportedUsage::default(),
+            removed_through: 0,
+            next_update: 0,
+            feed: TableFeed::default(),
+        }
+    }
+
     /// Returns the proxy's address.
     pub fn addr(&self) -> Option<&Name> {
         self.proxy.as_ref().map(|proxy| &proxy.addr)
@@ -262,6 +275,9 @@
     pub fn on_report(&mut self, addr: &Name, message: ProxyReport, now: Ms) {
         let mut proxy = self.reporting_proxy(addr, message.incarnation, now);
         proxy.last_report_at = now;
+        let is_fed_by_this_agent = message.table_source == self.agent_incarnation;
+        let position = is_fed_by_this_agent.then_some(message.table_position);
+        self.feed.on_position(position, now);
         self.usage.forget_before(message.oldest_usage_window);
         self.usage
             .merge(message.incarnation, &message.usage, &mut self.last_report);
@@ -272,29 +288,33 @@
         if let Some(report) = proxy.remove_expired_streams(now) {
             self.removed_through = self.removed_through.max(report);
         }
-        // A proxy without a snapshot is updated at the next tick.
-        if !proxy.has_snapshot {
+        if self.feed.is_resend_due(now) {
             self.next_update = now;
         }
         self.proxy = Some(proxy);
     }
 
-    /// Returns the known proxy, or a new one for another incarnation, which has no snapshot however
-    /// quickly it restarted.
+    /// Returns the known proxy, or a new one for another incarnation. That one gets a snapshot however quickly it
+    /// restarted, as does one that was not heard from for long.
     fn reporting_proxy(&mut self, addr: &Name, incarnation: u64, now: Ms) -> LocalProxy {
         match self.proxy.take() {
-            Some(proxy) if proxy.addr == *addr && proxy.incarnation == incarnation => LocalProxy {
-                has_snapshot: proxy.has_snapshot && !proxy.is_unresponsive(now),
-                ..proxy
-            },
+            Some(proxy) if proxy.addr == *addr && proxy.incarnation == incarnation => {
+                if proxy.is_unresponsive(now) {
+                    self.feed.restart();
+                }
+                proxy
+            }
             // The streams of the former incarnation have ended; they are kept so that control daemons
             // that know them are notified.
-            former => LocalProxy {
-                addr: addr.clone(),
-                incarnation,
-                open_streams: former.map_or_else(BTreeMap::new, |proxy| proxy.open_streams),
-                ..LocalProxy::default()
-            },
+            former => {
+                self.feed.restart();
+                LocalProxy {
+                    addr: addr.clone(),
+                    incarnation,
+                    open_streams: former.map_or_else(BTreeMap::new, |proxy| proxy.open_streams),
+                    ..LocalProxy::default()
+                }
+            }
         }
     }
 
@@ -349,12 +369,12 @@
 
     /// Queues a changed value.
     pub fn push_change(&mut self, change: Change) {
-        self.unsent_changes.push(change);
+        self.feed.push(change);
     }
 
     /// Whether changed values are queued.
     pub fn has_unsent_changes(&self) -> bool {
-        !self.unsent_changes.is_empty()
+        self.feed.has_unsent()
     }
 
     /// Schedules an update for the next tick.
@@ -367,8 +387,7 @@
         now >= self.next_update
     }
 
-    /// Sends the queued changes to the proxy, or the complete table if the proxy is new. Without a
-    /// proxy, drops the changes: the next proxy is sent a snapshot.
+    /// Sends the proxy the changes that it lacks, or the complete table if it has none of this agent.
     pub fn send_update(
         &mut self,
         table: &StateTable,
@@ -376,27 +395,25 @@
         now: Ms,
         out: &mut Effects,
     ) {
-        let unsent_changes = std::mem::take(&mut self.unsent_changes);
-        let Some(proxy) = self.proxy.as_mut() else {
+        let Some(proxy) = &self.proxy else {
             return;
         };
-        let is_snapshot = !proxy.has_snapshot;
-        proxy.has_snapshot = true;
         self.next_update = now + PROXY_UPDATE_INTERVAL;
-        let changes = if is_snapshot {
-            table.entries().cloned().collect()
-        } else {
-            List(unsent_changes)
-        };
+        // A proxy that does not report may be gone; once it reports again it is sent a snapshot.
+        let may_resend = !proxy.is_unresponsive(now);
+        let fed = self.feed.next_update(table, may_resend, now);
         let message = TableUpdate {
             proxy_incarnation: proxy.incarnation,
             counters_through: proxy.counters_through,
             serving_rule: update.decision.rule.to_byte(),
             valid_until: update.decision.valid_until,
-            is_snapshot: is_snapshot.into(),
-            changes,
+            is_snapshot: fed.is_snapshot.into(),
+            changes: fed.changes,
             leases: update.leases,
             nodes: update.nodes,
+            agent_incarnation: self.agent_incarnation,
+            after_position: fed.after_position,
+            through_position: fed.through_position,
         };
         out.push(send(&proxy.addr, message));
     }
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -59,6 +59,7 @@
 use named_retries::NamedRetryBudget;
 use queue::SlotQueue;
 use reported_replicas::ReportedReplicas;
+use table_updates::TablePosition;
 use tier_pressure::TierPressure;
 use version_guard::VersionGuard;
 
@@ -91,6 +92,7 @@
 
     // Received from the agent.
     state_table: StateTable,
+    table_position: TablePosition,
     permission: ServingPermission,
     leases: BTreeMap<String, ProxyLease>,
     edges: Vec<Node>,
@@ -137,6 +139,7 @@
             rng: fastrand::Rng::with_seed(rendezvous_weight(&name, &seed.to_string())),
             counters: BTreeMap::new(),
             state_table: StateTable::default(),
+            table_position: TablePosition::default(),
             permission: ServingPermission {
                 rule: REJECT_ALL,
                 valid_until: 0,
--- a/coordination/src/proxy/reports.rs
+++ b/coordination/src/proxy/reports.rs
@@ -44,6 +44,8 @@
             open_streams,
             oldest_usage_window: self.oldest_usage_window(now),
             usage: unreported.usage,
+            table_source: self.table_position.source,
+            table_position: self.table_position.through,
         }
     }
 
--- a/coordination/src/proxy/table_updates.rs
+++ b/coordination/src/proxy/table_updates.rs
@@ -9,7 +9,7 @@
 use remote_calls::RolloutRecord;
 use wire_messages::{ProxyLease, TableUpdate};
 
-use super::{Proxy, RolloutEntry, TenantIndex};
+use super::{Proxy, RolloutEntry, ServingPermission, TenantIndex};
 use crate::{
     Ms,
     control::{DRAINING_PREFIX, SPEC_KEY, evacuated},
@@ -32,12 +32,57 @@
     }
 }
 
+/// Position in an agent's changes up to which a proxy has all of them.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct TablePosition {
+    /// Incarnation of the agent; 0 before its first snapshot.
+    pub(super) source: u64,
+    pub(super) through: u64,
+}
+
+impl TablePosition {
+    /// Advances to the position of an update. Returns `false` if changes before the update are missing.
+    fn advance(&mut self, update: &TableUpdate) -> bool {
+        let is_same_source = update.agent_incarnation == self.source;
+        if is_same_source && (update.is_snapshot != 0 || update.after_position <= self.through) {
+            self.through = self.through.max(update.through_position);
+            return true;
+        }
+        if update.is_snapshot == 0 {
+            return false;
+        }
+        *self = TablePosition {
+            source: update.agent_incarnation,
+            through: update.through_position,
+        };
+        true
+    }
+}
+
+impl ServingPermission {
+    /// Takes over the permission of an update after which the table is complete.
+    fn renew(&mut self, update: &TableUpdate) {
+        self.rule = update.serving_rule;
+        self.valid_until = update.valid_until;
+        self.has_snapshot |= update.is_snapshot != 0;
+    }
+
+    /// Takes over what is stricter in an update before which changes are missing: the former permission expires unless
+    /// they arrive, as an old table may not be served for longer.
+    fn restrict(&mut self, update: &TableUpdate) {
+        self.rule = self.rule.min(update.serving_rule);
+        self.valid_until = self.valid_until.min(update.valid_until);
+    }
+}
+
 impl Proxy {
     /// Applies the serving rule, nodes, leases and changes of an update.
     pub fn on_table_update(&mut self, update: TableUpdate, now: Ms) {
-        self.permission.rule = update.serving_rule;
-        self.permission.valid_until = update.valid_until;
-        self.permission.has_snapshot |= update.is_snapshot != 0;
+        if self.table_position.advance(&update) {
+            self.permission.renew(&update);
+        } else {
+            self.permission.restrict(&update);
+        }
         self.edges = update.nodes.0;
         self.attempt_counters
             .acknowledge(if update.proxy_incarnation == self.incarnation {
--- a/coordination/tests/directory_loss.rs
+++ b/coordination/tests/directory_loss.rs
@@ -121,6 +121,15 @@
     rng: fastrand::Rng,
     /// Edges in the last table update from each agent to its proxy.
     proxy_tables: BTreeMap<Name, BTreeSet<Name>>,
+    /// Position of that update, which the proxy reports.
+    proxy_positions: BTreeMap<Name, TablePosition>,
+}
+
+/// The agent incarnation and position up to which a proxy has all changes.
+#[derive(Clone, Copy, Debug, Default)]
+struct TablePosition {
+    source: u64,
+    through: u64,
 }
 
 fn row_key(row: &Row) -> String {
@@ -149,6 +158,7 @@
             sequence: 0,
             rng: fastrand::Rng::with_seed(seed),
             proxy_tables: BTreeMap::new(),
+            proxy_positions: BTreeMap::new(),
         };
         for i in 0..controls {
             deployment.add_control(i, true);
@@ -235,6 +245,11 @@
                 } => {
                     let edges = update.nodes.iter().map(|node| node.name.clone());
                     self.proxy_tables.insert(from.clone(), edges.collect());
+                    let position = TablePosition {
+                        source: update.agent_incarnation,
+                        through: update.through_position,
+                    };
+                    self.proxy_positions.insert(from.clone(), position);
                 }
                 Effect::Send { to, msg } => {
                     let is_cut = to != *from
@@ -297,9 +312,12 @@
         edge.next_tick = now + TICK_INTERVAL;
         let mut out = vec![];
         if now % PROXY_REPORT_INTERVAL < TICK_INTERVAL {
+            let position = self.proxy_positions.get(name).copied().unwrap_or_default();
             let report = ProxyReport {
                 incarnation: 1,
                 http_addr: format!("h-{name}").as_str().into(),
+                table_source: position.source,
+                table_position: position.through,
                 ..ProxyReport::default()
             };
             let proxy: Name = format!("p-{name}").into();
--- a/coordination/tests/engines/mod.rs
+++ b/coordination/tests/engines/mod.rs
@@ -249,6 +249,7 @@
                 changes: List(vec![spec.clone(), roster.clone()]),
                 leases: List::default(),
                 nodes: nodes.clone(),
+                ..TableUpdate::default()
             };
             p.on_table_update(m, 1_000);
         }
@@ -543,6 +544,7 @@
                     changes: List(vec![*m]),
                     leases: List::default(),
                     nodes: edges(self.proxies.len()),
+                    ..TableUpdate::default()
                 };
                 self.proxies[proxy].on_table_update(m, self.now);
             }
--- a/coordination/tests/support/edge_fleet.rs
+++ b/coordination/tests/support/edge_fleet.rs
@@ -88,6 +88,7 @@
         changes: List(changes),
         leases: List::default(),
         nodes: List(known_edges),
+        ..TableUpdate::default()
     }
 }
 
--- a/coordination/tests/suspect.rs
+++ b/coordination/tests/suspect.rs
@@ -66,6 +66,7 @@
                 expires_at: self.now + LEASE_TTL,
             }]),
             nodes: List::default(),
+            ..TableUpdate::default()
         };
         self.proxy.on_table_update(update, self.now);
     }
--- a/wire-messages/src/lib.rs
+++ b/wire-messages/src/lib.rs
@@ -19,7 +19,7 @@
 
 /// Version of the messages, incremented with every change to one of them. Processes of different versions reject each
 /// other's frames, so a fleet is upgraded edge by edge and voter by voter (docs/operators.md).
-pub const WIRE_VERSION: u16 = 14;
+pub const WIRE_VERSION: u16 = 15;
 /// Maximum frame body, in bytes: fits the largest document that operators may send and all other keys.
 pub const MAX_FRAME: usize = 8 << 20;
 /// Maximum length of a [`Name`], in bytes: names are labels of machines, keys and versions.
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -342,6 +342,10 @@
         oldest_usage_window: u64 as Varint,
         /// Usage that changed.
         usage: List<TenantUsage>,
+        /// Incarnation of the agent whose snapshot the proxy has; 0: none.
+        table_source: u64,
+        /// Position in that agent's changes up to which the proxy has all of them.
+        table_position: u64,
     }
 
     /// An agent updates its colocated proxy.
@@ -362,6 +366,12 @@
         leases: List<ProxyLease>,
         /// Live edges.
         nodes: List<Node>,
+        /// Incarnation of the agent, which numbers the changes of its table by position.
+        agent_incarnation: u64,
+        /// The message has all changes after this position; of a snapshot: 0.
+        after_position: u64,
+        /// Position of the newest change in the message.
+        through_position: u64,
     }
 
     /// A proxy requests a run-once claim from its agent.
