Let no update hide a lost one from the agent that follows a feed

Found on the paths related to the lost updates of proxies. A control daemon takes a push as received until the agent's next poll names a lower position, but the agent took the position of whatever update arrived: a push behind a lost one acknowledged both.

An update now tells the position that it follows, and behind a gap the agent's position stays. an_agent_acknowledges_no_push_behind_a_lost_one failed before (position 11 in place of 9) and passes.

--- a/coordination/src/control/change_feed.rs
+++ b/coordination/src/control/change_feed.rs
@@ -245,6 +245,7 @@
             leases: self.current_leases(now),
             // A push cannot know which report the agent has received in the meantime.
             unreachable_edges: List::default(),
+            after_position: follower.after_position,
         }
     }
 
--- a/coordination/src/edge_agent/control_sources.rs
+++ b/coordination/src/edge_agent/control_sources.rs
@@ -90,7 +90,10 @@
 
     /// Records what an update reports about the daemon itself.
     fn on_update(&mut self, update: &Update, now: Ms) {
-        self.position = self.position.max(update.through_position);
+        // Behind a lost update the position stays, so that the next poll asks for what is missing.
+        if update.is_snapshot != 0 || update.after_position <= self.position {
+            self.position = self.position.max(update.through_position);
+        }
         if update.poll_sent_at >= self.versions_sent.sent_at {
             self.acknowledged_digest = Some(self.versions_sent.digest);
         }
--- a/coordination/tests/edge_agent.rs
+++ b/coordination/tests/edge_agent.rs
@@ -422,3 +422,37 @@
         eq(&("c1".into(), 2, names(&["s2"])))
     );
 }
+
+/// Guards against a pushed change that is lost and hidden by the next push: the agent would acknowledge both, and no
+/// daemon would send it the first again.
+#[gtest]
+fn an_agent_acknowledges_no_push_behind_a_lost_one() {
+    let mut agent = agent("e1", vec![]);
+    deliver(
+        &mut agent,
+        "c1",
+        descriptions([node("c1", NodeRole::Control)]),
+        10,
+    );
+    let push = |after_position: u64, through_position: u64, key: &str| Update {
+        poll_sent_at: 1,
+        source_incarnation: 1,
+        after_position,
+        through_position,
+        is_settled: 1,
+        voter_count: 3,
+        changes: List(vec![change(key, 1, 10)]),
+        ..Update::default()
+    };
+    let acknowledged = |agent: &mut EdgeAgent, now: Ms| {
+        let polls = polls(agent.tick(now));
+        let to_c1 = polls.into_iter().find(|(daemon, _)| &**daemon == "c1");
+        to_c1.map(|(_, poll)| poll.after_position)
+    };
+    // The snapshot reached position 9; the push of change 10 is lost.
+    deliver(&mut agent, "c1", push(10, 11, "second"), 20);
+    expect_that!(agent.state_table().get("second"), some(anything()));
+    expect_that!(acknowledged(&mut agent, 3_000), some(eq(9)));
+    deliver(&mut agent, "c1", push(9, 11, "first"), 3_010);
+    expect_that!(acknowledged(&mut agent, 6_000), some(eq(11)));
+}
--- a/wire-messages/src/messages.rs
+++ b/wire-messages/src/messages.rs
@@ -267,6 +267,9 @@
         unreachable_edges: List<UnreachableEdges>,
         /// 1: the sender stores usage.
         wants_usage: u8,
+        /// The message has all changes after this position, except values that the agent has according to its polls;
+        /// of a snapshot: 0.
+        after_position: u64,
     }
 
     /// Membership gossip between neighbours. An exchange has up to four messages, two in each direction.
