--- a/coordination/src/register/tests/proposer.rs
+++ b/coordination/src/register/tests/proposer.rs
@@ -316,15 +316,14 @@
 #[gtest]
 fn an_owner_writes_the_value_of_an_earlier_epoch_again_before_it_answers() {
     let key: Name = KEY.into();
-    let repeat = |registers: &mut Registers, out: &mut Effects| {
-        registers.propose(9, &key, Some(2), Blob("value".into()), 100, out);
-    };
-    let read = |registers: &mut Registers, out: &mut Effects| registers.read(9, &key, 100, out);
-    let requests: [&dyn Fn(&mut Registers, &mut Effects); 2] = [&repeat, &read];
-    for request in requests {
+    for is_read in [true, false] {
         let mut registers = owner_of_committed_value(5);
         let mut out = vec![];
-        request(&mut registers, &mut out);
+        if is_read {
+            registers.read(9, &key, 100, &mut out);
+        } else {
+            registers.propose(9, &key, Some(2), Blob("value".into()), 100, &mut out);
+        }
         let sends = sync(&mut vec![], out);
         let rewrite = accept(KEY, 7, 3, "value");
         expect_that!(
