List a rollout order that returns behind a repeat acknowledged by a reading

Found on the paths related to the order that waited in sockets. A rollout order for the target that is current already is acknowledged by reading the plan, so that its version does not rise; an order for another target that was sent before and waits in a suspended owner's sockets still finds the version that it names.

Not mended here: to a rollout's loop a new version of the plan is a new rollout, so that a repeat cannot just be written.

--- a/coordination/tests/operators.rs
+++ b/coordination/tests/operators.rs
@@ -713,3 +713,62 @@
     // Most orders were acknowledged by another owner, before the suspended one resumed.
     expect_that!(with_other_owner, gt(60));
 }
+
+/// Guards against a rollout order that waits in the sockets of a suspended owner and takes effect behind the order of the
+/// current target. That one is acknowledged by reading the plan, as operators' calls do for a repeat.
+#[gtest]
+fn a_rollout_order_in_the_sockets_of_a_suspended_owner_does_not_return() {
+    let (mut returned, mut confirmed_count) = (0, 0);
+    for seed in 0..120u64 {
+        let mut fleet = three_settled_daemons(seed);
+        let current = Order {
+            key: PLAN,
+            expect: Expect::Version(0),
+            value: b"v2".to_vec(),
+        };
+        let Some(WriteOutcome::Accepted(version)) = send_until_known(&mut fleet, &current) else {
+            panic!("seed {seed}");
+        };
+        let other = Order {
+            expect: Expect::Version(version),
+            value: b"v3".to_vec(),
+            ..current.clone()
+        };
+        let owner = lease_holder(&fleet, PLAN).unwrap();
+        let others: Vec<usize> = (0..3).filter(|i| *i != owner).collect();
+        let forwarder = *fleet.rng.choice(&others).unwrap();
+        let suspended_for = fleet.rng.u64(3_000..6_000);
+        fleet.daemons[owner].suspended_until = fleet.now + suspended_for;
+        fleet.extra_latency = suspended_for + fleet.rng.u64(..300);
+        send(&mut fleet, forwarder, &other);
+        fleet.extra_latency = 0;
+        fleet.run(100);
+        fleet.kill(forwarder);
+        fleet.run(500);
+        fleet.start(forwarder);
+        let resumes_at = fleet.daemons[owner].suspended_until;
+        let mut is_confirmed = false;
+        while !is_confirmed && fleet.now + 200 < resumes_at {
+            let at = *fleet.rng.choice(&others).unwrap();
+            let now = fleet.now;
+            let (token, out) = fleet.daemons[at]
+                .control
+                .as_mut()
+                .unwrap()
+                .read_newest(PLAN, now);
+            fleet.carry_out(at, out);
+            is_confirmed = matches!(
+                await_outcome(&mut fleet, Some((at, token))),
+                Some(WriteOutcome::Accepted(read)) if read == version
+            );
+        }
+        if !is_confirmed || fleet.now >= resumes_at {
+            continue;
+        }
+        confirmed_count += 1;
+        fleet.run(resumes_at.saturating_sub(fleet.now) + 10_000);
+        returned += usize::from(fleet.value(0, PLAN).is_some_and(|held| held.1 == b"v3"));
+    }
+    expect_that!(returned, eq(0), "of {confirmed_count}");
+    expect_that!(confirmed_count, gt(60));
+}
