Share what the tests of orders and of proxies' tables stated twice

Four tests built the same evacuation and revocation, two the same settled fleet, and two the same order in a suspended owner's sockets; the model of proxies' tables had the end of its faults as a shared cell in two places. Each stands once.

--- a/coordination/tests/operators.rs
+++ b/coordination/tests/operators.rs
@@ -30,6 +30,15 @@
     value: Vec<u8>,
 }
 
+/// Returns an evacuation (`on`) or its revocation (`off`).
+fn zone_order(value: &str) -> Order {
+    Order {
+        key: ZONE,
+        expect: Expect::Any,
+        value: value.into(),
+    }
+}
+
 type Sent = (usize, u64);
 
 fn send(fleet: &mut Fleet, at: usize, order: &Order) -> Option<Sent> {
@@ -156,19 +165,11 @@
 /// Returns a settled fleet that the first three daemons bootstrapped; in a fleet of six the others are learners or
 /// voters.
 fn settled_fleet(seed: u64) -> Fleet {
-    let n = if seed.is_multiple_of(3) { 6 } else { 3 };
-    let mut fleet = Fleet::bootstrapped(seed, n, |i| format!("r{}", i % 3));
-    fleet
-        .run_until(10_000, |fleet| {
-            (0..3).all(|i| fleet.control(i).is_some_and(|control| control.is_settled()))
-        })
-        .expect("the fleet settles");
-    fleet
+    settled_fleet_of(if seed.is_multiple_of(3) { 6 } else { 3 }, seed)
 }
 
-/// Returns a settled fleet of three daemons.
-fn three_settled_daemons(seed: u64) -> Fleet {
-    let mut fleet = Fleet::bootstrapped(seed, 3, |i| format!("r{i}"));
+fn settled_fleet_of(daemon_count: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::bootstrapped(seed, daemon_count, |i| format!("r{}", i % 3));
     fleet
         .run_until(10_000, |fleet| {
             (0..3).all(|i| fleet.control(i).is_some_and(|control| control.is_settled()))
@@ -454,15 +455,7 @@
 /// revokes the evacuation before the suspended one resumes. The old evacuation must not take effect then.
 #[gtest]
 fn revoked_evacuation_does_not_return_from_a_suspended_daemon() {
-    let evacuate = Order {
-        key: ZONE,
-        expect: Expect::Any,
-        value: b"on".to_vec(),
-    };
-    let revoke = Order {
-        value: b"off".to_vec(),
-        ..evacuate.clone()
-    };
+    let (evacuate, revoke) = (zone_order("on"), zone_order("off"));
     for seed in 0..120u64 {
         let mut fleet = settled_fleet(seed);
         expect_that!(
@@ -534,15 +527,7 @@
 /// revoked the evacuation by the time that the daemon reaches the owner.
 #[gtest]
 fn revoked_evacuation_does_not_return_from_a_partitioned_daemon() {
-    let evacuate = Order {
-        key: ZONE,
-        expect: Expect::Any,
-        value: b"on".to_vec(),
-    };
-    let revoke = Order {
-        value: b"off".to_vec(),
-        ..evacuate.clone()
-    };
+    let (evacuate, revoke) = (zone_order("on"), zone_order("off"));
     let mut retrying_when_healed = 0;
     for seed in 0..150u64 {
         let mut fleet = settled_fleet(seed);
@@ -597,15 +582,7 @@
 /// resumed: it has been revoked by then and must stay revoked.
 #[gtest]
 fn revoked_evacuation_does_not_return_from_the_network() {
-    let evacuate = Order {
-        key: ZONE,
-        expect: Expect::Any,
-        value: b"on".to_vec(),
-    };
-    let revoke = Order {
-        value: b"off".to_vec(),
-        ..evacuate.clone()
-    };
+    let (evacuate, revoke) = (zone_order("on"), zone_order("off"));
     for seed in 0..120u64 {
         let mut fleet = settled_fleet(seed);
         expect_that!(
@@ -656,41 +633,61 @@
     }
 }
 
+/// An order that waits in the sockets of the suspended owner of its key.
+struct OrderInSockets {
+    forwarder: usize,
+    /// All daemons but the owner.
+    others: Vec<usize>,
+    /// When the owner resumes.
+    resumes_at: Ms,
+}
+
+/// Suspends the owner of the order's key in a fleet of three, and sends the order to another daemon, which forwards it.
+fn forward_to_suspended_owner(fleet: &mut Fleet, order: &Order) -> OrderInSockets {
+    let owner = lease_holder(fleet, order.key).unwrap();
+    let others: Vec<usize> = (0..3).filter(|i| *i != owner).collect();
+    let forwarder = *fleet.rng.choice(&others).unwrap();
+    let suspended_for = fleet.rng.u64(3_000..6_000);
+    let resumes_at = fleet.now + suspended_for;
+    fleet.daemons[owner].suspended_until = resumes_at;
+    // A process that resumes reads its sockets in any order.
+    fleet.extra_latency = suspended_for + fleet.rng.u64(..300);
+    send(fleet, forwarder, order);
+    fleet.extra_latency = 0;
+    OrderInSockets {
+        forwarder,
+        others,
+        resumes_at,
+    }
+}
+
+fn restart_forwarder(fleet: &mut Fleet, forwarder: usize, until_killed: Ms) {
+    fleet.run(until_killed);
+    fleet.kill(forwarder);
+    fleet.run(500);
+    fleet.start(forwarder);
+}
+
 /// Guards against an unanswered order that waits in the sockets of a suspended owner and takes effect when that resumes:
 /// the daemon that forwarded it is killed, and the other two acknowledge the opposite order, which is current already.
 #[gtest]
 fn an_order_in_the_sockets_of_a_suspended_owner_does_not_return() {
-    let evacuate = Order {
-        key: ZONE,
-        expect: Expect::Any,
-        value: b"on".to_vec(),
-    };
-    let revoke = Order {
-        value: b"off".to_vec(),
-        ..evacuate.clone()
-    };
+    let (evacuate, revoke) = (zone_order("on"), zone_order("off"));
     let mut with_other_owner = 0;
     for seed in 0..120u64 {
-        let mut fleet = three_settled_daemons(seed);
+        let mut fleet = settled_fleet_of(3, seed);
         expect_that!(
             send_until_known(&mut fleet, &evacuate),
             some(matches_pattern!(WriteOutcome::Accepted(_))),
             "seed {seed}"
         );
-        let owner = lease_holder(&fleet, ZONE).unwrap();
-        let others: Vec<usize> = (0..3).filter(|i| *i != owner).collect();
-        let forwarder = *fleet.rng.choice(&others).unwrap();
-        let suspended_for = fleet.rng.u64(3_000..6_000);
-        fleet.daemons[owner].suspended_until = fleet.now + suspended_for;
-        // A process that resumes reads its sockets in any order.
-        fleet.extra_latency = suspended_for + fleet.rng.u64(..300);
-        send(&mut fleet, forwarder, &revoke);
-        fleet.extra_latency = 0;
+        let OrderInSockets {
+            forwarder,
+            others,
+            resumes_at,
+        } = forward_to_suspended_owner(&mut fleet, &revoke);
         let until_killed = fleet.rng.u64(20..200);
-        fleet.run(until_killed);
-        fleet.kill(forwarder);
-        fleet.run(500);
-        fleet.start(forwarder);
+        restart_forwarder(&mut fleet, forwarder, until_killed);
         let was_acknowledged = (0..20).any(|_| {
             let at = *fleet.rng.choice(&others).unwrap();
             let write = send(&mut fleet, at, &evacuate);
@@ -699,7 +696,6 @@
                 Some(WriteOutcome::Accepted(_))
             )
         });
-        let resumes_at = fleet.daemons[owner].suspended_until;
         with_other_owner += u64::from(was_acknowledged && fleet.now < resumes_at);
         fleet.run(resumes_at.saturating_sub(fleet.now) + 10_000);
         expect_true!(was_acknowledged, "seed {seed}");
@@ -720,7 +716,7 @@
 fn a_rollout_order_in_the_sockets_of_a_suspended_owner_does_not_return() {
     let (mut returned, mut confirmed_count) = (0, 0);
     for seed in 0..120u64 {
-        let mut fleet = three_settled_daemons(seed);
+        let mut fleet = settled_fleet_of(3, seed);
         let current = Order {
             key: PLAN,
             expect: Expect::Version(0),
@@ -734,19 +730,12 @@
             value: b"v3".to_vec(),
             ..current.clone()
         };
-        let owner = lease_holder(&fleet, PLAN).unwrap();
-        let others: Vec<usize> = (0..3).filter(|i| *i != owner).collect();
-        let forwarder = *fleet.rng.choice(&others).unwrap();
-        let suspended_for = fleet.rng.u64(3_000..6_000);
-        fleet.daemons[owner].suspended_until = fleet.now + suspended_for;
-        fleet.extra_latency = suspended_for + fleet.rng.u64(..300);
-        send(&mut fleet, forwarder, &other);
-        fleet.extra_latency = 0;
-        fleet.run(100);
-        fleet.kill(forwarder);
-        fleet.run(500);
-        fleet.start(forwarder);
-        let resumes_at = fleet.daemons[owner].suspended_until;
+        let OrderInSockets {
+            forwarder,
+            others,
+            resumes_at,
+        } = forward_to_suspended_owner(&mut fleet, &other);
+        restart_forwarder(&mut fleet, forwarder, 100);
         let mut is_confirmed = false;
         while !is_confirmed && fleet.now + 200 < resumes_at {
             let at = *fleet.rng.choice(&others).unwrap();
--- a/coordination/tests/proxy_table.rs
+++ b/coordination/tests/proxy_table.rs
@@ -61,6 +61,8 @@
     sent_count: usize,
     /// Decides what becomes of the message with this number.
     fate_of: Box<dyn FnMut(usize) -> Fate>,
+    /// All messages arrive.
+    is_calm: bool,
     last_incarnation: u64,
 }
 
@@ -74,6 +76,7 @@
             in_flight: vec![],
             sent_count: 0,
             fate_of: Box::new(fate_of),
+            is_calm: false,
             last_incarnation: 2,
         };
         edge.commit("spec");
@@ -136,7 +139,11 @@
     }
 
     fn send(&mut self, to: &'static str, message: Message) {
-        let fate = (self.fate_of)(self.sent_count);
+        let fate = if self.is_calm {
+            Fate::Arrives
+        } else {
+            (self.fate_of)(self.sent_count)
+        };
         self.sent_count += 1;
         let delays: &[Ms] = match fate {
             Fate::Arrives => &[LATENCY],
@@ -196,6 +203,13 @@
         }
     }
 
+    /// Lets all messages arrive. Returns whether the tables are equal soon after.
+    fn converges(&mut self) -> bool {
+        self.is_calm = true;
+        self.run(CONVERGENCE_TIME);
+        self.have_same_table()
+    }
+
     fn have_same_table(&self) -> bool {
         versions(self.agent.state_table()) == self.committed
             && versions(self.proxy.state_table()) == self.committed
@@ -233,19 +247,9 @@
 /// Lets messages meet their fates for two seconds of changes, and then arrive. Returns whether the tables are equal soon
 /// after.
 fn converges(fate_of: impl Fn(usize) -> Fate + 'static) -> bool {
-    let is_calm = std::rc::Rc::new(std::cell::Cell::new(false));
-    let calm = is_calm.clone();
-    let mut edge = Edge::new(move |number| {
-        if calm.get() {
-            Fate::Arrives
-        } else {
-            fate_of(number)
-        }
-    });
+    let mut edge = Edge::new(fate_of);
     edge.run_with_changes(2_000);
-    is_calm.set(true);
-    edge.run(CONVERGENCE_TIME);
-    edge.have_same_table()
+    edge.converges()
 }
 
 /// Guards against a change or snapshot that is sent to the proxy once and lost: the edge would go on by an older
@@ -277,12 +281,9 @@
 #[gtest]
 fn a_proxy_has_its_agents_table_soon_after_random_faults_and_restarts() {
     for seed in 0..400u64 {
-        let is_calm = std::rc::Rc::new(std::cell::Cell::new(false));
-        let calm = is_calm.clone();
         let mut fates = fastrand::Rng::with_seed(seed);
         let loss_percent = fates.u32(5..70);
         let mut edge = Edge::new(move |_| match fates.u32(..100) {
-            _ if calm.get() => Fate::Arrives,
             draw if draw < loss_percent => Fate::Lost,
             draw if draw < loss_percent + 10 => Fate::Doubled,
             draw if draw < loss_percent + 20 => Fate::Late,
@@ -297,9 +298,7 @@
                 _ => {}
             }
         }
-        is_calm.set(true);
-        edge.run(CONVERGENCE_TIME);
-        expect_true!(edge.have_same_table(), "seed {seed}");
+        expect_true!(edge.converges(), "seed {seed}");
     }
 }
 
