Propose an owner's writes in one place

An owner put a write in flight by the same four lines for a new version, for a rewrite of the current value and for what it adopts when it acquires a key. They are `send_write` now; messages and their order are as before. A message type of the table feed loses derives that nothing uses.

--- a/coordination/src/edge_agent/table_feed.rs
+++ b/coordination/src/edge_agent/table_feed.rs
@@ -36,7 +36,7 @@
 }
 
 /// The changes in one update to the proxy.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Debug)]
 pub(super) struct FeedUpdate {
     /// Whether `changes` has all keys.
     pub is_snapshot: bool,
--- a/coordination/src/register/acquisition.rs
+++ b/coordination/src/register/acquisition.rs
@@ -126,10 +126,7 @@
         }
         // It is uncertain whether any other value is committed: its owner may have crashed between two disks. It is
         // written again under this epoch before anything else, so that all daemons see one outcome.
-        let rewrite = InFlightWrite::rewrite(&newest, now);
-        let accept = rewrite.accept_message(key, ownership.epoch, self.members.member_epoch);
-        ownership.in_flight = Some(rewrite);
-        self.broadcast(accept, out);
+        self.send_write(key, InFlightWrite::rewrite(&newest, now), out);
     }
 
     /// Relinquishes a key that this daemon owns or acquires under an epoch below `epoch`.
--- a/coordination/src/register/proposer.rs
+++ b/coordination/src/register/proposer.rs
@@ -173,24 +173,25 @@
         let Some(value) = request.value.take() else {
             return;
         };
-        let Some(ownership) = self.ownerships.get_mut(key) else {
-            return;
-        };
         let write = InFlightWrite::new(request, value, version + 1, replaced, now);
-        let accept = write.accept_message(key, ownership.epoch, self.members.member_epoch);
-        ownership.in_flight = Some(write);
-        self.broadcast(accept, out);
+        self.send_write(key, write, out);
     }
 
     /// Writes the current value again under the owner's epoch, if this daemon's slot holds it.
     fn rewrite(&mut self, key: &Name, version: u64, now: Ms, out: &mut Effects) {
-        let slot = self.slots.at_version(key, version).filter(|_| version > 0);
-        let (Some(slot), Some(ownership)) = (slot, self.ownerships.get_mut(key)) else {
+        if let Some(slot) = self.slots.at_version(key, version).filter(|_| version > 0) {
+            let rewrite = InFlightWrite::rewrite(slot, now);
+            self.send_write(key, rewrite, out);
+        }
+    }
+
+    /// Proposes a write to the voters, as the key's write in flight.
+    pub(super) fn send_write(&mut self, key: &Name, write: InFlightWrite, out: &mut Effects) {
+        let Some(ownership) = self.ownerships.get_mut(key) else {
             return;
         };
-        let rewrite = InFlightWrite::rewrite(slot, now);
-        let accept = rewrite.accept_message(key, ownership.epoch, self.members.member_epoch);
-        ownership.in_flight = Some(rewrite);
+        let accept = write.accept_message(key, ownership.epoch, self.members.member_epoch);
+        ownership.in_flight = Some(write);
         self.broadcast(accept, out);
     }
 
