Read what a process may take of its machine

Cause: nothing read memoryMb and fileDescriptors of the settings, so that no limit could be for a whole process. Change: Params have memory_limit and descriptor_limit; ProcessLimits divides them among connections, requests, channels and frames. Nothing goes by them yet. Measured: unit tests only (daemon-parts client_limits, settings_keys; platform setting_names).

--- a/daemon-parts/src/lib.rs
+++ b/daemon-parts/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod logging;
 pub mod operator;
 pub mod params;
+pub mod process_limits;
 pub mod stop;
--- a/daemon-parts/src/params.rs
+++ b/daemon-parts/src/params.rs
@@ -9,6 +9,8 @@
 };
 use serde::Deserialize;
 
+use crate::process_limits::ProcessLimits;
+
 /// Exit code of a program with invalid settings.
 pub const EXIT_PARAMS: i32 = 2;
 /// Exit code of a program that failed.
@@ -44,6 +46,10 @@
     pub directory: String,
     /// Control daemons only: maximum size of the database, in bytes; 0: no limit.
     pub data_limit: u64,
+    /// Memory that this process may take, in bytes; 0: 256 MiB.
+    pub memory_limit: u64,
+    /// Descriptors that this process may have open; 0: 1,024.
+    pub descriptor_limit: u64,
     /// Log level: error, warn, info or debug.
     pub log: String,
     /// Region of each zone; a zone that is not named is its own region.
@@ -58,6 +64,14 @@
     pub policy: Policy,
 }
 
+impl Params {
+    /// What this process may take of its machine.
+    #[must_use]
+    pub fn process_limits(&self) -> ProcessLimits {
+        ProcessLimits::new(self.memory_limit, self.descriptor_limit)
+    }
+}
+
 /// Name of a setting that a program requires.
 pub type RequiredField = &'static str;
 
