Draw frames of other processes from one budget

What was seen: 60 connections to a control daemon's internal port, each with a frame of 4 MiB that lacks its last byte, take 255 MB of 64 (a_control_daemon_withstands_unended_frames_at_its_internal_port, red before). Cause: a limit for one frame, 1,024 channels, and nothing that counts them together. Change: beyond its first 8 KiB a frame draws its memory from a budget of the process as its bytes come, and waits for it within the time that a frame may take. The number of channels follows the descriptors.

--- a/control-daemon/src/lib.rs
+++ b/control-daemon/src/lib.rs
@@ -44,7 +44,12 @@
         disk,
     )
     .start();
-    channels::listen(&params.bind, control.clone().recipient()).await?;
+    channels::listen(
+        &params.bind,
+        params.process_limits(),
+        control.clone().recipient(),
+    )
+    .await?;
     let server = bind_http(&params, adapter, control.clone())?;
     let notify_peers = async {
         // The actor may already have stopped.
--- a/daemon-parts/src/channels.rs
+++ b/daemon-parts/src/channels.rs
@@ -23,7 +23,11 @@
         UNACKNOWLEDGED_TIMEOUT, WRITER_IDLE_TIMEOUT,
     },
     logging::{StartError, event},
+    process_limits::ProcessLimits,
 };
+use frame_memory::FrameMemory;
+
+mod frame_memory;
 
 /// A received message.
 #[derive(actix::Message)]
@@ -142,17 +146,26 @@
 ///
 /// # Errors
 /// The port could not be bound.
-pub async fn listen(addr: &str, inbox: Recipient<Incoming>) -> Result<(), Report<StartError>> {
+pub async fn listen(
+    addr: &str,
+    limits: ProcessLimits,
+    inbox: Recipient<Incoming>,
+) -> Result<(), Report<StartError>> {
     let listener = TcpListener::bind(addr)
         .await
         .change_context(StartError("bind the port for internal messages"))
         .attach(addr.to_string())?;
-    actix_rt::spawn(accept_connections(listener, inbox));
+    actix_rt::spawn(accept_connections(listener, limits, inbox));
     Ok(())
 }
 
-async fn accept_connections(listener: TcpListener, inbox: Recipient<Incoming>) {
-    let slots = Arc::new(Semaphore::new(MAX_CHANNELS));
+async fn accept_connections(
+    listener: TcpListener,
+    limits: ProcessLimits,
+    inbox: Recipient<Incoming>,
+) {
+    let slots = Arc::new(Semaphore::new(MAX_CHANNELS.min(limits.channels())));
+    let memory = FrameMemory::new(limits);
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(CONNECT_TIMEOUT).await;
@@ -162,10 +175,10 @@
         let Ok(slot) = slots.clone().try_acquire_owned() else {
             continue;
         };
-        let inbox = inbox.clone();
+        let (inbox, memory) = (inbox.clone(), memory.clone());
         let _ = configure_incoming(&stream);
         actix_rt::spawn(async move {
-            if let Err(reason) = read_frames(stream, inbox).await {
+            if let Err(reason) = read_frames(stream, &memory, inbox).await {
                 event(events::INVALID_FRAME, &peer.to_string(), &reason);
             }
             drop(slot);
@@ -174,7 +187,11 @@
 }
 
 /// Reads frames until the connection ends or idles too long. Returns an error if the bytes are not valid frames.
-async fn read_frames(mut stream: TcpStream, inbox: Recipient<Incoming>) -> Result<(), String> {
+async fn read_frames(
+    mut stream: TcpStream,
+    memory: &FrameMemory,
+    inbox: Recipient<Incoming>,
+) -> Result<(), String> {
     loop {
         let mut prefix = [0; 4];
         let read = timeout(READER_IDLE_TIMEOUT, stream.read_exact(&mut prefix)).await;
@@ -182,14 +199,11 @@
             return Ok(());
         }
         let length = read_length(prefix).map_err(|error| error.to_string())?;
-        let mut body = Vec::new();
-        // The buffer grows with the bytes received, not with the claimed length.
-        let mut limited = (&mut stream).take(length as u64);
-        let read = timeout(FRAME_WRITE_TIMEOUT, limited.read_to_end(&mut body)).await;
-        if !matches!(read, Ok(Ok(bytes)) if bytes == length) {
+        let read = timeout(FRAME_WRITE_TIMEOUT, memory.read_frame(&mut stream, length)).await;
+        let Ok(Some(frame)) = read else {
             return Err(format!("frame of {length} bytes was truncated"));
-        }
-        let envelope = decode(&body).map_err(|error| error.to_string())?;
+        };
+        let envelope = decode(&frame.body).map_err(|error| error.to_string())?;
         let kind = envelope.msg.name();
         if inbox.try_send(Incoming(envelope)).is_err() {
             event(events::BUFFER_FULL, "inbox", kind);
--- a/edge-agent/src/lib.rs
+++ b/edge-agent/src/lib.rs
@@ -27,7 +27,12 @@
     let agent = new_agent(&params);
     let mut signals = StopSignals::listen()?;
     let actor = AgentActor::new(params.name.clone(), params.listen.clone(), agent).start();
-    channels::listen(&params.bind, actor.clone().recipient()).await?;
+    channels::listen(
+        &params.bind,
+        params.process_limits(),
+        actor.clone().recipient(),
+    )
+    .await?;
     let text = format!("processes {}", params.listen);
     event(events::STARTED, &params.name, &text);
     signals.received(&params.name).await;
--- a/edge-proxy/src/lib.rs
+++ b/edge-proxy/src/lib.rs
@@ -85,7 +85,12 @@
     let signals = StopSignals::listen()?;
     let proxy: SharedProxy = Arc::new(Mutex::new(new_proxy(&params, parse_spec)));
     let actor = ProxyActor::new(&params.name, &params.listen, &params.agent, proxy.clone()).start();
-    channels::listen(&params.bind, actor.clone().recipient()).await?;
+    channels::listen(
+        &params.bind,
+        params.process_limits(),
+        actor.clone().recipient(),
+    )
+    .await?;
     let daemon = Daemon {
         params,
         signals,
