Bound what clients take of a proxy as a whole

What callers saw: many large or finely chunked bodies that stop before their end, long heads without an end, or many connections, and the proxy runs out of memory or descriptors; then nobody is answered. Cause: every limit was for one request or connection. A body was buffered up to 256 KiB, and the HTTP server read up to 128 KiB ahead for each connection, as a head or as a queue of chunks, of which each byte can cost 32; each connection took two descriptors; nothing counted them together. Memory was not given back since the allocator kept it between blocks that were still used: live buffers at the peak, free pages after it. Change: bodies draw their memory from one budget of the process before it is allocated, at real cost; requests that have stopped give way to others, and what finds no memory is refused at once (503, not run). The server sees a connection through a window: a head of the size that the spec allows, then 8 KiB before the handler has taken what came (128 KiB of a body with a length that goes on as it comes, which a replica that answers early is to get whole). Connections are capped; the one that can be spared best is closed for a new one. A connection takes one descriptor. The heap is trimmed after a peak. The server is built from actix-http and actix-server in place of actix-web's HttpServer, which takes no stream but TCP's.

--- a/daemon-parts/src/limits.rs
+++ b/daemon-parts/src/limits.rs
@@ -107,6 +107,23 @@
 pub const CLIENT_IDLE_TIMEOUT: Ms = 20_000;
 /// Time-out for receiving a client's request head, in ms, if the spec has no value.
 pub const CLIENT_HEAD_TIMEOUT: Ms = 20_000;
+/// Maximum size of a request head, in bytes, if the spec has no value.
+pub const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Time for which a connection stays open after a response to a body that is still being sent, in ms.
+pub const CLIENT_DISCARD_TIME: Ms = 1_000;
+/// Maximum size of the head of a call to a control daemon, in bytes.
+pub const MAX_CALL_HEAD_BYTES: u64 = 16 << 10;
+/// Time-out for receiving the first head on a connection to a control daemon.
+pub const CALL_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for which a control daemon keeps an idle connection.
+pub const CALL_KEEP_ALIVE: Duration = Duration::from_secs(5);
+/// Time-out for receiving the body of a call that has no deadline of its own.
+pub const CALL_BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Retry time that is returned to a request for which there is no memory, in ms: a client that stopped sending holds
+/// memory no longer than twice that.
+pub const NO_MEMORY_RETRY_AFTER: Ms = 500;
+/// Size of the kernel's receive buffer of a client connection, in bytes: what it holds is the process's memory too.
+pub const CLIENT_RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 /// Interval between checks of client connections, in ms: with `LATE_RESPONSE_SLACK` it stays below the quarter of a
 /// second that users allow.
 pub const CLIENT_CHECK_INTERVAL: Ms = 100;
--- a/edge-proxy/src/exchange.rs
+++ b/edge-proxy/src/exchange.rs
@@ -4,7 +4,7 @@
 //! What may run only once is sent once: no attempt follows one of which a byte may have left, except by the replica's own
 //! word that it did not run. A rejection promises that nothing ran, so it is given only while that is certain.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{future::pending, rc::Rc, sync::Arc, time::Duration};
 
 use coordination::{
     Ms, events,
@@ -25,8 +25,8 @@
     attempt::Attempt,
     pool::{ConnectError, Connection, ConnectionPool, SendError},
     protocol_adapter::ProtocolAdapter,
-    rejection::{Rejection, body_too_large, retry_after, unknown_outcome},
-    request_body::RequestBody,
+    rejection::{Rejection, body_rejection, retry_after, unknown_outcome},
+    request_body::{RequestBody, Upload, UploadState},
     shared::{SharedProxy, lock},
 };
 
@@ -85,8 +85,8 @@
     headers: HeaderMap,
     /// None: it was sent and is not buffered.
     body: Option<RequestBody>,
-    /// More of its body came than may: it never reached its end, so no replica ran it.
-    is_body_over_limit: Rc<Cell<bool>>,
+    /// Its body, if it is sent while it comes.
+    upload: Option<Upload>,
     history: AttemptHistory,
     service: String,
 }
@@ -100,7 +100,6 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: RequestBody,
-    pub is_body_over_limit: Rc<Cell<bool>>,
 }
 
 /// What comes after an attempt.
@@ -128,8 +127,8 @@
             method: request.method,
             uri: request.uri,
             headers: request.headers,
+            upload: request.body.upload(),
             body: Some(request.body),
-            is_body_over_limit: request.is_body_over_limit,
             history: AttemptHistory::default(),
             service: String::new(),
         }
@@ -223,7 +222,15 @@
                 return AttemptEnd::Rejected(self.give_up("its body is gone"));
             };
             let is_new = !connection.was_used;
-            let sent = timeout(Duration::from_millis(time_left), connection.send(request)).await;
+            let upload = self.upload.clone();
+            let sent = tokio::select! {
+                biased;
+                () = shed(upload.as_ref()) => {
+                    self.history.on_sent();
+                    return self.on_lost(attempt, "its body was shed");
+                }
+                sent = timeout(Duration::from_millis(time_left), connection.send(request)) => sent,
+            };
             if let Ok(Err(SendError::NotSent(unsent))) = sent {
                 // The connection had closed unnoticed: the same replica by another one, as if nothing had been.
                 self.body = Some(unsent.into_body());
@@ -357,9 +364,11 @@
 
     /// It may have run.
     fn on_lost(&mut self, mut attempt: Attempt, reason: &str) -> AttemptEnd {
-        if self.is_body_over_limit.get() {
+        let upload_state = self.upload.as_ref().map(Upload::state);
+        if let Some(UploadState::Broken(error)) = upload_state {
+            // The client's doing: the replica is none the worse for it.
             attempt.end(AttemptOutcome::ClientGone);
-            return AttemptEnd::Rejected(body_too_large());
+            return AttemptEnd::Rejected(body_rejection(error));
         }
         event(events::ATTEMPT_FAILED, &attempt.assignment.replica, reason);
         attempt.end(AttemptOutcome::Failed);
@@ -394,6 +403,7 @@
         }
         lock(&self.proxy).on_response_head(&attempt.assignment, &signals, clock::now());
         connection.read_keep_alive(&head.headers);
+        self.upload = None;
         let response = StartedResponse {
             attempt,
             connection,
@@ -471,3 +481,11 @@
         self.reject(fault)
     }
 }
+
+/// Returns once a body is shed that is sent while it comes.
+async fn shed(upload: Option<&Upload>) {
+    match upload {
+        Some(upload) => upload.shed().await,
+        None => pending().await,
+    }
+}
--- a/edge-proxy/src/http.rs
+++ b/edge-proxy/src/http.rs
@@ -4,12 +4,14 @@
 use actix_web::{
     HttpResponse,
     guard::{GuardContext, fn_guard},
+    middleware::from_fn,
     web,
 };
 use coordination::{Ms, events};
 use daemon_parts::{
     clock,
     http::{FaultResponse, json_config, no_such_path},
+    http_server::{CallBodies, read_call_body},
     inspect::Inspect,
     logging::event,
 };
@@ -17,6 +19,7 @@
 
 use crate::{
     actor::ProxyActor,
+    call_bodies,
     listener::{self, Listener},
     run_call::run,
     shared::lock,
@@ -80,12 +83,13 @@
     }))
 }
 
-async fn counters(actor: ActorData) -> Reply {
-    let counters = ask_actor(&actor, |actor, now| Counters {
+async fn counters(actor: ActorData, bodies: web::Data<CallBodies>) -> Reply {
+    let mut counters = ask_actor(&actor, |actor, now| Counters {
         process: actor.name.clone(),
         counters: current_counters(actor, now),
     })
     .await?;
+    counters.counters.extend(bodies.counters());
     Ok(HttpResponse::Ok().json(counters))
 }
 
@@ -149,10 +153,12 @@
     };
     config
         .app_data(web::Data::from(listener.shutdown.clone()))
+        .app_data(web::Data::new(call_bodies(&listener.memory)))
         .app_data(web::Data::new(listener))
         .service(
             web::scope("")
                 .guard(fn_guard(is_own_call))
+                .wrap(from_fn(read_call_body))
                 .configure(own_calls),
         )
         .default_service(web::to(listener::handle_request));
--- a/edge-proxy/src/lib.rs
+++ b/edge-proxy/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub mod actor;
 mod attempt;
-pub mod client_connections;
 mod exchange;
 mod headers;
 pub mod http;
@@ -23,24 +22,26 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpListener},
+    net::TcpListener,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
 use actix::{Actor, Addr};
-use actix_web::{App, HttpServer, dev::Server, http::KeepAlive, web};
+use actix_web::{App, dev::Server, http::KeepAlive, middleware::from_fn, web};
 use coordination::{events, proxy::Proxy, state_table::SpecParser};
 use daemon_parts::{
     channels, clock,
+    http_server::{self, CallBodies, ServerOptions, listen, read_call_body},
     inspect::Inspect,
-    limits::{HTTP_WORKERS, LISTEN_BACKLOG, STARTUP_WAIT, STOP_CHECK_INTERVAL},
+    limits::{MAX_BODY_BYTES, STARTUP_WAIT, STOP_CHECK_INTERVAL},
     logging::{self, StartError, event},
     params::Params,
+    process_limits::ProcessLimits,
+    request_memory::RequestMemory,
     stop::StopSignals,
 };
 use error_stack::{Report, ResultExt};
-use socket2::{Domain, Socket, Type};
 
 use crate::{
     actor::ProxyActor,
@@ -99,7 +100,7 @@
     };
     let server = match adapter {
         Some(adapter) => daemon.serve_lanes(proxy, adapter)?,
-        None => daemon.serve_own_calls()?,
+        None => daemon.serve_own_calls(&proxy)?,
     };
     daemon.run_until_stopped(server).await;
     Ok(())
@@ -107,22 +108,29 @@
 
 impl Daemon {
     /// Serves the product's own calls alone.
-    fn serve_own_calls(&self) -> Result<Server, Report<StartError>> {
+    fn serve_own_calls(&self, proxy: &SharedProxy) -> Result<Server, Report<StartError>> {
         let actor = web::Data::new(self.actor.clone());
         let shutdown = web::Data::from(self.shutdown.clone());
-        let server = HttpServer::new(move || {
+        let limits = self.params.process_limits();
+        let memory = RequestMemory::new(limits);
+        let bodies = web::Data::new(call_bodies(&memory));
+        let port = listen(&self.params.http)
+            .change_context(StartError("bind the HTTP port"))
+            .attach_with(|| self.params.http.clone())?;
+        let app = move || {
             App::new()
                 .app_data(actor.clone())
                 .app_data(shutdown.clone())
+                .app_data(bodies.clone())
+                .wrap(from_fn(read_call_body))
                 .configure(http::routes)
-        });
-        let server = server
-            .workers(HTTP_WORKERS)
-            .disable_signals()
-            .bind(&self.params.http)
-            .change_context(StartError("bind the HTTP port"))
-            .attach_with(|| self.params.http.clone())?;
-        Ok(server.run())
+        };
+        http_server::serve(
+            &server_options(limits, memory, proxy.clone()),
+            vec![port],
+            app,
+        )
+        .change_context(StartError("serve the HTTP port"))
     }
 
     /// Serves requests by host and path as well.
@@ -131,9 +139,11 @@
         proxy: SharedProxy,
         adapter: Arc<dyn ProtocolAdapter>,
     ) -> Result<Server, Report<StartError>> {
+        let limits = self.params.process_limits();
         let listener = Listener {
             proxy,
             adapter,
+            memory: RequestMemory::new(limits),
             shutdown: self.shutdown.clone(),
             readiness_addr: self.params.readiness.clone(),
             startup_wait: STARTUP_WAIT,
@@ -147,7 +157,7 @@
                     .attach_with(|| addr.clone())
             })
             .collect::<Result<Vec<_>, _>>()?;
-        serve(listener, self.actor.clone(), ports)
+        serve(listener, self.actor.clone(), limits, ports)
             .change_context(StartError("serve the HTTP ports"))
     }
 
@@ -167,13 +177,36 @@
     }
 }
 
-fn listen(addr: &str) -> io::Result<TcpListener> {
-    let addr: SocketAddr = addr.parse().map_err(io::Error::other)?;
-    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&addr.into())?;
-    socket.listen(LISTEN_BACKLOG)?;
-    Ok(socket.into())
+/// The budget and the largest body of the product's own calls.
+fn call_bodies(memory: &RequestMemory) -> CallBodies {
+    CallBodies {
+        bytes_max: MAX_BODY_BYTES as u64,
+        memory: memory.clone(),
+    }
+}
+
+fn server_options(
+    process_limits: ProcessLimits,
+    memory: RequestMemory,
+    proxy: SharedProxy,
+) -> ServerOptions {
+    ServerOptions {
+        // One thread: connections to replicas are shared by all requests, and the state machine is under one lock anyway.
+        workers: 1,
+        process_limits,
+        memory,
+        client_limits: Arc::new(move || {
+            let proxy = shared::lock(&proxy);
+            proxy.client_limits().cloned().unwrap_or_default()
+        }),
+        // How long clients may take and be idle is the spec's to say, which changes while this runs.
+        keep_alive: KeepAlive::Os,
+        head_timeout: Duration::ZERO,
+        no_delay: true,
+        // A client that closes has left: its replica stops work.
+        allows_half_closed: false,
+        stop_timeout: Duration::ZERO,
+    }
 }
 
 /// The HTTP server of the product's own calls and of lanes, at ports that are bound already.
@@ -183,28 +216,16 @@
 pub fn serve(
     listener: Listener,
     actor: Addr<ProxyActor>,
+    limits: ProcessLimits,
     ports: Vec<TcpListener>,
 ) -> io::Result<Server> {
     let actor = web::Data::new(actor);
-    let proxy = listener.proxy.clone();
-    let server = HttpServer::new(move || {
+    let options = server_options(limits, listener.memory.clone(), listener.proxy.clone());
+    let app = move || {
         let listener = listener.clone();
         App::new()
             .app_data(actor.clone())
             .configure(|config| http::routes_and_lanes(config, listener))
-    })
-    // One thread: connections to replicas are shared by all requests, and the state machine is under one lock anyway.
-    .workers(1)
-    .disable_signals()
-    .tcp_nodelay(true)
-    // A client that closes has left: its replica stops work.
-    .h1_allow_half_closed(false)
-    // How long clients may take and be idle is the spec's to say, which changes while this runs.
-    .keep_alive(KeepAlive::Os)
-    .client_request_timeout(Duration::ZERO)
-    .on_connect(move |io, extensions| client_connections::on_connected(&proxy, io, extensions));
-    Ok(ports
-        .into_iter()
-        .try_fold(server, |server, port| server.listen(port))?
-        .run())
+    };
+    http_server::serve(&options, ports, app)
 }
--- a/edge-proxy/src/listener.rs
+++ b/edge-proxy/src/listener.rs
@@ -1,10 +1,11 @@
 //! Requests by host and path as they come from clients.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use actix_web::{
     HttpRequest, HttpResponse,
-    web::{self, Payload},
+    dev::Payload,
+    web::{self, Payload as RawPayload},
 };
 use coordination::{
     Ms, events,
@@ -13,8 +14,11 @@
 };
 use daemon_parts::{
     clock,
-    limits::{NO_LANE_TIMEOUT, STARTUP_CHECK_INTERVAL, STOP_RETRY_AFTER},
+    http_server::is_local_addr,
+    limits::{NO_LANE_TIMEOUT, STARTUP_CHECK_INTERVAL},
     logging::event,
+    request_body::ClientBody,
+    request_memory::RequestMemory,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri, header};
 use remote_calls::{DownstreamLimits, Fault, Outcome};
@@ -23,8 +27,8 @@
     exchange::{ClientRequest, Exchange},
     headers::is_hop_by_hop,
     protocol_adapter::ProtocolAdapter,
-    rejection::{Rejection, abandoned, body_too_large},
-    request_body::{BodyError, RequestBody},
+    rejection::{Rejection, abandoned, body_rejection, body_timed_out},
+    request_body::RequestBody,
     response,
     shared::{SharedProxy, lock},
     shutdown::{OpenRequest, ShutdownGate, shutdown_rejection},
@@ -37,6 +41,8 @@
     pub proxy: SharedProxy,
     /// Reads and writes the platform's headers.
     pub adapter: Arc<dyn ProtocolAdapter>,
+    /// The budget that bodies are drawn from.
+    pub memory: RequestMemory,
     /// Whether this proxy stops.
     pub shutdown: Arc<ShutdownGate>,
     /// Address of the readiness check.
@@ -62,26 +68,23 @@
     deadline: Ms,
 }
 
-/// A request's body, and whether more of it came than may.
-struct ReceivedBody {
-    body: RequestBody,
-    is_over_limit: Rc<Cell<bool>>,
-}
-
 /// Handles a request by host and path, from its head to the start of its response.
 pub async fn handle_request(
     request: HttpRequest,
-    payload: Payload,
+    payload: RawPayload,
     listener: web::Data<Listener>,
 ) -> HttpResponse {
     if listener.is_readiness_check(&request) {
         return listener.readiness_response();
     }
-    let open_request = OpenRequest::new(&listener.shutdown, &request);
+    let payload = payload.into_inner();
+    let has_body = !matches!(payload, Payload::None);
+    let open_request = OpenRequest::on_connection(&listener.shutdown, &request, has_body);
+    let body = ClientBody::new(&request, payload);
     let arrived_at = clock::now();
     listener.wait_until_ready().await;
     let mut exchange = match listener
-        .receive(&request, payload, &open_request, arrived_at)
+        .receive(&request, body, &open_request, arrived_at)
         .await
     {
         Ok(exchange) => exchange,
@@ -107,7 +110,7 @@
 
     fn is_readiness_check(&self, request: &HttpRequest) -> bool {
         request.path() == self.adapter.readiness_path()
-            && request.app_config().local_addr().to_string() == self.readiness_addr
+            && is_local_addr(request, &self.readiness_addr)
     }
 
     /// Whether this edge serves, for those who list it.
@@ -135,14 +138,14 @@
     async fn receive(
         &self,
         request: &HttpRequest,
-        payload: Payload,
+        body: ClientBody,
         open_request: &OpenRequest,
         arrived_at: Ms,
     ) -> Result<Exchange, RejectedRequest> {
         let received = self.read_head(request, arrived_at)?;
         open_request.set_deadline(received.deadline);
         // Read before anything is answered, so that the connection can carry the next request whatever becomes of this.
-        let body = read_body(payload, &received).await?;
+        let body = self.read_body(body, &received).await?;
         let AdmittedRequest { lane, sender } = received
             .admitted
             .map_err(|fault| self.rejected(admission_rejection(fault)))?;
@@ -172,13 +175,39 @@
             method,
             uri,
             headers,
-            body: body.body,
-            is_body_over_limit: body.is_over_limit,
+            body,
         };
         let (proxy, adapter) = (self.proxy.clone(), self.adapter.clone());
         Ok(Exchange::new(proxy, adapter, client_request))
     }
 
+    /// Reads a request's body, or the beginning of a large one.
+    async fn read_body(
+        &self,
+        body: ClientBody,
+        received: &ReceivedHead,
+    ) -> Result<RequestBody, RejectedRequest> {
+        let length = received
+            .headers
+            .get(header::CONTENT_LENGTH)
+            .and_then(|value| value.to_str().ok()?.parse().ok());
+        let bytes_max = match received.limits.body_bytes {
+            0 => u64::MAX,
+            bytes => bytes,
+        };
+        let read = RequestBody::read(body, length, bytes_max, &self.memory);
+        let time_left = received.deadline.saturating_sub(received.received_at);
+        let rejection = match tokio::time::timeout(Duration::from_millis(time_left), read).await {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(error)) => body_rejection(error),
+            Err(_) => body_timed_out(),
+        };
+        Err(RejectedRequest {
+            rejection,
+            closes_connection: true,
+        })
+    }
+
     fn rejection_response(&self, rejected: RejectedRequest) -> HttpResponse {
         let (status, fault) = rejected.rejection;
         event(events::REJECTED, "caller", &fault.to_string());
@@ -274,45 +303,6 @@
         .unwrap_or_default()
 }
 
-/// Reads a request's body, or the beginning of a large one.
-async fn read_body(
-    payload: Payload,
-    received: &ReceivedHead,
-) -> Result<ReceivedBody, RejectedRequest> {
-    let length = received
-        .headers
-        .get(header::CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok()?.parse().ok());
-    let bytes_max = if received.limits.body_bytes > 0 {
-        received.limits.body_bytes
-    } else {
-        u64::MAX
-    };
-    let is_over_limit = Rc::default();
-    let read = RequestBody::read(
-        payload.into_inner(),
-        length,
-        bytes_max,
-        Rc::clone(&is_over_limit),
-    );
-    let time_left = received.deadline.saturating_sub(received.received_at);
-    let rejection = match tokio::time::timeout(Duration::from_millis(time_left), read).await {
-        Ok(Ok(body)) => {
-            return Ok(ReceivedBody {
-                body,
-                is_over_limit,
-            });
-        }
-        Ok(Err(BodyError::TooLarge)) => body_too_large(),
-        Ok(Err(BodyError::Incomplete)) => body_incomplete(),
-        Err(_) => body_timed_out(),
-    };
-    Err(RejectedRequest {
-        rejection,
-        closes_connection: true,
-    })
-}
-
 fn path_and_query(request: &HttpRequest) -> &str {
     request
         .uri()
@@ -361,20 +351,6 @@
 
 // ---- rejections ----
 
-fn body_incomplete() -> Rejection {
-    let message = "its body did not come whole";
-    let fault = Fault::new("bad_request", "read_body", message).outcome(Outcome::NotRun);
-    (StatusCode::BAD_REQUEST, fault)
-}
-
-fn body_timed_out() -> Rejection {
-    let message = "its body did not come in its time left";
-    let fault = Fault::new("no_time", "read_body", message)
-        .outcome(Outcome::NotRun)
-        .retry(STOP_RETRY_AFTER);
-    (StatusCode::REQUEST_TIMEOUT, fault)
-}
-
 fn admission_rejection(fault: Fault) -> Rejection {
     let status = daemon_parts::http::status(&fault).as_u16();
     (StatusCode::from_u16(status).unwrap_or_default(), fault)
--- a/edge-proxy/src/rejection.rs
+++ b/edge-proxy/src/rejection.rs
@@ -1,6 +1,10 @@
 //! Responses of the proxy's own.
 
 use coordination::Ms;
+use daemon_parts::{
+    limits::{NO_MEMORY_RETRY_AFTER, STOP_RETRY_AFTER},
+    request_body::BodyError,
+};
 use http::{HeaderMap, StatusCode};
 use remote_calls::{Fault, Outcome};
 
@@ -8,12 +12,53 @@
 pub type Rejection = (StatusCode, Fault);
 
 /// A body over its limit never reached its end at any replica: none ran it.
-pub fn body_too_large() -> Rejection {
+fn body_too_large() -> Rejection {
     let message = "its body is larger than the configuration allows";
     let fault = Fault::new("too_large", "read_body", message).outcome(Outcome::NotRun);
     (StatusCode::PAYLOAD_TOO_LARGE, fault)
 }
 
+/// The response to a request whose body was not read to its end. No replica has got all of it, and none will: none ran it.
+pub fn body_rejection(error: BodyError) -> Rejection {
+    match error {
+        BodyError::TooLarge => body_too_large(),
+        BodyError::Incomplete => body_incomplete(),
+        BodyError::OutOfMemory => no_memory(),
+        BodyError::Shed => body_shed(),
+    }
+}
+
+fn body_incomplete() -> Rejection {
+    let message = "its body did not come whole";
+    let fault = Fault::new("bad_request", "read_body", message).outcome(Outcome::NotRun);
+    (StatusCode::BAD_REQUEST, fault)
+}
+
+/// The response to a request whose time ran out before its body had come.
+pub fn body_timed_out() -> Rejection {
+    let message = "its body did not come in its time left";
+    let fault = Fault::new("no_time", "read_body", message)
+        .outcome(Outcome::NotRun)
+        .retry(STOP_RETRY_AFTER);
+    (StatusCode::REQUEST_TIMEOUT, fault)
+}
+
+fn body_shed() -> Rejection {
+    let message = "its body stopped coming while others needed its place";
+    let fault = Fault::new("no_time", "read_body", message)
+        .outcome(Outcome::NotRun)
+        .retry(NO_MEMORY_RETRY_AFTER);
+    (StatusCode::REQUEST_TIMEOUT, fault)
+}
+
+fn no_memory() -> Rejection {
+    let message = "this edge has no memory left for its body";
+    let fault = Fault::new("no_memory", "read_body", message)
+        .outcome(Outcome::NotRun)
+        .retry(NO_MEMORY_RETRY_AFTER);
+    (StatusCode::SERVICE_UNAVAILABLE, fault)
+}
+
 /// This process ends while a replica may be running the request.
 pub fn abandoned() -> Rejection {
     unknown_outcome("this edge ends before its replica has answered")
--- a/edge-proxy/src/request_body.rs
+++ b/edge-proxy/src/request_body.rs
@@ -2,18 +2,31 @@
 
 use std::{
     cell::Cell,
+    future::poll_fn,
     io, mem,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
 };
 
-use actix_web::{dev::Payload, web::BytesMut};
+use actix_web::web::BytesMut;
 use bytes::Bytes;
-use daemon_parts::limits::MAX_RETAINED_BODY_BYTES;
-use futures_util::{Stream, StreamExt};
+use daemon_parts::{
+    limits::MAX_RETAINED_BODY_BYTES,
+    request_body::{BodyError, BodyReader, ClientBody},
+    request_memory::{RequestLease, RequestMemory},
+};
+use futures_util::Stream;
 use http_body::{Body, Frame, SizeHint};
 
+/// Bytes that a streaming body in chunks holds beside its beginning: what the server has read and the replica's connection
+/// has not written.
+const STREAMING_CHUNKED_BYTES: u64 = 128 << 10;
+/// The same of a body with a length, which the server reads further ahead.
+const STREAMING_BYTES: u64 = 320 << 10;
+/// Bytes up to which small chunks are joined before they go to the replica's connection.
+const JOINED_BYTES: usize = 8 << 10;
+
 /// A body that is buffered if it is small, and else streamed.
 pub enum RequestBody {
     /// All of it: small enough to be sent again.
@@ -22,59 +35,97 @@
     Streaming(StreamingBody),
 }
 
+/// How far a streaming body has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum UploadState {
+    /// Its client still sends.
+    #[default]
+    Incoming,
+    /// All of it has gone to the replica's connection.
+    Whole,
+    /// It ended before its end: no replica has got all of it, and none will.
+    Broken(BodyError),
+}
+
+/// A streaming body as the exchange sees it that sends it.
+#[derive(Clone)]
+pub struct Upload {
+    state: Rc<Cell<UploadState>>,
+    lease: Rc<RequestLease>,
+}
+
+impl Upload {
+    /// How far it has come.
+    pub fn state(&self) -> UploadState {
+        self.state.get()
+    }
+
+    /// Returns once the body is shed while its client still sends.
+    pub async fn shed(&self) {
+        poll_fn(|context| self.poll_shed(context)).await;
+    }
+
+    fn poll_shed(&self, context: &mut Context<'_>) -> Poll<()> {
+        if self.state() == UploadState::Whole {
+            return Poll::Pending;
+        }
+        ready!(self.lease.poll_shed(context));
+        self.state.set(UploadState::Broken(BodyError::Shed));
+        Poll::Ready(())
+    }
+}
+
 /// The beginning of a large body, and the rest as the client sends it.
 pub struct StreamingBody {
     beginning: Bytes,
-    rest: Payload,
+    rest: ClientBody,
     /// Bytes that are left of all, if the client gave a length.
     bytes_left: Option<u64>,
     /// Bytes that the rest may have.
     bytes_allowed: u64,
-    /// Set once more bytes come than may.
-    is_over_limit: Rc<Cell<bool>>,
-}
-
-/// Why a body was not read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyError {
-    Incomplete,
-    TooLarge,
+    upload: Upload,
+    /// What came behind the bytes that were joined.
+    next: Option<Option<io::Result<Bytes>>>,
 }
 
 impl RequestBody {
     /// Reads a small body completely; of a large one only so much that it is known to be large.
-    /// `bytes_max`: bytes that it may have; `is_over_limit` is set once more come, if that is only seen while it streams.
+    /// `bytes_max`: bytes that it may have.
     ///
     /// # Errors
-    /// If the client does not send all of it, or sends more than `bytes_max`.
+    /// If the client does not send all of it, or sends more than may be or than there is memory for.
     pub async fn read(
-        mut payload: Payload,
+        body: ClientBody,
         length: Option<u64>,
         bytes_max: u64,
-        is_over_limit: Rc<Cell<bool>>,
+        memory: &RequestMemory,
     ) -> Result<Self, BodyError> {
-        if length.is_some_and(|length| length > bytes_max) {
-            return Err(BodyError::TooLarge);
+        let mut reader = BodyReader::new(body, length, bytes_max, memory);
+        if reader.read(MAX_RETAINED_BODY_BYTES as u64).await? {
+            return Ok(RequestBody::Buffered(reader.into_bytes()));
         }
-        // Memory grows with what arrives, not with what the length claims.
-        let mut buffer = BytesMut::new();
-        while let Some(chunk) = payload.next().await {
-            let chunk = chunk.map_err(|_| BodyError::Incomplete)?;
-            buffer.extend_from_slice(&chunk);
-            let Some(bytes_allowed) = bytes_max.checked_sub(buffer.len() as u64) else {
-                return Err(BodyError::TooLarge);
-            };
-            if buffer.len() > MAX_RETAINED_BODY_BYTES {
-                return Ok(RequestBody::Streaming(StreamingBody {
-                    beginning: buffer.freeze(),
-                    rest: payload,
-                    bytes_left: length,
-                    bytes_allowed,
-                    is_over_limit,
-                }));
-            }
+        let mut lease = memory.lease();
+        let held = if length.is_some() {
+            STREAMING_BYTES
+        } else {
+            STREAMING_CHUNKED_BYTES
+        };
+        lease.hold(held).await?;
+        let (beginning, rest) = reader.into_parts();
+        if length.is_some() {
+            rest.set_upload();
         }
-        Ok(RequestBody::Buffered(buffer.freeze()))
+        Ok(RequestBody::Streaming(StreamingBody {
+            bytes_allowed: bytes_max.saturating_sub(beginning.len() as u64),
+            beginning,
+            rest,
+            bytes_left: length,
+            upload: Upload {
+                state: Rc::default(),
+                lease: Rc::new(lease),
+            },
+            next: None,
+        }))
     }
 
     /// The same body for a further attempt, if all of it is buffered.
@@ -84,32 +135,99 @@
             RequestBody::Streaming(_) => None,
         }
     }
+
+    /// The state of a streaming body.
+    pub fn upload(&self) -> Option<Upload> {
+        match self {
+            RequestBody::Buffered(_) => None,
+            RequestBody::Streaming(body) => Some(body.upload.clone()),
+        }
+    }
 }
 
 impl StreamingBody {
     fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
-        let chunk = if self.beginning.is_empty() {
-            match ready!(Pin::new(&mut self.rest).poll_next(context)) {
-                Some(Ok(chunk)) if chunk.len() as u64 > self.bytes_allowed => {
-                    self.is_over_limit.set(true);
-                    let error = io::Error::other("the body is over its limit");
-                    return Poll::Ready(Some(Err(error)));
-                }
-                Some(Ok(chunk)) => {
-                    self.bytes_allowed -= chunk.len() as u64;
-                    chunk
+        if self.upload.poll_shed(context).is_ready() {
+            let error = io::Error::other("the client stopped sending");
+            return Poll::Ready(Some(Err(error)));
+        }
+        if !self.beginning.is_empty() {
+            let beginning = mem::take(&mut self.beginning);
+            self.count_sent(&beginning);
+            return Poll::Ready(Some(Ok(beginning)));
+        }
+        if let Some(next) = self.next.take() {
+            return Poll::Ready(next);
+        }
+        match ready!(self.poll_rest(context)) {
+            Some(Ok(chunk)) if chunk.len() < JOINED_BYTES => {
+                Poll::Ready(Some(Ok(self.join(chunk, context))))
+            }
+            other => Poll::Ready(other),
+        }
+    }
+
+    /// Joins a small chunk with those behind it that have come already: what a chunk costs on its way does not depend on
+    /// its size.
+    fn join(&mut self, first: Bytes, context: &mut Context<'_>) -> Bytes {
+        let mut joined = BytesMut::new();
+        while first.len() + joined.len() < JOINED_BYTES && self.next.is_none() {
+            match self.poll_rest(context) {
+                Poll::Pending => break,
+                Poll::Ready(Some(Ok(chunk))) => {
+                    if joined.is_empty() {
+                        joined.extend_from_slice(&first);
+                    }
+                    joined.extend_from_slice(&chunk);
                 }
-                Some(Err(error)) => return Poll::Ready(Some(Err(io::Error::other(error)))),
-                None => return Poll::Ready(None),
+                Poll::Ready(end) => self.next = Some(end),
             }
+        }
+        if joined.is_empty() {
+            first
         } else {
-            mem::take(&mut self.beginning)
+            joined.freeze()
+        }
+    }
+
+    /// The next chunk as the client sent it, if the body may have it.
+    fn poll_rest(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        let chunk = match ready!(Pin::new(&mut self.rest).poll_next(context)) {
+            Some(Ok(chunk)) => chunk,
+            Some(Err(error)) => {
+                return Poll::Ready(Some(Err(
+                    self.broken(BodyError::Incomplete, &error.to_string())
+                )));
+            }
+            None => {
+                self.upload.state.set(UploadState::Whole);
+                return Poll::Ready(None);
+            }
+        };
+        let bytes = chunk.len() as u64;
+        let Some(bytes_allowed) = self.bytes_allowed.checked_sub(bytes) else {
+            let error = self.broken(BodyError::TooLarge, "the body is over its limit");
+            return Poll::Ready(Some(Err(error)));
         };
-        self.bytes_left = self
-            .bytes_left
-            .map(|left| left.saturating_sub(chunk.len() as u64));
+        self.bytes_allowed = bytes_allowed;
+        self.upload.lease.on_received(bytes);
+        self.count_sent(&chunk);
         Poll::Ready(Some(Ok(chunk)))
     }
+
+    fn broken(&self, reason: BodyError, message: &str) -> io::Error {
+        self.upload.state.set(UploadState::Broken(reason));
+        io::Error::other(message.to_string())
+    }
+
+    /// Bytes go to the replica's connection.
+    fn count_sent(&mut self, chunk: &Bytes) {
+        let sent = chunk.len() as u64;
+        self.bytes_left = self.bytes_left.map(|left| left.saturating_sub(sent));
+        if self.bytes_left == Some(0) {
+            self.upload.state.set(UploadState::Whole);
+        }
+    }
 }
 
 impl Body for RequestBody {
--- a/edge-proxy/src/shutdown.rs
+++ b/edge-proxy/src/shutdown.rs
@@ -8,6 +8,7 @@
 use actix_web::{HttpRequest, dev::ServerHandle};
 use coordination::{Ms, events, shutdown::Shutdown};
 use daemon_parts::{
+    client_connections::{BusyConnection, ClientConnection},
     clock,
     limits::{STOP_CHECK_INTERVAL, STOP_FLUSH_TIME, STOP_RETRY_AFTER},
     logging::event,
@@ -15,8 +16,6 @@
 use remote_calls::{Fault, Outcome};
 use tokio::sync::watch;
 
-use crate::client_connections::{BusyConnection, ClientConnection};
-
 /// Whether this proxy shuts down, and how many requests it still has open.
 #[derive(Default)]
 pub struct ShutdownGate {
@@ -71,17 +70,24 @@
 }
 
 impl OpenRequest {
-    /// Counts the request, and marks its connection as carrying one.
-    pub fn new(gate: &Arc<ShutdownGate>, request: &HttpRequest) -> Self {
+    /// Counts the request.
+    pub fn new(gate: &Arc<ShutdownGate>) -> Self {
         gate.state().on_request_opened();
         OpenRequest {
             gate: gate.clone(),
-            busy_connection: request
-                .conn_data::<Rc<ClientConnection>>()
-                .map(BusyConnection::new),
+            busy_connection: None,
         }
     }
 
+    /// Counts the request, and marks its connection as carrying one.
+    pub fn on_connection(gate: &Arc<ShutdownGate>, request: &HttpRequest, has_body: bool) -> Self {
+        let connection = request.conn_data::<Rc<ClientConnection>>();
+        let mut open_request = OpenRequest::new(gate);
+        open_request.busy_connection =
+            connection.map(|connection| BusyConnection::new(connection, has_body));
+        open_request
+    }
+
     /// The request holds its connection until then at the most.
     pub fn set_deadline(&self, deadline: Ms) {
         if let Some(busy) = &self.busy_connection {
--- a/edge-proxy/tests/limits.rs
+++ b/edge-proxy/tests/limits.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 
 use coordination::{Ms, bounds::Bounds};
+use daemon_parts::client_connections::{CheckClock, CheckResult, ConnectionState};
 use daemon_parts::limits::{
     CLIENT_CHECK_INTERVAL, CLIENT_CHECK_LATE, CLIENT_CHECK_SUSPENDED, CLIENT_HEAD_TIMEOUT,
     CLIENT_IDLE_TIMEOUT, LATE_RESPONSE_SLACK, MAX_RETAINED_BODY_BYTES, MAX_UNREACHED_REPLICAS,
 };
-use edge_proxy::client_connections::{CheckClock, CheckResult, ConnectionState};
 use googletest::prelude::*;
 use remote_calls::DownstreamLimits;
 use support::*;
--- a/edge-proxy/tests/support/mod.rs
+++ b/edge-proxy/tests/support/mod.rs
@@ -18,7 +18,9 @@
     proxy::{Assignment, Proxy},
     wire::{Blob, Change, TableUpdate},
 };
-use daemon_parts::{clock, limits::STARTUP_WAIT};
+use daemon_parts::{
+    clock, limits::STARTUP_WAIT, process_limits::ProcessLimits, request_memory::RequestMemory,
+};
 use edge_proxy::{
     actor::ProxyActor,
     listener::Listener,
@@ -430,13 +432,15 @@
         let f = Listener {
             proxy: brain.clone(),
             adapter: Arc::new(Plain),
+            memory: RequestMemory::new(ProcessLimits::new(0, 0)),
             shutdown: stopping.clone(),
             readiness_addr: ready_addr.to_string(),
             startup_wait: not_yet,
         };
         let agent = nowhere().to_string();
         let actor = ProxyActor::new("edge-1", "127.0.0.1:1", &agent, brain.clone()).start();
-        let server = edge_proxy::serve(f, actor, vec![front, ready]).unwrap();
+        let server =
+            edge_proxy::serve(f, actor, ProcessLimits::new(0, 0), vec![front, ready]).unwrap();
         let handle = server.handle();
         actix_rt::spawn(server);
         Edge {
