Bound what clients take of a control daemon as a whole

What callers saw: 60 bodies of 4 MiB that lack their last byte take 271 MB of 64, at the operators' port as at the directory's, and are never answered; likewise long heads, finely chunked bodies and many connections. Cause: as at a proxy: the extractors collect up to 4 MiB a call, from any number of calls, without a time-out. Change: the same server, budget and window as a proxy's.

--- a/control-daemon/src/http.rs
+++ b/control-daemon/src/http.rs
@@ -5,6 +5,7 @@
 use daemon_parts::{
     clock,
     http::{FaultResponse, json_config, no_such_path},
+    http_server::CallBodies,
     limits::MAX_VERSION_BYTES,
 };
 use remote_calls::{
@@ -182,8 +183,8 @@
     Ok(response.json(health))
 }
 
-async fn get_counters(handle: ControlHandle) -> HandlerResult {
-    let counters = with_control(&handle, |control, now| Counters {
+async fn get_counters(handle: ControlHandle, bodies: web::Data<CallBodies>) -> HandlerResult {
+    let mut counters = with_control(&handle, |control, now| Counters {
         process: control.membership.me().name.to_string(),
         counters: control
             .counters(now)
@@ -195,6 +196,7 @@
             .collect(),
     })
     .await?;
+    counters.counters.extend(bodies.counters());
     Ok(HttpResponse::Ok().json(counters))
 }
 
--- a/control-daemon/src/lib.rs
+++ b/control-daemon/src/lib.rs
@@ -5,19 +5,25 @@
 pub mod http;
 pub mod platform_adapter;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use actix::{Actor, Addr};
-use actix_web::{App, HttpServer, dev::Server, web};
+use actix_web::{App, dev::Server, http::KeepAlive, middleware::from_fn, web};
 use coordination::control::ControlConfig;
 use daemon_parts::{
     channels,
-    limits::{CONTROL_STOP_TIMEOUT, HTTP_WORKERS},
+    http_server::{self, CallBodies, ServerOptions, listen, read_call_body},
+    limits::{
+        CALL_HEAD_TIMEOUT, CALL_KEEP_ALIVE, CONTROL_STOP_TIMEOUT, HTTP_WORKERS, MAX_BODY_BYTES,
+        MAX_CALL_HEAD_BYTES,
+    },
     logging::{self, StartError},
     params::Params,
+    request_memory::RequestMemory,
     stop::{self, StopSignals},
 };
 use error_stack::{Report, ResultExt};
+use remote_calls::DownstreamLimits;
 
 use crate::{
     actor::{BeginShutdown, ControlActor},
@@ -84,22 +90,46 @@
     control: Addr<ControlActor>,
 ) -> Result<Server, Report<StartError>> {
     let control = web::Data::new(control);
-    let mut server = HttpServer::new(move || {
+    let memory = RequestMemory::new(params.process_limits());
+    let bodies = web::Data::new(CallBodies {
+        bytes_max: adapter.max_body_bytes.max(MAX_BODY_BYTES) as u64,
+        memory: memory.clone(),
+    });
+    let app = move || {
         App::new()
             .app_data(control.clone())
+            .app_data(bodies.clone())
             .app_data(web::PayloadConfig::new(adapter.max_body_bytes))
+            .wrap(from_fn(read_call_body))
             .configure(adapter.configure_routes)
             .configure(http::routes)
-    })
-    .workers(HTTP_WORKERS)
-    .shutdown_timeout(CONTROL_STOP_TIMEOUT.as_secs())
-    .disable_signals();
-    let addresses = [&params.http, &params.directory];
-    for address in addresses.into_iter().filter(|address| !address.is_empty()) {
-        server = server
-            .bind(address)
-            .change_context(StartError("bind the HTTP port"))
-            .attach_with(|| address.clone())?;
+    };
+    let ports = [&params.http, &params.directory]
+        .into_iter()
+        .filter(|address| !address.is_empty())
+        .map(|address| {
+            listen(address)
+                .change_context(StartError("bind the HTTP port"))
+                .attach_with(|| address.clone())
+        })
+        .collect::<Result<Vec<_>, _>>()?;
+    http_server::serve(&server_options(params, memory), ports, app)
+        .change_context(StartError("serve the HTTP ports"))
+}
+
+fn server_options(params: &Params, memory: RequestMemory) -> ServerOptions {
+    ServerOptions {
+        workers: HTTP_WORKERS,
+        process_limits: params.process_limits(),
+        memory,
+        client_limits: Arc::new(|| DownstreamLimits {
+            header_bytes: MAX_CALL_HEAD_BYTES,
+            ..DownstreamLimits::default()
+        }),
+        keep_alive: KeepAlive::Timeout(CALL_KEEP_ALIVE),
+        head_timeout: CALL_HEAD_TIMEOUT,
+        no_delay: false,
+        allows_half_closed: true,
+        stop_timeout: CONTROL_STOP_TIMEOUT,
     }
-    Ok(server.run())
 }
