Don't hold a client that stops sending against its replica

What callers saw: an upload that stops before its end was answered 504 at its deadline, which promises nothing, and counted as a failure of the replica that had waited for it. Cause: the exchange didn't know whether the request had gone out whole, and took the time of the client for the replica's. Change: a streaming body tells how far it has come. While its client still sends, the end of its time ends the attempt as if the client had left, the replica's connection is closed before the request's end, and the client is told 408: no replica has got all of the request, and none will.

--- a/edge-proxy/src/exchange.rs
+++ b/edge-proxy/src/exchange.rs
@@ -25,7 +25,7 @@
     attempt::Attempt,
     pool::{ConnectError, Connection, ConnectionPool, SendError},
     protocol_adapter::ProtocolAdapter,
-    rejection::{Rejection, body_rejection, retry_after, unknown_outcome},
+    rejection::{Rejection, body_rejection, body_timed_out, retry_after, unknown_outcome},
     request_body::{RequestBody, Upload, UploadState},
     shared::{SharedProxy, lock},
 };
@@ -244,7 +244,7 @@
             return match sent {
                 Ok(Ok(response)) => self.on_response(attempt, connection, response),
                 Ok(Err(SendError::MaybeSent(reason))) => self.on_lost(attempt, &reason),
-                _ => Self::on_timeout(attempt),
+                _ => self.on_timeout(attempt),
             };
         }
     }
@@ -380,7 +380,13 @@
         AttemptEnd::Rejected(self.give_up(reason))
     }
 
-    fn on_timeout(mut attempt: Attempt) -> AttemptEnd {
+    fn on_timeout(&self, mut attempt: Attempt) -> AttemptEnd {
+        let upload_state = self.upload.as_ref().map(Upload::state);
+        if upload_state == Some(UploadState::Incoming) {
+            // The replica waited for the client, and got no whole request.
+            attempt.end(AttemptOutcome::ClientGone);
+            return AttemptEnd::Rejected(body_timed_out());
+        }
         attempt.end(AttemptOutcome::ResponseTimedOut);
         let fault = Fault::new("no_time", "await_answer", "its time ran out")
             .peer(attempt.assignment.replica.clone())
