Let an upload that has stopped give up its replica's connection

What callers saw: clients whose uploads stop before their end take every connection and slot that an edge may use of its replicas, until their deadlines; ordinary requests are refused meanwhile. Cause: an attempt ended by its response or its deadline only, whatever its client did. Change: a request that no replica takes sheds the upload that has made no progress for longest (1 s at least). The attempt ends as if the client had left, the replica's connection is closed before the request's end, and the client is told 408. Test: edge-proxy uploads, uploads_that_stop_leave_a_connection_to_a_request_that_needs_it.

--- a/daemon-parts/src/request_memory.rs
+++ b/daemon-parts/src/request_memory.rs
@@ -65,6 +65,8 @@
     held: u64,
     /// Since when the client has made no progress.
     stalled_since: Ms,
+    /// It goes to a replica while it comes, and holds a connection and a slot there.
+    is_streaming: bool,
     signal: Arc<ShedSignal>,
 }
 
@@ -162,6 +164,7 @@
         let request = IncomingRequest {
             held: 0,
             stalled_since: clock::now(),
+            is_streaming: false,
             signal: Arc::clone(&signal),
         };
         ledger.incoming.insert(id, request);
@@ -174,6 +177,21 @@
         }
     }
 
+    /// Sheds one streaming request whose client has stopped sending, the one that stopped first: what it holds of a replica
+    /// is needed by another request.
+    pub fn shed_stalled_stream(&self) {
+        let now = clock::now();
+        let mut ledger = self.ledger();
+        let streams = ledger.incoming.iter();
+        let stalled = streams.filter(|entry| entry.1.is_streaming && entry.1.is_stalled(now));
+        let oldest = stalled
+            .min_by_key(|entry| entry.1.stalled_since)
+            .map(|entry| *entry.0);
+        if let Some(id) = oldest {
+            ledger.shed_one(id);
+        }
+    }
+
     fn ledger(&self) -> MutexGuard<'_, Ledger> {
         self.0.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -258,6 +276,13 @@
         }
     }
 
+    /// The request goes to a replica while it comes.
+    pub fn set_streaming(&self) {
+        if let Some(request) = self.memory.ledger().incoming.get_mut(&self.id) {
+            request.is_streaming = true;
+        }
+    }
+
     /// All of the request has come: it is not shed any more.
     pub fn complete(&self) {
         self.memory.ledger().incoming.remove(&self.id);
--- a/daemon-parts/tests/request_memory.rs
+++ b/daemon-parts/tests/request_memory.rs
@@ -105,3 +105,20 @@
         expect_that!(next.hold(LARGE).await, ok(eq(())));
     });
 }
+
+#[gtest]
+fn what_a_replica_lends_is_taken_from_a_stalled_stream_only() {
+    run(async {
+        let memory = RequestMemory::with_capacity(CAPACITY);
+        let buffered = held(&memory, LARGE).await;
+        let stream = held(&memory, LARGE).await;
+        stream.set_streaming();
+        memory.shed_stalled_stream();
+        expect_that!(memory.figures().shed, eq(0));
+        stall().await;
+        memory.shed_stalled_stream();
+        memory.shed_stalled_stream();
+        expect_that!(memory.figures().shed, eq(1));
+        drop((buffered, stream));
+    });
+}
--- a/edge-proxy/src/exchange.rs
+++ b/edge-proxy/src/exchange.rs
@@ -15,6 +15,7 @@
     clock,
     limits::{MAX_UNREACHED_REPLICAS, RUN_ONCE_MAX_IDLE},
     logging::event,
+    request_memory::RequestMemory,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
@@ -87,6 +88,7 @@
     body: Option<RequestBody>,
     /// Its body, if it is sent while it comes.
     upload: Option<Upload>,
+    memory: RequestMemory,
     history: AttemptHistory,
     service: String,
 }
@@ -100,6 +102,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: RequestBody,
+    /// The budget that its body is drawn from.
+    pub memory: RequestMemory,
 }
 
 /// What comes after an attempt.
@@ -129,6 +133,7 @@
             headers: request.headers,
             upload: request.body.upload(),
             body: Some(request.body),
+            memory: request.memory,
             history: AttemptHistory::default(),
             service: String::new(),
         }
@@ -463,8 +468,9 @@
 
     // ---- rejections ----
 
-    /// No replica takes it.
+    /// No replica takes it. An upload that has stopped may hold the slot or connection that it would have had.
     fn reject(&self, mut fault: Fault) -> Rejection {
+        self.memory.shed_stalled_stream();
         if self.history.may_have_run {
             return unknown_outcome(&fault.message);
         }
--- a/edge-proxy/src/listener.rs
+++ b/edge-proxy/src/listener.rs
@@ -176,6 +176,7 @@
             uri,
             headers,
             body,
+            memory: self.memory.clone(),
         };
         let (proxy, adapter) = (self.proxy.clone(), self.adapter.clone());
         Ok(Exchange::new(proxy, adapter, client_request))
--- a/edge-proxy/src/request_body.rs
+++ b/edge-proxy/src/request_body.rs
@@ -111,6 +111,7 @@
             STREAMING_CHUNKED_BYTES
         };
         lease.hold(held).await?;
+        lease.set_streaming();
         let (beginning, rest) = reader.into_parts();
         if length.is_some() {
             rest.set_upload();
--- a/edge-proxy/tests/uploads.rs
+++ b/edge-proxy/tests/uploads.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use coordination::Ms;
 use daemon_parts::limits::MAX_RETAINED_BODY_BYTES;
 use googletest::prelude::*;
@@ -9,6 +11,13 @@
 
 /// Time that runs out in a test, and is enough to reach a replica on a machine that is busy.
 const RUNS_OUT: Ms = 1_500;
+/// Time enough that nothing ends by itself in a test.
+const AMPLE: Ms = 3_600_000;
+/// A bound on trouble only.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Connections that the only replica accepts.
+const CHANNELS: u32 = 8;
+
 fn run(future: impl Future<Output = ()>) {
     actix_rt::System::new().block_on(future);
 }
@@ -49,3 +58,32 @@
         expect_that!(ask(&edge, request("b", "q")).await.status, eq(200));
     });
 }
+
+// Uploads that had stopped kept every connection to a replica until their deadlines.
+#[gtest]
+fn uploads_that_stop_leave_a_connection_to_a_request_that_needs_it() {
+    run(async {
+        let replica = Replica::plain("x").await;
+        let lane = Lane {
+            time_limit: AMPLE,
+            channels: CHANNELS,
+            ..Lane::of("once", 1)
+        };
+        let edge = Edge::start(lane, &[replica.addr]).await;
+        let mut uploads = vec![];
+        for number in 0..=CHANNELS {
+            uploads.push(stopped_upload(&edge, &format!("u{number}")).await);
+        }
+        // One too many: it is refused, so that all connections are taken.
+        let refused = uploads.iter_mut().map(|upload| Box::pin(upload.answer()));
+        let refused = futures_util::future::select_all(refused).await.0.status;
+        expect_that!(refused, eq(503));
+        let asked = async {
+            while ask(&edge, request("b", "q")).await.status != 200 {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let served = tokio::time::timeout(PATIENCE, asked).await;
+        expect_true!(served.is_ok(), "no connection was given up");
+    });
+}
