Trim the heap after smaller peaks, and see peaks between two looks

Cause, in part: the last crowd held less than the peak that had the heap trimmed, and a peak between two looks was not seen. Change: the heap is trimmed after peaks of a twentieth of the memory for clients; the budget tells its peak.

--- a/daemon-parts/src/client_connections.rs
+++ b/daemon-parts/src/client_connections.rs
@@ -328,9 +328,10 @@
 
     /// Returns memory to the system if much less is held than was.
     fn trim_heap(&self) {
-        let connections = ConnectionFigures::current().open;
-        let held = connections * CONNECTION_BYTES + self.memory.figures().drawn;
-        self.trimmer.borrow_mut().observe(held);
+        let connections = ConnectionFigures::current().open * CONNECTION_BYTES;
+        let mut trimmer = self.trimmer.borrow_mut();
+        trimmer.observe(connections + self.memory.take_peak());
+        trimmer.observe(connections + self.memory.figures().drawn);
     }
 
     fn make_room(&self) {
--- a/daemon-parts/src/process_limits.rs
+++ b/daemon-parts/src/process_limits.rs
@@ -31,7 +31,7 @@
 /// Memory of one client's connection with its buffers full, in bytes, without what its request draws from the budget.
 pub const CONNECTION_BYTES: u64 = 48 << 10;
 /// Percent of the memory for clients that must have been taken before memory is returned to the system.
-const TRIM_MEMORY_PERCENT: u64 = 25;
+const TRIM_MEMORY_PERCENT: u64 = 5;
 /// Connections that a process accepts however little it may take.
 const MIN_CONNECTIONS: u64 = 16;
 
--- a/daemon-parts/src/request_memory.rs
+++ b/daemon-parts/src/request_memory.rs
@@ -90,6 +90,8 @@
 #[derive(Default)]
 struct Ledger {
     figures: MemoryFigures,
+    /// Most bytes that were drawn at once since the peak was last taken.
+    peak: u64,
     next_id: u64,
     incoming: BTreeMap<u64, IncomingRequest>,
 }
@@ -154,6 +156,14 @@
         self.ledger().figures
     }
 
+    /// The most bytes that were drawn at once since this was last called.
+    #[must_use]
+    pub fn take_peak(&self) -> u64 {
+        let mut ledger = self.ledger();
+        let drawn = ledger.figures.drawn;
+        std::mem::replace(&mut ledger.peak, drawn)
+    }
+
     /// Begins the account of a request that comes in. It holds nothing yet.
     #[must_use]
     pub fn lease(&self) -> RequestLease {
@@ -257,6 +267,7 @@
             return false;
         }
         ledger.figures.drawn += more;
+        ledger.peak = ledger.peak.max(ledger.figures.drawn);
         self.held += more;
         if let Some(request) = ledger.incoming.get_mut(&self.id) {
             request.held = self.held;
--- a/daemon-parts/tests/request_memory.rs
+++ b/daemon-parts/tests/request_memory.rs
@@ -41,6 +41,18 @@
     });
 }
 
+#[gtest]
+fn a_peak_is_told_once() {
+    run(async {
+        let memory = RequestMemory::with_capacity(CAPACITY);
+        drop(held(&memory, LARGE).await);
+        let lease = held(&memory, 1).await;
+        expect_that!(memory.take_peak(), eq(LARGE));
+        expect_that!(memory.take_peak(), eq(1));
+        drop(lease);
+    });
+}
+
 #[gtest]
 fn large_requests_leave_a_part_to_small_ones() {
     run(async {
