Trim the heap until what clients held has been freed

Cause: the heap was trimmed once, when the budget was returned; connections free their buffers only after that, and the looks ended with the last connection. Change: after a fall the heap is trimmed at ten looks, 100 ms apart, also when no connection is left.

--- a/daemon-parts/src/client_connections.rs
+++ b/daemon-parts/src/client_connections.rs
@@ -431,7 +431,7 @@
 /// Checks connections for as long as there are any.
 async fn check_connections(registry: Rc<ConnectionRegistry>) {
     let mut check_clock = CheckClock::new(clock::now());
-    while !registry.connections.borrow().is_empty() {
+    while !registry.connections.borrow().is_empty() || registry.trimmer.borrow().is_settling() {
         tokio::time::sleep(Duration::from_millis(CLIENT_CHECK_INTERVAL)).await;
         check_clock.on_check(clock::now());
         let limits = (registry.limits)();
--- a/daemon-parts/src/heap_trim.rs
+++ b/daemon-parts/src/heap_trim.rs
@@ -4,12 +4,17 @@
 /// Part of its peak to which what clients hold must fall, before the heap is trimmed.
 const FALL_PART: u64 = 4;
 
+/// Looks at which the heap is trimmed after a fall.
+const SETTLING_LOOKS: u32 = 10;
+
 /// Watches what clients hold, and trims the heap after it has fallen.
 #[derive(Debug)]
 pub struct HeapTrimmer {
     /// Peak below which nothing is trimmed, in bytes: trimming takes some ms.
     least_peak: u64,
     peak: u64,
+    /// Looks after a fall at which the heap is trimmed again: what clients held is freed little by little.
+    settling_looks: u32,
 }
 
 impl HeapTrimmer {
@@ -19,14 +24,25 @@
         HeapTrimmer {
             least_peak,
             peak: 0,
+            settling_looks: 0,
         }
     }
 
     /// Clients hold so many bytes now.
     pub fn observe(&mut self, held: u64) {
         if self.is_due(held) {
-            trim();
+            self.settling_looks = SETTLING_LOOKS;
+        } else if !self.is_settling() {
+            return;
         }
+        self.settling_looks -= 1;
+        trim();
+    }
+
+    /// Whether the heap is still to be trimmed, whatever clients hold.
+    #[must_use]
+    pub fn is_settling(&self) -> bool {
+        self.settling_looks > 0
     }
 
     /// Whether the heap is to be trimmed now that clients hold so many bytes.
