Don't shed an upload that has gone out whole

Read again: an upload stayed among the incoming requests after its end had gone to the replica. While it waited for its answer it counted as stalled, so that making room picked it, counted its memory as freed and left a real one alone; the request itself was not ended, for the exchange ignores the signal once the body is whole. Change: the lease is complete when the body is.

--- a/edge-proxy/src/request_body.rs
+++ b/edge-proxy/src/request_body.rs
@@ -65,6 +65,12 @@
         poll_fn(|context| self.poll_shed(context)).await;
     }
 
+    /// All of it has gone out: its client is not waited for any more.
+    fn set_whole(&self) {
+        self.state.set(UploadState::Whole);
+        self.lease.complete();
+    }
+
     fn poll_shed(&self, context: &mut Context<'_>) -> Poll<()> {
         if self.state() == UploadState::Whole {
             return Poll::Pending;
@@ -201,7 +207,7 @@
                 )));
             }
             None => {
-                self.upload.state.set(UploadState::Whole);
+                self.upload.set_whole();
                 return Poll::Ready(None);
             }
         };
@@ -226,7 +232,7 @@
         let sent = chunk.len() as u64;
         self.bytes_left = self.bytes_left.map(|left| left.saturating_sub(sent));
         if self.bytes_left == Some(0) {
-            self.upload.state.set(UploadState::Whole);
+            self.upload.set_whole();
         }
     }
 }
