Say once how ports are bound and unread bodies answered

Proxy and control daemon bound their ports by the same loop, three times; now listen_all. The proxy wrote anew what http_server says of a body that was not read; it calls that, and keeps its own text for a body over the configuration's limit. One constructor of OpenRequest in place of two; a condition of try_hold that always held is gone. Texts of refusals for memory and of shed bodies, new since, are now the same at both.

--- a/control-daemon/src/lib.rs
+++ b/control-daemon/src/lib.rs
@@ -12,7 +12,7 @@
 use coordination::control::ControlConfig;
 use daemon_parts::{
     channels,
-    http_server::{self, CallBodies, ServerOptions, listen, read_call_body},
+    http_server::{self, CallBodies, ServerOptions, listen_all, read_call_body},
     limits::{
         CALL_HEAD_TIMEOUT, CALL_KEEP_ALIVE, CONTROL_STOP_TIMEOUT, HTTP_WORKERS, MAX_BODY_BYTES,
         MAX_CALL_HEAD_BYTES,
@@ -104,15 +104,7 @@
             .configure(adapter.configure_routes)
             .configure(http::routes)
     };
-    let ports = [&params.http, &params.directory]
-        .into_iter()
-        .filter(|address| !address.is_empty())
-        .map(|address| {
-            listen(address)
-                .change_context(StartError("bind the HTTP port"))
-                .attach_with(|| address.clone())
-        })
-        .collect::<Result<Vec<_>, _>>()?;
+    let ports = listen_all([&params.http, &params.directory])?;
     http_server::serve(&server_options(params, memory), ports, app)
         .change_context(StartError("serve the HTTP ports"))
 }
--- a/daemon-parts/src/http_server.rs
+++ b/daemon-parts/src/http_server.rs
@@ -22,6 +22,7 @@
     rt::net::TcpStream,
     web,
 };
+use error_stack::{Report, ResultExt};
 use remote_calls::{Counter, Fault, Outcome};
 use socket2::{Domain, Socket, Type};
 
@@ -35,6 +36,7 @@
     limits::{
         CALL_BODY_TIMEOUT, CLIENT_RECEIVE_BUFFER_BYTES, LISTEN_BACKLOG, NO_MEMORY_RETRY_AFTER,
     },
+    logging::StartError,
     process_limits::ProcessLimits,
     request_body::{BodyError, BodyReader, ClientBody},
     request_memory::{RequestLease, RequestMemory},
@@ -69,11 +71,25 @@
     pub stop_timeout: Duration,
 }
 
-/// Binds a port for clients.
+/// Binds the ports for clients that the settings name.
 ///
 /// # Errors
-/// If the address is none, or is taken.
-pub fn listen(addr: &str) -> io::Result<TcpListener> {
+/// If an address is none, or is taken.
+pub fn listen_all<'a>(
+    addrs: impl IntoIterator<Item = &'a String>,
+) -> Result<Vec<TcpListener>, Report<StartError>> {
+    addrs
+        .into_iter()
+        .filter(|addr| !addr.is_empty())
+        .map(|addr| {
+            listen(addr)
+                .change_context(StartError("bind an HTTP port"))
+                .attach_with(|| addr.clone())
+        })
+        .collect()
+}
+
+fn listen(addr: &str) -> io::Result<TcpListener> {
     let addr: SocketAddr = addr.parse().map_err(io::Error::other)?;
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
--- a/daemon-parts/src/request_memory.rs
+++ b/daemon-parts/src/request_memory.rs
@@ -235,7 +235,7 @@
         if bytes <= self.held || self.try_hold(bytes) {
             return Ok(());
         }
-        let wanted = bytes.saturating_sub(self.held);
+        let wanted = bytes - self.held;
         if self.memory.ledger().shed(wanted, clock::now()) && self.hold_returned(bytes).await {
             return Ok(());
         }
@@ -258,19 +258,20 @@
         tokio::time::timeout(SHED_TIME, held).await.is_ok()
     }
 
+    /// Raises what the request holds, if the budget has as much left. `bytes`: more than it holds.
     fn try_hold(&mut self, bytes: u64) -> bool {
-        let more = bytes.saturating_sub(self.held);
+        let more = bytes - self.held;
         let capacity = self.memory.capacity_for(bytes);
         let memory = self.memory.clone();
         let mut ledger = memory.ledger();
-        if more > 0 && ledger.figures.drawn + more > capacity {
+        if ledger.figures.drawn + more > capacity {
             return false;
         }
         ledger.figures.drawn += more;
         ledger.peak = ledger.peak.max(ledger.figures.drawn);
-        self.held += more;
+        self.held = bytes;
         if let Some(request) = ledger.incoming.get_mut(&self.id) {
-            request.held = self.held;
+            request.held = bytes;
         }
         true
     }
--- a/edge-proxy/src/lib.rs
+++ b/edge-proxy/src/lib.rs
@@ -32,7 +32,7 @@
 use coordination::{events, proxy::Proxy, state_table::SpecParser};
 use daemon_parts::{
     channels, clock,
-    http_server::{self, CallBodies, ServerOptions, listen, read_call_body},
+    http_server::{self, CallBodies, ServerOptions, listen_all, read_call_body},
     inspect::Inspect,
     limits::{MAX_BODY_BYTES, STARTUP_WAIT, STOP_CHECK_INTERVAL},
     logging::{self, StartError, event},
@@ -114,9 +114,7 @@
         let limits = self.params.process_limits();
         let memory = RequestMemory::new(limits);
         let bodies = web::Data::new(call_bodies(&memory));
-        let port = listen(&self.params.http)
-            .change_context(StartError("bind the HTTP port"))
-            .attach_with(|| self.params.http.clone())?;
+        let ports = listen_all([&self.params.http])?;
         let app = move || {
             App::new()
                 .app_data(actor.clone())
@@ -125,12 +123,8 @@
                 .wrap(from_fn(read_call_body))
                 .configure(http::routes)
         };
-        http_server::serve(
-            &server_options(limits, memory, proxy.clone()),
-            vec![port],
-            app,
-        )
-        .change_context(StartError("serve the HTTP port"))
+        http_server::serve(&server_options(limits, memory, proxy.clone()), ports, app)
+            .change_context(StartError("serve the HTTP port"))
     }
 
     /// Serves requests by host and path as well.
@@ -148,15 +142,7 @@
             readiness_addr: self.params.readiness.clone(),
             startup_wait: STARTUP_WAIT,
         };
-        let ports = [&self.params.http, &self.params.readiness]
-            .into_iter()
-            .filter(|addr| !addr.is_empty())
-            .map(|addr| {
-                listen(addr)
-                    .change_context(StartError("bind an HTTP port"))
-                    .attach_with(|| addr.clone())
-            })
-            .collect::<Result<Vec<_>, _>>()?;
+        let ports = listen_all([&self.params.http, &self.params.readiness])?;
         serve(listener, self.actor.clone(), limits, ports)
             .change_context(StartError("serve the HTTP ports"))
     }
--- a/edge-proxy/src/listener.rs
+++ b/edge-proxy/src/listener.rs
@@ -79,7 +79,7 @@
     }
     let payload = payload.into_inner();
     let has_body = !matches!(payload, Payload::None);
-    let open_request = OpenRequest::on_connection(&listener.shutdown, &request, has_body);
+    let open_request = OpenRequest::new(&listener.shutdown, &request, has_body);
     let body = ClientBody::new(&request, payload);
     let arrived_at = clock::now();
     listener.wait_until_ready().await;
--- a/edge-proxy/src/rejection.rs
+++ b/edge-proxy/src/rejection.rs
@@ -2,8 +2,7 @@
 
 use coordination::Ms;
 use daemon_parts::{
-    limits::{NO_MEMORY_RETRY_AFTER, STOP_RETRY_AFTER},
-    request_body::BodyError,
+    http::FaultResponse, http_server::body_fault, limits::STOP_RETRY_AFTER, request_body::BodyError,
 };
 use http::{HeaderMap, StatusCode};
 use remote_calls::{Fault, Outcome};
@@ -22,18 +21,14 @@
 pub fn body_rejection(error: BodyError) -> Rejection {
     match error {
         BodyError::TooLarge => body_too_large(),
-        BodyError::Incomplete => body_incomplete(),
-        BodyError::OutOfMemory => no_memory(),
-        BodyError::Shed => body_shed(),
+        BodyError::Incomplete | BodyError::OutOfMemory | BodyError::Shed => {
+            let FaultResponse(status, fault) = body_fault(error);
+            let status = StatusCode::from_u16(status.as_u16());
+            (status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE), fault)
+        }
     }
 }
 
-fn body_incomplete() -> Rejection {
-    let message = "its body did not come whole";
-    let fault = Fault::new("bad_request", "read_body", message).outcome(Outcome::NotRun);
-    (StatusCode::BAD_REQUEST, fault)
-}
-
 /// The response to a request whose time ran out before its body had come.
 pub fn body_timed_out() -> Rejection {
     let message = "its body did not come in its time left";
@@ -43,22 +38,6 @@
     (StatusCode::REQUEST_TIMEOUT, fault)
 }
 
-fn body_shed() -> Rejection {
-    let message = "its body stopped coming while others needed its place";
-    let fault = Fault::new("no_time", "read_body", message)
-        .outcome(Outcome::NotRun)
-        .retry(NO_MEMORY_RETRY_AFTER);
-    (StatusCode::REQUEST_TIMEOUT, fault)
-}
-
-fn no_memory() -> Rejection {
-    let message = "this edge has no memory left for its body";
-    let fault = Fault::new("no_memory", "read_body", message)
-        .outcome(Outcome::NotRun)
-        .retry(NO_MEMORY_RETRY_AFTER);
-    (StatusCode::SERVICE_UNAVAILABLE, fault)
-}
-
 /// This process ends while a replica may be running the request.
 pub fn abandoned() -> Rejection {
     unknown_outcome("this edge ends before its replica has answered")
--- a/edge-proxy/src/run_call.rs
+++ b/edge-proxy/src/run_call.rs
@@ -53,7 +53,7 @@
     http_request: HttpRequest,
     run_request: web::Json<RunRequest>,
 ) -> Reply {
-    let open_request = OpenRequest::on_connection(&gate, &http_request, false);
+    let open_request = OpenRequest::new(&gate, &http_request, false);
     if !gate.try_accept() {
         let mut rejection = FaultResponse::from(shutdown_rejection()).error_response();
         rejection
--- a/edge-proxy/src/shutdown.rs
+++ b/edge-proxy/src/shutdown.rs
@@ -70,24 +70,16 @@
 }
 
 impl OpenRequest {
-    /// Counts the request.
-    pub fn new(gate: &Arc<ShutdownGate>) -> Self {
+    /// Counts the request, and marks its connection as carrying one.
+    pub fn new(gate: &Arc<ShutdownGate>, request: &HttpRequest, has_body: bool) -> Self {
         gate.state().on_request_opened();
+        let connection = request.conn_data::<Rc<ClientConnection>>();
         OpenRequest {
             gate: gate.clone(),
-            busy_connection: None,
+            busy_connection: connection.map(|connection| BusyConnection::new(connection, has_body)),
         }
     }
 
-    /// Counts the request, and marks its connection as carrying one.
-    pub fn on_connection(gate: &Arc<ShutdownGate>, request: &HttpRequest, has_body: bool) -> Self {
-        let connection = request.conn_data::<Rc<ClientConnection>>();
-        let mut open_request = OpenRequest::new(gate);
-        open_request.busy_connection =
-            connection.map(|connection| BusyConnection::new(connection, has_body));
-        open_request
-    }
-
     /// The request holds its connection until then at the most.
     pub fn set_deadline(&self, deadline: Ms) {
         if let Some(busy) = &self.busy_connection {
