Log attempts at replicas that turn out to be warming up

When a proxy learns by record or response that a replica is warming up, it logs the attempts of the last second that it sent at the full rate (event 506 UNNOTICED_WARMUP, counter attempts_before_warmup_known), with the age of its record, the duration of its contact with control, and the time since its zone was restored. No decision changes.

--- a/coordination/src/events.rs
+++ b/coordination/src/events.rs
@@ -89,6 +89,7 @@
     503 RETRIED Info "A request that had not started anywhere was retried at a second replica."
     504 RETRY_BUDGET_EXHAUSTED Info "A retry was not made: the retry budget is spent."
     505 SLOW_START_ATTEMPT Info "The first attempt at a replica that warms up; how this proxy knows of the warm-up, its share of the replica's rate, and among how many edges, are logged."
+    506 UNNOTICED_WARMUP Warn "A replica turned out to be warming up after this proxy had just sent it attempts as to a warm one; how many in the last second, how this proxy learned of it, and how current its view was are logged."
     600 RUNBOOK_STEP Info "A runbook step ended."
     601 RUNBOOK_STOPPED Error "A runbook stopped at a failed step."
 }
--- a/coordination/src/placement/events.rs
+++ b/coordination/src/placement/events.rs
@@ -107,17 +107,16 @@
                 .or_default()
                 .record_load(running + waiting);
         }
+        let recovered_after = if signals.is_other_replica {
+            None
+        } else {
+            view.on_recovered(now)
+        };
         if let Some(left_ms) = signals.warmup_left_ms.filter(|left_ms| *left_ms > 0) {
-            view.start_slow(now + left_ms, WarmupEvidence::Response, now);
-        }
-        if signals.is_other_replica {
-            return;
+            self.start_slow(id, now + left_ms, WarmupEvidence::Response, now);
         }
-        if view
-            .on_recovered(now)
-            .is_some_and(|failed_for| failed_for >= RESTART_AFTER)
-        {
-            view.start_slow(now + slow_start_ms, WarmupEvidence::Recovery, now);
+        if recovered_after.is_some_and(|failed_for| failed_for >= RESTART_AFTER) {
+            self.start_slow(id, now + slow_start_ms, WarmupEvidence::Recovery, now);
         }
     }
 
--- a/coordination/src/placement/mod.rs
+++ b/coordination/src/placement/mod.rs
@@ -22,6 +22,8 @@
 mod slow_start;
 mod suspicion;
 mod token_bucket;
+mod unnoticed_warmup;
+mod view_freshness;
 
 pub use cost::CONNECT_COST_MS;
 pub use home_bound_demand::HomeBoundDemand;
@@ -37,6 +39,7 @@
 pub use service_averages::ServiceAverages;
 pub use slow_start::{SlowStartAttempt, SlowStartShare, WarmupEvidence};
 pub use token_bucket::TokenBucket;
+pub use unnoticed_warmup::UnnoticedWarmup;
 
 pub(crate) use network_latency::CROSS_REGION_ROUND_TRIP_MS;
 pub(crate) use prompt::{BYTES_PER_TOKEN, CROSS_REGION_MS_PER_BYTE};
@@ -57,6 +60,7 @@
 use peer_reports::PeerReports;
 use prefix_reuse::PrefixReuse;
 use reachability::Reachability;
+use view_freshness::ViewFreshness;
 
 /// Minimum number of connections that one proxy may open to a replica, regardless of how many proxies share it.
 const CONNECTIONS_MIN: usize = 2;
@@ -85,6 +89,9 @@
     reachability: Reachability,
     edges: EdgeSet,
     peer_reports: PeerReports,
+    freshness: ViewFreshness,
+    /// Warm-ups to be logged that this proxy learned of late.
+    unnoticed_warmups: Vec<UnnoticedWarmup>,
     /// Round-trip times to zones, as far as known.
     pub latency: NetworkLatency,
     /// Limits that placement observes.
@@ -153,6 +160,22 @@
         for replica in replicas {
             self.set_replica(service, replica, now);
         }
+        self.freshness.on_record(service, now);
+    }
+
+    /// Records contact with the control plane that lasts until `until`.
+    pub fn renew_control_contact(&mut self, until: Ms, now: Ms) {
+        self.freshness.renew_contact(until, now);
+    }
+
+    /// Records that contact with the control plane is lost.
+    pub fn lose_control_contact(&mut self, now: Ms) {
+        self.freshness.lose_contact(now);
+    }
+
+    /// Records that operators have ended the evacuation of a zone.
+    pub fn on_zone_restored(&mut self, zone: &str, now: Ms) {
+        self.freshness.on_zone_restored(zone, now);
     }
 
     fn set_replica(&mut self, service: &str, replica: &PlacedReplica, now: Ms) {
@@ -182,12 +205,11 @@
         }
         entry.addr.clone_from(&replica.addr);
         entry.version.clone_from(&replica.version);
+        self.replica_ids.insert(number, replica.id.clone());
         if replica.cold {
-            entry
-                .view
-                .start_slow(now + slow_start_ms.max(1), WarmupEvidence::Record, now);
+            let until = now + slow_start_ms.max(1);
+            self.start_slow(&replica.id, until, WarmupEvidence::Record, now);
         }
-        self.replica_ids.insert(number, replica.id.clone());
     }
 
     fn remove(&mut self, id: &str) {
--- a/coordination/src/placement/replica_view.rs
+++ b/coordination/src/placement/replica_view.rs
@@ -32,6 +32,10 @@
 /// Time constant with which the rate of this proxy's own attempts decays, in ms; with this value the decayed sum of
 /// recent attempts is a rate per second.
 const ATTEMPT_RATE_DECAY_MS: f64 = 1_000.0;
+/// Age up to which attempts are remembered one by one, in ms: the window in which a replica's warm-up limit counts.
+const RECENT_ATTEMPT_MAX_AGE: Ms = 1_000;
+/// Maximum number of attempts that are remembered one by one.
+const RECENT_ATTEMPTS_MAX: usize = 32;
 
 /// Load reported in a response.
 #[derive(Clone, Copy, Debug)]
@@ -67,6 +71,8 @@
     /// Recent attempts of this proxy, decayed as of `sent_at`.
     attempt_rate: f64,
     sent_at: Ms,
+    /// Times of the newest attempts of this proxy that were sent as to a warm replica, oldest first.
+    full_rate_attempts: VecDeque<Ms>,
     /// Delay of first chunks relative to the expected time, in ms, and the time of the newest first chunk.
     first_chunk_lag_ms: f64,
     first_chunk_at: Option<Ms>,
@@ -105,9 +111,24 @@
         self.waiting_since.get_or_insert(now);
         if let Some(warmup) = self.warmup.as_mut().filter(|warmup| now < warmup.until) {
             warmup.on_sent(now);
+        } else {
+            self.remember_full_rate_attempt(now);
         }
     }
 
+    fn remember_full_rate_attempt(&mut self, now: Ms) {
+        if self.full_rate_attempts.len() >= RECENT_ATTEMPTS_MAX {
+            self.full_rate_attempts.pop_front();
+        }
+        self.full_rate_attempts.push_back(now);
+    }
+
+    /// Returns how many attempts this proxy has recently sent as to a warm replica.
+    pub fn recent_full_rate_attempts(&self, now: Ms) -> usize {
+        let is_recent = |at: &&Ms| now.saturating_sub(**at) < RECENT_ATTEMPT_MAX_AGE;
+        self.full_rate_attempts.iter().filter(is_recent).count()
+    }
+
     /// Records that the first chunk of an attempt arrived `late_ms` later than expected.
     pub fn on_first_chunk(
         &mut self,
--- a/coordination/src/proxy.rs
+++ b/coordination/src/proxy.rs
@@ -108,6 +108,8 @@
     rollouts: BTreeMap<String, RolloutEntry>,
     draining: BTreeSet<String>,
     evacuated: BTreeSet<String>,
+    /// Version of each zone's state.
+    zone_stamps: BTreeMap<String, VersionStamp>,
 
     // Requests that name a service.
     reported_replicas: ReportedReplicas,
@@ -156,6 +158,7 @@
             rollouts: BTreeMap::new(),
             draining: BTreeSet::new(),
             evacuated: BTreeSet::new(),
+            zone_stamps: BTreeMap::new(),
             reported_replicas: ReportedReplicas::default(),
             named_prefixes: NamedPrefixCache::default(),
             named_retries: NamedRetryBudget::default(),
--- a/coordination/src/proxy/by_path.rs
+++ b/coordination/src/proxy/by_path.rs
@@ -13,7 +13,7 @@
 use crate::{
     Ms,
     exchange::{AttemptOutcome, RequestHead, ResponseSignals},
-    placement::{Candidate, PlacementRequest, prefill_ms},
+    placement::{Candidate, PlacementRequest, UnnoticedWarmup, prefill_ms},
     policy::Mechanism,
     version_health::log_ms,
 };
@@ -186,6 +186,19 @@
         is_drawn
     }
 
+    /// Returns the warm-ups of which this proxy learned late since the last call, and counts their attempts.
+    pub fn take_unnoticed_warmups(&mut self) -> Vec<UnnoticedWarmup> {
+        let warmups = self.placement.take_unnoticed_warmups();
+        let attempts: usize = warmups.iter().map(|warmup| warmup.attempts).sum();
+        if attempts > 0 {
+            *self
+                .counters
+                .entry("attempts_before_warmup_known")
+                .or_default() += attempts as u64;
+        }
+        warmups
+    }
+
     /// Returns the maximum number of connections from this proxy to each replica of a service.
     pub fn max_connections(&self, service: &str) -> usize {
         self.placement.max_connections(service)
--- a/coordination/src/proxy/table_updates.rs
+++ b/coordination/src/proxy/table_updates.rs
@@ -12,7 +12,8 @@
 use super::{Proxy, RolloutEntry, ServingPermission, TenantIndex};
 use crate::{
     Ms,
-    control::{DRAINING_PREFIX, SPEC_KEY, evacuated},
+    control::{DRAINING_PREFIX, SPEC_KEY, ZONE_PREFIX, evacuated},
+    edge_agent::SERVE_ALL,
     edge_roster::EDGE_ROSTER_KEY,
     exchange::LaneIndex,
     placement::HomeBoundDemand,
@@ -83,6 +84,7 @@
         } else {
             self.permission.restrict(&update);
         }
+        self.observe_control_contact(now);
         self.edges = update.nodes.0;
         self.attempt_counters
             .acknowledge(if update.proxy_incarnation == self.incarnation {
@@ -103,6 +105,16 @@
         }
     }
 
+    /// Tells the placement state whether the agent hears a majority of the control daemons.
+    fn observe_control_contact(&mut self, now: Ms) {
+        if self.permission.rule == SERVE_ALL {
+            let until = self.permission.valid_until;
+            self.placement.renew_control_contact(until, now);
+        } else {
+            self.placement.lose_control_contact(now);
+        }
+    }
+
     fn set_placement_edges(&mut self) {
         let serving = || self.edges.iter().filter(|edge| !edge.http_addr.is_empty());
         // Edges are named after their agents, so the proxy identifies its own by the address where it serves clients.
@@ -122,12 +134,27 @@
             .collect();
         self.read_rollouts(now);
         self.read_context_records();
+        self.read_zones(now);
+    }
+
+    fn read_zones(&mut self, now: Ms) {
         let zones = self.spec.as_ref().map_or(&[][..], |spec| &spec.zones);
-        self.evacuated = zones
-            .iter()
-            .filter(|zone| evacuated(&self.state_table, &zone.name))
-            .map(|zone| zone.name.clone())
-            .collect();
+        self.evacuated.clear();
+        for zone in zones {
+            let is_evacuated = evacuated(&self.state_table, &zone.name);
+            if is_evacuated {
+                self.evacuated.insert(zone.name.clone());
+            }
+            let key = format!("{ZONE_PREFIX}{}", zone.name);
+            let Some(stamp) = self.state_table.get(&key).map(version_stamp) else {
+                continue;
+            };
+            let former_stamp = self.zone_stamps.insert(zone.name.clone(), stamp);
+            // An evacuation may have begun and ended since the former state.
+            if former_stamp != Some(stamp) && !is_evacuated {
+                self.placement.on_zone_restored(&zone.name, now);
+            }
+        }
     }
 
     /// Parses the spec only if it changed: specs are long, and other records change often.
--- a/edge-proxy/src/actor.rs
+++ b/edge-proxy/src/actor.rs
@@ -176,6 +176,14 @@
         }
     }
 
+    /// Logs which replicas turned out to be warming up after they had been sent requests at the full rate.
+    fn log_unnoticed_warmups(&self) {
+        for warmup in lock(&self.proxy).take_unnoticed_warmups() {
+            let text = warmup.to_string();
+            event(events::UNNOTICED_WARMUP, &warmup.replica, &text);
+        }
+    }
+
     /// Reports to other proxies, by way of the agents, which long prompts went where.
     fn report_prefills(&mut self, now: Ms) {
         let reports: Vec<_> = lock(&self.proxy).take_prefill_reports(now).collect();
@@ -202,6 +210,7 @@
             actor.report_counters(now);
             actor.report_prefills(now);
             actor.report_context_demand(now);
+            actor.log_unnoticed_warmups();
             actor.poll_replicas(now, context);
             actor.assign_waiters();
         });
