--- a/coordination/tests/slow_start_limit.rs
+++ b/coordination/tests/slow_start_limit.rs
@@ -12,7 +12,9 @@
 use googletest::prelude::*;
 use remote_calls::PathSpec;
 use serde_json::Value;
-use support::edge_fleet::{EDGES, START, WARMUP, WARMUP_RATE, ZONES, lane, record, roster};
+use support::edge_fleet::{
+    EDGES, START, WARMUP, WARMUP_RATE, ZONES, lane, most_in_window, record, roster,
+};
 
 /// Length of the windows in which attempts are counted, in ms.
 const WINDOW: Ms = 1_000;
@@ -37,12 +39,7 @@
             }
         }
     }
-    let in_window = |from: &Ms| {
-        sent.iter()
-            .filter(|at| (*from..from + WINDOW).contains(at))
-            .count()
-    };
-    sent.iter().map(in_window).max().unwrap_or(0)
+    most_in_window(&sent, WINDOW)
 }
 
 /// Runs a fleet in which `known(i)` are the edges that edge `i` knows.
--- a/coordination/tests/support/edge_fleet.rs
+++ b/coordination/tests/support/edge_fleet.rs
@@ -5,7 +5,7 @@
 use coordination::{
     Ms,
     bounds::Bounds,
-    edge_agent::SERVE_ALL,
+    edge_agent::{SERVE_ALL, STABLE_ONLY},
     proxy::Proxy,
     wire::{Blob, Change, List, Node, TableUpdate},
 };
@@ -22,6 +22,8 @@
     ("b2", "b"),
     ("c2", "c"),
 ];
+/// Zone of the replica.
+const REPLICA_ZONE: &str = "c1";
 /// Requests per second that the replica bears while it warms up, and the duration of that, in ms.
 pub const WARMUP_RATE: f64 = 26.0;
 pub const WARMUP: Ms = 3_000;
@@ -30,6 +32,19 @@
 /// When the proxies learn of the replica, in ms.
 pub const START: Ms = 1_000;
 
+/// Returns the most times that lie within one window. `times` ascend.
+pub fn most_in_window(times: &[Ms], window: Ms) -> usize {
+    let mut first = 0;
+    let mut most = 0;
+    for (last, at) in times.iter().enumerate() {
+        while at - times[first] >= window {
+            first += 1;
+        }
+        most = most.max(last + 1 - first);
+    }
+    most
+}
+
 fn edge(index: usize) -> Node {
     Node {
         name: format!("edge-{index}").into(),
@@ -64,7 +79,7 @@
 pub fn record(cold: bool) -> Value {
     json!({"service": "s", "phase": "steady", "stable": "v1", "plan_version": 0, "failed_plan": 0, "since_ms": 0,
         "retiring": [], "alerts": [],
-        "replicas": [{"id": "r", "zone": "c1", "addr": "r", "version": "v1", "slots": 64, "cold": cold}],
+        "replicas": [{"id": "r", "zone": REPLICA_ZONE, "addr": "r", "version": "v1", "slots": 64, "cold": cold}],
         "groups": [{"role": "stable", "version": "v1", "share_percent": 100, "replicas": ["r"], "allow_unload": false}]})
 }
 
@@ -78,6 +93,31 @@
     json!({ "edges_by_zone": by_zone })
 }
 
+/// The zone of the replica, and its state from the given version on.
+pub fn replica_zone(version: u64, is_evacuated: bool) -> Change {
+    let state = json!({"zone": REPLICA_ZONE, "evacuated": is_evacuated});
+    change(&format!("zone/{REPLICA_ZONE}"), version, &state)
+}
+
+/// The service's record from the given version on.
+pub fn record_change(version: u64, cold: bool) -> Change {
+    change("rollout/s", version, &record(cold))
+}
+
+/// Sends a proxy whose agent hears a majority of the control daemons what it has learned.
+pub fn tell(proxy: &mut Proxy, changes: Vec<Change>, now: Ms) {
+    proxy.on_table_update(table_update(changes, vec![]), now);
+}
+
+/// Tells a proxy that its agent no longer hears a majority of the control daemons.
+pub fn lose_contact(proxy: &mut Proxy, now: Ms) {
+    let update = TableUpdate {
+        serving_rule: STABLE_ONLY,
+        ..table_update(vec![], vec![])
+    };
+    proxy.on_table_update(update, now);
+}
+
 fn table_update(changes: Vec<Change>, known_edges: Vec<Node>) -> TableUpdate {
     TableUpdate {
         proxy_incarnation: 1,
