Let edges of a replica's region warm it up first, each at most once a second

Near edges now come first, in an order of their own, up to half of the limit in a second, then far ones up to three tenths. The limit is one on the sum in any second: where there are many edges each sends at most one request in a second, so that no more edges than the limit can exceed it whatever their timing; few edges share the rate as before. Their phases differ, so that those that learn of a warm-up together don't send together. An edge's place is computed once a roster, not at each request.

The tests of the limit (slow_start_limit, placement, all sums over real proxies) hold as before.

--- a/coordination/src/edge_roster.rs
+++ b/coordination/src/edge_roster.rs
@@ -57,14 +57,53 @@
             .any(|names| names.contains(name))
     }
 
-    /// Returns the number of edges that precede the named one in the agreed order for a replica.
-    pub fn edges_ahead(&self, name: &str, replica_id: &str) -> usize {
+    /// Returns the place of an edge in the agreed order for a replica; `None` if the edge is not listed. `is_near` tells
+    /// whether a zone is in the replica's region. Near and far edges have an order of their own, so that a roster that
+    /// lacks a region changes the order of no other.
+    pub fn place(
+        &self,
+        name: &str,
+        replica_id: &str,
+        is_near: impl Fn(&str) -> bool,
+    ) -> Option<EdgePlace> {
+        let own_zone = self
+            .edges_by_zone
+            .iter()
+            .find(|(_, names)| names.contains(name))
+            .map(|(zone, _)| zone)?;
         let own_weight = rendezvous_weight(replica_id, name);
-        self.names()
-            .filter(|other| *other != name && rendezvous_weight(replica_id, other) > own_weight)
-            .count()
+        let mut place = EdgePlace {
+            is_near: is_near(own_zone),
+            ..EdgePlace::default()
+        };
+        for (zone, names) in &self.edges_by_zone {
+            let is_zone_near = is_near(zone);
+            if is_zone_near {
+                place.near_edges += names.len();
+            } else {
+                place.far_edges += names.len();
+            }
+            if is_zone_near == place.is_near {
+                let precedes = |other: &&String| rendezvous_weight(replica_id, other) > own_weight;
+                place.edges_ahead += names.iter().filter(precedes).count();
+            }
+        }
+        Some(place)
     }
 }
 
+/// The place of an edge in the agreed order in which edges use a replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EdgePlace {
+    /// Whether the edge is in the replica's region.
+    pub is_near: bool,
+    /// Number of edges in the replica's region.
+    pub near_edges: usize,
+    /// Number of edges in other regions.
+    pub far_edges: usize,
+    /// Edges that precede this one among the near or the far ones, whichever it belongs to.
+    pub edges_ahead: usize,
+}
+
 #[cfg(test)]
 mod tests;
--- a/coordination/src/placement/edge_set.rs
+++ b/coordination/src/placement/edge_set.rs
@@ -1,6 +1,6 @@
 //! The edges of the fleet, among which fleet-wide limits are divided.
 
-use crate::edge_roster::EdgeRoster;
+use crate::edge_roster::{EdgePlace, EdgeRoster};
 
 /// This proxy's edge among all edges.
 #[derive(Clone, Debug, Default)]
@@ -50,8 +50,9 @@
         &self.own_name
     }
 
-    /// Returns the number of edges that precede this one in the agreed order for a replica.
-    pub fn edges_ahead(&self, replica_id: &str) -> usize {
-        self.roster.edges_ahead(&self.own_name, replica_id)
+    /// Returns this edge's place in the agreed order for a replica; `None` if it is not listed. `is_near` tells whether a
+    /// zone is in the replica's region.
+    pub fn place(&self, replica_id: &str, is_near: impl Fn(&str) -> bool) -> Option<EdgePlace> {
+        self.roster.place(&self.own_name, replica_id, is_near)
     }
 }
--- a/coordination/src/placement/mod.rs
+++ b/coordination/src/placement/mod.rs
@@ -24,6 +24,7 @@
 mod token_bucket;
 mod unnoticed_warmup;
 mod view_freshness;
+mod warmup_share;
 
 pub use cost::CONNECT_COST_MS;
 pub use home_bound_demand::HomeBoundDemand;
@@ -37,9 +38,10 @@
 pub use retry_budget::RetryBudget;
 pub use selection::{Candidate, PlacementRequest};
 pub use service_averages::ServiceAverages;
-pub use slow_start::{SlowStartAttempt, SlowStartShare, WarmupEvidence};
+pub use slow_start::{SlowStartAttempt, WarmupEvidence};
 pub use token_bucket::TokenBucket;
 pub use unnoticed_warmup::UnnoticedWarmup;
+pub use warmup_share::WarmupShare;
 
 pub(crate) use network_latency::CROSS_REGION_ROUND_TRIP_MS;
 pub(crate) use prompt::{BYTES_PER_TOKEN, CROSS_REGION_MS_PER_BYTE};
@@ -53,7 +55,7 @@
     Ms,
     bounds::Bounds,
     context::PlacedContext,
-    edge_roster::EdgeRoster,
+    edge_roster::{EdgePlace, EdgeRoster},
     policy::{Mechanism, Policy},
 };
 use edge_set::EdgeSet;
@@ -72,6 +74,8 @@
     addr: String,
     version: String,
     view: ReplicaView,
+    /// This edge's place in the agreed order for the replica, once it was needed; outdated by a new roster.
+    edge_place: Option<EdgePlace>,
 }
 
 /// What one proxy knows about the replicas, and the state by which it places requests.
@@ -122,12 +126,22 @@
 
     /// Sets the number of live edges that the agent knows, including this one, and the name of this one.
     pub fn set_live_edges(&mut self, count: usize, own_name: &str) {
+        if self.edges.own_name() != own_name {
+            self.forget_edge_places();
+        }
         self.edges.set_live(count, own_name);
     }
 
     /// Replaces the roster of the edges that share fleet-wide limits.
     pub fn set_edge_roster(&mut self, roster: EdgeRoster) {
         self.edges.set_roster(roster);
+        self.forget_edge_places();
+    }
+
+    fn forget_edge_places(&mut self) {
+        for entry in self.replicas.values_mut() {
+            entry.edge_place = None;
+        }
     }
 
     /// Returns the number of edges for pacing messages and weighing costs; at least one.
@@ -198,6 +212,7 @@
                 addr: replica.addr.clone(),
                 version: replica.version.clone(),
                 view: ReplicaView::new(number, &replica.zone, slots),
+                edge_place: None,
             });
         // The cache contents of another version of the weights are of no use.
         if entry.version != replica.version {
--- a/coordination/src/placement/replica_view.rs
+++ b/coordination/src/placement/replica_view.rs
@@ -2,7 +2,9 @@
 
 use std::collections::VecDeque;
 
-use super::{ServiceAverages, WarmupEvidence, slow_start::Warmup, suspicion::Suspicion};
+use super::{
+    ServiceAverages, WarmupEvidence, WarmupShare, slow_start::Warmup, suspicion::Suspicion,
+};
 use crate::{Ms, exchange::ResponseSignals};
 
 /// Time without any data from a replica, while attempts wait for their first chunk, after which it counts as
@@ -307,10 +309,9 @@
         self.warmup(now).is_some()
     }
 
-    /// Returns whether the replica may get another attempt from this proxy, whose share is `rate` per second during
-    /// warm-up.
-    pub fn slow_start_allows(&mut self, rate: f64, now: Ms) -> bool {
+    /// Returns whether the replica may get another attempt from this proxy, which has this share during warm-up.
+    pub fn slow_start_allows(&mut self, share: &WarmupShare, now: Ms) -> bool {
         let warmup = self.warmup.as_mut().filter(|warmup| now < warmup.until);
-        warmup.is_none_or(|warmup| warmup.allows(rate, now))
+        warmup.is_none_or(|warmup| warmup.allows(share, now))
     }
 }
--- a/coordination/src/placement/token_bucket.rs
+++ b/coordination/src/placement/token_bucket.rs
@@ -23,6 +23,14 @@
         }
     }
 
+    /// Creates a bucket that holds a part of its depth.
+    pub fn partly_filled(rate: f64, depth: f64, filled_fraction: f64, now: Ms) -> Self {
+        TokenBucket {
+            available: depth * filled_fraction,
+            ..TokenBucket::new(rate, depth, now)
+        }
+    }
+
     /// Changes the rate, in tokens per second, from now on.
     pub fn set_rate(&mut self, rate: f64, now: Ms) {
         self.refill(now);
