Start slowly with the replicas of a zone that was just restored

Callers of a restored zone: its replicas, cold at the end of the evacuation, got up to 30 requests in a second where 24.5 are allowed, and fell over. Cause: the end of the evacuation reaches an edge within half a second by a commit of its own; that the replicas are cold reaches it by the platform's list, the holder of the service's lease, a commit and the feed, seconds later if the holder has just died. Until then all edges take the zone's idle replicas for warm, and they look the cheapest.

An edge that learns of the end now assumes that the zone's replicas turned cold until then, for one warm-up: longer it can't last. That needs no list, holder or record.

--- a/coordination/src/placement/slow_start.rs
+++ b/coordination/src/placement/slow_start.rs
@@ -17,6 +17,8 @@
     Response,
     /// The replica responds again after it failed for so long that it has most likely restarted.
     Recovery,
+    /// The replica's zone was evacuated until just now, and its replicas may have restarted meanwhile.
+    ZoneRestored,
 }
 
 impl fmt::Display for WarmupEvidence {
@@ -25,6 +27,7 @@
             WarmupEvidence::Record => "record",
             WarmupEvidence::Response => "response",
             WarmupEvidence::Recovery => "recovery",
+            WarmupEvidence::ZoneRestored => "zone_restored",
         })
     }
 }
@@ -90,6 +93,23 @@
 }
 
 impl Placement {
+    /// Starts slowly with replicas that may have turned cold without this proxy having learned of it.
+    fn start_slow_with_unconfirmed(&mut self, service: &str, ids: &[&String], now: Ms) {
+        let warmup_time = self.engines.get(service).map_or(0, |engine| engine.cold_ms);
+        if self.freshness.is_confirmed(warmup_time, now) {
+            return;
+        }
+        for id in ids {
+            let Some(entry) = self.replicas.get_mut(id.as_str()) else {
+                continue;
+            };
+            let zone = &entry.view.zone;
+            if let Some(doubt) = self.freshness.doubt(zone, warmup_time, now) {
+                entry.view.start_slow(doubt.until, doubt.evidence, now);
+            }
+        }
+    }
+
     /// Returns the replicas that are warming up and have used up this proxy's share of their slow-start rate.
     pub(super) fn held_back_by_slow_start<'a>(
         &mut self,
@@ -98,6 +118,7 @@
         request: &PlacementRequest,
         now: Ms,
     ) -> Vec<&'a String> {
+        self.start_slow_with_unconfirmed(service, ids, now);
         let warming_up: Vec<&String> = ids
             .iter()
             .copied()
--- a/coordination/src/placement/view_freshness.rs
+++ b/coordination/src/placement/view_freshness.rs
@@ -3,8 +3,17 @@
 
 use std::collections::BTreeMap;
 
+use super::WarmupEvidence;
 use crate::Ms;
 
+/// Reason to assume that a replica is warming up although this proxy has no sign of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Doubt {
+    pub evidence: WarmupEvidence,
+    /// When a warm-up that this proxy may have missed is complete.
+    pub until: Ms,
+}
+
 /// What this proxy may have missed about the replicas.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ViewFreshness {
@@ -47,6 +56,21 @@
         (now < self.contact_until).then(|| now.saturating_sub(self.contact_since))
     }
 
+    /// Returns whether no replica of any zone is in doubt. `warmup_time`: how long a replica stays cold.
+    pub fn is_confirmed(&self, warmup_time: Ms, now: Ms) -> bool {
+        self.restored_at.values().all(|at| now >= at + warmup_time)
+    }
+
+    /// Returns the reason to assume that the replicas of a zone are warming up, if there is one. A replica that turned
+    /// cold before the event in question is warm again one warm-up later.
+    pub fn doubt(&self, zone: &str, warmup_time: Ms, now: Ms) -> Option<Doubt> {
+        let until = self.restored_at.get(zone)? + warmup_time;
+        (now < until).then_some(Doubt {
+            evidence: WarmupEvidence::ZoneRestored,
+            until,
+        })
+    }
+
     /// Returns the time since this proxy learned that the zone's evacuation had ended, if it did.
     pub fn restored_ms(&self, zone: &str, now: Ms) -> Option<Ms> {
         let restored_at = self.restored_at.get(zone)?;
