Start slowly with all replicas while out of contact, and for one warm-up after

Cause, as for restored zones: the limit held only for who knows; no news counted as warm.

Contact is what the agent reports to its proxy (it heard a majority of the control daemons less than a lease ago). Without it, and until it has lasted for one warm-up, an edge now uses every replica at its share of the warm-up rate: what turned cold before contact began is warm again by then, what turns cold later is in the feed. Exempt is a fleet without a roster, in which nobody has a share yet.

--- a/coordination/src/placement/edge_set.rs
+++ b/coordination/src/placement/edge_set.rs
@@ -45,6 +45,11 @@
             .then(|| self.roster.len())
     }
 
+    /// Returns whether no roster has been received, or one that lists no edge.
+    pub fn has_no_roster(&self) -> bool {
+        self.roster.is_empty()
+    }
+
     /// Returns the name of this proxy's edge.
     pub fn own_name(&self) -> &str {
         &self.own_name
--- a/coordination/src/placement/slow_start.rs
+++ b/coordination/src/placement/slow_start.rs
@@ -19,6 +19,8 @@
     Recovery,
     /// The replica's zone was evacuated until just now, and its replicas may have restarted meanwhile.
     ZoneRestored,
+    /// This proxy has no contact with the control plane, or not for long enough to have learned of every warm-up.
+    NoContact,
 }
 
 impl fmt::Display for WarmupEvidence {
@@ -28,6 +30,7 @@
             WarmupEvidence::Response => "response",
             WarmupEvidence::Recovery => "recovery",
             WarmupEvidence::ZoneRestored => "zone_restored",
+            WarmupEvidence::NoContact => "no_contact",
         })
     }
 }
@@ -96,7 +99,8 @@
     /// Starts slowly with replicas that may have turned cold without this proxy having learned of it.
     fn start_slow_with_unconfirmed(&mut self, service: &str, ids: &[&String], now: Ms) {
         let warmup_time = self.engines.get(service).map_or(0, |engine| engine.cold_ms);
-        if self.freshness.is_confirmed(warmup_time, now) {
+        // A fleet without a roster has just been set up, and nobody has a share yet.
+        if self.edges.has_no_roster() || self.freshness.is_confirmed(warmup_time, now) {
             return;
         }
         for id in ids {
--- a/coordination/src/placement/view_freshness.rs
+++ b/coordination/src/placement/view_freshness.rs
@@ -14,13 +14,19 @@
     pub until: Ms,
 }
 
+/// Contact with the control plane.
+#[derive(Clone, Copy, Debug)]
+struct Contact {
+    since: Ms,
+    /// When it ends unless it is renewed.
+    until: Ms,
+}
+
 /// What this proxy may have missed about the replicas.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ViewFreshness {
-    /// When the current contact with the control plane began.
-    contact_since: Ms,
-    /// When contact ends unless it is renewed; 0 before the first contact.
-    contact_until: Ms,
+    /// The newest contact with the control plane, which may have ended; `None` until an agent has reported any.
+    contact: Option<Contact>,
     /// When this proxy learned that the evacuation of a zone had ended, by zone.
     restored_at: BTreeMap<String, Ms>,
     /// When this proxy received the current record of a service.
@@ -30,15 +36,18 @@
 impl ViewFreshness {
     /// Records contact with the control plane that lasts until `until`. Contact that had lapsed begins anew.
     pub fn renew_contact(&mut self, until: Ms, now: Ms) {
-        if now >= self.contact_until {
-            self.contact_since = now;
-        }
-        self.contact_until = until;
+        let current = self.contact.filter(|contact| now < contact.until);
+        let since = current.map_or(now, |contact| contact.since);
+        self.contact = Some(Contact { since, until });
     }
 
     /// Records that contact with the control plane is lost.
     pub fn lose_contact(&mut self, now: Ms) {
-        self.contact_until = self.contact_until.min(now);
+        let contact = self.contact.get_or_insert(Contact {
+            since: now,
+            until: now,
+        });
+        contact.until = contact.until.min(now);
     }
 
     /// Records that the evacuation of a zone has ended.
@@ -53,17 +62,38 @@
 
     /// Returns the duration of the current contact with the control plane; `None` without contact.
     pub fn contact_ms(&self, now: Ms) -> Option<Ms> {
-        (now < self.contact_until).then(|| now.saturating_sub(self.contact_since))
+        let contact = self.contact.filter(|contact| now < contact.until)?;
+        Some(now.saturating_sub(contact.since))
     }
 
     /// Returns whether no replica of any zone is in doubt. `warmup_time`: how long a replica stays cold.
     pub fn is_confirmed(&self, warmup_time: Ms, now: Ms) -> bool {
-        self.restored_at.values().all(|at| now >= at + warmup_time)
+        self.contact_doubt(warmup_time, now).is_none()
+            && self.restored_at.values().all(|at| now >= at + warmup_time)
     }
 
     /// Returns the reason to assume that the replicas of a zone are warming up, if there is one. A replica that turned
     /// cold before the event in question is warm again one warm-up later.
     pub fn doubt(&self, zone: &str, warmup_time: Ms, now: Ms) -> Option<Doubt> {
+        self.contact_doubt(warmup_time, now)
+            .or_else(|| self.zone_doubt(zone, warmup_time, now))
+    }
+
+    fn contact_doubt(&self, warmup_time: Ms, now: Ms) -> Option<Doubt> {
+        let contact = self.contact?;
+        let since = if now < contact.until {
+            contact.since
+        } else {
+            now
+        };
+        let until = since + warmup_time;
+        (now < until).then_some(Doubt {
+            evidence: WarmupEvidence::NoContact,
+            until,
+        })
+    }
+
+    fn zone_doubt(&self, zone: &str, warmup_time: Ms, now: Ms) -> Option<Doubt> {
         let until = self.restored_at.get(zone)? + warmup_time;
         (now < until).then_some(Doubt {
             evidence: WarmupEvidence::ZoneRestored,
