--- a/coordination/src/placement/replica_view.rs
+++ b/coordination/src/placement/replica_view.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 
 use super::{
-    ServiceAverages, WarmupEvidence, WarmupShare, slow_start::Warmup, suspicion::Suspicion,
+    ServiceAverages, WarmupShare,
+    slow_start::{Warmup, WarmupSign},
+    suspicion::Suspicion,
 };
 use crate::{Ms, exchange::ResponseSignals};
 
@@ -289,13 +291,13 @@
 
     // ---- slow start ----
 
-    /// Marks the replica as warming up until `until`; meanwhile it can serve only a low rate.
-    pub fn start_slow(&mut self, until: Ms, evidence: WarmupEvidence, now: Ms) {
+    /// Marks the replica as warming up; meanwhile it can serve only a low rate.
+    pub(super) fn start_slow(&mut self, sign: WarmupSign, now: Ms) {
         if !self.is_warming_up(now) {
-            self.warmup = Some(Warmup::new(evidence, until));
+            self.warmup = Some(Warmup::new(sign, self.sent_at));
         }
         if let Some(warmup) = &mut self.warmup {
-            warmup.until = warmup.until.max(until);
+            warmup.until = warmup.until.max(sign.until);
         }
     }
 
--- a/coordination/src/placement/slow_start.rs
+++ b/coordination/src/placement/slow_start.rs
@@ -35,10 +35,22 @@
     }
 }
 
+/// What a proxy learned or must assume of a warm-up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct WarmupSign {
+    pub evidence: WarmupEvidence,
+    /// Since when the proxy has used its share only.
+    pub since: Ms,
+    /// When the warm-up is assumed to be complete.
+    pub until: Ms,
+}
+
 /// One proxy's view of a warm-up.
 #[derive(Clone, Debug)]
 pub(super) struct Warmup {
     pub evidence: WarmupEvidence,
+    /// Since when the bucket fills.
+    since: Ms,
     /// When it is assumed to be complete.
     pub until: Ms,
     /// Whether this proxy has sent the replica an attempt since it began.
@@ -47,10 +59,12 @@
 }
 
 impl Warmup {
-    pub fn new(evidence: WarmupEvidence, until: Ms) -> Self {
+    /// `sent_at`: when this proxy last sent the replica an attempt.
+    pub fn new(sign: WarmupSign, sent_at: Ms) -> Self {
         Warmup {
-            evidence,
-            until,
+            evidence: sign.evidence,
+            since: sign.since.max(sent_at),
+            until: sign.until,
             is_used: false,
             bucket: None,
         }
@@ -59,7 +73,8 @@
     /// Returns whether the replica may get another attempt from this proxy.
     pub fn allows(&mut self, share: &WarmupShare, now: Ms) -> bool {
         let bucket = self.bucket.get_or_insert_with(|| {
-            TokenBucket::partly_filled(share.rate, SLOW_START_BUCKET_DEPTH, share.phase, now)
+            let depth = SLOW_START_BUCKET_DEPTH;
+            TokenBucket::partly_filled(share.rate, depth, share.phase, self.since)
         });
         bucket.set_rate(share.rate, now);
         bucket.has_token(now)
@@ -108,8 +123,8 @@
                 continue;
             };
             let zone = &entry.view.zone;
-            if let Some(doubt) = self.freshness.doubt(zone, warmup_time, now) {
-                entry.view.start_slow(doubt.until, doubt.evidence, now);
+            if let Some(sign) = self.freshness.assumed_warmup(zone, warmup_time, now) {
+                entry.view.start_slow(sign, now);
             }
         }
     }
--- a/coordination/src/placement/unnoticed_warmup.rs
+++ b/coordination/src/placement/unnoticed_warmup.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, mem};
 
-use super::{Placement, WarmupEvidence};
+use super::{Placement, WarmupEvidence, slow_start::WarmupSign};
 use crate::Ms;
 
 /// Maximum number of entries that are kept until they are taken.
@@ -51,7 +51,12 @@
             return;
         };
         let was_known = entry.view.is_warming_up(now);
-        entry.view.start_slow(until, evidence, now);
+        let sign = WarmupSign {
+            evidence,
+            since: now,
+            until,
+        };
+        entry.view.start_slow(sign, now);
         let attempts = entry.view.recent_full_rate_attempts(now);
         if was_known || attempts == 0 || self.unnoticed_warmups.len() >= UNNOTICED_WARMUPS_MAX {
             return;
--- a/coordination/src/placement/view_freshness.rs
+++ b/coordination/src/placement/view_freshness.rs
@@ -3,17 +3,9 @@
 
 use std::collections::BTreeMap;
 
-use super::WarmupEvidence;
+use super::{WarmupEvidence, slow_start::WarmupSign};
 use crate::Ms;
 
-/// Reason to assume that a replica is warming up although this proxy has no sign of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Doubt {
-    pub evidence: WarmupEvidence,
-    /// When a warm-up that this proxy may have missed is complete.
-    pub until: Ms,
-}
-
 /// Contact with the control plane.
 #[derive(Clone, Copy, Debug)]
 struct Contact {
@@ -66,37 +58,39 @@
         Some(now.saturating_sub(contact.since))
     }
 
-    /// Returns whether no replica of any zone is in doubt. `warmup_time`: how long a replica stays cold.
+    /// Returns whether no replica has to be assumed to be warming up. `warmup_time`: how long a replica stays cold.
     pub fn is_confirmed(&self, warmup_time: Ms, now: Ms) -> bool {
-        self.contact_doubt(warmup_time, now).is_none()
+        self.without_contact(warmup_time, now).is_none()
             && self.restored_at.values().all(|at| now >= at + warmup_time)
     }
 
-    /// Returns the reason to assume that the replicas of a zone are warming up, if there is one. A replica that turned
-    /// cold before the event in question is warm again one warm-up later.
-    pub fn doubt(&self, zone: &str, warmup_time: Ms, now: Ms) -> Option<Doubt> {
-        self.contact_doubt(warmup_time, now)
-            .or_else(|| self.zone_doubt(zone, warmup_time, now))
+    /// Returns the warm-up that has to be assumed of all replicas of a zone, if any. A replica that turned cold before the
+    /// event in question is warm again one warm-up later.
+    pub fn assumed_warmup(&self, zone: &str, warmup_time: Ms, now: Ms) -> Option<WarmupSign> {
+        self.without_contact(warmup_time, now)
+            .or_else(|| self.after_restoration(zone, warmup_time, now))
     }
 
-    fn contact_doubt(&self, warmup_time: Ms, now: Ms) -> Option<Doubt> {
+    fn without_contact(&self, warmup_time: Ms, now: Ms) -> Option<WarmupSign> {
         let contact = self.contact?;
-        let since = if now < contact.until {
-            contact.since
+        let (since, until) = if now < contact.until {
+            (contact.since, contact.since + warmup_time)
         } else {
-            now
+            (contact.until, now + warmup_time)
         };
-        let until = since + warmup_time;
-        (now < until).then_some(Doubt {
+        (now < until).then_some(WarmupSign {
             evidence: WarmupEvidence::NoContact,
+            since,
             until,
         })
     }
 
-    fn zone_doubt(&self, zone: &str, warmup_time: Ms, now: Ms) -> Option<Doubt> {
-        let until = self.restored_at.get(zone)? + warmup_time;
-        (now < until).then_some(Doubt {
+    fn after_restoration(&self, zone: &str, warmup_time: Ms, now: Ms) -> Option<WarmupSign> {
+        let since = *self.restored_at.get(zone)?;
+        let until = since + warmup_time;
+        (now < until).then_some(WarmupSign {
             evidence: WarmupEvidence::ZoneRestored,
+            since,
             until,
         })
     }
--- a/coordination/tests/slow_start_by_news.rs
+++ b/coordination/tests/slow_start_by_news.rs
@@ -7,14 +7,14 @@
 use coordination::{
     Ms,
     bounds::Bounds,
-    exchange::RequestHead,
+    exchange::{AttemptOutcome, RequestHead, ResponseSignals},
     proxy::{Admission, Proxy},
 };
 use googletest::prelude::*;
 use remote_calls::PathSpec;
 use support::edge_fleet::{
     EDGES, WARMUP, WARMUP_RATE, ZONES, lane, lose_contact, most_in_window, proxy, record,
-    record_change, replica_zone, roster, tell,
+    record_change, record_of, replica_zone, roster, tell,
 };
 
 /// When the replica's zone is evacuated, in ms: long after the proxies started.
@@ -201,6 +201,65 @@
     (WARMUP_RATE * bounds.cold_over + bounds.cold_slack) as usize
 }
 
+/// Replicas of each region of the largest deployment.
+const REPLICAS_BY_REGION: [(&str, usize); 3] = [("a", 88), ("b", 62), ("c", 42)];
+/// Interval at which each edge of that deployment is asked, in ms: 1,200 requests a second over all.
+const USUAL_REQUEST_INTERVAL: Ms = 245;
+/// Largest fraction of requests that may be rejected while no replica is known to be warm.
+const REJECTED_MAX: f64 = 0.02;
+
+/// Returns the replicas of the largest deployment, each with its zone.
+fn all_replicas() -> Vec<(String, &'static str)> {
+    let mut replicas = vec![];
+    for (region, count) in REPLICAS_BY_REGION {
+        let zones: Vec<&str> = ZONES
+            .iter()
+            .filter(|zone| zone.1 == region)
+            .map(|zone| zone.0)
+            .collect();
+        for index in 0..count {
+            replicas.push((format!("{region}-{index}"), zones[index % zones.len()]));
+        }
+    }
+    replicas
+}
+
+/// Sends a request that is answered at once. Returns whether a replica was found for it.
+fn is_served(proxy: &mut Proxy, lane: &PathSpec, now: Ms) -> bool {
+    let head = RequestHead::default();
+    let admission = proxy.assign_by_path(lane, &head, &[], Ms::MAX, now);
+    let Admission::Assigned(assignment) = admission else {
+        return false;
+    };
+    proxy.on_response_head(&assignment, &ResponseSignals::default(), now);
+    proxy.on_first_chunk(&assignment, now);
+    proxy.on_attempt_ended(&assignment, AttemptOutcome::Completed, now);
+    true
+}
+
+// Guards against a limit that leaves edges without a replica: all are out of contact, and each may use few replicas.
+#[gtest]
+fn edges_out_of_contact_serve_the_usual_requests_within_the_warmup_limit() {
+    let lane: PathSpec = serde_json::from_value(lane()).unwrap();
+    let (roster, record) = (roster(0..EDGES), record_of(&all_replicas(), false));
+    let mut proxies: Vec<Proxy> = (0..EDGES)
+        .map(|index| proxy(index, 0..EDGES, &roster, &record, Bounds::default()))
+        .collect();
+    for proxy in &mut proxies {
+        lose_contact(proxy, EVACUATED_AT);
+    }
+    let (mut asked, mut rejected) = (0, 0);
+    for now in EVACUATED_AT..EVACUATED_AT + 2 * WARMUP {
+        for (index, proxy) in proxies.iter_mut().enumerate() {
+            if (now + index as Ms) % USUAL_REQUEST_INTERVAL == 0 {
+                asked += 1;
+                rejected += usize::from(!is_served(proxy, &lane, now));
+            }
+        }
+    }
+    expect_that!(rejected as f64 / f64::from(asked), le(REJECTED_MAX));
+}
+
 // Guards against the end of an evacuation that reaches the edges before the record that lists the zone's replicas as
 // warming up: nobody reads the platform's list at that moment.
 #[gtest]
--- a/coordination/tests/support/edge_fleet.rs
+++ b/coordination/tests/support/edge_fleet.rs
@@ -77,10 +77,22 @@
 
 /// The service's record with one replica. `cold`: whether it is listed as warming up.
 pub fn record(cold: bool) -> Value {
+    record_of(&[("r".into(), REPLICA_ZONE)], cold)
+}
+
+/// The service's record with these replicas, each with its zone. `cold`: whether they are listed as warming up.
+pub fn record_of(replicas: &[(String, &str)], cold: bool) -> Value {
+    let listed: Vec<Value> = replicas
+        .iter()
+        .map(|(id, zone)| {
+            json!({"id": id, "zone": zone, "addr": id, "version": "v1", "slots": 64, "cold": cold})
+        })
+        .collect();
+    let ids: Vec<&String> = replicas.iter().map(|(id, _)| id).collect();
     json!({"service": "s", "phase": "steady", "stable": "v1", "plan_version": 0, "failed_plan": 0, "since_ms": 0,
         "retiring": [], "alerts": [],
-        "replicas": [{"id": "r", "zone": REPLICA_ZONE, "addr": "r", "version": "v1", "slots": 64, "cold": cold}],
-        "groups": [{"role": "stable", "version": "v1", "share_percent": 100, "replicas": ["r"], "allow_unload": false}]})
+        "replicas": listed,
+        "groups": [{"role": "stable", "version": "v1", "share_percent": 100, "replicas": ids, "allow_unload": false}]})
 }
 
 /// The committed roster of the fleet's edges, by zone.
