--- a/coordination/tests/slow_start_by_news.rs
+++ b/coordination/tests/slow_start_by_news.rs
@@ -251,7 +251,7 @@
     let (mut asked, mut rejected) = (0, 0);
     for now in EVACUATED_AT..EVACUATED_AT + 2 * WARMUP {
         for (index, proxy) in proxies.iter_mut().enumerate() {
-            if (now + index as Ms) % USUAL_REQUEST_INTERVAL == 0 {
+            if (now + index as Ms).is_multiple_of(USUAL_REQUEST_INTERVAL) {
                 asked += 1;
                 rejected += usize::from(!is_served(proxy, &lane, now));
             }
