Say once what a replica may get while it warms up, in the tests and in the view

Two test files had the limit and the window twice; both are in the support module now. Whether a restored zone still counts is decided in after_restoration alone. Same assertions, same bounds; slow_start_by_news, slow_start_limit and placement pass.

--- a/coordination/src/placement/view_freshness.rs
+++ b/coordination/src/placement/view_freshness.rs
@@ -61,7 +61,10 @@
     /// Returns whether no replica has to be assumed to be warming up. `warmup_time`: how long a replica stays cold.
     pub fn is_confirmed(&self, warmup_time: Ms, now: Ms) -> bool {
         self.without_contact(warmup_time, now).is_none()
-            && self.restored_at.values().all(|at| now >= at + warmup_time)
+            && self
+                .restored_at
+                .keys()
+                .all(|zone| self.after_restoration(zone, warmup_time, now).is_none())
     }
 
     /// Returns the warm-up that has to be assumed of all replicas of a zone, if any. A replica that turned cold before the
--- a/coordination/tests/slow_start_by_news.rs
+++ b/coordination/tests/slow_start_by_news.rs
@@ -13,8 +13,8 @@
 use googletest::prelude::*;
 use remote_calls::PathSpec;
 use support::edge_fleet::{
-    EDGES, WARMUP, WARMUP_RATE, ZONES, lane, lose_contact, most_in_window, proxy, record,
-    record_change, record_of, replica_zone, roster, tell,
+    EDGES, WARMUP, ZONES, lane, lose_contact, most_in_a_second_of, proxy, record, record_change,
+    record_of, replica_zone, roster, tell, warmup_limit,
 };
 
 /// When the replica's zone is evacuated, in ms: long after the proxies started.
@@ -23,8 +23,6 @@
 const RESTORED_AT: Ms = 15_000;
 /// When the replica turns cold, in ms.
 const COLD_AT: Ms = RESTORED_AT - 100;
-/// Length of the windows in which attempts are counted, in ms.
-const WINDOW: Ms = 1_000;
 /// Interval at which every edge wants to send a request, in ms.
 const REQUEST_INTERVAL: Ms = 25;
 
@@ -193,12 +191,7 @@
             }
         }
     }
-    most_in_window(&sent, WINDOW)
-}
-
-fn limit() -> usize {
-    let bounds = Bounds::default();
-    (WARMUP_RATE * bounds.cold_over + bounds.cold_slack) as usize
+    most_in_a_second_of(&sent)
 }
 
 /// Replicas of each region of the largest deployment.
@@ -271,7 +264,7 @@
         News::RecordLater(1_500),
         News::RecordFirst,
     ] {
-        expect_that!(most_in_a_second(|_| news), le(limit()), "{news:?}");
+        expect_that!(most_in_a_second(|_| news), le(warmup_limit()), "{news:?}");
     }
 }
 
@@ -285,7 +278,7 @@
         News::ContactReturns(1_800),
         News::ContactReturnsWithRecord(600),
     ] {
-        expect_that!(most_in_a_second(|_| news), le(limit()), "{news:?}");
+        expect_that!(most_in_a_second(|_| news), le(warmup_limit()), "{news:?}");
     }
 }
 
@@ -298,7 +291,7 @@
         News::Starts(1_800),
         News::StartsWithRecord(600),
     ] {
-        expect_that!(most_in_a_second(|_| news), le(limit()), "{news:?}");
+        expect_that!(most_in_a_second(|_| news), le(warmup_limit()), "{news:?}");
     }
 }
 
@@ -309,7 +302,11 @@
         for other in &ALL_NEWS[first + 1..] {
             let alternating =
                 most_in_a_second(|index| if index / 6 % 2 == 0 { *news } else { *other });
-            expect_that!(alternating, le(limit()), "{news:?} and {other:?} by turns");
+            expect_that!(
+                alternating,
+                le(warmup_limit()),
+                "{news:?} and {other:?} by turns"
+            );
             let by_region = most_in_a_second(|index| {
                 if ZONES[index % ZONES.len()].1 == "c" {
                     *news
@@ -317,9 +314,13 @@
                     *other
                 }
             });
-            expect_that!(by_region, le(limit()), "{news:?} in region c, {other:?}");
+            expect_that!(
+                by_region,
+                le(warmup_limit()),
+                "{news:?} in region c, {other:?}"
+            );
         }
     }
     let all = most_in_a_second(|index| ALL_NEWS[index % ALL_NEWS.len()]);
-    expect_that!(all, le(limit()), "all orders");
+    expect_that!(all, le(warmup_limit()), "all orders");
 }
--- a/coordination/tests/slow_start_limit.rs
+++ b/coordination/tests/slow_start_limit.rs
@@ -13,11 +13,9 @@
 use remote_calls::PathSpec;
 use serde_json::Value;
 use support::edge_fleet::{
-    EDGES, START, WARMUP, WARMUP_RATE, ZONES, lane, most_in_window, record, roster,
+    EDGES, START, WARMUP, ZONES, lane, most_in_a_second_of, record, roster, warmup_limit,
 };
 
-/// Length of the windows in which attempts are counted, in ms.
-const WINDOW: Ms = 1_000;
 /// Interval at which every edge wants to send a request, in ms.
 const REQUEST_INTERVAL: Ms = 10;
 
@@ -39,7 +37,7 @@
             }
         }
     }
-    most_in_window(&sent, WINDOW)
+    most_in_a_second_of(&sent)
 }
 
 /// Runs a fleet in which `known(i)` are the edges that edge `i` knows.
@@ -51,18 +49,13 @@
     most_in_a_second(&mut proxies)
 }
 
-fn limit() -> usize {
-    let bounds = Bounds::default();
-    (WARMUP_RATE * bounds.cold_over + bounds.cold_slack) as usize
-}
-
 /// Least attempts in a second by which a fleet warms a replica up in reasonable time.
 const LEAST: usize = 8;
 
 #[gtest]
 fn fleet_whose_edges_all_know_each_other_keeps_the_warmup_limit() {
     let most = most_with_known_edges(|_| (0..EDGES).collect());
-    expect_that!(most, all![ge(LEAST), le(limit())]);
+    expect_that!(most, all![ge(LEAST), le(warmup_limit())]);
 }
 
 // Guards against the limit growing with the number of groups whose edges know only their own group, as after a partition.
@@ -72,7 +65,7 @@
         let own_group =
             |index: usize| -> Vec<usize> { (index % groups..EDGES).step_by(groups).collect() };
         let most = most_with_known_edges(own_group);
-        expect_that!(most, all![ge(LEAST), le(limit())], "{groups} groups");
+        expect_that!(most, all![ge(LEAST), le(warmup_limit())], "{groups} groups");
     }
 }
 
@@ -86,7 +79,7 @@
                 .collect()
         };
         let most = most_with_known_edges(few);
-        expect_that!(most, le(limit()), "{known_count} known edges");
+        expect_that!(most, le(warmup_limit()), "{known_count} known edges");
     }
 }
 
@@ -101,7 +94,7 @@
             (0..EDGES).filter(|other| !is_restarted(*other)).collect()
         }
     };
-    expect_that!(most_with_known_edges(known), le(limit()));
+    expect_that!(most_with_known_edges(known), le(warmup_limit()));
 }
 
 // Guards against edges that are in the middle of receiving a new roster: the fleet grew or shrank by a zone or a region.
@@ -120,7 +113,11 @@
                 )
             })
             .collect();
-        expect_that!(most_in_a_second(&mut proxies), le(limit()), "a {what}");
+        expect_that!(
+            most_in_a_second(&mut proxies),
+            le(warmup_limit()),
+            "a {what}"
+        );
     }
 }
 
@@ -145,5 +142,8 @@
             support::edge_fleet::proxy(index, 0..EDGES, &roster, &record, Bounds::default())
         })
         .collect();
-    expect_that!(most_in_a_second(&mut proxies), all![ge(LEAST), le(limit())]);
+    expect_that!(
+        most_in_a_second(&mut proxies),
+        all![ge(LEAST), le(warmup_limit())]
+    );
 }
--- a/coordination/tests/support/edge_fleet.rs
+++ b/coordination/tests/support/edge_fleet.rs
@@ -25,19 +25,28 @@
 /// Zone of the replica.
 const REPLICA_ZONE: &str = "c1";
 /// Requests per second that the replica bears while it warms up, and the duration of that, in ms.
-pub const WARMUP_RATE: f64 = 26.0;
+const WARMUP_RATE: f64 = 26.0;
 pub const WARMUP: Ms = 3_000;
 /// Connections that the replica accepts.
 pub const CONNECTIONS: usize = 1_900;
 /// When the proxies learn of the replica, in ms.
 pub const START: Ms = 1_000;
 
-/// Returns the most times that lie within one window. `times` ascend.
-pub fn most_in_window(times: &[Ms], window: Ms) -> usize {
+/// Length of the windows in which attempts are counted, in ms.
+const WINDOW: Ms = 1_000;
+
+/// Returns how many requests a replica may get in one second while it warms up.
+pub fn warmup_limit() -> usize {
+    let bounds = Bounds::default();
+    (WARMUP_RATE * bounds.cold_over + bounds.cold_slack) as usize
+}
+
+/// Returns the most times that lie within one second. `times` ascend.
+pub fn most_in_a_second_of(times: &[Ms]) -> usize {
     let mut first = 0;
     let mut most = 0;
     for (last, at) in times.iter().enumerate() {
-        while at - times[first] >= window {
+        while at - times[first] >= WINDOW {
             first += 1;
         }
         most = most.max(last + 1 - first);
