--- a/coordination/src/placement/slow_start.rs
+++ b/coordination/src/placement/slow_start.rs
@@ -111,6 +111,23 @@
 }
 
 impl Placement {
+    /// Starts slowly with a replica that this proxy learned to be warming up until `until`.
+    pub(super) fn start_slow(&mut self, id: &str, until: Ms, evidence: WarmupEvidence, now: Ms) {
+        let Some(entry) = self.replicas.get_mut(id) else {
+            return;
+        };
+        let was_known = entry.view.is_warming_up(now);
+        let sign = WarmupSign {
+            evidence,
+            since: now,
+            until,
+        };
+        entry.view.start_slow(sign, now);
+        if !was_known {
+            self.note_unnoticed_warmup(id, evidence, now);
+        }
+    }
+
     /// Starts slowly with replicas that may have turned cold without this proxy having learned of it.
     fn start_slow_with_unconfirmed(&mut self, service: &str, ids: &[&String], now: Ms) {
         let warmup_time = self.engines.get(service).map_or(0, |engine| engine.cold_ms);
--- a/coordination/src/placement/unnoticed_warmup.rs
+++ b/coordination/src/placement/unnoticed_warmup.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, mem};
 
-use super::{Placement, WarmupEvidence, slow_start::WarmupSign};
+use super::{Placement, WarmupEvidence};
 use crate::Ms;
 
 /// Maximum number of entries that are kept until they are taken.
@@ -45,20 +45,13 @@
 }
 
 impl Placement {
-    /// Marks a replica as warming up until `until`. Notes attempts that were sent to it shortly before as to a warm one.
-    pub(super) fn start_slow(&mut self, id: &str, until: Ms, evidence: WarmupEvidence, now: Ms) {
-        let Some(entry) = self.replicas.get_mut(id) else {
+    /// Notes attempts that were sent to a replica as to a warm one just before this proxy learned that it is warming up.
+    pub(super) fn note_unnoticed_warmup(&mut self, id: &str, evidence: WarmupEvidence, now: Ms) {
+        let Some(entry) = self.replicas.get(id) else {
             return;
         };
-        let was_known = entry.view.is_warming_up(now);
-        let sign = WarmupSign {
-            evidence,
-            since: now,
-            until,
-        };
-        entry.view.start_slow(sign, now);
         let attempts = entry.view.recent_full_rate_attempts(now);
-        if was_known || attempts == 0 || self.unnoticed_warmups.len() >= UNNOTICED_WARMUPS_MAX {
+        if attempts == 0 || self.unnoticed_warmups.len() >= UNNOTICED_WARMUPS_MAX {
             return;
         }
         self.unnoticed_warmups.push(UnnoticedWarmup {
